--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+PACKAGES = core wire daemon client standins bench
+SOURCES = $(foreach package,$(PACKAGES),packages/skylarkferry-$(package)/src)
+export PYTHONPATH := $(shell echo $(addprefix $(CURDIR)/,$(SOURCES)) | tr ' ' ':')
+export PYTHONHASHSEED := 0
+
+.PHONY: demo test check bench slopes soak lock format
+
+demo: $(VENV)/installed
+	PYTHON=$(BIN)/python scripts/demo.sh
+
+test: $(VENV)/installed
+	$(BIN)/python -m pytest
+
+check: $(VENV)/installed
+	$(BIN)/black --check --quiet packages tests
+	$(BIN)/ruff check --quiet packages tests
+	$(BIN)/mypy --no-error-summary $(SOURCES)
+
+format: $(VENV)/installed
+	$(BIN)/ruff check --quiet --fix packages tests
+	$(BIN)/black --quiet packages tests
+
+bench: $(VENV)/installed
+	$(BIN)/python -m skylarkferry_bench run
+
+slopes: $(VENV)/installed
+	$(BIN)/python -m skylarkferry_bench slopes
+
+soak: $(VENV)/installed
+	HYPOTHESIS_PROFILE=soak $(BIN)/python -m pytest -m soak
+
+$(VENV)/installed: requirements.lock
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --no-deps --requirement requirements.lock
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation \
+		$(foreach package,$(PACKAGES),--editable packages/skylarkferry-$(package))
+	touch $@
--- /dev/null
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the policy, for development."""
--- /dev/null
+++ b/packages/skylarkferry-client/src/skylarkferry_client/__init__.py
@@ -0,0 +1,1 @@
+"""The skylarkferry command line."""
--- /dev/null
+++ b/packages/skylarkferry-core/src/skylarkferry_core/clocks.py
@@ -0,0 +1,29 @@
+"""Hybrid logical clock for the time line over all processes."""
+
+_LOGICAL_BITS = 16
+_MICROSECONDS_PER_S = 1_000_000
+
+
+class HybridClock:
+    """Stamp events so that an effect never sorts before its cause.
+
+    A stamp is an integer: wall microseconds shifted by 16 bits, plus a logical counter.
+    """
+
+    def __init__(self) -> None:
+        self.last = 0
+
+    def stamp(self, wall_s: float) -> int:
+        """Return a stamp above every earlier one; ``wall_s`` is seconds since the epoch."""
+        physical = int(wall_s * _MICROSECONDS_PER_S) << _LOGICAL_BITS
+        self.last = max(physical, self.last + 1)
+        return self.last
+
+    def observe(self, remote: int) -> None:
+        """Move past a stamp that came from another process."""
+        self.last = max(self.last, remote)
+
+
+def wall_of(stamp: int) -> float:
+    """Return the wall time of a stamp, in seconds since the epoch."""
+    return (stamp >> _LOGICAL_BITS) / _MICROSECONDS_PER_S
--- /dev/null
+++ b/packages/skylarkferry-core/src/skylarkferry_core/errors.py
@@ -0,0 +1,273 @@
+"""Typed failures with stable codes."""
+
+from enum import Enum
+from http import HTTPStatus
+
+from skylarkferry_core.states import FinalWord
+
+
+class ErrorCode(Enum):
+    """Stable code of a failure, as callers and operators see it."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    BODY_TIMEOUT = "body_timeout"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    UNKNOWN_AGENT = "unknown_agent"
+    UNKNOWN_SERVICE = "unknown_service"
+    REQUEST_KEY_REUSED = "request_key_reused"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_PASSED = "deadline_passed"
+    CUSTOMER_LIMIT = "customer_limit"
+    BUDGET_EXHAUSTED = "budget_exhausted"
+    TURN_LIMIT = "turn_limit"
+    REPEATED_CALLS = "repeated_calls"
+    CANCELLED = "cancelled"
+    OVERLOADED = "overloaded"
+    QUARANTINED = "quarantined"
+    NO_UPSTREAM = "no_upstream"
+    UPSTREAM_FAILED = "upstream_failed"
+    UPSTREAM_LEAVING = "upstream_leaving"
+    UPSTREAM_LOST = "upstream_lost"
+    STALE_EPOCH = "stale_epoch"
+    SEALED = "sealed"
+    NOT_OWNER = "not_owner"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    WRITE_CONFLICT = "write_conflict"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    DOCUMENT_INVALID = "document_invalid"
+    DOCUMENT_CONFLICT = "document_conflict"
+    SETTINGS_INVALID = "settings_invalid"
+    INTERNAL = "internal"
+
+
+class SkylarkferryError(Exception):
+    """Base of all failures; subclasses fix the code, the HTTP status and the final word."""
+
+    code = ErrorCode.INTERNAL
+    status = HTTPStatus.INTERNAL_SERVER_ERROR
+    word: FinalWord | None = FinalWord.NOT_RUN
+
+    def __init__(self, detail: str, *, retry_after_s: float | None = None) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+
+
+class BadRequestError(SkylarkferryError):
+    """The request is malformed."""
+
+    code = ErrorCode.BAD_REQUEST
+    status = HTTPStatus.BAD_REQUEST
+
+
+class BodyTooLargeError(SkylarkferryError):
+    """The request body exceeds the limit."""
+
+    code = ErrorCode.BODY_TOO_LARGE
+    status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+
+
+class BodyTimeoutError(SkylarkferryError):
+    """The request body did not arrive in time."""
+
+    code = ErrorCode.BODY_TIMEOUT
+    status = HTTPStatus.REQUEST_TIMEOUT
+
+
+class UnauthenticatedError(SkylarkferryError):
+    """No valid bearer token came with the request."""
+
+    code = ErrorCode.UNAUTHENTICATED
+    status = HTTPStatus.UNAUTHORIZED
+
+
+class ForbiddenError(SkylarkferryError):
+    """The token does not allow the request."""
+
+    code = ErrorCode.FORBIDDEN
+    status = HTTPStatus.FORBIDDEN
+
+
+class NotFoundError(SkylarkferryError):
+    """The addressed object does not exist."""
+
+    code = ErrorCode.NOT_FOUND
+    status = HTTPStatus.NOT_FOUND
+
+
+class MethodNotAllowedError(SkylarkferryError):
+    """The path exists, but not with this method."""
+
+    code = ErrorCode.METHOD_NOT_ALLOWED
+    status = HTTPStatus.METHOD_NOT_ALLOWED
+
+
+class UnknownAgentError(SkylarkferryError):
+    """The document has no agent of this name."""
+
+    code = ErrorCode.UNKNOWN_AGENT
+    status = HTTPStatus.UNPROCESSABLE_ENTITY
+
+
+class UnknownServiceError(SkylarkferryError):
+    """The document has no service of this name."""
+
+    code = ErrorCode.UNKNOWN_SERVICE
+    status = HTTPStatus.NOT_FOUND
+
+
+class RequestKeyReusedError(SkylarkferryError):
+    """The request key stands for a different body already."""
+
+    code = ErrorCode.REQUEST_KEY_REUSED
+    status = HTTPStatus.CONFLICT
+
+
+class DeadlineUnreachableError(SkylarkferryError):
+    """The program could not finish by its deadline."""
+
+    code = ErrorCode.DEADLINE_UNREACHABLE
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class DeadlinePassedError(SkylarkferryError):
+    """The deadline passed before the work ended."""
+
+    code = ErrorCode.DEADLINE_PASSED
+    status = HTTPStatus.GATEWAY_TIMEOUT
+
+
+class CustomerLimitError(SkylarkferryError):
+    """The customer's share is used up."""
+
+    code = ErrorCode.CUSTOMER_LIMIT
+    status = HTTPStatus.TOO_MANY_REQUESTS
+
+
+class BudgetExhaustedError(SkylarkferryError):
+    """The program's budget does not cover its next call."""
+
+    code = ErrorCode.BUDGET_EXHAUSTED
+    status = HTTPStatus.UNPROCESSABLE_ENTITY
+
+
+class OverloadedError(SkylarkferryError):
+    """No capacity is left for the request."""
+
+    code = ErrorCode.OVERLOADED
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class QuarantinedError(SkylarkferryError):
+    """The request crashed upstreams before and runs no more."""
+
+    code = ErrorCode.QUARANTINED
+    status = HTTPStatus.UNPROCESSABLE_ENTITY
+
+
+class NoUpstreamError(SkylarkferryError):
+    """No upstream can take the call."""
+
+    code = ErrorCode.NO_UPSTREAM
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class UpstreamFailedError(SkylarkferryError):
+    """The upstream answered with a failure."""
+
+    code = ErrorCode.UPSTREAM_FAILED
+    status = HTTPStatus.BAD_GATEWAY
+
+
+class UpstreamLeavingError(SkylarkferryError):
+    """The upstream drains and takes no new work."""
+
+    code = ErrorCode.UPSTREAM_LEAVING
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class UpstreamLostError(SkylarkferryError):
+    """The connection to the sidecar was lost before an outcome came."""
+
+    code = ErrorCode.UPSTREAM_LOST
+    status = HTTPStatus.BAD_GATEWAY
+
+
+class StaleEpochError(SkylarkferryError):
+    """The order carries a lower epoch than one seen before."""
+
+    code = ErrorCode.STALE_EPOCH
+    status = HTTPStatus.CONFLICT
+
+
+class SealedError(SkylarkferryError):
+    """The call was sealed before it ran and never runs."""
+
+    code = ErrorCode.SEALED
+    status = HTTPStatus.CONFLICT
+
+
+class NotOwnerError(SkylarkferryError):
+    """The node does not hold the partition's lease."""
+
+    code = ErrorCode.NOT_OWNER
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class PlatformUnavailableError(SkylarkferryError):
+    """The platform did not answer; a write may or may not have taken effect."""
+
+    code = ErrorCode.PLATFORM_UNAVAILABLE
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class WriteConflictError(SkylarkferryError):
+    """A condition of a table transaction did not hold; nothing was written."""
+
+    code = ErrorCode.WRITE_CONFLICT
+    status = HTTPStatus.CONFLICT
+
+
+class OutcomeUnknownError(SkylarkferryError):
+    """Nobody can tell whether the call ran."""
+
+    code = ErrorCode.OUTCOME_UNKNOWN
+    status = HTTPStatus.BAD_GATEWAY
+    word = FinalWord.UNKNOWN
+
+
+class DocumentInvalidError(SkylarkferryError):
+    """The configuration document does not validate."""
+
+    code = ErrorCode.DOCUMENT_INVALID
+    status = HTTPStatus.UNPROCESSABLE_ENTITY
+
+
+class DocumentConflictError(SkylarkferryError):
+    """The section changed since the editor read it."""
+
+    code = ErrorCode.DOCUMENT_CONFLICT
+    status = HTTPStatus.CONFLICT
+
+
+class SettingsInvalidError(SkylarkferryError):
+    """A settings file is missing or wrong."""
+
+    code = ErrorCode.SETTINGS_INVALID
+
+
+def error_types() -> dict[ErrorCode, type[SkylarkferryError]]:
+    """Return the error class of each code that has one."""
+    return {kind.code: kind for kind in SkylarkferryError.__subclasses__()}
+
+
+def error_for(
+    code: ErrorCode, detail: str, retry_after_s: float | None = None
+) -> SkylarkferryError:
+    """Build the typed error of a code that came over the wire."""
+    kind = error_types().get(code, SkylarkferryError)
+    return kind(detail, retry_after_s=retry_after_s)
--- /dev/null
+++ b/packages/skylarkferry-core/src/skylarkferry_core/records.py
@@ -0,0 +1,96 @@
+"""Records of the partition journal; a program is the replay of its records.
+
+``msgspec`` tagged unions; unknown fields of later versions are ignored on reading.
+"""
+
+import msgspec
+
+from skylarkferry_core.errors import ErrorCode
+from skylarkferry_core.ids import (
+    CallId,
+    Epoch,
+    Incarnation,
+    PartitionNumber,
+    ProgramId,
+    RunId,
+    UpstreamId,
+)
+from skylarkferry_core.messages import ChatMessage, Outcome, ProgramRequest, Usage
+from skylarkferry_core.states import FinalWord
+
+
+class ProgramAccepted(msgspec.Struct, frozen=True, tag="accepted"):
+    """A program exists; ``accepted_at`` is the owner's wall clock, in seconds since the epoch."""
+
+    program_id: ProgramId
+    request: ProgramRequest
+    accepted_at: float
+
+
+class AllotmentTaken(msgspec.Struct, frozen=True, tag="allotment"):
+    """The program may spend up to these totals; recovery counts what is unsettled as spent."""
+
+    program_id: ProgramId
+    tokens: int
+    cost_micros: int
+
+
+class TurnCompleted(msgspec.Struct, frozen=True, tag="turn"):
+    """A model call ended; ``message`` joins the run's history."""
+
+    program_id: ProgramId
+    run_id: RunId
+    call_id: CallId
+    message: ChatMessage
+    usage: Usage
+
+
+class CallIntended(msgspec.Struct, frozen=True, tag="intent"):
+    """A call that may not be repeated is about to be ordered from this sidecar's life."""
+
+    program_id: ProgramId
+    run_id: RunId
+    call_id: CallId
+    upstream: UpstreamId
+    incarnation: Incarnation
+
+
+class CallCompleted(msgspec.Struct, frozen=True, tag="call"):
+    """A tool or service call ended with a final word."""
+
+    program_id: ProgramId
+    run_id: RunId
+    call_id: CallId
+    outcome: Outcome
+
+
+class ProgramEnded(msgspec.Struct, frozen=True, tag="ended"):
+    """The program's final answer."""
+
+    program_id: ProgramId
+    word: FinalWord
+    answer: str
+    error: ErrorCode | None = None
+    detail: str = ""
+    retry_after_s: float | None = None
+
+
+Record = (
+    ProgramAccepted | AllotmentTaken | TurnCompleted | CallIntended | CallCompleted | ProgramEnded
+)
+
+
+class PartitionRecord(msgspec.Struct, frozen=True):
+    """A record with the partition and epoch it was written under."""
+
+    partition: PartitionNumber
+    epoch: Epoch
+    record: Record
+
+
+class Segment(msgspec.Struct, frozen=True):
+    """One conditional write of a journal: records of several partitions, in order."""
+
+    incarnation: Incarnation
+    sequence: int
+    records: tuple[PartitionRecord, ...]
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The skylarkferry daemon."""
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/main.py
@@ -0,0 +1,68 @@
+"""Entry point of ``skylarkferryd``."""
+
+import signal
+import sys
+
+import anyio
+import fire
+
+from skylarkferry_core.errors import SettingsInvalidError
+from skylarkferry_daemon import settings as settings_module
+from skylarkferry_daemon.log import set_up_logging
+from skylarkferry_daemon.settings import EntrySettings, Settings, SidecarSettings
+
+EXIT_SETTINGS = 2
+
+
+async def _run_role(settings: Settings, stop: anyio.Event) -> None:
+    """Run the process's role until ``stop`` is set and its work is finished."""
+    match settings:
+        case EntrySettings():
+            from skylarkferry_daemon.entry import run_entry  # noqa: PLC0415
+
+            await run_entry(settings, stop)
+        case SidecarSettings():
+            from skylarkferry_daemon.sidecar import run_sidecar  # noqa: PLC0415
+
+            await run_sidecar(settings, stop)
+
+
+async def _watch_signals(stop: anyio.Event) -> None:
+    """Begin a planned stop at the first SIGTERM or SIGINT."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            stop.set()
+
+
+async def _serve(settings: Settings) -> None:
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_watch_signals, stop)
+        await _run_role(settings, stop)
+        tasks.cancel_scope.cancel()
+
+
+def _load_or_exit(path: str) -> Settings:
+    try:
+        return settings_module.load(path)
+    except SettingsInvalidError as error:
+        print(f"skylarkferryd: {error.detail}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+
+
+def serve(path: str) -> None:
+    """Serve with the settings in the file at PATH until SIGTERM."""
+    settings = _load_or_exit(path)
+    set_up_logging(settings.log_level)
+    anyio.run(_serve, settings)
+
+
+def check(path: str) -> None:
+    """Check the settings file at PATH; exit with 2 when it is wrong."""
+    _load_or_exit(path)
+    print(f"{path}: correct")
+
+
+def main() -> None:
+    """Dispatch the command line."""
+    fire.Fire({"serve": serve, "check": check}, name="skylarkferryd")
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/timers.py
@@ -0,0 +1,87 @@
+"""Timer service: parts of a process subscribe to it instead of sleeping in loops of their own."""
+
+import heapq
+import itertools
+import math
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+Callback = Callable[[], Awaitable[None]]
+
+
+class Subscription:
+    """A pending timer; ``interval_s`` is ``None`` for one that fires once."""
+
+    def __init__(self, callback: Callback, interval_s: float | None) -> None:
+        self.callback = callback
+        self.interval_s = interval_s
+        self.cancelled = False
+        self.running = False
+
+    def cancel(self) -> None:
+        """Fire no more; a callback that runs now goes on."""
+        self.cancelled = True
+
+
+class TimerService:
+    """Fire callbacks at monotonic times, each in a task of its own.
+
+    A periodic callback that still runs when its time comes again skips that time.
+    """
+
+    def __init__(self) -> None:
+        self.heap: list[tuple[float, int, Subscription]] = []
+        self.order = itertools.count()
+        self.changed = anyio.Event()
+
+    def now(self) -> float:
+        """Return monotonic time in seconds."""
+        return anyio.current_time()
+
+    def every(self, interval_s: float, callback: Callback) -> Subscription:
+        """Call ``callback`` each ``interval_s`` seconds, first after one interval."""
+        return self._add(interval_s, Subscription(callback, interval_s))
+
+    def after(self, delay_s: float, callback: Callback) -> Subscription:
+        """Call ``callback`` once, ``delay_s`` seconds from now."""
+        return self._add(delay_s, Subscription(callback, None))
+
+    def _add(self, delay_s: float, subscription: Subscription) -> Subscription:
+        due = self.now() + delay_s
+        heapq.heappush(self.heap, (due, next(self.order), subscription))
+        if self.heap[0][2] is subscription:
+            self.changed.set()
+        return subscription
+
+    async def run(self, tasks: TaskGroup) -> None:
+        """Fire timers until cancelled; callbacks run in ``tasks``."""
+        while True:
+            self._fire_due(tasks)
+            await self._wait()
+
+    def _fire_due(self, tasks: TaskGroup) -> None:
+        now = self.now()
+        while self.heap and self.heap[0][0] <= now:
+            due, _, subscription = heapq.heappop(self.heap)
+            if subscription.cancelled:
+                continue
+            if not subscription.running:
+                tasks.start_soon(_call, subscription)
+            if subscription.interval_s is not None:
+                self._add(max(due + subscription.interval_s - now, 0.0), subscription)
+
+    async def _wait(self) -> None:
+        self.changed = anyio.Event()
+        delay_s = self.heap[0][0] - self.now() if self.heap else math.inf
+        with anyio.move_on_after(delay_s):
+            await self.changed.wait()
+
+
+async def _call(subscription: Subscription) -> None:
+    subscription.running = True
+    try:
+        await subscription.callback()
+    finally:
+        subscription.running = False
--- /dev/null
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform and upstreams, for development."""
--- /dev/null
+++ b/packages/skylarkferry-wire/src/skylarkferry_wire/__init__.py
@@ -0,0 +1,1 @@
+"""gRPC methods between skylarkferry processes, with MessagePack messages."""
--- /dev/null
+++ b/packages/skylarkferry-wire/src/skylarkferry_wire/errors.py
@@ -0,0 +1,46 @@
+"""Carry typed errors over gRPC in the status details."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, NoReturn
+
+import grpc
+import msgspec
+
+from skylarkferry_core.errors import ErrorCode, SkylarkferryError
+from skylarkferry_core.messages import Failure, error_of, failure_of
+
+
+async def abort_with(context: grpc.aio.ServicerContext, error: SkylarkferryError) -> NoReturn:
+    """End the RPC with a typed error."""
+    details = msgspec.json.encode(failure_of(error)).decode()
+    await context.abort(grpc.StatusCode.FAILED_PRECONDITION, details)
+    raise AssertionError(details)
+
+
+def error_from(error: grpc.aio.AioRpcError) -> SkylarkferryError:
+    """Return the typed error that an RPC ended with.
+
+    A failure of the transport gives ``UPSTREAM_LOST`` and no final word: the request may have run.
+    """
+    if error.code() == grpc.StatusCode.FAILED_PRECONDITION:
+        try:
+            return error_of(msgspec.json.decode(error.details() or "", type=Failure))
+        except msgspec.DecodeError:
+            pass
+    detail = f"RPC failed: {error.code().name}"
+    return error_of(Failure(ErrorCode.UPSTREAM_LOST, detail))
+
+
+Handler = Callable[[Any, grpc.aio.ServicerContext], Awaitable[Any]]
+
+
+def typed_errors(handler: Handler) -> Handler:
+    """Wrap a unary handler so that its typed errors reach the peer."""
+
+    async def wrapped(request: Any, context: grpc.aio.ServicerContext) -> Any:
+        try:
+            return await handler(request, context)
+        except SkylarkferryError as error:
+            await abort_with(context, error)
+
+    return wrapped
