--- /dev/null
+++ b/packages/skylarkferry-core/src/skylarkferry_core/admissions.py
@@ -0,0 +1,136 @@
+"""Admission of programs: refuse at once what cannot end in time or exceeds its share."""
+
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+import msgspec
+
+from skylarkferry_core.errors import ErrorCode
+from skylarkferry_core.ids import CustomerId
+
+_SECONDS_PER_MINUTE = 60.0
+_BURST_S = 10.0
+_MIN_RETRY_AFTER_S = 0.5
+_SAFETY = 1.0
+
+
+class AdmissionRequest(msgspec.Struct, frozen=True):
+    """A program that asks to start.
+
+    ``expected_s`` is its work on idle upstreams, ``wait_s`` the wait that each of its
+    ``expected_calls`` meets now at the least loaded upstream, ``tokens`` what it may use.
+    """
+
+    customer: CustomerId
+    deadline_s: float
+    expected_s: float
+    wait_s: float = 0.0
+    expected_calls: float = 1.0
+    tokens: int = 0
+    tokens_per_minute: int = 0
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """Why a program was refused, and the seconds after which it may be asked for again."""
+
+    code: ErrorCode
+    retry_after_s: float
+
+
+class Admission(Protocol):
+    """Decides on a program before anything of it runs."""
+
+    def admit(self, request: AdmissionRequest, now: float) -> Refusal | None:
+        """Return ``None`` to admit, or the refusal; it is told to the caller at once."""
+
+
+class OpenAdmission:
+    """Admit everything."""
+
+    def admit(self, request: AdmissionRequest, now: float) -> Refusal | None:
+        """Return ``None``."""
+        return None
+
+
+class CustomerSlice:
+    """One node's slice of a customer's rate limit: a token bucket of ``burst_s`` seconds."""
+
+    def __init__(self, tokens_per_s: float, now: float, burst_s: float = _BURST_S) -> None:
+        self.tokens_per_s = tokens_per_s
+        self.capacity = tokens_per_s * burst_s
+        self.balance = self.capacity
+        self.refilled_at = now
+
+    def resize(self, tokens_per_s: float, now: float, burst_s: float = _BURST_S) -> None:
+        """Change the slice; what was saved up beyond the new burst is lost."""
+        self._refill(now)
+        self.tokens_per_s = tokens_per_s
+        self.capacity = tokens_per_s * burst_s
+        self.balance = min(self.balance, self.capacity)
+
+    def take(self, tokens: int, now: float) -> float:
+        """Take tokens and return 0, or take none and return the seconds until they are there.
+
+        A program larger than the burst passes when the bucket is full and leaves it in debt.
+        """
+        self._refill(now)
+        needed = min(tokens, self.capacity)
+        if self.balance >= needed:
+            self.balance -= tokens
+            return 0.0
+        return (needed - self.balance) / self.tokens_per_s
+
+    def give_back(self, tokens: int) -> None:
+        """Return what a program did not use."""
+        self.balance = min(self.balance + tokens, self.capacity)
+
+    def _refill(self, now: float) -> None:
+        self.balance += (now - self.refilled_at) * self.tokens_per_s
+        self.balance = min(self.balance, self.capacity)
+        self.refilled_at = now
+
+
+class DeadlineAdmission:
+    """Refuse a program that would miss its deadline or exceeds its customer's slice.
+
+    ``slice_share`` is this node's part of every customer's limit, 1 for a single node.
+    """
+
+    def __init__(self, slice_share: float = 1.0, safety: float = _SAFETY) -> None:
+        self.slice_share = slice_share
+        self.safety = safety
+        self.slices: dict[CustomerId, CustomerSlice] = {}
+
+    def admit(self, request: AdmissionRequest, now: float) -> Refusal | None:
+        """Return ``None`` to admit, or the refusal."""
+        late_s = self.late_s(request)
+        if late_s > 0:
+            code = ErrorCode.DEADLINE_UNREACHABLE
+            return Refusal(code, max(late_s, _MIN_RETRY_AFTER_S))
+        wait_s = self._take(request, now)
+        if wait_s > 0:
+            return Refusal(ErrorCode.CUSTOMER_LIMIT, max(wait_s, _MIN_RETRY_AFTER_S))
+        return None
+
+    def late_s(self, request: AdmissionRequest) -> float:
+        """Return by how many seconds the program is expected to miss its deadline."""
+        waits_s = request.wait_s * request.expected_calls
+        return self.safety * (request.expected_s + waits_s) - request.deadline_s
+
+    def _take(self, request: AdmissionRequest, now: float) -> float:
+        if request.tokens_per_minute <= 0:
+            return 0.0
+        rate = request.tokens_per_minute * self.slice_share / _SECONDS_PER_MINUTE
+        held = self.slices.get(request.customer)
+        if held is None:
+            held = self.slices[request.customer] = CustomerSlice(rate, now)
+        if held.tokens_per_s != rate:
+            held.resize(rate, now)
+        return held.take(request.tokens, now)
+
+
+ADMISSIONS: Mapping[str, Callable[[], Admission]] = {
+    "open": OpenAdmission,
+    "deadline": DeadlineAdmission,
+}
+DEFAULT_ADMISSION = "deadline"
--- /dev/null
+++ b/packages/skylarkferry-core/src/skylarkferry_core/cache_beliefs.py
@@ -0,0 +1,107 @@
+"""What a node believes of the prefix caches of the engines."""
+
+from collections import OrderedDict
+
+import msgspec
+
+from skylarkferry_core.ids import ProgramId, RunId, UpstreamId
+from skylarkferry_core.interfaces import PlacementRequest
+from skylarkferry_core.messages import CacheEvent
+
+_ENTRIES_PER_UPSTREAM = 4_096
+_TRUST_AFTER_GAP = 0.5
+_TRUST_REGAINED = 0.02
+_SHARED = RunId("")
+
+
+class CacheBelief(msgspec.Struct, frozen=True):
+    """Prompt tokens believed in an engine's cache and the trust in it, 0 to 1."""
+
+    tokens: int = 0
+    trust: float = 1.0
+
+
+class EngineBeliefs:
+    """Beliefs about one engine: cached tokens of each run of a program and of shared prefixes.
+
+    ``entries`` has a program id or the fingerprint of a prefix as its key, oldest first.
+    """
+
+    def __init__(self, capacity: int = _ENTRIES_PER_UPSTREAM) -> None:
+        self.capacity = capacity
+        self.entries: OrderedDict[str, dict[RunId, int]] = OrderedDict()
+        self.sequence: int | None = None
+        self.trust = 1.0
+
+    def put(self, key: str, run_id: RunId, tokens: int) -> None:
+        """Believe that ``tokens`` are cached; 0 means none."""
+        runs = self.entries.pop(key, {})
+        runs.pop(run_id, None)
+        if tokens > 0:
+            runs[run_id] = tokens
+        if runs:
+            self.entries[key] = runs
+        if len(self.entries) > self.capacity:
+            self.entries.popitem(last=False)
+
+    def get(self, key: str, run_id: RunId) -> int:
+        """Return the tokens believed cached."""
+        runs = self.entries.get(key)
+        return runs.get(run_id, 0) if runs else 0
+
+    def count(self, event: CacheEvent) -> None:
+        """Follow the sequence; lower the trust on a gap, regain it with each event in order."""
+        expected = event.sequence if self.sequence is None else self.sequence + 1
+        if event.sequence > expected:
+            self.trust *= _TRUST_AFTER_GAP
+        else:
+            self.trust = min(self.trust + _TRUST_REGAINED, 1.0)
+        self.sequence = max(event.sequence, expected - 1)
+
+
+class CacheBeliefs:
+    """Beliefs about all engines: own placements first, corrected by late cache events."""
+
+    def __init__(self) -> None:
+        self.engines: dict[UpstreamId, EngineBeliefs] = {}
+
+    def placed(self, upstream: UpstreamId, request: PlacementRequest) -> None:
+        """Note a call that was sent: its prompt is cached there soon."""
+        engine = self._engine(upstream)
+        engine.put(request.program_id, request.run_id, request.prompt_tokens)
+        if request.prefix:
+            engine.put(request.prefix, _SHARED, request.prefix_tokens)
+
+    def finished(self, upstream: UpstreamId, request: PlacementRequest, tokens: int) -> None:
+        """Note a call's end: prompt and output, ``tokens`` in all, are cached there."""
+        self._engine(upstream).put(request.program_id, request.run_id, tokens)
+
+    def observe(self, upstream: UpstreamId, event: CacheEvent) -> None:
+        """Correct the belief by an event of the engine."""
+        engine = self._engine(upstream)
+        engine.count(event)
+        if event.prefix:
+            engine.put(event.prefix, _SHARED, event.cached_tokens)
+        else:
+            engine.put(event.program_id, event.run_id, event.cached_tokens)
+
+    def released(self, program_id: ProgramId) -> None:
+        """Forget all runs of a program that ended."""
+        for engine in self.engines.values():
+            engine.entries.pop(program_id, None)
+
+    def lost(self, upstream: UpstreamId) -> None:
+        """Forget an engine that restarted or left."""
+        self.engines.pop(upstream, None)
+
+    def belief(self, upstream: UpstreamId, request: PlacementRequest) -> CacheBelief:
+        """Return what of a call's prompt is believed cached at an engine."""
+        engine = self.engines.get(upstream)
+        if engine is None:
+            return CacheBelief()
+        own = engine.get(request.program_id, request.run_id)
+        shared = engine.get(request.prefix, _SHARED) if request.prefix else 0
+        return CacheBelief(min(max(own, shared), request.prompt_tokens), engine.trust)
+
+    def _engine(self, upstream: UpstreamId) -> EngineBeliefs:
+        return self.engines.setdefault(upstream, EngineBeliefs())
--- a/packages/skylarkferry-core/src/skylarkferry_core/interfaces.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/interfaces.py
@@ -6,7 +6,14 @@
 import msgspec
 
 from skylarkferry_core.document import SiteSpec
-from skylarkferry_core.ids import FailureDomain, PoolName, ProgramId, UpstreamId
+from skylarkferry_core.ids import (
+    FailureDomain,
+    Fingerprint,
+    PoolName,
+    ProgramId,
+    RunId,
+    UpstreamId,
+)
 from skylarkferry_core.messages import LoadReport, Order
 from skylarkferry_core.states import PoolKind, UpstreamState
 
@@ -81,12 +88,19 @@
         """Return the hosts; raise ``PlatformUnavailableError``."""
 
 
+class Speed(msgspec.Struct, frozen=True):
+    """Learned speed of an upstream: prefill in total, decode for one call, in tokens a second."""
+
+    prefill_tokens_per_s: float = 5_000.0
+    decode_tokens_per_s: float = 40.0
+
+
 class Candidate(msgspec.Struct, frozen=True):
     """An upstream that could take a call.
 
-    ``sent_since`` counts prefill tokens this node sent after the load was reported;
-    ``cached_tokens`` is what the node believes of the prompt is in the upstream's cache, and
-    ``cache_trust`` (0 to 1) how far it believes it.
+    ``sent_since`` counts prefill tokens and ``calls_since`` calls that this node sent after the
+    load was reported; ``cached_tokens`` is what the node believes of the prompt is in the
+    upstream's cache, and ``cache_trust`` (0 to 1) how far it believes it.
     """
 
     upstream: UpstreamId
@@ -99,16 +113,24 @@
     cached_tokens: int = 0
     cache_trust: float = 1.0
     share: float = 1.0
+    calls_since: int = 0
+    speed: Speed = Speed()
 
 
 class PlacementRequest(msgspec.Struct, frozen=True):
-    """A call to place; token counts are estimates."""
+    """A call to place; token counts are estimates.
+
+    ``prefix`` identifies the first ``prefix_tokens`` of the prompt, which other programs share.
+    """
 
     program_id: ProgramId
     prompt_tokens: int
     output_tokens: int
     failure_domain: FailureDomain
     last_upstream: UpstreamId = UpstreamId("")
+    run_id: RunId = RunId("0")
+    prefix: Fingerprint = Fingerprint("")
+    prefix_tokens: int = 0
 
 
 class Placement(Protocol):
--- a/packages/skylarkferry-core/src/skylarkferry_core/messages.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/messages.py
@@ -19,6 +19,7 @@
     PartitionNumber,
     ProgramId,
     RequestKey,
+    RunId,
     ServiceName,
     ToolName,
     UpstreamId,
@@ -153,7 +154,11 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """Exact load before one upstream; rides on outcomes and heartbeats."""
+    """Exact load before one upstream; rides on outcomes and heartbeats.
+
+    ``running_output_tokens`` is what the running calls still have to decode, ``kv_tokens`` the
+    size of the engine's KV memory, or 0 when unknown.
+    """
 
     queued: int = 0
     running: int = 0
@@ -162,14 +167,20 @@
     slots: int = 1
     free_kv_tokens: int = 0
     age_s: float = 0.0
+    kv_tokens: int = 0
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
-    """A change of a program's cached prefix at an engine, with the engine's sequence number."""
+    """A change of a cached prefix at an engine, with the engine's sequence number.
+
+    It concerns one run of a program or, when ``prefix`` is set, a prefix that programs share.
+    """
 
     sequence: int
     program_id: ProgramId
     cached_tokens: int
+    run_id: RunId = RunId("0")
+    prefix: Fingerprint = Fingerprint("")
 
 
 # Frames from an entry to a sidecar.
--- /dev/null
+++ b/packages/skylarkferry-core/src/skylarkferry_core/placements.py
@@ -0,0 +1,224 @@
+"""Choice of the upstream for a call."""
+
+import itertools
+from collections.abc import Callable, Mapping, Sequence
+from random import Random
+
+import xxhash
+
+from skylarkferry_core.document import SiteSpec
+from skylarkferry_core.ids import PoolName, UpstreamId
+from skylarkferry_core.interfaces import Candidate, Placement, PlacementRequest
+from skylarkferry_core.shifts import pool_of_new, pool_of_running
+from skylarkferry_core.states import UpstreamState
+
+_RANDOM_CANDIDATES = 2
+_EVICTION_WEIGHT = 0.5
+_UNKNOWN_CALL_S = 1.0
+
+
+def usable(request: PlacementRequest, candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return the candidates that may take the call: live ones, else suspect ones, by pool share."""
+    for state in (UpstreamState.LIVE, UpstreamState.SUSPECT):
+        found = [candidate for candidate in candidates if candidate.state is state]
+        if found:
+            return _in_pool(request, found)
+    return []
+
+
+def _in_pool(request: PlacementRequest, candidates: list[Candidate]) -> list[Candidate]:
+    shares: dict[PoolName, float] = {item.pool: item.share for item in candidates}
+    if len(shares) < 2:
+        return candidates
+    pool = _pool(request, candidates, shares)
+    return [item for item in candidates if item.pool == pool] or candidates
+
+
+def _pool(
+    request: PlacementRequest, candidates: list[Candidate], shares: Mapping[PoolName, float]
+) -> PoolName | None:
+    for candidate in candidates:
+        if candidate.upstream == request.last_upstream:
+            return pool_of_running(request.program_id, candidate.pool, shares).pool
+    return pool_of_new(request.program_id, shares)
+
+
+class RandomPlacement:
+    """Any usable upstream."""
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+
+    def place(
+        self, request: PlacementRequest, candidates: Sequence[Candidate], site: SiteSpec
+    ) -> UpstreamId | None:
+        """Return a random usable upstream."""
+        found = usable(request, candidates)
+        return self.random.choice(found).upstream if found else None
+
+
+class RoundRobinPlacement:
+    """The usable upstreams in turn."""
+
+    def __init__(self, random: Random) -> None:
+        self.turn = itertools.count(random.randrange(1 << 16))
+
+    def place(
+        self, request: PlacementRequest, candidates: Sequence[Candidate], site: SiteSpec
+    ) -> UpstreamId | None:
+        """Return the next usable upstream."""
+        found = usable(request, candidates)
+        return found[next(self.turn) % len(found)].upstream if found else None
+
+
+class LeastLoadPlacement:
+    """The upstream with the fewest calls, reported and sent since; ties at random."""
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+
+    def place(
+        self, request: PlacementRequest, candidates: Sequence[Candidate], site: SiteSpec
+    ) -> UpstreamId | None:
+        """Return the least loaded usable upstream."""
+        found = usable(request, candidates)
+        if not found:
+            return None
+        return min(found, key=lambda item: (calls_at(item), self.random.random())).upstream
+
+
+class StickyPlacement:
+    """The program's last upstream while it is usable, else the least loaded one."""
+
+    def __init__(self, random: Random) -> None:
+        self.fallback = LeastLoadPlacement(random)
+
+    def place(
+        self, request: PlacementRequest, candidates: Sequence[Candidate], site: SiteSpec
+    ) -> UpstreamId | None:
+        """Return the last upstream, or the least loaded one."""
+        for candidate in usable(request, candidates):
+            if candidate.upstream == request.last_upstream:
+                return candidate.upstream
+        return self.fallback.place(request, candidates, site)
+
+
+class PrefixHashPlacement:
+    """Rendezvous hashing by shared prefix, or by program where the prompt has none."""
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+
+    def place(
+        self, request: PlacementRequest, candidates: Sequence[Candidate], site: SiteSpec
+    ) -> UpstreamId | None:
+        """Return the usable upstream with the highest hash."""
+        found = usable(request, candidates)
+        key = request.prefix or request.program_id
+        if not found:
+            return None
+        return max(found, key=lambda item: _rendezvous(key, item.upstream)).upstream
+
+
+class CompletionPlacement:
+    """The upstream with the least estimated completion time plus weighted cost of wasted cache.
+
+    Of the usable upstreams it weighs the program's last one, the one with most of the prompt in
+    its cache, and ``sample`` random ones, so that nodes with the same stale load reports do not
+    all choose the same upstream.
+    """
+
+    def __init__(self, random: Random, sample: int = _RANDOM_CANDIDATES) -> None:
+        self.random = random
+        self.sample = sample
+
+    def place(
+        self, request: PlacementRequest, candidates: Sequence[Candidate], site: SiteSpec
+    ) -> UpstreamId | None:
+        """Return the upstream of the lowest cost, or ``None`` when none may take the call."""
+        found = usable(request, candidates)
+        if not found:
+            return None
+        best_cached = max(cached_at(request, item) for item in found)
+        shortlist = self._shortlist(request, found, best_cached)
+        return min(shortlist, key=lambda item: cost_of(request, item, best_cached, site)).upstream
+
+    def _shortlist(
+        self, request: PlacementRequest, found: list[Candidate], best_cached: float
+    ) -> list[Candidate]:
+        if len(found) <= self.sample:
+            return found
+        chosen = self.random.sample(found, self.sample)
+        for candidate in found:
+            is_last = candidate.upstream == request.last_upstream
+            holds_most = best_cached > 0 and cached_at(request, candidate) >= best_cached
+            if is_last or holds_most:
+                chosen.append(candidate)
+        return chosen
+
+
+def calls_at(candidate: Candidate) -> int:
+    """Return the calls an upstream has, reported and sent since."""
+    return candidate.load.queued + candidate.load.running + candidate.calls_since
+
+
+def cached_at(request: PlacementRequest, candidate: Candidate) -> float:
+    """Return the prompt tokens expected in the upstream's cache."""
+    return min(candidate.cached_tokens, request.prompt_tokens) * candidate.cache_trust
+
+
+def wait_s(candidate: Candidate) -> float:
+    """Return the expected seconds before an upstream starts on a new call."""
+    load = candidate.load
+    speed = candidate.speed
+    drained = load.age_s * speed.prefill_tokens_per_s
+    backlog = max(load.queued_prefill_tokens - drained, 0.0) + candidate.sent_since
+    prefill_wait_s = backlog / speed.prefill_tokens_per_s
+    ahead = calls_at(candidate) + 1 - load.slots
+    if ahead <= 0 or load.running == 0:
+        return prefill_wait_s
+    mean_left_s = load.running_output_tokens / load.running / speed.decode_tokens_per_s
+    return prefill_wait_s + ahead * (mean_left_s or _UNKNOWN_CALL_S) / load.slots
+
+
+def completion_s(request: PlacementRequest, candidate: Candidate) -> float:
+    """Return the expected seconds until the call ends at an upstream."""
+    uncached = request.prompt_tokens - cached_at(request, candidate)
+    prefill_s = uncached / candidate.speed.prefill_tokens_per_s
+    decode_s = request.output_tokens / candidate.speed.decode_tokens_per_s
+    return wait_s(candidate) + prefill_s + decode_s
+
+
+def waste_s(request: PlacementRequest, candidate: Candidate, best_cached: float) -> float:
+    """Return the prefill seconds wasted: tokens cached elsewhere, and cache evicted for them."""
+    cached = cached_at(request, candidate)
+    repeated = best_cached - cached
+    evicted = 0.0
+    if candidate.load.kv_tokens:
+        needed = request.prompt_tokens - cached + request.output_tokens
+        evicted = max(needed - candidate.load.free_kv_tokens, 0.0)
+    wasted = repeated + _EVICTION_WEIGHT * evicted
+    return wasted / candidate.speed.prefill_tokens_per_s
+
+
+def cost_of(
+    request: PlacementRequest, candidate: Candidate, best_cached: float, site: SiteSpec
+) -> float:
+    """Return the weighted cost of an upstream, in seconds."""
+    latency = site.latency_weight * completion_s(request, candidate)
+    return latency + site.cache_weight * waste_s(request, candidate, best_cached)
+
+
+def _rendezvous(key: str, upstream: UpstreamId) -> int:
+    return xxhash.xxh64_intdigest(f"{key}\x00{upstream}".encode())
+
+
+PLACEMENTS: Mapping[str, Callable[[Random], Placement]] = {
+    "random": RandomPlacement,
+    "round_robin": RoundRobinPlacement,
+    "least_load": LeastLoadPlacement,
+    "sticky": StickyPlacement,
+    "prefix_hash": PrefixHashPlacement,
+    "completion": CompletionPlacement,
+}
+DEFAULT_PLACEMENT = "completion"
--- /dev/null
+++ b/packages/skylarkferry-core/src/skylarkferry_core/queues.py
@@ -0,0 +1,40 @@
+"""Order of the queue before an upstream."""
+
+from collections.abc import Callable, Mapping, Sequence
+
+from skylarkferry_core.interfaces import QueuedOrder, QueueOrder
+
+_AGEING_S = 20.0
+
+
+class FifoOrder:
+    """First come, first served."""
+
+    def next_index(self, queue: Sequence[QueuedOrder], now: float) -> int:
+        """Return the index of the order that waits longest."""
+        return min(range(len(queue)), key=lambda index: queue[index].queued_at)
+
+
+class SlackOrder:
+    """Priority, then least slack of the program; waiting raises the priority by ageing.
+
+    An order gains one step of priority each ``ageing_s`` seconds it waits, so none starves.
+    """
+
+    def __init__(self, ageing_s: float = _AGEING_S) -> None:
+        self.ageing_s = ageing_s
+
+    def next_index(self, queue: Sequence[QueuedOrder], now: float) -> int:
+        """Return the index of the most urgent order."""
+        return min(range(len(queue)), key=lambda index: self.urgency(queue[index], now))
+
+    def urgency(self, queued: QueuedOrder, now: float) -> tuple[int, float, float]:
+        """Return the sort key of an order; a smaller one runs first."""
+        waited_s = now - queued.queued_at
+        steps = int(waited_s / self.ageing_s)
+        level = max(queued.order.priority - steps, 0)
+        return level, queued.order.slack_s - waited_s, queued.queued_at
+
+
+QUEUE_ORDERS: Mapping[str, Callable[[], QueueOrder]] = {"fifo": FifoOrder, "slack": SlackOrder}
+DEFAULT_QUEUE_ORDER = "slack"
