--- a/packages/skylarkferry-core/src/skylarkferry_core/messages.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/messages.py
@@ -332,7 +332,10 @@
 
 
 class ProgramRequest(msgspec.Struct, frozen=True):
-    """What a caller asks for; ``deadline_s`` is the time it allows, from acceptance."""
+    """What a caller asks for; ``deadline_s`` is the time it allows, from acceptance.
+
+    With ``service`` set, the program is one call of a plain service that may not be repeated.
+    """
 
     request_key: RequestKey
     customer: CustomerId
@@ -341,6 +344,7 @@
     deadline_s: float
     budget: Budget
     priority: Priority = Priority.NORMAL
+    service: ServiceWork | None = None
 
 
 class ProgramView(msgspec.Struct, frozen=True):
--- a/packages/skylarkferry-core/src/skylarkferry_core/records.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/records.py
@@ -7,6 +7,7 @@
 
 from skylarkferry_core.errors import ErrorCode
 from skylarkferry_core.ids import (
+    AgentName,
     CallId,
     Epoch,
     Incarnation,
@@ -19,6 +20,14 @@
 from skylarkferry_core.states import FinalWord
 
 
+class SlotKey(msgspec.Struct, frozen=True, order=True):
+    """Place of a call in its program: index 0 is the turn's model call, then its tool calls."""
+
+    run_id: RunId
+    turn: int
+    index: int
+
+
 class ProgramAccepted(msgspec.Struct, frozen=True, tag="accepted"):
     """A program exists; ``accepted_at`` is the owner's wall clock, in seconds since the epoch."""
 
@@ -39,29 +48,46 @@
     """A model call ended; ``message`` joins the run's history."""
 
     program_id: ProgramId
-    run_id: RunId
+    slot: "SlotKey"
     call_id: CallId
     message: ChatMessage
     usage: Usage
+    cost_micros: int = 0
 
 
-class CallIntended(msgspec.Struct, frozen=True, tag="intent"):
-    """A call that may not be repeated is about to be ordered from this sidecar's life."""
+class RunStarted(msgspec.Struct, frozen=True, tag="run"):
+    """A model asked for a sub-agent; its answer becomes the result of the parent's call."""
 
     program_id: ProgramId
     run_id: RunId
+    parent: "SlotKey"
+    agent: AgentName
+    input: str
+
+
+class CallIntended(msgspec.Struct, frozen=True, tag="intent"):
+    """A call is about to be ordered from this sidecar's life.
+
+    The record is durable before the order only when the call may not be repeated.
+    """
+
+    program_id: ProgramId
+    slot: "SlotKey"
     call_id: CallId
     upstream: UpstreamId
     incarnation: Incarnation
+    repeatable: bool
 
 
 class CallCompleted(msgspec.Struct, frozen=True, tag="call"):
-    """A tool or service call ended with a final word."""
+    """An attempt at a tool or service call ended; unless ``final``, another attempt follows."""
 
     program_id: ProgramId
-    run_id: RunId
-    call_id: CallId
+    slot: "SlotKey"
+    name: str
     outcome: Outcome
+    cost_micros: int = 0
+    final: bool = True
 
 
 class ProgramEnded(msgspec.Struct, frozen=True, tag="ended"):
@@ -76,7 +102,13 @@
 
 
 Record = (
-    ProgramAccepted | AllotmentTaken | TurnCompleted | CallIntended | CallCompleted | ProgramEnded
+    ProgramAccepted
+    | AllotmentTaken
+    | TurnCompleted
+    | RunStarted
+    | CallIntended
+    | CallCompleted
+    | ProgramEnded
 )
 
 
