Add the stand-ins of the platform, model engines and services

Cause: the roles need something to talk to that speaks the outside protocols of docs/DESIGN.md and fails on demand, each as a process of its own.

Ruled out: one process for all three kinds, since a test must be able to kill or freeze one of them; a real table service, since tests use no servers of others.

A control body replaces all faults, so an empty one heals.

Tried with curl against each of the three processes: conditional put, its failing repeat, a range, a lost answer that took effect, a streamed tool call with usage, KV listing, ledger.

--- /dev/null
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/batch.py
@@ -0,0 +1,52 @@
+"""Slots of a continuous batch, given out by priority and then in order of arrival."""
+
+import heapq
+import itertools
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+
+
+class Batch:
+    """A fixed number of sequences that run at once."""
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self.running = 0
+        self.waiting: list[tuple[int, int, anyio.Event]] = []
+        self.order = itertools.count()
+
+    @asynccontextmanager
+    async def slot(self, priority: int) -> AsyncIterator[None]:
+        """Hold a slot; a smaller priority number is served first."""
+        await self._enter(priority)
+        try:
+            yield
+        finally:
+            self._leave()
+
+    async def _enter(self, priority: int) -> None:
+        if self.running < self.slots:
+            self.running += 1
+            return
+        entry = (priority, next(self.order), anyio.Event())
+        heapq.heappush(self.waiting, entry)
+        try:
+            await entry[2].wait()
+        except BaseException:
+            self._give_up(entry)
+            raise
+
+    def _give_up(self, entry: tuple[int, int, anyio.Event]) -> None:
+        if entry in self.waiting:
+            self.waiting.remove(entry)
+            heapq.heapify(self.waiting)
+        else:
+            self._leave()
+
+    def _leave(self) -> None:
+        if self.waiting:
+            heapq.heappop(self.waiting)[2].set()
+        else:
+            self.running -= 1
--- /dev/null
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/cache.py
@@ -0,0 +1,102 @@
+"""The engine's prefix cache: limited memory, least recently used programs leave first."""
+
+from collections import OrderedDict, deque
+
+import msgspec
+
+CHARACTERS_PER_TOKEN = 4
+EVENTS_KEPT = 10_000
+
+
+def token_count(text: str) -> int:
+    """Return the number of tokens of a text."""
+    return -(-len(text) // CHARACTERS_PER_TOKEN)
+
+
+def shared_length(first: str, second: str) -> int:
+    """Return the length of the longest common prefix."""
+    low, high = 0, min(len(first), len(second))
+    while low < high:
+        middle = (low + high + 1) // 2
+        if first[low:middle] == second[low:middle]:
+            low = middle
+        else:
+            high = middle - 1
+    return low
+
+
+class KvEvent(msgspec.Struct):
+    """The cached tokens of a program changed."""
+
+    sequence: int
+    prompt_cache_key: str
+    cached_tokens: int
+
+
+class CachedProgram(msgspec.Struct):
+    """Conversations of one program by their first message, and tokens imported without text."""
+
+    conversations: dict[str, str] = {}
+    imported_tokens: int = 0
+
+    def tokens(self) -> int:
+        """Return the tokens that are held."""
+        held = sum(token_count(text) for text in self.conversations.values())
+        return max(held, self.imported_tokens)
+
+
+class PrefixCache:
+    """Cached prefixes by program, and the numbered events of their changes."""
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self.capacity_tokens = capacity_tokens
+        self.programs: OrderedDict[str, CachedProgram] = OrderedDict()
+        self.events: deque[KvEvent] = deque(maxlen=EVENTS_KEPT)
+        self.sequence = 0
+        self.used_tokens = 0
+
+    def cached_tokens(self, key: str, head: str, prompt: str) -> int:
+        """Return how many tokens of the prompt need no prefill; at least one always does."""
+        program = self.programs.get(key)
+        if program is None:
+            return 0
+        shared = shared_length(program.conversations.get(head, ""), prompt)
+        cached = max(shared // CHARACTERS_PER_TOKEN, program.imported_tokens)
+        return max(min(cached, token_count(prompt) - 1), 0)
+
+    def store(self, key: str, head: str, text: str) -> None:
+        """Hold a conversation's text, and evict others while memory lacks."""
+        if not key:
+            return
+        program = self.programs.get(key, CachedProgram())
+        conversations = program.conversations | {head: text}
+        self._replace(key, CachedProgram(conversations, program.imported_tokens))
+
+    def import_tokens(self, key: str, tokens: int) -> None:
+        """Hold tokens that another engine computed."""
+        self._replace(key, CachedProgram({}, tokens))
+
+    def release(self, key: str) -> int:
+        """Free a program's memory; return the tokens that it held."""
+        program = self.programs.pop(key, None)
+        if program is None:
+            return 0
+        self.used_tokens -= program.tokens()
+        self._record(key, 0)
+        return program.tokens()
+
+    def events_after(self, sequence: int) -> list[KvEvent]:
+        """Return the events with higher numbers that are still kept."""
+        return [event for event in self.events if event.sequence > sequence]
+
+    def _replace(self, key: str, program: CachedProgram) -> None:
+        former = self.programs.pop(key, CachedProgram())
+        self.programs[key] = program
+        self.used_tokens += program.tokens() - former.tokens()
+        self._record(key, program.tokens())
+        while self.used_tokens > self.capacity_tokens and len(self.programs) > 1:
+            self.release(next(iter(self.programs)))
+
+    def _record(self, key: str, tokens: int) -> None:
+        self.sequence += 1
+        self.events.append(KvEvent(self.sequence, key, tokens))
--- /dev/null
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/chat.py
@@ -0,0 +1,184 @@
+"""OpenAI chat completions: request, streamed events and whole answer."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from skylarkferry_standins.script import Output, OutputCall
+
+DONE_EVENT = b"data: [DONE]\n\n"
+COMPLETION_ID = "chatcmpl-standin"
+
+
+class FunctionCall(msgspec.Struct):
+    """Name and arguments (JSON text) of a tool call."""
+
+    name: str
+    arguments: str = ""
+
+
+class ToolCall(msgspec.Struct):
+    """A tool call in a message."""
+
+    id: str
+    function: FunctionCall
+    type: str = "function"
+
+
+class Message(msgspec.Struct):
+    """One message of a request."""
+
+    role: str
+    content: str | None = None
+    tool_calls: list[ToolCall] | None = None
+    tool_call_id: str | None = None
+
+    def text(self) -> str:
+        """Return the content, empty when there is none."""
+        return self.content or ""
+
+
+class StreamOptions(msgspec.Struct):
+    """Options of a streamed answer."""
+
+    include_usage: bool = False
+
+
+class CompletionRequest(msgspec.Struct):
+    """Body of ``POST /v1/chat/completions``; unknown fields are ignored."""
+
+    messages: list[Message]
+    model: str = ""
+    stream: bool = False
+    stream_options: StreamOptions | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    priority: int = 0
+    prompt_cache_key: str = ""
+    tools: list[Any] = []
+
+    def limit(self) -> int | None:
+        """Return the bound on output tokens."""
+        return self.max_completion_tokens or self.max_tokens
+
+    def prompt(self) -> str:
+        """Return all messages as one text."""
+        return "".join(_rendered(message) for message in self.messages)
+
+
+class PromptTokensDetails(msgspec.Struct):
+    """The part of the prompt that was not computed again."""
+
+    cached_tokens: int
+
+
+class CompletionUsage(msgspec.Struct):
+    """Tokens of a request."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+    prompt_tokens_details: PromptTokensDetails
+
+
+class Piece(msgspec.Struct):
+    """A part of an output as the engine makes it; the last one has a reason and the usage."""
+
+    text: str = ""
+    calls: list[OutputCall] = []
+    tokens: int = 0
+    finish_reason: str = ""
+    usage: CompletionUsage | None = None
+
+
+def usage_of(prompt_tokens: int, cached: int, output_tokens: int) -> CompletionUsage:
+    """Return the usage of a request."""
+    total = prompt_tokens + output_tokens
+    return CompletionUsage(prompt_tokens, output_tokens, total, PromptTokensDetails(cached))
+
+
+def _rendered(message: Message) -> str:
+    if message.role == "assistant":
+        calls = [call.function for call in message.tool_calls or []]
+        return _rendered_answer(message.text(), [(call.name, call.arguments) for call in calls])
+    return f"<{message.role}>{message.text()}"
+
+
+def rendered_output(output: Output) -> str:
+    """Return an output as it stands in the next request's prompt."""
+    return _rendered_answer(output.text, [(call.name, call.arguments) for call in output.calls])
+
+
+def _rendered_answer(text: str, calls: list[tuple[str, str]]) -> str:
+    asked = "".join(f"<call>{name} {arguments}" for name, arguments in calls)
+    return f"<assistant>{text}{asked}"
+
+
+def _call_id(body: CompletionRequest, index: int) -> str:
+    turn = sum(message.role == "assistant" for message in body.messages)
+    return f"call-{turn}-{index}"
+
+
+def _call_bodies(body: CompletionRequest, calls: list[OutputCall]) -> list[dict[str, Any]]:
+    return [
+        {
+            "index": index,
+            "id": _call_id(body, index),
+            "type": "function",
+            "function": {"name": call.name, "arguments": call.arguments},
+        }
+        for index, call in enumerate(calls)
+    ]
+
+
+def _event(body: CompletionRequest, choices: list[Any], usage: Any = None) -> bytes:
+    chunk: dict[str, Any] = {
+        "id": COMPLETION_ID,
+        "object": "chat.completion.chunk",
+        "created": 0,
+        "model": body.model,
+        "choices": choices,
+    }
+    if usage is not None:
+        chunk["usage"] = usage
+    return b"data: " + msgspec.json.encode(chunk) + b"\n\n"
+
+
+def _choice(delta: dict[str, Any], finish_reason: str | None = None) -> dict[str, Any]:
+    return {"index": 0, "delta": delta, "finish_reason": finish_reason}
+
+
+def events_of(body: CompletionRequest, piece: Piece) -> Iterator[bytes]:
+    """Yield the server-sent events of one piece."""
+    if piece.text:
+        yield _event(body, [_choice({"role": "assistant", "content": piece.text})])
+    if piece.calls:
+        delta = {"role": "assistant", "tool_calls": _call_bodies(body, piece.calls)}
+        yield _event(body, [_choice(delta)])
+    if piece.finish_reason:
+        yield _event(body, [_choice({}, piece.finish_reason)])
+        if body.stream_options and body.stream_options.include_usage:
+            yield _event(body, [], piece.usage)
+
+
+def whole_body(
+    body: CompletionRequest,
+    text: str,
+    calls: list[OutputCall],
+    finish_reason: str,
+    usage: CompletionUsage | None,
+) -> dict[str, Any]:
+    """Return the body of an answer that is not streamed."""
+    message: dict[str, Any] = {"role": "assistant", "content": text}
+    if calls:
+        message["tool_calls"] = _call_bodies(body, calls)
+    choice = {"index": 0, "message": message, "finish_reason": finish_reason}
+    return {
+        "id": COMPLETION_ID,
+        "object": "chat.completion",
+        "created": 0,
+        "model": body.model,
+        "choices": [choice],
+        "usage": usage,
+    }
--- /dev/null
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/engine.py
@@ -0,0 +1,292 @@
+"""Stand-in of a model engine: scripted OpenAI chat completions with a prefix cache."""
+
+import math
+import os
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+from typing import Any
+
+import anyio
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+
+from skylarkferry_standins import chat
+from skylarkferry_standins.batch import Batch
+from skylarkferry_standins.cache import CHARACTERS_PER_TOKEN, KvEvent, PrefixCache, token_count
+from skylarkferry_standins.fencing import Fencing
+from skylarkferry_standins.http import answer, bad_body, hang, read_body, refuse
+from skylarkferry_standins.script import Output, Script, agent_in, output_for
+
+CRASH_EXIT_CODE = 70
+DEFAULT_MAX_TOKENS = 1_024
+
+
+class EngineSettings(msgspec.Struct):
+    """Speeds in tokens a second of one sequence, memory in tokens."""
+
+    slots: int = 16
+    prefill_per_s: float = 20_000.0
+    decode_per_s: float = 400.0
+    cache_tokens: int = 1_000_000
+    enforce_fencing: bool = False
+    crash_text: str = ""
+
+
+class EngineFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """Faults in force; a new body replaces all of them, an empty one ends all.
+
+    ``fail`` and ``hang`` count the next requests that end with 500 or never start to answer;
+    ``stall_after_tokens`` stops each stream for good; ``extra_tokens`` come on top of
+    ``max_tokens``; ``slowdown`` multiplies all times.
+    """
+
+    fail: int = 0
+    hang: int = 0
+    stall_after_tokens: int | None = None
+    extra_tokens: int = 0
+    slowdown: float = 1.0
+    drop_events: int = 0
+
+
+class EngineCounters(msgspec.Struct):
+    """Requests and tokens since the start."""
+
+    requests: int = 0
+    finished: int = 0
+    cancelled: int = 0
+    refused_epochs: int = 0
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    output_tokens: int = 0
+
+
+class EngineLoad(msgspec.Struct):
+    """Answer of ``GET /v1/load``."""
+
+    running: int
+    queued: int
+    slots: int
+    free_kv_tokens: int
+
+
+class KvKey(msgspec.Struct):
+    """Body of the KV orders."""
+
+    prompt_cache_key: str
+    tokens: int = 0
+
+
+class KvPrograms(msgspec.Struct):
+    """Answer of ``GET /v1/kv``: cached tokens by program."""
+
+    programs: dict[str, int]
+
+
+class KvEvents(msgspec.Struct):
+    """Answer of ``GET /v1/kv/events``."""
+
+    events: list[KvEvent]
+
+
+class Engine:
+    """One engine: its batch, its cache, its script and its faults."""
+
+    def __init__(self, script: Script, settings: EngineSettings) -> None:
+        self.script = script
+        self.settings = settings
+        self.batch = Batch(settings.slots)
+        self.cache = PrefixCache(settings.cache_tokens)
+        self.fencing = Fencing(settings.enforce_fencing)
+        self.faults = EngineFaults()
+        self.counters = EngineCounters()
+
+    async def complete(self, request: Request) -> Response:
+        """Answer ``POST /v1/chat/completions``."""
+        body = await read_body(request, chat.CompletionRequest)
+        self.counters.requests += 1
+        if not self.fencing.accepts(request):
+            self.counters.refused_epochs += 1
+            return refuse(HTTPStatus.CONFLICT, "stale epoch")
+        if self.faults.fail > 0:
+            self.faults.fail -= 1
+            return refuse(HTTPStatus.INTERNAL_SERVER_ERROR, "engine failure")
+        if self.faults.hang > 0:
+            self.faults.hang -= 1
+            return await hang(request)
+        output = self.output(body)
+        if output is None:
+            return refuse(HTTPStatus.BAD_REQUEST, "no scripted agent in the system message")
+        if not body.stream:
+            return await self.whole(body, output)
+        return StreamingResponse(self.stream(body, output), media_type="text/event-stream")
+
+    def output(self, body: chat.CompletionRequest) -> Output | None:
+        """Return the scripted output of a request."""
+        agent = agent_in(body.messages[0].text()) if body.messages else None
+        if agent is None:
+            return None
+        turn = sum(message.role == "assistant" for message in body.messages)
+        return output_for(self.script, agent, turn)
+
+    async def whole(self, body: chat.CompletionRequest, output: Output) -> Response:
+        """Answer in one piece."""
+        pieces = [piece async for piece in self.run(body, output)]
+        text = "".join(piece.text for piece in pieces)
+        calls = [call for piece in pieces for call in piece.calls]
+        last = pieces[-1]
+        return answer(chat.whole_body(body, text, calls, last.finish_reason, last.usage))
+
+    async def stream(self, body: chat.CompletionRequest, output: Output) -> AsyncIterator[bytes]:
+        """Yield the server-sent events of the answer."""
+        finished = False
+        try:
+            async for piece in self.run(body, output):
+                for event in chat.events_of(body, piece):
+                    yield event
+            finished = True
+            yield chat.DONE_EVENT
+        finally:
+            self.counters.cancelled += not finished
+
+    async def run(self, body: chat.CompletionRequest, output: Output) -> AsyncIterator[chat.Piece]:
+        """Wait for a slot, prefill, and yield the output's pieces at decode speed."""
+        prompt = body.prompt()
+        head = body.messages[0].text()
+        async with self.batch.slot(body.priority):
+            if self.settings.crash_text and self.settings.crash_text in prompt:
+                os._exit(CRASH_EXIT_CODE)
+            cached = self.cache.cached_tokens(body.prompt_cache_key, head, prompt)
+            prompt_tokens = token_count(prompt)
+            await self.pause((prompt_tokens - cached) / self.settings.prefill_per_s)
+            self.cache.store(body.prompt_cache_key, head, prompt)
+            sent = 0
+            async for piece in self.decode(body, output):
+                sent += piece.tokens
+                yield piece
+            self.cache.store(body.prompt_cache_key, head, prompt + chat.rendered_output(output))
+            usage = chat.usage_of(prompt_tokens, cached, sent)
+            self.count(prompt_tokens, cached, sent)
+            yield chat.Piece(finish_reason=self.finish_reason(body, output), usage=usage)
+
+    async def decode(
+        self, body: chat.CompletionRequest, output: Output
+    ) -> AsyncIterator[chat.Piece]:
+        """Yield one piece a token, and the calls at the end."""
+        start = anyio.current_time()
+        text = self.bounded(body, output.text)
+        token_s = self.faults.slowdown / self.settings.decode_per_s
+        for index, at in enumerate(range(0, len(text), CHARACTERS_PER_TOKEN), start=1):
+            if self.faults.stall_after_tokens is not None:
+                await self.stall(index)
+            await self.pause_until(start + index * token_s)
+            yield chat.Piece(text=text[at : at + CHARACTERS_PER_TOKEN], tokens=1)
+        if output.calls:
+            tokens = sum(token_count(call.name + call.arguments) for call in output.calls)
+            await self.pause(tokens / self.settings.decode_per_s)
+            yield chat.Piece(calls=output.calls, tokens=tokens)
+
+    def bounded(self, body: chat.CompletionRequest, text: str) -> str:
+        """Cut a text at ``max_tokens``; a faulty engine adds tokens instead."""
+        limit = (body.limit() or DEFAULT_MAX_TOKENS) * CHARACTERS_PER_TOKEN
+        if self.faults.extra_tokens:
+            return text.ljust(limit, ".") + "+" * self.faults.extra_tokens * CHARACTERS_PER_TOKEN
+        return text[:limit]
+
+    def finish_reason(self, body: chat.CompletionRequest, output: Output) -> str:
+        """Return OpenAI's word for why the output ended."""
+        if output.calls:
+            return "tool_calls"
+        limit = body.limit() or DEFAULT_MAX_TOKENS
+        return "length" if token_count(output.text) > limit else "stop"
+
+    def count(self, prompt_tokens: int, cached: int, sent: int) -> None:
+        """Add a finished request to the counters."""
+        self.counters.finished += 1
+        self.counters.prompt_tokens += prompt_tokens
+        self.counters.cached_tokens += cached
+        self.counters.output_tokens += sent
+
+    async def pause(self, seconds: float) -> None:
+        """Spend the time of some work."""
+        await anyio.sleep(seconds * self.faults.slowdown)
+
+    async def pause_until(self, due: float) -> None:
+        """Wait for a monotonic time; go on at once when it has passed."""
+        late = anyio.current_time() - due
+        await anyio.sleep(max(-late, 0.0))
+
+    async def stall(self, index: int) -> None:
+        """Stop for good once enough tokens were sent."""
+        if index > (self.faults.stall_after_tokens or 0):
+            await anyio.sleep(math.inf)
+
+    async def release(self, request: Request) -> Response:
+        """Answer ``POST /v1/kv/release``."""
+        body = await read_body(request, KvKey)
+        if not self.fencing.accepts(request):
+            return refuse(HTTPStatus.CONFLICT, "stale epoch")
+        return answer(KvKey(body.prompt_cache_key, self.cache.release(body.prompt_cache_key)))
+
+    async def export(self, request: Request) -> Response:
+        """Answer ``POST /v1/kv/export``: how many tokens the program holds here."""
+        body = await read_body(request, KvKey)
+        program = self.cache.programs.get(body.prompt_cache_key)
+        return answer(KvKey(body.prompt_cache_key, program.tokens() if program else 0))
+
+    async def import_kv(self, request: Request) -> Response:
+        """Answer ``POST /v1/kv/import``."""
+        body = await read_body(request, KvKey)
+        self.cache.import_tokens(body.prompt_cache_key, body.tokens)
+        return answer(body)
+
+    async def show_kv(self, _: Request) -> Response:
+        """Answer ``GET /v1/kv``."""
+        held = {key: program.tokens() for key, program in self.cache.programs.items()}
+        return answer(KvPrograms(held))
+
+    async def show_events(self, request: Request) -> Response:
+        """Answer ``GET /v1/kv/events?after=N``; dropped events leave a gap."""
+        after = int(request.query_params.get("after", "0"))
+        events = self.cache.events_after(after)
+        dropped = min(self.faults.drop_events, len(events))
+        self.faults.drop_events -= dropped
+        return answer(KvEvents(events[dropped:]))
+
+    async def show_load(self, _: Request) -> Response:
+        """Answer ``GET /v1/load``."""
+        free = max(self.settings.cache_tokens - self.cache.used_tokens, 0)
+        load = EngineLoad(self.batch.running, len(self.batch.waiting), self.batch.slots, free)
+        return answer(load)
+
+    async def control_faults(self, request: Request) -> Response:
+        """Answer ``GET`` and ``POST /control/faults``."""
+        if request.method == "POST":
+            self.faults = await read_body(request, EngineFaults)
+        return answer(self.faults)
+
+    async def show_counters(self, _: Request) -> Response:
+        """Answer ``GET /control/counters``."""
+        return answer(self.counters)
+
+
+def engine_app(engine: Engine) -> Starlette:
+    """Return the ASGI application."""
+    routes = [
+        Route("/v1/chat/completions", engine.complete, methods=["POST"]),
+        Route("/v1/kv/release", engine.release, methods=["POST"]),
+        Route("/v1/kv/export", engine.export, methods=["POST"]),
+        Route("/v1/kv/import", engine.import_kv, methods=["POST"]),
+        Route("/v1/kv/events", engine.show_events),
+        Route("/v1/kv", engine.show_kv),
+        Route("/v1/load", engine.show_load),
+        Route("/control/faults", engine.control_faults, methods=["GET", "POST"]),
+        Route("/control/counters", engine.show_counters),
+    ]
+    handlers: dict[Any, Any] = {
+        msgspec.ValidationError: bad_body,
+        msgspec.DecodeError: bad_body,
+    }
+    return Starlette(routes=routes, exception_handlers=handlers)
--- /dev/null
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/platform.py
@@ -0,0 +1,218 @@
+"""Stand-in of the platform: table service, object store and lagging host list."""
+
+from enum import Enum
+from http import HTTPStatus
+from pathlib import Path
+
+import anyio
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from skylarkferry_standins.http import CutResponse, answer, bad_body, hang, read_body, refuse
+from skylarkferry_standins.limits import RateLimit
+from skylarkferry_standins.table import (
+    MAX_REQUEST_BYTES,
+    RangeRequest,
+    TableRequestError,
+    TableStore,
+    TxnRequest,
+)
+
+
+class Outage(Enum):
+    """How the platform fails while it is down."""
+
+    NONE = "none"
+    REFUSING = "refusing"
+    SILENT = "silent"
+
+
+class Loss(Enum):
+    """How the answer of a transaction that took effect is lost."""
+
+    CLOSE = "close"
+    GATEWAY_TIMEOUT = "gateway_timeout"
+    SILENT = "silent"
+
+
+class PlatformFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """Faults in force; a new body replaces all of them, an empty one ends all.
+
+    ``lose_answers`` counts the next transactions that take effect and are not answered.
+    """
+
+    outage: Outage = Outage.NONE
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    loss: Loss = Loss.CLOSE
+    writes_per_s: float | None = None
+    reads_per_s: float | None = None
+
+
+class Counters(msgspec.Struct):
+    """Requests since the start; ``written_bytes`` counts the bodies of transactions."""
+
+    writes: int = 0
+    reads: int = 0
+    written_bytes: int = 0
+    object_puts: int = 0
+    object_gets: int = 0
+    object_bytes: int = 0
+    host_reads: int = 0
+
+
+class TargetGroup(msgspec.Struct):
+    """One element of the Prometheus HTTP service discovery answer."""
+
+    targets: list[str]
+    labels: dict[str, str] = {}
+
+
+class Platform:
+    """All three services, their faults and their counters."""
+
+    def __init__(self, hosts: list[TargetGroup], hosts_lag_s: float) -> None:
+        self.table = TableStore()
+        self.objects: dict[str, bytes] = {}
+        self.hosts = hosts
+        self.hosts_lag_s = hosts_lag_s
+        self.pending_hosts: list[tuple[float, list[TargetGroup]]] = []
+        self.counters = Counters()
+        self.set_faults(PlatformFaults())
+
+    def set_faults(self, faults: PlatformFaults) -> None:
+        """Put these faults in force instead of the former ones."""
+        self.faults = faults
+        self.writes = RateLimit(faults.writes_per_s)
+        self.reads = RateLimit(faults.reads_per_s)
+
+    async def fail(self, request: Request) -> Response | None:
+        """Delay the request and return the outage's answer, if there is an outage."""
+        if self.faults.delay_s:
+            await anyio.sleep(self.faults.delay_s)
+        match self.faults.outage:
+            case Outage.NONE:
+                return None
+            case Outage.REFUSING:
+                return refuse(HTTPStatus.SERVICE_UNAVAILABLE, "the platform is down")
+            case Outage.SILENT:
+                return await hang(request)
+
+    async def range(self, request: Request) -> Response:
+        """Answer ``POST /v3/kv/range``."""
+        if failure := await self.fail(request):
+            return failure
+        if not self.reads.take(anyio.current_time()):
+            return refuse(HTTPStatus.TOO_MANY_REQUESTS, "too many reads")
+        body = await read_body(request, RangeRequest)
+        self.counters.reads += 1
+        return answer(self.table.range(body))
+
+    async def txn(self, request: Request) -> Response:
+        """Answer ``POST /v3/kv/txn``."""
+        if failure := await self.fail(request):
+            return failure
+        if not self.writes.take(anyio.current_time()):
+            return refuse(HTTPStatus.TOO_MANY_REQUESTS, "too many writes")
+        size = len(await request.body())
+        if size > MAX_REQUEST_BYTES:
+            return refuse(HTTPStatus.BAD_REQUEST, "request is too large")
+        response = self.table.txn(await read_body(request, TxnRequest))
+        self.counters.writes += 1
+        self.counters.written_bytes += size
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return await self.lose(request)
+        return answer(response)
+
+    async def lose(self, request: Request) -> Response:
+        """Lose the answer to a transaction that took effect."""
+        match self.faults.loss:
+            case Loss.CLOSE:
+                return CutResponse()
+            case Loss.GATEWAY_TIMEOUT:
+                return refuse(HTTPStatus.GATEWAY_TIMEOUT, "no answer in time")
+            case Loss.SILENT:
+                return await hang(request)
+
+    async def object(self, request: Request) -> Response:
+        """Answer ``PUT``, ``GET`` and ``DELETE`` of ``/objects/<key>``."""
+        if failure := await self.fail(request):
+            return failure
+        key = request.path_params["key"]
+        if request.method == "PUT":
+            return await self.put_object(key, request)
+        if request.method == "DELETE":
+            self.objects.pop(key, None)
+            return Response(status_code=HTTPStatus.NO_CONTENT)
+        self.counters.object_gets += 1
+        if key not in self.objects:
+            return refuse(HTTPStatus.NOT_FOUND, "NoSuchKey")
+        return Response(self.objects[key])
+
+    async def put_object(self, key: str, request: Request) -> Response:
+        """Store an object."""
+        body = await request.body()
+        self.objects[key] = body
+        self.counters.object_puts += 1
+        self.counters.object_bytes += len(body)
+        return Response()
+
+    async def list_hosts(self, request: Request) -> Response:
+        """Answer ``GET /hosts`` with the list as it was ``hosts_lag_s`` ago."""
+        if failure := await self.fail(request):
+            return failure
+        self.counters.host_reads += 1
+        now = anyio.current_time()
+        while self.pending_hosts and self.pending_hosts[0][0] <= now:
+            self.hosts = self.pending_hosts.pop(0)[1]
+        return answer(self.hosts)
+
+    async def replace_hosts(self, request: Request) -> Response:
+        """Answer ``PUT /control/hosts``."""
+        hosts = await read_body(request, list[TargetGroup])
+        self.pending_hosts.append((anyio.current_time() + self.hosts_lag_s, hosts))
+        return Response(status_code=HTTPStatus.NO_CONTENT)
+
+    async def control_faults(self, request: Request) -> Response:
+        """Answer ``GET`` and ``POST /control/faults``."""
+        if request.method == "POST":
+            self.set_faults(await read_body(request, PlatformFaults))
+        return answer(self.faults)
+
+    async def show_counters(self, _: Request) -> Response:
+        """Answer ``GET /control/counters``."""
+        return answer(self.counters)
+
+
+async def _bad_table_request(_: Request, error: Exception) -> Response:
+    return refuse(HTTPStatus.BAD_REQUEST, str(error))
+
+
+def load_hosts(path: str) -> list[TargetGroup]:
+    """Read an initial host list; an empty path gives an empty list."""
+    if not path:
+        return []
+    return msgspec.json.decode(Path(path).read_bytes(), type=list[TargetGroup])
+
+
+def platform_app(platform: Platform) -> Starlette:
+    """Return the ASGI application."""
+    routes = [
+        Route("/v3/kv/range", platform.range, methods=["POST"]),
+        Route("/v3/kv/txn", platform.txn, methods=["POST"]),
+        Route("/objects/{key:path}", platform.object, methods=["PUT", "GET", "DELETE"]),
+        Route("/hosts", platform.list_hosts),
+        Route("/control/hosts", platform.replace_hosts, methods=["PUT"]),
+        Route("/control/faults", platform.control_faults, methods=["GET", "POST"]),
+        Route("/control/counters", platform.show_counters),
+    ]
+    handlers = {
+        TableRequestError: _bad_table_request,
+        msgspec.ValidationError: bad_body,
+        msgspec.DecodeError: bad_body,
+    }
+    return Starlette(routes=routes, exception_handlers=handlers)
--- /dev/null
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/service.py
@@ -0,0 +1,161 @@
+"""Stand-in of a tool service or plain service, with a ledger of its effects."""
+
+import os
+from enum import Enum
+from http import HTTPStatus
+from typing import Any
+
+import anyio
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from skylarkferry_standins.fencing import Fencing
+from skylarkferry_standins.http import CutResponse, answer, bad_body, hang, read_body, refuse
+from skylarkferry_standins.script import Script, ScriptedAnswer
+
+CRASH_EXIT_CODE = 70
+ALL_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+
+
+class CrashPoint(Enum):
+    """Where the process ends at the next request."""
+
+    NEVER = "never"
+    BEFORE_EFFECT = "before_effect"
+    AFTER_EFFECT = "after_effect"
+
+
+class ServiceFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """Faults in force; a new body replaces all of them, an empty one ends all.
+
+    Counts are of the next requests; ``delay_s`` comes before the effect.
+    """
+
+    delay_s: float = 0.0
+    fail: int = 0
+    hang_before_effect: int = 0
+    hang_after_effect: int = 0
+    lose_answers: int = 0
+    crash: CrashPoint = CrashPoint.NEVER
+    crash_text: str = ""
+
+
+class Effect(msgspec.Struct):
+    """One executed request."""
+
+    number: int
+    method: str
+    path: str
+    idempotency_key: str
+    body: str
+    partition: str
+    epoch: str
+
+
+class Ledger(msgspec.Struct):
+    """Executed effects in order, and the repeats that were answered from the first answer."""
+
+    effects: list[Effect] = []
+    repeats_answered: int = 0
+    refused_epochs: int = 0
+
+
+class Service:
+    """One service: its ledger, its faults and its first answers by idempotency key."""
+
+    def __init__(self, script: Script, honour_keys: bool, fencing: Fencing) -> None:
+        self.script = script
+        self.honour_keys = honour_keys
+        self.fencing = fencing
+        self.faults = ServiceFaults()
+        self.ledger = Ledger()
+        self.answers: dict[str, bytes] = {}
+
+    async def call(self, request: Request) -> Response:
+        """Run a request once for each idempotency key."""
+        if not self.fencing.accepts(request):
+            self.ledger.refused_epochs += 1
+            return refuse(HTTPStatus.CONFLICT, "stale epoch")
+        body = (await request.body()).decode(errors="replace")
+        path = "/" + request.path_params["path"]
+        scripted = self.script.answers.get(path, ScriptedAnswer(result=None))
+        await anyio.sleep(scripted.seconds + self.faults.delay_s)
+        if failure := await self.fail_before(request, body):
+            return failure
+        key = request.headers.get("idempotency-key", "")
+        content = self.first_answer(key) or self.execute(request, path, key, body, scripted)
+        return await self.reply(request, content)
+
+    async def fail_before(self, request: Request, body: str) -> Response | None:
+        """Apply the faults that leave no effect."""
+        crashes = self.faults.crash_text and self.faults.crash_text in body
+        if crashes or self.faults.crash is CrashPoint.BEFORE_EFFECT:
+            os._exit(CRASH_EXIT_CODE)
+        if self.faults.fail > 0:
+            self.faults.fail -= 1
+            return refuse(HTTPStatus.INTERNAL_SERVER_ERROR, "service failure")
+        if self.faults.hang_before_effect > 0:
+            self.faults.hang_before_effect -= 1
+            return await hang(request)
+        return None
+
+    def first_answer(self, key: str) -> bytes | None:
+        """Return what the key's first request was answered, if keys are honoured."""
+        if not (self.honour_keys and key in self.answers):
+            return None
+        self.ledger.repeats_answered += 1
+        return self.answers[key]
+
+    def execute(
+        self, request: Request, path: str, key: str, body: str, scripted: ScriptedAnswer
+    ) -> bytes:
+        """Enter the effect into the ledger and return the answer."""
+        number = len(self.ledger.effects) + 1
+        partition = request.headers.get("fencing-partition", "")
+        epoch = request.headers.get("fencing-epoch", "")
+        effect = Effect(number, request.method, path, key, body, partition, epoch)
+        self.ledger.effects.append(effect)
+        result = scripted.result if scripted.result is not None else {"path": path, "body": body}
+        content = msgspec.json.encode(result)
+        if key:
+            self.answers[key] = content
+        return content
+
+    async def reply(self, request: Request, content: bytes) -> Response:
+        """Answer, unless a fault loses the answer after the effect."""
+        if self.faults.crash is CrashPoint.AFTER_EFFECT:
+            os._exit(CRASH_EXIT_CODE)
+        if self.faults.hang_after_effect > 0:
+            self.faults.hang_after_effect -= 1
+            return await hang(request)
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return CutResponse()
+        return Response(content, media_type="application/json")
+
+    async def show_ledger(self, _: Request) -> Response:
+        """Answer ``GET /control/ledger``."""
+        return answer(self.ledger)
+
+    async def control_faults(self, request: Request) -> Response:
+        """Answer ``GET`` and ``POST /control/faults``."""
+        if request.method == "POST":
+            self.faults = await read_body(request, ServiceFaults)
+        return answer(self.faults)
+
+
+def service_app(service: Service) -> Starlette:
+    """Return the ASGI application."""
+    routes = [
+        Route("/control/ledger", service.show_ledger),
+        Route("/control/faults", service.control_faults, methods=["GET", "POST"]),
+        Route("/{path:path}", service.call, methods=ALL_METHODS),
+    ]
+    handlers: dict[Any, Any] = {
+        msgspec.ValidationError: bad_body,
+        msgspec.DecodeError: bad_body,
+    }
+    return Starlette(routes=routes, exception_handlers=handlers)
