--- a/packages/skylarkferry-core/src/skylarkferry_core/programs.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/programs.py
@@ -150,8 +150,6 @@
         ran = record.outcome.word is not FinalWord.NOT_RUN
         if ran and intent is not None and not intent.repeatable:
             self.effects = True
-        if not record.final:
-            return True
         outcome = record.outcome
         self.outcomes[record.slot] = outcome
         view = CallView(outcome.call_id, record.name, outcome.word, outcome.error)
--- a/packages/skylarkferry-core/src/skylarkferry_core/records.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/records.py
@@ -80,14 +80,13 @@
 
 
 class CallCompleted(msgspec.Struct, frozen=True, tag="call"):
-    """An attempt at a tool or service call ended; unless ``final``, another attempt follows."""
+    """A tool or service call ended with its final word; no further attempt follows."""
 
     program_id: ProgramId
     slot: "SlotKey"
     name: str
     outcome: Outcome
     cost_micros: int = 0
-    final: bool = True
 
 
 class ProgramEnded(msgspec.Struct, frozen=True, tag="ended"):
--- a/packages/skylarkferry-core/src/skylarkferry_core/steps.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/steps.py
@@ -72,7 +72,7 @@
         case TurnCompleted():
             kind = "turn"
             body = _turn_body(record)
-        case CallCompleted(final=True):
+        case CallCompleted():
             kind = "call"
             body = _call_body(record)
         case ProgramEnded():
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/attempts.py
@@ -0,0 +1,194 @@
+"""The dispatch stage of one call: place, journal the intent, order, settle, retry."""
+
+from typing import Protocol
+
+import anyio
+
+from skylarkferry_core.errors import ErrorCode, NotOwnerError, UpstreamLostError
+from skylarkferry_core.ids import CallId, UpstreamId
+from skylarkferry_core.messages import Fence, Order, Outcome
+from skylarkferry_core.programs import Program
+from skylarkferry_core.records import CallIntended
+from skylarkferry_core.retries import RetryPolicy, RetryRequest
+from skylarkferry_core.states import FinalWord
+from skylarkferry_daemon.context import EntryContext
+from skylarkferry_daemon.plans import CallPlan
+from skylarkferry_daemon.reservations import Reservations
+from skylarkferry_daemon.scribes import Scribe
+from skylarkferry_daemon.settling import not_run, settle, unknown
+
+SETTLE_GRACE_S = 3.0
+WAIT_FOR_UPSTREAM_S = 0.1
+_NO_FAILURE = frozenset({ErrorCode.NO_UPSTREAM, ErrorCode.OVERLOADED, ErrorCode.UPSTREAM_LEAVING})
+_FINAL = frozenset(
+    {ErrorCode.QUARANTINED, ErrorCode.BAD_REQUEST, ErrorCode.DEADLINE_PASSED, ErrorCode.CANCELLED}
+)
+
+
+class Ledger(Protocol):
+    """Where the outcomes of calls are recorded that were in flight when their program ended."""
+
+    abandoned: bool
+    """Whether another node drives the program; then nothing is recorded any more."""
+
+    def finish(self, plan: CallPlan, outcome: Outcome) -> None:
+        """Record the final word of a call."""
+
+
+class Attempts:
+    """Run the calls of one program, each to its one final outcome."""
+
+    def __init__(
+        self,
+        context: EntryContext,
+        program: Program,
+        fence: Fence,
+        scribe: Scribe,
+        ledger: Ledger,
+    ) -> None:
+        self.context = context
+        self.program = program
+        self.fence = fence
+        self.scribe = scribe
+        self.ledger = ledger
+        self.reservations = Reservations(program, scribe)
+
+    async def run(self, plan: CallPlan, intent: CallIntended | None) -> Outcome:
+        """Return the final outcome; ``intent`` is an attempt that an earlier driver left open.
+
+        Raise ``BudgetExhaustedError``, or ``NotOwnerError`` when another node drives the program.
+        """
+        if intent is not None:
+            outcome = await self._take_over(plan, intent)
+            if not _may_retry(plan, outcome):
+                return outcome
+        return await self._run_attempts(plan)
+
+    async def _run_attempts(self, plan: CallPlan) -> Outcome:
+        tried: list[UpstreamId] = []
+        failures = 0
+        retries = self.context.retries(plan.target.name)
+        retries.first()
+        while True:
+            outcome = await self._try_once(plan, tried)
+            if not _may_retry(plan, outcome):
+                return outcome
+            failures += outcome.error not in _NO_FAILURE
+            delay_s = self._delay_s(retries, outcome, failures)
+            if delay_s is None:
+                return outcome
+            self.reservations.dispose(outcome)
+            self.context.log_retry(self.program.program_id, outcome)
+            await anyio.sleep(delay_s)
+
+    def _delay_s(self, retries: RetryPolicy, outcome: Outcome, failures: int) -> float | None:
+        """Return the seconds to the next attempt, or ``None`` to give up at once.
+
+        Waiting for an upstream that can take the call is no retry: nothing was sent to any.
+        """
+        remaining_s = self.program.deadline - self.context.wall_s()
+        retry_after_s = outcome.retry_after_s or 0.0
+        if outcome.error in _NO_FAILURE:
+            delay_s = max(retry_after_s, WAIT_FOR_UPSTREAM_S)
+            return delay_s if delay_s < remaining_s else None
+        request = RetryRequest(failures, remaining_s, retry_after_s=retry_after_s)
+        return retries.delay_s(request)
+
+    async def _try_once(self, plan: CallPlan, tried: list[UpstreamId]) -> Outcome:
+        call_id = self.program.call_id(plan.slot)
+        await self.reservations.reserve(call_id, plan.need)
+        upstream = self._place(plan, tried)
+        if upstream is None:
+            return not_run(call_id, ErrorCode.NO_UPSTREAM, "no upstream can take the call")
+        tried.append(upstream)
+        intent = self._intent(plan, call_id, upstream)
+        durable = self.scribe.take(intent)
+        if not plan.repeatable:
+            await self._wait_durable(plan, intent, durable)
+        return await self._dispatch(plan, intent)
+
+    def _place(self, plan: CallPlan, tried: list[UpstreamId]) -> UpstreamId | None:
+        return self.context.placer.place(
+            plan.target, self.program.program_id, plan.prompt_tokens, plan.output_tokens, tried
+        )
+
+    def _intent(self, plan: CallPlan, call_id: CallId, upstream: UpstreamId) -> CallIntended:
+        incarnation = self.context.sidecars.incarnation(upstream)
+        return CallIntended(
+            self.program.program_id, plan.slot, call_id, upstream, incarnation, plan.repeatable
+        )
+
+    async def _wait_durable(
+        self, plan: CallPlan, intent: CallIntended, durable: anyio.Event
+    ) -> None:
+        try:
+            await durable.wait()
+        except anyio.get_cancelled_exc_class():
+            if not self.ledger.abandoned:
+                detail = "the program ended before the call was ordered"
+                self.ledger.finish(plan, not_run(intent.call_id, ErrorCode.CANCELLED, detail))
+            raise
+
+    async def _dispatch(self, plan: CallPlan, intent: CallIntended) -> Outcome:
+        plan.begin()
+        order = plan.order(intent.call_id, intent.incarnation)
+        self.context.log_placed(self.program.program_id, intent)
+        try:
+            return _checked(await self._follow(plan, intent, order))
+        except anyio.get_cancelled_exc_class():
+            await self._settle_cancelled(plan, intent)
+            raise
+
+    async def _follow(self, plan: CallPlan, intent: CallIntended, order: Order) -> Outcome:
+        try:
+            return await self.context.sidecars.dispatch(intent.upstream, order, plan.sink)
+        except UpstreamLostError as error:
+            if plan.repeatable:
+                return unknown(intent.call_id, ErrorCode.UPSTREAM_LOST, error.detail)
+            return await settle(self.context, intent, self.fence, plan.sink)
+
+    async def _settle_cancelled(self, plan: CallPlan, intent: CallIntended) -> None:
+        """Find the final word of a call whose program ends while it runs."""
+        if plan.repeatable or self.ledger.abandoned:
+            return
+        detail = "the program ended while the call ran"
+        outcome = unknown(intent.call_id, ErrorCode.OUTCOME_UNKNOWN, detail)
+        with anyio.CancelScope(shield=True):
+            with anyio.move_on_after(SETTLE_GRACE_S):
+                outcome = await settle(self.context, intent, self.fence, plan.sink)
+            self.ledger.finish(plan, outcome)
+
+    async def _take_over(self, plan: CallPlan, intent: CallIntended) -> Outcome:
+        """Settle or follow an attempt of an earlier driver of this program."""
+        if plan.repeatable:
+            return _checked(await self._attach(plan, intent))
+        try:
+            return _checked(await settle(self.context, intent, self.fence, plan.sink))
+        except anyio.get_cancelled_exc_class():
+            await self._settle_cancelled(plan, intent)
+            raise
+
+    async def _attach(self, plan: CallPlan, intent: CallIntended) -> Outcome:
+        plan.begin()
+        try:
+            return await self.context.sidecars.attach(
+                intent.upstream, intent.call_id, self.fence, plan.sink
+            )
+        except UpstreamLostError as error:
+            return unknown(intent.call_id, ErrorCode.UPSTREAM_LOST, error.detail)
+
+
+def _checked(outcome: Outcome) -> Outcome:
+    """Return the outcome, or raise when it says that another node owns the program."""
+    if outcome.error is ErrorCode.STALE_EPOCH:
+        raise NotOwnerError("a sidecar saw a higher epoch")
+    return outcome
+
+
+def _may_retry(plan: CallPlan, outcome: Outcome) -> bool:
+    """Tell whether another attempt does no harm and may help."""
+    if outcome.error in _FINAL:
+        return False
+    if outcome.word is FinalWord.NOT_RUN:
+        return True
+    return plan.repeatable and (outcome.error is not None or outcome.word is FinalWord.UNKNOWN)
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
@@ -0,0 +1,238 @@
+"""Programs of the partitions this node holds."""
+
+from collections import OrderedDict
+from collections.abc import AsyncIterator, Sequence
+
+import anyio
+from anyio.abc import TaskGroup
+
+from skylarkferry_core.errors import (
+    ErrorCode,
+    ForbiddenError,
+    NotFoundError,
+    NotOwnerError,
+    OutcomeUnknownError,
+    RequestKeyReusedError,
+)
+from skylarkferry_core.events import EventKind
+from skylarkferry_core.ids import PartitionNumber, ProgramId, partition_of, program_id_for
+from skylarkferry_core.messages import (
+    Fence,
+    Outcome,
+    ProgramRequest,
+    ProgramSelector,
+    ProgramView,
+    WatchItem,
+)
+from skylarkferry_core.programs import Program, replay
+from skylarkferry_core.records import ProgramAccepted, Record
+from skylarkferry_daemon.admitting import Admitter
+from skylarkferry_daemon.context import EntryContext
+from skylarkferry_daemon.drivers import Driver, Ending
+from skylarkferry_daemon.feeds import ProgramFeed
+from skylarkferry_daemon.interfaces import Ownership
+
+ACCEPT_TIMEOUT_S = 5.0
+ACCEPT_RETRY_S = 2.0
+NOT_OWNER_RETRY_S = 1.0
+CANCEL_WAIT_S = 5.0
+
+
+class Entry:
+    """One program in the directory; ``driver`` is ``None`` once it ended."""
+
+    def __init__(self, program: Program, feed: ProgramFeed, driver: Driver | None) -> None:
+        self.program = program
+        self.feed = feed
+        self.driver = driver
+        self.accepted = anyio.Event()
+
+
+class ProgramDirectory:
+    """Start, find, drive and drop programs; hears of partitions gained and lost."""
+
+    def __init__(
+        self,
+        *,
+        context: EntryContext,
+        ownership: Ownership,
+        admitter: Admitter,
+        partitions: int,
+        ended_kept: int,
+        tasks: TaskGroup,
+    ) -> None:
+        self.context = context
+        self.ownership = ownership
+        self.admitter = admitter
+        self.partitions = partitions
+        self.ended_kept = ended_kept
+        self.tasks = tasks
+        self.entries: dict[ProgramId, Entry] = {}
+        self.ended: OrderedDict[ProgramId, None] = OrderedDict()
+
+    async def start(self, request: ProgramRequest) -> ProgramView:
+        """Start a program, or return the one that the key started before.
+
+        Raise ``RequestKeyReusedError``, ``NotOwnerError``, an admission's refusal, or
+        ``OutcomeUnknownError`` when the platform did not confirm in time.
+        """
+        program_id = program_id_for(request.customer, request.request_key, self.partitions)
+        fence = self._fence_of(program_id)
+        entry = self.entries.get(program_id)
+        if entry is None:
+            self.admitter.admit(request, anyio.current_time())
+            entry = self._accept(program_id, request, fence)
+        elif entry.program.request != request:
+            raise RequestKeyReusedError("the request key stands for a different body")
+        await self._wait_accepted(entry)
+        return entry.program.view()
+
+    def _accept(self, program_id: ProgramId, request: ProgramRequest, fence: Fence) -> Entry:
+        record = ProgramAccepted(program_id, request, self.context.wall_s())
+        program = Program(record)
+        entry = Entry(program, ProgramFeed([], False), None)
+        entry.driver = Driver(self.context, program, fence, entry.feed)
+        self.entries[program_id] = entry
+        self.tasks.start_soon(self._write_and_drive, entry, fence, record)
+        return entry
+
+    async def _wait_accepted(self, entry: Entry) -> None:
+        with anyio.move_on_after(ACCEPT_TIMEOUT_S):
+            await entry.accepted.wait()
+        if entry.program.program_id not in self.entries:
+            raise NotOwnerError("the partition moved", retry_after_s=NOT_OWNER_RETRY_S)
+        if not entry.accepted.is_set():
+            raise OutcomeUnknownError(
+                "the platform did not confirm in time; send the same request again",
+                retry_after_s=ACCEPT_RETRY_S,
+            )
+
+    async def _write_and_drive(self, entry: Entry, fence: Fence, record: ProgramAccepted) -> None:
+        try:
+            await self.context.journal.append(fence, record, durable=True)
+        except NotOwnerError:
+            self._drop(entry)
+            return
+        entry.feed.publish(entry.program.steps[0])
+        entry.accepted.set()
+        self.context.log.emit(
+            EventKind.PROGRAM_ACCEPTED, record.program_id, agent=record.request.agent
+        )
+        await self._drive(entry)
+
+    async def _drive(self, entry: Entry) -> None:
+        assert entry.driver is not None
+        try:
+            await entry.driver.run()
+        except* NotOwnerError:
+            entry.driver.abandoned = True
+        if entry.driver.abandoned:
+            self._drop(entry)
+        else:
+            self._retire(entry)
+
+    def _drop(self, entry: Entry) -> None:
+        """Forget a program that another node drives; watchers look for its owner."""
+        found = self.entries.get(entry.program.program_id)
+        if found is entry:
+            del self.entries[entry.program.program_id]
+        self.admitter.ended(entry.program.request)
+        entry.accepted.set()
+        entry.feed.lose()
+
+    def _retire(self, entry: Entry) -> None:
+        """Keep an ended program's answer, within the bound, and free the rest."""
+        entry.driver = None
+        entry.program.runs.clear()
+        self.admitter.ended(entry.program.request)
+        self.ended[entry.program.program_id] = None
+        while len(self.ended) > self.ended_kept:
+            oldest, _ = self.ended.popitem(last=False)
+            self.entries.pop(oldest, None)
+
+    async def on_adopted(self, fence: Fence, records: Sequence[Record]) -> None:
+        """Replay the partition's programs and drive on those that have not ended."""
+        by_program: dict[ProgramId, list[Record]] = {}
+        for record in records:
+            by_program.setdefault(record.program_id, []).append(record)
+        for history in by_program.values():
+            self._resume(fence, history)
+
+    def _resume(self, fence: Fence, history: list[Record]) -> None:
+        program = replay(history)
+        feed = ProgramFeed(list(program.steps), program.ended is not None)
+        entry = Entry(program, feed, None)
+        entry.accepted.set()
+        self.entries[program.program_id] = entry
+        if program.ended is not None:
+            self._retire(entry)
+            return
+        self.admitter.resumed(program.request)
+        entry.driver = Driver(self.context, program, fence, feed)
+        self.context.log.emit(
+            EventKind.PROGRAM_RESUMED,
+            program.program_id,
+            epoch=fence.epoch,
+            turns=program.budget.turns,
+        )
+        self.tasks.start_soon(self._drive, entry)
+
+    async def on_lost(self, partition: PartitionNumber) -> None:
+        """Stop driving the programs of a partition."""
+        for program_id in [key for key in self.entries if partition_of(key) == partition]:
+            entry = self.entries[program_id]
+            if entry.driver is not None:
+                entry.driver.abandon()
+            else:
+                self._forget_ended(entry)
+
+    def _forget_ended(self, entry: Entry) -> None:
+        program_id = entry.program.program_id
+        self.entries.pop(program_id, None)
+        self.ended.pop(program_id, None)
+        entry.feed.lose()
+
+    def show(self, selector: ProgramSelector) -> ProgramView:
+        """Return a program; raise ``NotFoundError`` or ``NotOwnerError``."""
+        return self._find(selector).program.view()
+
+    async def cancel(self, selector: ProgramSelector) -> ProgramView:
+        """Cancel a program and return it once its end is durable, or as it stands by then."""
+        entry = self._find(selector)
+        if entry.driver is not None:
+            entry.driver.cancel(Ending(ErrorCode.CANCELLED, "cancelled by the caller"))
+            with anyio.move_on_after(CANCEL_WAIT_S):
+                await entry.feed.wait_ended()
+        return entry.program.view()
+
+    def watch(self, selector: ProgramSelector, after: int) -> AsyncIterator[WatchItem]:
+        """Iterate a program's steps and output; raise ``NotOwnerError`` when it moves."""
+        return self._find(selector).feed.watch(after)
+
+    async def outcome(self, program_id: ProgramId) -> Outcome:
+        """Return the outcome of a program that stands for one service call, once it ended."""
+        entry = self._find(ProgramSelector(program_id))
+        await entry.feed.wait_ended()
+        return next(iter(entry.program.outcomes.values()))
+
+    def list(self) -> list[ProgramView]:
+        """Return the programs under way on this node."""
+        return [entry.program.view() for entry in self.entries.values() if entry.driver]
+
+    def _find(self, selector: ProgramSelector) -> Entry:
+        self._fence_of(selector.program_id)
+        entry = self.entries.get(selector.program_id)
+        if entry is None:
+            raise NotFoundError("no such program")
+        if selector.customer and entry.program.request.customer != selector.customer:
+            raise ForbiddenError("the program belongs to another customer")
+        return entry
+
+    def _fence_of(self, program_id: ProgramId) -> Fence:
+        try:
+            fence = self.ownership.fence(partition_of(program_id))
+        except ValueError as error:
+            raise NotFoundError("no such program") from error
+        if fence is None:
+            raise NotOwnerError("another node drives it", retry_after_s=NOT_OWNER_RETRY_S)
+        return fence
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/drivers.py
@@ -0,0 +1,293 @@
+"""The drive stage: one task that carries a program from call to call to its final answer."""
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from skylarkferry_core.budgets import Amount, model_amount
+from skylarkferry_core.document import AgentSpec
+from skylarkferry_core.errors import BudgetExhaustedError, ErrorCode
+from skylarkferry_core.events import EventKind
+from skylarkferry_core.ids import AgentName, RunId
+from skylarkferry_core.messages import Chunk, Fence, Outcome, Usage
+from skylarkferry_core.programs import Program, ReadyCall
+from skylarkferry_core.records import (
+    CallCompleted,
+    CallIntended,
+    ProgramEnded,
+    RunStarted,
+    SlotKey,
+    TurnCompleted,
+)
+from skylarkferry_core.runs import ROOT_RUN, Run
+from skylarkferry_core.states import FinalWord
+from skylarkferry_core.turns import sub_agent_input
+from skylarkferry_daemon.attempts import Attempts
+from skylarkferry_daemon.context import EntryContext
+from skylarkferry_daemon.feeds import ProgramFeed
+from skylarkferry_daemon.plans import CallPlan, Planner
+from skylarkferry_daemon.scribes import Scribe
+
+
+class Ending(msgspec.Struct, frozen=True):
+    """Why a program ends before its answer."""
+
+    error: ErrorCode
+    detail: str
+    retry_after_s: float | None = None
+
+
+class FeedSink:
+    """Pass the output of the caller's own run on to the feed."""
+
+    def __init__(self, feed: ProgramFeed) -> None:
+        self.feed = feed
+
+    def on_chunk(self, chunk: Chunk) -> None:
+        """Take output of the current attempt."""
+        self.feed.extend(chunk.text)
+
+
+class NullSink:
+    """Drop output that callers do not see."""
+
+    def on_chunk(self, chunk: Chunk) -> None:
+        """Ignore the output."""
+
+
+class Driver:
+    """Drive one program; the state is the program's, and every change of it is journaled."""
+
+    def __init__(
+        self, context: EntryContext, program: Program, fence: Fence, feed: ProgramFeed
+    ) -> None:
+        self.context = context
+        self.program = program
+        self.feed = feed
+        self.fence = fence
+        self.planner = Planner(context, program, fence)
+        self.started: set[SlotKey] = set()
+        self.ending: Ending | None = None
+        self.woken = anyio.Event()
+        self.calls_scope = anyio.CancelScope()
+        self.whole_scope = anyio.CancelScope()
+        self.abandoned = False
+
+    def cancel(self, ending: Ending) -> None:
+        """End the program without an answer; calls in flight get their final word first."""
+        self._fail(ending)
+        self.calls_scope.cancel()
+
+    def abandon(self) -> None:
+        """Stop at once and write nothing more: another node drives the program."""
+        self.abandoned = True
+        self.whole_scope.cancel()
+
+    async def run(self) -> None:
+        """Drive until the final answer is durable; raise ``NotOwnerError`` in a group if lost."""
+        with self.whole_scope:
+            async with anyio.create_task_group() as writes:
+                journal = self.context.journal
+                self.scribe = Scribe(self.program, self.fence, journal, self.feed, writes)
+                self.attempts = Attempts(self.context, self.program, self.fence, self.scribe, self)
+                await self._run_calls()
+                await self._end()
+
+    async def _run_calls(self) -> None:
+        """Run calls until there is an answer, a reason to end or no time left."""
+        left_s = self.program.deadline - self.context.wall_s()
+        self.calls_scope.deadline = anyio.current_time() + left_s
+        with self.calls_scope:
+            async with anyio.create_task_group() as calls:
+                await self._launch_until_done(calls)
+                calls.cancel_scope.cancel()
+        if not self._done():
+            self._fail(Ending(ErrorCode.DEADLINE_PASSED, "the deadline passed"))
+
+    async def _launch_until_done(self, calls: TaskGroup) -> None:
+        while not self._done():
+            self.woken = anyio.Event()
+            await self.scribe.wait_for_room()
+            for ready in self.program.ready():
+                self._launch(ready, calls)
+            if not self._done():
+                await self.woken.wait()
+
+    def _done(self) -> bool:
+        if self.ending is not None:
+            return True
+        if self.program.request.service is not None:
+            return not self.program.ready()
+        if self.program.finished() is not None:
+            return True
+        giveup = self.program.giveup(self.planner.document)
+        if giveup is not None:
+            self.ending = Ending(giveup.error, giveup.detail)
+        return giveup is not None
+
+    def _launch(self, ready: ReadyCall, calls: TaskGroup) -> None:
+        """Start a ready call unless it runs already."""
+        if ready.slot in self.started:
+            return
+        self.started.add(ready.slot)
+        if self.program.request.service is not None:
+            calls.start_soon(self._run_service, ready)
+        elif ready.request is None:
+            calls.start_soon(self._run_model, ready)
+        elif AgentName(ready.request.name) in self._spec(ready.slot.run_id).agents:
+            self._start_run(ready)
+        else:
+            calls.start_soon(self._run_tool, ready)
+
+    def _spec(self, run_id: RunId) -> AgentSpec:
+        return self.planner.document.agents[self.program.runs[run_id].agent]
+
+    def _start_run(self, ready: ReadyCall) -> None:
+        """Start a sub-agent in the same program, on the same budget."""
+        assert ready.request is not None
+        slot = ready.slot
+        run_id = RunId(f"{slot.run_id}.{slot.turn}.{slot.index}")
+        text = sub_agent_input(ready.request.arguments)
+        agent = AgentName(ready.request.name)
+        self.scribe.take(RunStarted(self.program.program_id, run_id, slot, agent, text))
+        self._wake()
+
+    async def _run_model(self, ready: ReadyCall) -> None:
+        run = self.program.runs[ready.slot.run_id]
+        if run.run_id == ROOT_RUN:
+            plan = self.planner.model_plan(run, FeedSink(self.feed), self.feed.begin_attempt)
+        else:
+            plan = self.planner.model_plan(run, NullSink(), _nothing)
+        outcome = await self._attempt(plan, ready.intent)
+        if outcome is not None:
+            self._take_turn(plan, run, outcome)
+
+    async def _run_tool(self, ready: ReadyCall) -> None:
+        assert ready.request is not None
+        name = ready.request.name
+        spec = self.planner.document.tools.get(name)
+        if spec is None or name not in self._spec(ready.slot.run_id).tools:
+            self._refuse_tool(ready.slot, name)
+            return
+        plan = self.planner.tool_plan(ready.slot, spec, ready.request, NullSink())
+        outcome = await self._attempt(plan, ready.intent)
+        if outcome is not None:
+            self.finish(plan, outcome)
+
+    async def _run_service(self, ready: ReadyCall) -> None:
+        work = self.program.request.service
+        assert work is not None
+        plan = self.planner.service_plan(ready.slot, work, NullSink())
+        outcome = await self._attempt(plan, ready.intent)
+        if outcome is not None:
+            self.finish(plan, outcome)
+
+    async def _attempt(self, plan: CallPlan, intent: CallIntended | None) -> Outcome | None:
+        """Return the call's final outcome, or ``None`` when the budget does not cover it."""
+        try:
+            return await self.attempts.run(plan, intent)
+        except BudgetExhaustedError as error:
+            self._fail(Ending(error.code, error.detail))
+            return None
+
+    def _refuse_tool(self, slot: SlotKey, name: str) -> None:
+        """Tell the model that its agent has no such tool."""
+        outcome = Outcome(
+            self.program.call_id(slot),
+            FinalWord.NOT_RUN,
+            error=ErrorCode.NOT_FOUND,
+            detail=f"the agent has no tool {name}",
+        )
+        self.scribe.take(CallCompleted(self.program.program_id, slot, name, outcome))
+        self._wake()
+
+    def _take_turn(self, plan: CallPlan, run: Run, outcome: Outcome) -> None:
+        if outcome.word is not FinalWord.DONE or outcome.message is None or outcome.error:
+            self.attempts.reservations.dispose(outcome)
+            code = outcome.error or ErrorCode.UPSTREAM_FAILED
+            self._fail(Ending(code, outcome.detail, outcome.retry_after_s))
+            return
+        usage = _bounded(outcome.usage, plan.need)
+        spec = self.planner.document.models[self._spec(run.run_id).model]
+        cost = min(model_amount(spec, usage).cost_micros, plan.need.cost_micros)
+        record = TurnCompleted(
+            self.program.program_id, plan.slot, outcome.call_id, outcome.message, usage, cost
+        )
+        self.scribe.take(record, self._acknowledgement(plan.slot, outcome))
+        self.attempts.reservations.notify()
+        self._wake()
+
+    def finish(self, plan: CallPlan, outcome: Outcome) -> None:
+        """Record the final word of a tool or service call."""
+        cost = 0 if outcome.word is FinalWord.NOT_RUN else plan.need.cost_micros
+        record = CallCompleted(self.program.program_id, plan.slot, plan.name, outcome, cost)
+        self.scribe.take(record, self._acknowledgement(plan.slot, outcome))
+        self.attempts.reservations.notify()
+        self.context.log_ended(self.program.program_id, plan.name, outcome)
+        self._wake()
+
+    def _acknowledgement(self, slot: SlotKey, outcome: Outcome) -> "Acknowledgement | None":
+        intent = self.program.intents.get(slot)
+        if intent is None:
+            return None
+        return Acknowledgement(self.context, intent)
+
+    def _fail(self, ending: Ending) -> None:
+        if self.ending is None:
+            self.ending = ending
+        self._wake()
+
+    def _wake(self) -> None:
+        self.woken.set()
+
+    async def _end(self) -> None:
+        """Write the final answer and free what the program held."""
+        record = self._final_record()
+        await self.scribe.take_durably(record)
+        self.feed.end()
+        self.context.sidecars.release(self.program.program_id, self.fence)
+        self.context.placer.forget(self.program.program_id)
+        self.context.log.emit(
+            EventKind.PROGRAM_ENDED,
+            self.program.program_id,
+            word=record.word.value,
+            error=record.error.value if record.error else "",
+        )
+
+    def _final_record(self) -> ProgramEnded:
+        program_id = self.program.program_id
+        answer = self.program.finished()
+        if answer is not None:
+            return ProgramEnded(program_id, FinalWord.DONE, answer)
+        if self.ending is not None:
+            ending = self.ending
+            word = self.program.word_on_failure()
+            return ProgramEnded(
+                program_id, word, "", ending.error, ending.detail, ending.retry_after_s
+            )
+        outcome = next(iter(self.program.outcomes.values()))
+        return ProgramEnded(program_id, outcome.word, "", outcome.error, outcome.detail)
+
+
+class Acknowledgement:
+    """Tell the sidecar that a call's outcome is durable."""
+
+    def __init__(self, context: EntryContext, intent: CallIntended) -> None:
+        self.context = context
+        self.intent = intent
+
+    def __call__(self) -> None:
+        """Send the acknowledgement."""
+        self.context.sidecars.acknowledge(self.intent.upstream, self.intent.call_id)
+
+
+def _nothing() -> None:
+    """Begin an attempt that no caller watches."""
+
+
+def _bounded(usage: Usage, reserved: Amount) -> Usage:
+    """Cut a reported usage down to the reservation: an engine may not spend a program's budget."""
+    if usage.prompt_tokens + usage.output_tokens <= reserved.tokens:
+        return usage
+    prompt = min(usage.prompt_tokens, reserved.tokens)
+    return Usage(prompt, min(usage.cached_tokens, prompt), reserved.tokens - prompt)
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/feeds.py
@@ -0,0 +1,110 @@
+"""What callers see of one program while it runs: numbered steps and the output of its turn."""
+
+from collections.abc import AsyncIterator
+
+import anyio
+
+from skylarkferry_core.errors import NotOwnerError
+from skylarkferry_core.messages import Delta, Step, WatchItem
+
+
+class ProgramFeed:
+    """Durable steps and the text of the current turn of the caller's run.
+
+    Watchers keep their own position and read at their own pace, so a slow one costs no memory.
+    """
+
+    def __init__(self, steps: list[Step], ended: bool) -> None:
+        self.steps = steps
+        self.ended = ended
+        self.lost = False
+        self.attempt = 0
+        self.text = ""
+        self.changed = anyio.Event()
+
+    def publish(self, step: Step, *, ends_turn: bool = False) -> None:
+        """Add a step whose record is durable; ``ends_turn`` says that it holds the turn's text."""
+        self.steps.append(step)
+        if ends_turn:
+            self.text = ""
+            self.attempt = 0
+        self._notify()
+
+    def begin_attempt(self) -> None:
+        """Start the text of the turn anew."""
+        if self.text:
+            self.attempt += 1
+        self.text = ""
+
+    def extend(self, text: str) -> None:
+        """Add output of the current attempt."""
+        self.text += text
+        self._notify()
+
+    def end(self) -> None:
+        """Close the feed; no step follows."""
+        self.ended = True
+        self._notify()
+
+    def lose(self) -> None:
+        """End every watch with ``NotOwnerError``: another node drives the program."""
+        self.lost = True
+        self._notify()
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def wait_ended(self) -> None:
+        """Return once the program ended; raise ``NotOwnerError`` when it moves."""
+        async for _ in self.watch(len(self.steps)):
+            pass
+
+    async def watch(self, after: int) -> AsyncIterator[WatchItem]:
+        """Iterate steps after number ``after``, and output, until the program ended.
+
+        Raise ``NotOwnerError`` when the program moves to another node meanwhile.
+        """
+        shown = _Shown(after)
+        while True:
+            changed = self.changed
+            for item in self._news(shown):
+                yield item
+            if self.ended and shown.number >= len(self.steps):
+                return
+            if self.lost:
+                raise NotOwnerError("another node drives the program")
+            if changed is self.changed:
+                await changed.wait()
+
+    def _news(self, shown: "_Shown") -> list[WatchItem]:
+        """Return what a watcher has not seen and move its position."""
+        items = [WatchItem(step=step) for step in self.steps[shown.number :]]
+        if items:
+            shown.move_to(len(self.steps))
+        if shown.number != len(self.steps):
+            return items
+        if shown.attempt != self.attempt:
+            shown.restart(self.attempt)
+        if shown.offset < len(self.text):
+            fresh = self.text[shown.offset :]
+            items.append(WatchItem(delta=Delta(shown.number, self.attempt, shown.offset, fresh)))
+            shown.offset = len(self.text)
+        return items
+
+
+class _Shown:
+    """Position of one watcher."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.attempt = 0
+        self.offset = 0
+
+    def move_to(self, number: int) -> None:
+        self.number = number
+        self.restart(0)
+
+    def restart(self, attempt: int) -> None:
+        self.attempt = attempt
+        self.offset = 0
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/forwarding.py
@@ -0,0 +1,209 @@
+"""Answer for any program at any entry: locally where this node owns it, else at its owner."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable, MutableSequence, Sequence
+from typing import Any, TypeVar
+
+import anyio
+
+from skylarkferry_core.errors import (
+    NotFoundError,
+    NotOwnerError,
+    SkylarkferryError,
+    UpstreamLostError,
+)
+from skylarkferry_core.ids import (
+    AgentName,
+    PartitionNumber,
+    ProgramId,
+    RequestKey,
+    partition_of,
+    program_id_for,
+)
+from skylarkferry_core.messages import (
+    Budget,
+    ListRequest,
+    ProgramRequest,
+    ProgramSelector,
+    ProgramView,
+    ServiceReply,
+    ServiceRequest,
+    StartRequest,
+    WatchItem,
+    WatchRequest,
+)
+from skylarkferry_daemon.directory import ProgramDirectory
+from skylarkferry_daemon.interfaces import Ownership
+from skylarkferry_daemon.peers import Peers
+from skylarkferry_daemon.relays import ServiceRelay, reply_of
+from skylarkferry_wire.methods import (
+    ENTRY_CANCEL,
+    ENTRY_LIST,
+    ENTRY_SERVICE,
+    ENTRY_SHOW,
+    ENTRY_START,
+    ENTRY_WATCH,
+    Method,
+)
+
+FORWARD_TIMEOUT_S = 10.0
+LIST_TIMEOUT_S = 2.0
+OWNER_WAIT_S = 15.0
+OWNER_POLL_S = 0.1
+NO_AGENT = AgentName("")
+
+Reply = TypeVar("Reply")
+
+
+class SystemPrograms:
+    """Programs of the whole system; implements the ``Programs`` Protocol."""
+
+    def __init__(
+        self,
+        directory: ProgramDirectory,
+        ownership: Ownership,
+        peers: Peers,
+        relay: ServiceRelay,
+    ) -> None:
+        self.directory = directory
+        self.ownership = ownership
+        self.peers = peers
+        self.relay = relay
+
+    async def start(self, request: ProgramRequest) -> ProgramView:
+        """Start a program at its owner; the key makes a repeat after a lost answer harmless."""
+        partition = self._home(request)
+        return await self._at_owner(
+            partition,
+            lambda: self.directory.start(request),
+            ENTRY_START,
+            StartRequest(request),
+        )
+
+    async def show(self, selector: ProgramSelector) -> ProgramView:
+        """Return a program from its owner."""
+
+        async def local() -> ProgramView:
+            return self.directory.show(selector)
+
+        return await self._at_owner(_partition(selector.program_id), local, ENTRY_SHOW, selector)
+
+    async def cancel(self, selector: ProgramSelector) -> ProgramView:
+        """Cancel a program at its owner."""
+        return await self._at_owner(
+            _partition(selector.program_id),
+            lambda: self.directory.cancel(selector),
+            ENTRY_CANCEL,
+            selector,
+        )
+
+    async def watch(self, selector: ProgramSelector, after: int) -> AsyncIterator[WatchItem]:
+        """Iterate a program's steps and output, following it from owner to owner."""
+        partition = _partition(selector.program_id)
+        give_up_at = anyio.current_time() + OWNER_WAIT_S
+        while True:
+            try:
+                async for item in self._watch_once(partition, selector, after):
+                    after = item.step.number if item.step else after
+                    give_up_at = anyio.current_time() + OWNER_WAIT_S
+                    yield item
+                return
+            except (NotOwnerError, UpstreamLostError):
+                if anyio.current_time() >= give_up_at:
+                    raise
+            await anyio.sleep(OWNER_POLL_S)
+
+    def _watch_once(
+        self, partition: PartitionNumber, selector: ProgramSelector, after: int
+    ) -> AsyncIterator[WatchItem]:
+        if self.ownership.fence(partition) is not None:
+            return self.directory.watch(selector, after)
+        address = self._owner(partition)
+        return self.peers.stream(address, ENTRY_WATCH, WatchRequest(selector, after))
+
+    async def service(self, request: ServiceRequest) -> ServiceReply:
+        """Relay a request to a plain service; with a key it runs at most once."""
+        if not request.idempotency_key:
+            return await self.relay.relay(request)
+        program = service_program(request)
+        return await self._at_owner(
+            self._home(program),
+            lambda: self.run_service(request),
+            ENTRY_SERVICE,
+            request,
+            request.deadline_s + FORWARD_TIMEOUT_S,
+        )
+
+    async def run_service(self, request: ServiceRequest) -> ServiceReply:
+        """Run a keyed service request as a program of this node and return its reply."""
+        view = await self.directory.start(service_program(request))
+        outcome = await self.directory.outcome(view.program_id)
+        return reply_of(outcome)
+
+    async def list(self) -> Sequence[ProgramView]:
+        """Return the programs under way on all nodes that answer."""
+        found = list(self.directory.list())
+        async with anyio.create_task_group() as tasks:
+            for address in self.ownership.node_addresses():
+                tasks.start_soon(self._list_at, address, found)
+        return found
+
+    async def _list_at(self, address: str, found: MutableSequence[ProgramView]) -> None:
+        try:
+            reply = await self.peers.call(address, ENTRY_LIST, ListRequest(), LIST_TIMEOUT_S)
+        except SkylarkferryError:
+            return
+        found.extend(reply.programs)
+
+    async def _at_owner(
+        self,
+        partition: PartitionNumber,
+        local: Callable[[], Awaitable[Reply]],
+        method: Method,
+        request: Any,
+        timeout_s: float = FORWARD_TIMEOUT_S,
+    ) -> Reply:
+        """Run at the owner; while the partition moves, wait for its next owner."""
+        give_up_at = anyio.current_time() + OWNER_WAIT_S
+        while True:
+            try:
+                if self.ownership.fence(partition) is not None:
+                    return await local()
+                address = self._owner(partition)
+                return await self.peers.call(address, method, request, timeout_s)
+            except (NotOwnerError, UpstreamLostError):
+                if anyio.current_time() >= give_up_at:
+                    raise
+            await anyio.sleep(OWNER_POLL_S)
+
+    def _owner(self, partition: PartitionNumber) -> str:
+        address = self.ownership.owner_address(partition)
+        if address is None:
+            raise NotOwnerError("the partition has no owner yet", retry_after_s=1.0)
+        return address
+
+    def _home(self, request: ProgramRequest) -> PartitionNumber:
+        program_id = program_id_for(
+            request.customer, request.request_key, self.directory.partitions
+        )
+        return partition_of(program_id)
+
+
+def _partition(program_id: ProgramId) -> PartitionNumber:
+    """Return a program's partition; raise ``NotFoundError`` for what is no program id."""
+    try:
+        return partition_of(program_id)
+    except ValueError as error:
+        raise NotFoundError("no such program") from error
+
+
+def service_program(request: ServiceRequest) -> ProgramRequest:
+    """Return the program that stands for one keyed call of a plain service."""
+    return ProgramRequest(
+        request_key=RequestKey(f"service/{request.idempotency_key}"),
+        customer=request.customer,
+        agent=NO_AGENT,
+        input="",
+        deadline_s=request.deadline_s,
+        budget=Budget(0, 0, 0),
+        service=request.work,
+    )
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/interfaces.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/interfaces.py
@@ -92,6 +92,9 @@
         return at once unless the backlog is full.  Raise ``NotOwnerError`` when the epoch moved.
         """
 
+    def stalled_s(self) -> float:
+        """Return for how many seconds the oldest record waits to become durable."""
+
 
 class PartitionListener(Protocol):
     """Hears of partitions that this node gains and loses."""
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/plans.py
@@ -0,0 +1,148 @@
+"""Plan calls: where each may go, what it may cost and the order that the sidecar gets."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from skylarkferry_core.budgets import Amount
+from skylarkferry_core.document import Document, ToolSpec
+from skylarkferry_core.ids import CallId, Incarnation, PoolName, fingerprint_of
+from skylarkferry_core.messages import Fence, Order, ServiceWork, ToolRequest, Work
+from skylarkferry_core.programs import Program
+from skylarkferry_core.records import SlotKey
+from skylarkferry_core.runs import Run
+from skylarkferry_core.states import PoolKind, Priority
+from skylarkferry_core.turns import model_work, tool_work, worst_case
+from skylarkferry_daemon.context import EntryContext
+from skylarkferry_daemon.interfaces import ChunkSink
+from skylarkferry_daemon.placing import Target
+
+MODEL_TIMEOUT_S = 600.0
+SERVICE_TIMEOUT_S = 60.0
+KEEP_KV_S = 30.0
+
+OrderBuilder = Callable[[CallId, Incarnation], Order]
+
+
+class CallPlan(msgspec.Struct):
+    """What is fixed about a call over all its attempts; token counts are upper bounds.
+
+    ``begin`` is called at the start of each attempt.
+    """
+
+    slot: SlotKey
+    name: str
+    target: Target
+    repeatable: bool
+    need: Amount
+    order: OrderBuilder
+    sink: ChunkSink
+    begin: Callable[[], None]
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+class Planner:
+    """Plan the calls of one program under the document in force."""
+
+    def __init__(self, context: EntryContext, program: Program, fence: Fence) -> None:
+        self.context = context
+        self.program = program
+        self.fence = fence
+
+    @property
+    def document(self) -> Document:
+        """Return the document in force."""
+        return self.context.documents.current
+
+    def model_plan(self, run: Run, sink: ChunkSink, begin: Callable[[], None]) -> CallPlan:
+        """Plan the next turn of a run."""
+        need = worst_case(self.document, run, self.program.budget.uncommitted)
+        work = model_work(self.document, run, need.output_tokens)
+        return CallPlan(
+            slot=run.model_slot(),
+            name=run.agent,
+            target=Target(model=work.model),
+            repeatable=True,
+            need=need.amount,
+            order=self._orders(work, True, MODEL_TIMEOUT_S),
+            sink=sink,
+            begin=begin,
+            prompt_tokens=need.prompt_tokens,
+            output_tokens=need.output_tokens,
+        )
+
+    def tool_plan(
+        self, slot: SlotKey, spec: ToolSpec, request: ToolRequest, sink: ChunkSink
+    ) -> CallPlan:
+        """Plan a tool call."""
+        return CallPlan(
+            slot=slot,
+            name=request.name,
+            target=Target(pool=spec.pool),
+            repeatable=spec.repeatable,
+            need=Amount(0, spec.cost_micros),
+            order=self._orders(tool_work(spec, request), spec.repeatable, spec.timeout_s),
+            sink=sink,
+            begin=_nothing,
+        )
+
+    def service_plan(self, slot: SlotKey, work: ServiceWork, sink: ChunkSink) -> CallPlan:
+        """Plan the only call of a program that stands for one call of a plain service."""
+        return CallPlan(
+            slot=slot,
+            name=work.service,
+            target=Target(pool=pool_of_service(self.document, work.service)),
+            repeatable=False,
+            need=Amount(),
+            order=self._orders(work, False, SERVICE_TIMEOUT_S),
+            sink=sink,
+            begin=_nothing,
+        )
+
+    def _orders(self, work: Work, repeatable: bool, timeout_s: float) -> OrderBuilder:
+        """Return what builds the order of each attempt."""
+        fingerprint = fingerprint_of(msgspec.msgpack.encode(work))
+
+        def build(call_id: CallId, incarnation: Incarnation) -> Order:
+            remaining_s = max(self.program.deadline - self.context.wall_s(), 0.0)
+            return Order(
+                call_id=call_id,
+                program_id=self.program.program_id,
+                customer=self.program.request.customer,
+                fence=self.fence,
+                priority=self._priority(),
+                repeatable=repeatable,
+                remaining_s=remaining_s,
+                slack_s=self._slack_s(remaining_s),
+                timeout_s=min(timeout_s, remaining_s),
+                fingerprint=fingerprint,
+                work=work,
+                keep_kv_s=KEEP_KV_S,
+                incarnation=incarnation,
+            )
+
+        return build
+
+    def _priority(self) -> Priority:
+        spec = self.document.agents.get(self.program.request.agent)
+        return max(self.program.request.priority, spec.priority if spec else Priority.URGENT)
+
+    def _slack_s(self, remaining_s: float) -> float:
+        """Return the time left after the work that the agent is expected to need still."""
+        spec = self.document.agents.get(self.program.request.agent)
+        expected_s = spec.expected_s if spec else 0.0
+        elapsed_s = self.context.wall_s() - self.program.accepted_at
+        return remaining_s - max(expected_s - elapsed_s, 0.0)
+
+
+def _nothing() -> None:
+    """Begin an attempt that no caller watches."""
+
+
+def pool_of_service(document: Document, service: str) -> PoolName | None:
+    """Return the pool that serves a plain service, or ``None``."""
+    for name, pool in document.pools.items():
+        if pool.kind is PoolKind.SERVICE and service in pool.services:
+            return name
+    return None
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/reservations.py
@@ -0,0 +1,63 @@
+"""Reserve budget for calls; allotments are durable before a call draws on them."""
+
+import anyio
+
+from skylarkferry_core.budgets import Amount
+from skylarkferry_core.errors import BudgetExhaustedError
+from skylarkferry_core.ids import CallId
+from skylarkferry_core.messages import Outcome
+from skylarkferry_core.programs import Program
+from skylarkferry_core.records import AllotmentTaken
+from skylarkferry_core.states import FinalWord
+from skylarkferry_daemon.scribes import Scribe
+
+
+class Reservations:
+    """Reservations of one program's calls, taken one at a time."""
+
+    def __init__(self, program: Program, scribe: Scribe) -> None:
+        self.program = program
+        self.scribe = scribe
+        self.lock = anyio.Lock()
+        self.freed = anyio.Event()
+
+    async def reserve(self, call_id: CallId, need: Amount) -> None:
+        """Reserve a call's worst case, waiting for calls in flight to settle if that may help.
+
+        Raise ``BudgetExhaustedError`` when the budget cannot cover it.
+        """
+        async with self.lock:
+            while not await self._try_reserve(call_id, need):
+                await self.freed.wait()
+
+    async def _try_reserve(self, call_id: CallId, need: Amount) -> bool:
+        ledger = self.program.budget
+        self.freed = anyio.Event()
+        try:
+            total = ledger.next_allotment(need)
+        except BudgetExhaustedError:
+            if not ledger.reservations:
+                raise
+            return False
+        if total is not None:
+            await self._allot(total)
+        ledger.reserve(call_id, need)
+        return True
+
+    async def _allot(self, total: Amount) -> None:
+        record = AllotmentTaken(self.program.program_id, total.tokens, total.cost_micros)
+        await self.scribe.take_durably(record)
+
+    def dispose(self, outcome: Outcome) -> None:
+        """Close the reservation of an attempt that gave no result; it counts as used if it ran."""
+        ledger = self.program.budget
+        if outcome.word is FinalWord.NOT_RUN:
+            ledger.release(outcome.call_id)
+        else:
+            whole = ledger.reservations.get(outcome.call_id, Amount())
+            ledger.settle(outcome.call_id, whole)
+        self.notify()
+
+    def notify(self) -> None:
+        """Wake a call that waits for budget."""
+        self.freed.set()
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/scribes.py
@@ -0,0 +1,77 @@
+"""Journals the records of one program in order and publishes their steps once durable."""
+
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from skylarkferry_core.messages import Fence, Step
+from skylarkferry_core.programs import Program
+from skylarkferry_core.records import Record, TurnCompleted
+from skylarkferry_core.runs import ROOT_RUN
+from skylarkferry_daemon.feeds import ProgramFeed
+from skylarkferry_daemon.interfaces import Journal
+
+UNWRITTEN_RECORDS = 16
+
+
+class Scribe:
+    """Apply records to a program and write them, all in one order.
+
+    A write that the partition's next owner refused raises ``NotOwnerError`` in ``tasks``, which
+    ends the program's driver.
+    """
+
+    def __init__(
+        self, program: Program, fence: Fence, journal: Journal, feed: ProgramFeed, tasks: TaskGroup
+    ) -> None:
+        self.program = program
+        self.fence = fence
+        self.journal = journal
+        self.feed = feed
+        self.tasks = tasks
+        self.unwritten = 0
+        self.drained = anyio.Event()
+
+    def take(self, record: Record, then: Callable[[], None] | None = None) -> anyio.Event:
+        """Apply a record and write it in the background.
+
+        Once it is durable ``then`` is called and the event is set.
+        """
+        step = self.program.apply(record)
+        durable = anyio.Event()
+        self.unwritten += 1
+        # Tasks start in the order of these calls, so the journal gets the records in that order.
+        self.tasks.start_soon(self._write, record, step, durable, then)
+        return durable
+
+    async def take_durably(self, record: Record) -> None:
+        """Apply a record and return when it is durable."""
+        await self.take(record).wait()
+
+    async def wait_for_room(self) -> None:
+        """Return when few records wait to be written; an outage stops the program here."""
+        while self.unwritten >= UNWRITTEN_RECORDS:
+            self.drained = anyio.Event()
+            await self.drained.wait()
+
+    async def _write(
+        self,
+        record: Record,
+        step: Step | None,
+        durable: anyio.Event,
+        then: Callable[[], None] | None,
+    ) -> None:
+        await self.journal.append(self.fence, record, durable=True)
+        self.unwritten -= 1
+        self.drained.set()
+        if step is not None:
+            self.feed.publish(step, ends_turn=_ends_own_turn(record))
+        if then is not None:
+            then()
+        durable.set()
+
+
+def _ends_own_turn(record: Record) -> bool:
+    """Tell whether the step replaces the streamed text of the caller's run."""
+    return isinstance(record, TurnCompleted) and record.slot.run_id == ROOT_RUN
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/settling.py
@@ -0,0 +1,67 @@
+"""Find out whether an ordered call ran, by sealing it at the sidecar that got the order."""
+
+import anyio
+
+from skylarkferry_core.errors import ErrorCode, UpstreamLostError
+from skylarkferry_core.ids import CallId, UpstreamId
+from skylarkferry_core.messages import Fence, Outcome, SealRequest
+from skylarkferry_core.records import CallIntended
+from skylarkferry_core.states import FinalWord, SealVerdict, UpstreamState
+from skylarkferry_daemon.context import EntryContext
+from skylarkferry_daemon.interfaces import ChunkSink
+
+SEAL_RETRY_S = 0.2
+
+
+async def settle(
+    context: EntryContext, intent: CallIntended, fence: Fence, sink: ChunkSink
+) -> Outcome:
+    """Return the outcome of an ordered call; ask until the sidecar answers or is gone.
+
+    ``not_run`` means that the call is sealed: it never ran and never will.
+    """
+    request = SealRequest(intent.call_id, fence, intent.incarnation)
+    while True:
+        try:
+            outcome = await _seal_once(context, intent, request, sink)
+        except UpstreamLostError as error:
+            if not is_gone(context, intent.upstream):
+                await anyio.sleep(SEAL_RETRY_S)
+                continue
+            outcome = unknown(intent.call_id, ErrorCode.OUTCOME_UNKNOWN, error.detail)
+        context.log_sealed(intent.program_id, outcome)
+        return outcome
+
+
+async def _seal_once(
+    context: EntryContext, intent: CallIntended, request: SealRequest, sink: ChunkSink
+) -> Outcome:
+    reply = await context.sidecars.seal(intent.upstream, request)
+    match reply.verdict:
+        case SealVerdict.EXECUTED if reply.outcome is not None:
+            return reply.outcome
+        case SealVerdict.IN_PROGRESS:
+            return await context.sidecars.attach(
+                intent.upstream, intent.call_id, request.fence, sink
+            )
+        case SealVerdict.SEALED:
+            return not_run(intent.call_id, ErrorCode.SEALED, "sealed before it ran")
+    return unknown(intent.call_id, ErrorCode.OUTCOME_UNKNOWN, "the sidecar cannot tell")
+
+
+def is_gone(context: EntryContext, upstream: UpstreamId) -> bool:
+    """Tell whether an upstream has left for good."""
+    for host in context.sidecars.hosts():
+        if host.upstream == upstream:
+            return host.state is UpstreamState.GONE
+    return True
+
+
+def not_run(call_id: CallId, code: ErrorCode, detail: str) -> Outcome:
+    """Return the outcome of a call that certainly never ran."""
+    return Outcome(call_id, FinalWord.NOT_RUN, error=code, detail=detail)
+
+
+def unknown(call_id: CallId, code: ErrorCode, detail: str) -> Outcome:
+    """Return the outcome of a call that may have run."""
+    return Outcome(call_id, FinalWord.UNKNOWN, error=code, detail=detail)
