--- a/packages/skylarkferry-standins/src/skylarkferry_standins/script.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/script.py
@@ -27,10 +27,9 @@
 
 
 class ScriptedAgent(msgspec.Struct, forbid_unknown_fields=True):
-    """An agent's outputs in order; with ``endless`` the first follows the last again."""
+    """An agent's outputs in order; the last one repeats, so an agent that ends on a call loops."""
 
     turns: list[ScriptedTurn]
-    endless: bool = False
 
 
 class ScriptedAnswer(msgspec.Struct, forbid_unknown_fields=True):
@@ -81,8 +80,7 @@
     scripted = script.agents.get(agent)
     if scripted is None:
         return None
-    last = len(scripted.turns) - 1
-    index = turn % len(scripted.turns) if scripted.endless else min(turn, last)
+    index = min(turn, len(scripted.turns) - 1)
     return _output(scripted.turns[index], turn)
 
 
