Add fixtures that start real processes, and the demonstration's document

Cause: tests of failures need processes that can be killed, frozen and restarted one at a time; faults such as a closed connection cannot be shown inside one process.

Ruled out: fixed ports (two runs on one machine would meet), fixed sleeps (a busy machine misses them) and ending processes by name.

The fixture `arusha` needs the roles and was not run yet.

--- a/packages/skylarkferry-standins/src/skylarkferry_standins/engine.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/engine.py
@@ -1,6 +1,5 @@
 """Stand-in of a model engine: scripted OpenAI chat completions with a prefix cache."""
 
-import math
 import os
 from collections.abc import AsyncIterator
 from http import HTTPStatus
@@ -221,7 +220,7 @@
     async def stall(self, index: int) -> None:
         """Stop for good once enough tokens were sent."""
         if index > (self.faults.stall_after_tokens or 0):
-            await anyio.sleep(math.inf)
+            await anyio.sleep_forever()
 
     async def release(self, request: Request) -> Response:
         """Answer ``POST /v1/kv/release``."""
--- /dev/null
+++ b/tests/processes/conftest.py
@@ -0,0 +1,32 @@
+"""Fixtures that start real processes and end each by its id."""
+
+from contextlib import ExitStack
+
+import pytest
+
+from processes.deployment import DOMAINS, Deployment
+
+
+@pytest.fixture
+def bare_deployment(tmp_path):
+    """A deployment without processes."""
+    with ExitStack() as stack:
+        yield Deployment(tmp_path, stack)
+
+
+@pytest.fixture
+def arusha(bare_deployment):
+    """Two entries, three engines, a tool service and a plain service, ready for programs."""
+    deployment = bare_deployment
+    deployment.start_platform()
+    for number, domain in enumerate(DOMAINS, start=1):
+        deployment.add_upstream(f"calc-models-{number}", "model", "calc-models", domain)
+    deployment.add_upstream("shop-tools-1", "tool", "shop-tools", DOMAINS[0])
+    deployment.add_upstream("shop-apps-1", "service", "shop-apps", DOMAINS[1])
+    for number, domain in enumerate(DOMAINS[:2], start=1):
+        deployment.add_entry(f"entry-{number}", domain)
+    deployment.publish_hosts()
+    deployment.wait_ready()
+    deployment.write_document()
+    deployment.wait_for_upstreams()
+    return deployment
