--- /dev/null
+++ b/tests/core/test_programs.py
@@ -0,0 +1,154 @@
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, LessThan
+
+from core.scripts import Script, ScriptedWorld, accepted, interpret, scripts
+from skylarkferry_core.document import AgentSpec, Document, ModelSpec
+from skylarkferry_core.errors import ErrorCode
+from skylarkferry_core.ids import AgentName, Incarnation, ModelName, RunId, UpstreamId
+from skylarkferry_core.messages import Budget, ChatMessage, Outcome, ToolRequest, Usage
+from skylarkferry_core.programs import Program, replay
+from skylarkferry_core.records import CallCompleted, CallIntended, ProgramEnded, TurnCompleted
+from skylarkferry_core.runs import ROOT_RUN
+from skylarkferry_core.states import ChatRole, FinalWord
+
+ROUNDS_ALLOWED = 400
+
+
+def run_to_end(script: Script, choices: list[int], repeats: list[bool]):
+    """Complete ready calls in the chosen order, with records repeated and late; return both."""
+    program = Program(accepted())
+    world = ScriptedWorld(script)
+    journal = [accepted()]
+    rounds = 0
+    while program.finished() is None:
+        assert_that(rounds, LessThan(ROUNDS_ALLOWED))
+        ready = program.ready()
+        choice = choices[rounds % len(choices)] % len(ready)
+        for record in world.records(program, ready[choice]):
+            program.apply(record)
+            journal.append(record)
+        if repeats[rounds % len(repeats)]:
+            late = journal[1 + choices[rounds % len(choices)] % (len(journal) - 1)]
+            program.apply(late)
+            journal.append(late)
+        rounds += 1
+    return program, journal
+
+
+ORDERS = st.lists(st.integers(0, 50), min_size=1, max_size=20)
+REPEATS = st.lists(st.booleans(), min_size=1, max_size=10)
+
+
+@given(scripts(), ORDERS, REPEATS)
+def test_history_equals_that_of_one_call_after_the_other(script, choices, repeats):
+    program, _ = run_to_end(script, choices, repeats)
+    assert_that(program.runs[ROOT_RUN].history[1:], Equals(interpret(script)))
+
+
+@given(scripts(), ORDERS, REPEATS, st.integers(1, 200))
+def test_a_program_replayed_from_any_prefix_ends_with_the_same_history(
+    script, choices, repeats, cut
+):
+    _, journal = run_to_end(script, choices, repeats)
+    program = replay(journal[:cut])
+    world = ScriptedWorld(script)
+    rounds = 0
+    for record in journal[:cut]:
+        if hasattr(record, "parent"):
+            parent = world.scripts[record.parent.run_id]
+            world.scripts[record.run_id] = parent.turns[record.parent.turn][record.parent.index - 1]
+    while program.finished() is None:
+        assert_that(rounds, LessThan(ROUNDS_ALLOWED))
+        ready = program.ready()
+        for record in world.records(program, ready[rounds % len(ready)]):
+            program.apply(record)
+        rounds += 1
+    assert_that(program.runs[ROOT_RUN].history[1:], Equals(interpret(script)))
+
+
+@given(scripts(), ORDERS, REPEATS)
+def test_step_numbers_have_no_gap_and_replay_gives_the_same_steps(script, choices, repeats):
+    program, journal = run_to_end(script, choices, repeats)
+    numbers = [step.number for step in program.steps]
+    assert_that(numbers, Equals(list(range(1, len(numbers) + 1))))
+    assert_that(replay(journal).steps, Equals(program.steps))
+
+
+def test_nothing_is_ready_after_the_end():
+    program = Program(accepted())
+    program.apply(ProgramEnded(program.program_id, FinalWord.NOT_RUN, ""))
+    assert_that(program.ready(), Equals([]))
+
+
+def ordered_program(word: FinalWord | None) -> Program:
+    """Return a program with one call that may not be repeated, ended with ``word`` or open."""
+    program = Program(accepted())
+    run = program.runs[ROOT_RUN]
+    request = ToolRequest("1", "order_blank_stock", "{}")
+    message = ChatMessage(ChatRole.ASSISTANT, "", (request,))
+    slot = run.model_slot()
+    call_id = program.call_id(slot)
+    program.apply(TurnCompleted(program.program_id, slot, call_id, message, Usage()))
+    tool = program.ready()[0].slot
+    call_id = program.call_id(tool)
+    program.apply(
+        CallIntended(
+            program.program_id, tool, call_id, UpstreamId("u"), Incarnation("i"), repeatable=False
+        )
+    )
+    if word is not None:
+        outcome = Outcome(call_id, word)
+        program.apply(CallCompleted(program.program_id, tool, "order_blank_stock", outcome))
+    return program
+
+
+def test_a_failed_program_says_not_run_only_when_no_effect_can_have_happened():
+    words = {word: ordered_program(word).word_on_failure() for word in [None, *FinalWord]}
+    assert_that(
+        words,
+        Equals(
+            {
+                None: FinalWord.UNKNOWN,
+                FinalWord.DONE: FinalWord.UNKNOWN,
+                FinalWord.UNKNOWN: FinalWord.UNKNOWN,
+                FinalWord.NOT_RUN: FinalWord.NOT_RUN,
+            }
+        ),
+    )
+
+
+def looping_document(max_turns: int) -> Document:
+    agent = AgentSpec(ModelName("m"), "", max_turns=max_turns)
+    models = {ModelName("m"): ModelSpec(context_tokens=1000)}
+    return Document(models=models, agents={AgentName("gear-sizer"): agent})
+
+
+def loop_turns(program: Program, turns: int, arguments: list[str]) -> None:
+    """Let the model ask for a tool again and again."""
+    for turn in range(turns):
+        request = ToolRequest(str(turn), "stock_lookup", arguments[turn % len(arguments)])
+        message = ChatMessage(ChatRole.ASSISTANT, "", (request,))
+        slot = program.runs[RunId("0")].model_slot()
+        call_id = program.call_id(slot)
+        program.apply(TurnCompleted(program.program_id, slot, call_id, message, Usage()))
+        tool = program.ready()[0].slot
+        outcome = Outcome(program.call_id(tool), FinalWord.DONE, result="none")
+        program.apply(CallCompleted(program.program_id, tool, "stock_lookup", outcome))
+
+
+def test_a_model_that_repeats_its_call_is_stopped():
+    program = Program(accepted())
+    loop_turns(program, 5, ["{}"])
+    assert_that(program.giveup(looping_document(100)).error, Equals(ErrorCode.REPEATED_CALLS))
+
+
+def test_a_loop_of_changing_calls_is_stopped_by_the_turns_of_the_agent_and_of_the_budget():
+    program = Program(accepted())
+    loop_turns(program, 10, ["1", "2"])
+    assert_that(program.giveup(looping_document(11)), Equals(None))
+    assert_that(program.giveup(looping_document(10)).error, Equals(ErrorCode.TURN_LIMIT))
+    small = Program(accepted(budget=Budget(1000, 1000, 3)))
+    loop_turns(small, 3, ["1", "2"])
+    assert_that(small.giveup(looping_document(100)).error, Equals(ErrorCode.TURN_LIMIT))
