Move the process fixtures' parts to the stand-ins package

Cause: the measurements start the same processes as the tests, and a package cannot import from tests.

--- a/tests/processes/deployment.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/deployment.py
@@ -1,4 +1,4 @@
-"""Arusha on loopback: platform, upstreams with their sidecars, and entries, each a process."""
+"""A deployment on loopback for tests and measurements: each part a process of its own."""
 
 import hashlib
 import json
@@ -8,9 +8,8 @@
 
 import httpx
 
-from processes.running import RunningProcess, free_address, wait_until
+from skylarkferry_standins.running import RunningProcess, free_address, wait_until
 
-DOCUMENT = Path(__file__).parents[2] / "samples" / "demo" / "document"
 BOOTSTRAP_TOKEN = "bootstrap-token"
 CUSTOMER_TOKEN = "gearworks-demo-token"
 OPERATOR_TOKEN = "operators-demo-token"
@@ -22,7 +21,9 @@
 class Upstream:
     """An engine or service and the sidecar before it."""
 
-    def __init__(self, server: RunningProcess, sidecar: RunningProcess, url: str, host: Any):
+    def __init__(
+        self, server: RunningProcess, sidecar: RunningProcess, url: str, host: Any
+    ) -> None:
         self.server = server
         self.sidecar = sidecar
         self.url = url
@@ -34,7 +35,8 @@
 
     def effects(self) -> list[dict[str, str]]:
         """Return the effects that a service executed."""
-        return httpx.get(f"{self.url}/control/ledger").json()["effects"]
+        effects: list[dict[str, str]] = httpx.get(f"{self.url}/control/ledger").json()["effects"]
+        return effects
 
 
 class Entry:
@@ -52,10 +54,14 @@
 
 
 class Deployment:
-    """Starts processes and ends all of them when ``stack`` closes."""
+    """Starts processes and ends all of them when ``stack`` closes.
 
-    def __init__(self, directory: Path, stack: ExitStack) -> None:
+    Logs and settings go to ``directory``; ``document`` holds the sections' texts.
+    """
+
+    def __init__(self, directory: Path, document: Path, stack: ExitStack) -> None:
         self.directory = directory
+        self.document = document
         self.stack = stack
         self.upstreams: dict[str, Upstream] = {}
         self.entries: dict[str, Entry] = {}
@@ -87,7 +93,8 @@
 
     def counters(self) -> dict[str, int]:
         """Return the platform's counters."""
-        return httpx.get(f"{self.platform_url}/control/counters").json()
+        counters: dict[str, int] = httpx.get(f"{self.platform_url}/control/counters").json()
+        return counters
 
     def start_daemon(self, name: str, ready: str, settings: dict[str, Any]) -> RunningProcess:
         """Write a daemon's settings and start it; ``ready`` is an HTTP address and path."""
@@ -160,7 +167,7 @@
     def write_document(self, **replaced: Any) -> None:
         """Write the demonstration document, with some sections replaced, as the first one."""
         entry = next(iter(self.entries.values()))
-        texts = {path.stem: path.read_text() for path in sorted(DOCUMENT.glob("*.jsonc"))}
+        texts = {path.stem: path.read_text() for path in sorted(self.document.glob("*.jsonc"))}
         texts |= {name: json.dumps(section) for name, section in replaced.items()}
         changes = [
             {"section": name, "text": text, "base_version": 0} for name, text in texts.items()
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -1,17 +1,20 @@
 """Fixtures that start real processes and end each by its id."""
 
 from contextlib import ExitStack
+from pathlib import Path
 
 import pytest
 
-from processes.deployment import DOMAINS, Deployment
+from skylarkferry_standins.deployment import DOMAINS, Deployment
+
+DOCUMENT = Path(__file__).parents[2] / "samples" / "demo" / "document"
 
 
 @pytest.fixture
 def bare_deployment(tmp_path):
     """A deployment without processes."""
     with ExitStack() as stack:
-        yield Deployment(tmp_path, stack)
+        yield Deployment(tmp_path, DOCUMENT, stack)
 
 
 @pytest.fixture
--- a/tests/processes/test_standins.py
+++ b/tests/processes/test_standins.py
@@ -4,7 +4,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from processes.running import wait_until
+from skylarkferry_standins.running import wait_until
 
 PUT_A = {"success": [{"request_put": {"key": "YQ==", "value": "Yg=="}}]}
 KEY = {"Idempotency-Key": "call-1"}
