--- a/packages/skylarkferry-standins/src/skylarkferry_standins/deployment.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/deployment.py
@@ -151,10 +151,9 @@
 
     def publish_hosts(self) -> None:
         """Write all processes into the platform's host list."""
-        members = [*self.entries.values(), *self.upstreams.values()]
-        httpx.put(
-            f"{self.platform_url}/control/hosts", json=[member.host for member in members]
-        ).raise_for_status()
+        hosts = [entry.host for entry in self.entries.values()]
+        hosts += [upstream.host for upstream in self.upstreams.values()]
+        httpx.put(f"{self.platform_url}/control/hosts", json=hosts).raise_for_status()
 
     def wait_ready(self) -> None:
         """Wait until every process serves."""
