--- /dev/null
+++ b/packages/skylarkferry-core/src/skylarkferry_core/crashes.py
@@ -0,0 +1,62 @@
+"""Requests that ran when an upstream crashed: suspects run alone, repeaters not at all."""
+
+from collections.abc import Iterable
+from enum import Enum
+
+from skylarkferry_core.errors import QuarantinedError, SkylarkferryError
+from skylarkferry_core.ids import CrashId, Fingerprint
+
+CRASHES_TO_QUARANTINE = 2
+
+
+class Suspicion(Enum):
+    """What the crashes of a request make of it."""
+
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
+
+
+class CrashBook:
+    """Crashes by request fingerprint; ``shared`` is what other processes quarantined."""
+
+    def __init__(self) -> None:
+        self.crashes: dict[Fingerprint, set[CrashId]] = {}
+        self.shared: frozenset[Fingerprint] = frozenset()
+
+    def on_crash(self, fingerprint: Fingerprint, crash: CrashId) -> Suspicion:
+        """Note that a request ran at a crash; a repeated notice of one crash counts once."""
+        self.crashes.setdefault(fingerprint, set()).add(crash)
+        if self.is_quarantined(fingerprint):
+            return Suspicion.QUARANTINED
+        return Suspicion.SUSPECT
+
+    def on_done(self, fingerprint: Fingerprint) -> bool:
+        """Note that a request ran to its end; return whether that cleared a suspect."""
+        if fingerprint not in self.crashes or self.is_quarantined(fingerprint):
+            return False
+        del self.crashes[fingerprint]
+        return True
+
+    def share(self, fingerprints: Iterable[Fingerprint]) -> None:
+        """Replace what other processes quarantined."""
+        self.shared = frozenset(fingerprints)
+
+    def is_quarantined(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether a request may not run any more."""
+        crashes = self.crashes.get(fingerprint, ())
+        return fingerprint in self.shared or len(crashes) >= CRASHES_TO_QUARANTINE
+
+    def suspects(self) -> set[Fingerprint]:
+        """Return the requests that may run only alone."""
+        return {key for key in self.crashes if not self.is_quarantined(key)}
+
+    def quarantined(self) -> set[Fingerprint]:
+        """Return the requests that may not run any more."""
+        own = {key for key in self.crashes if self.is_quarantined(key)}
+        return own | self.shared
+
+    def refusal(self, fingerprint: Fingerprint) -> SkylarkferryError | None:
+        """Return why a request may not run, or ``None``."""
+        if not self.is_quarantined(fingerprint):
+            return None
+        return QuarantinedError("the request crashed upstreams before")
--- a/packages/skylarkferry-core/src/skylarkferry_core/errors.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/errors.py
@@ -155,6 +155,13 @@
     status = HTTPStatus.UNPROCESSABLE_ENTITY
 
 
+class CallCancelledError(SkylarkferryError):
+    """The caller gave the work up."""
+
+    code = ErrorCode.CANCELLED
+    status = HTTPStatus.CONFLICT
+
+
 class OverloadedError(SkylarkferryError):
     """No capacity is left for the request."""
 
--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -34,6 +34,27 @@
     CALL_RETRIED = (208, Level.INFO, "A call that certainly did not run is placed again.")
     CALL_SEALED = (209, Level.INFO, "A sidecar answered a seal.")
 
+    STREAM_OPENED = (401, Level.INFO, "An entry's stream to a sidecar is open.")
+    STREAM_LOST = (402, Level.WARNING, "An entry's stream to a sidecar ended or went silent.")
+    STREAM_REPLACED = (403, Level.INFO, "A newer stream of the same entry process took over.")
+    SIDECAR_RESTARTED = (404, Level.WARNING, "A sidecar is in a new incarnation.")
+    UPSTREAM_LEAVING = (405, Level.INFO, "The upstream takes no new work.")
+    UPSTREAM_UNREACHABLE = (406, Level.WARNING, "The upstream refuses connections.")
+    UPSTREAM_REACHABLE = (407, Level.INFO, "The upstream accepts connections again.")
+    UPSTREAM_CRASHED = (408, Level.ERROR, "The upstream ended while calls were running on it.")
+    REQUEST_SUSPECTED = (409, Level.WARNING, "A request ran at a crash and now runs alone.")
+    REQUEST_CLEARED = (410, Level.INFO, "A suspected request ran alone without a crash.")
+    REQUEST_QUARANTINED = (411, Level.ERROR, "A request crashed a second upstream.")
+    CALL_STARTED = (412, Level.DEBUG, "A sidecar ordered a call from its upstream.")
+    CALL_FINISHED = (413, Level.DEBUG, "A sidecar has a call's outcome.")
+    CALL_REFUSED = (414, Level.INFO, "A sidecar refused a call; it did not run.")
+    ORDER_STALE = (415, Level.WARNING, "An order under a stale epoch was refused.")
+    SEAL_ANSWERED = (416, Level.INFO, "A sidecar settled whether a call ran.")
+    KV_RELEASED = (417, Level.DEBUG, "The engine freed a program's KV cache.")
+    KV_ORPHAN_FOUND = (418, Level.INFO, "The engine holds KV cache that nobody claims.")
+    KV_RELEASE_FAILED = (419, Level.WARNING, "The engine did not confirm a release.")
+    HOSTS_UNAVAILABLE = (420, Level.WARNING, "The host list did not answer; the last one stays.")
+
     def __init__(self, number: int, level: Level, meaning: str) -> None:
         self.number = number
         self.level = level
--- /dev/null
+++ b/packages/skylarkferry-core/src/skylarkferry_core/fences.py
@@ -0,0 +1,30 @@
+"""Fencing: the highest epoch seen of each partition."""
+
+from skylarkferry_core.errors import StaleEpochError
+from skylarkferry_core.ids import Epoch, PartitionNumber
+from skylarkferry_core.messages import Fence
+
+NO_EPOCH = Epoch(-1)
+
+
+class FenceGuard:
+    """Refuse orders of owners that lost their partition."""
+
+    def __init__(self) -> None:
+        self.highest: dict[PartitionNumber, Epoch] = {}
+
+    def is_stale(self, fence: Fence) -> bool:
+        """Tell whether a higher epoch was seen; otherwise remember this one."""
+        highest = self.highest.get(fence.partition, NO_EPOCH)
+        if fence.epoch < highest:
+            return True
+        self.highest[fence.partition] = fence.epoch
+        return False
+
+    def check(self, fence: Fence) -> None:
+        """Remember the epoch; raise ``StaleEpochError`` when a higher one was seen."""
+        if self.is_stale(fence):
+            highest = self.highest[fence.partition]
+            raise StaleEpochError(
+                f"partition {fence.partition}: epoch {fence.epoch} is below {highest}"
+            )
--- a/packages/skylarkferry-core/src/skylarkferry_core/ids.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/ids.py
@@ -32,6 +32,8 @@
 """Fencing number of a partition; each change of owner adds one."""
 Fingerprint = NewType("Fingerprint", str)
 """Hash of a request's content, used to recognise one that crashes upstreams."""
+CrashId = NewType("CrashId", str)
+"""One crash of an upstream, as the sidecar before it names it."""
 
 _PARTITION_DIGITS = 4
 
--- /dev/null
+++ b/packages/skylarkferry-core/src/skylarkferry_core/members.py
@@ -0,0 +1,110 @@
+"""What an entry believes of one upstream: host list, heartbeats and notices together."""
+
+from skylarkferry_core.ids import Incarnation
+from skylarkferry_core.messages import LoadReport
+from skylarkferry_core.states import UpstreamState
+
+NO_INCARNATION = Incarnation("")
+SILENT_HEARTBEATS = 3
+LIST_LAG_S = 5.0
+
+
+class Member:
+    """State of one upstream; ``leaving`` never goes back within one incarnation."""
+
+    def __init__(self, heartbeat_s: float) -> None:
+        self.silence_s = SILENT_HEARTBEATS * heartbeat_s
+        self.incarnation = NO_INCARNATION
+        self.incarnation_since = 0.0
+        self.announced = UpstreamState.SUSPECT
+        self.leaving_incarnation: Incarnation | None = None
+        self.connected = False
+        self.listed = True
+        self.listed_leaving_since: float | None = None
+        self.last_frame_at = 0.0
+        self.load = LoadReport()
+        self.load_at = 0.0
+
+    def on_welcome(
+        self, incarnation: Incarnation, state: UpstreamState, load: LoadReport, now: float
+    ) -> None:
+        """Take the first frame of a new stream."""
+        if incarnation != self.incarnation:
+            self.incarnation = incarnation
+            self.incarnation_since = now
+        self.connected = True
+        self.on_state(state, now)
+        self.on_load(load, now)
+
+    def on_state(self, state: UpstreamState, now: float) -> None:
+        """Take an announced state."""
+        self.last_frame_at = now
+        self.announced = state
+        if state is UpstreamState.LEAVING:
+            self.leaving_incarnation = self.incarnation
+
+    def on_load(self, load: LoadReport, now: float) -> None:
+        """Take a load report."""
+        self.load = load
+        self.load_at = now
+
+    def on_frame(self, now: float) -> None:
+        """Note that the stream lives."""
+        self.last_frame_at = now
+
+    def on_listed(self, leaving: bool, now: float) -> None:
+        """Take the host list's word; a mark is the current incarnation's when it appears."""
+        self.listed = True
+        if not leaving:
+            self.listed_leaving_since = None
+            return
+        if self.listed_leaving_since is None:
+            self.listed_leaving_since = now
+            self.leaving_incarnation = self.incarnation
+
+    def on_unlisted(self) -> None:
+        """Note that the host list has the upstream no more."""
+        self.listed = False
+
+    def on_disconnected(self) -> None:
+        """Note that the stream ended."""
+        self.connected = False
+
+    def is_silent(self, now: float) -> bool:
+        """Tell whether the stream has to be replaced."""
+        return now - self.last_frame_at > self.silence_s
+
+    def state(self, now: float) -> UpstreamState:
+        """Return the state to place calls by."""
+        if self._is_leaving(now):
+            return UpstreamState.LEAVING
+        if not self.connected:
+            return UpstreamState.SUSPECT if self.listed else UpstreamState.GONE
+        if self.is_silent(now):
+            return UpstreamState.SUSPECT
+        return self.announced
+
+    def _is_leaving(self, now: float) -> bool:
+        """Tell whether this incarnation leaves.
+
+        A mark that the list had before this incarnation came may be of the one before; it counts
+        when it outlasts the list's lag.
+        """
+        if self.leaving_incarnation == self.incarnation:
+            return True
+        if self.listed_leaving_since is None:
+            return False
+        return now - max(self.incarnation_since, self.listed_leaving_since) > LIST_LAG_S
+
+    def aged_load(self, now: float) -> LoadReport:
+        """Return the last load report with its age."""
+        report = self.load
+        return LoadReport(
+            report.queued,
+            report.running,
+            report.queued_prefill_tokens,
+            report.running_output_tokens,
+            report.slots,
+            report.free_kv_tokens,
+            report.age_s + max(now - self.load_at, 0.0),
+        )
--- a/packages/skylarkferry-core/src/skylarkferry_core/messages.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/messages.py
@@ -9,6 +9,7 @@
 from skylarkferry_core.ids import (
     AgentName,
     CallId,
+    CrashId,
     CustomerId,
     Epoch,
     FailureDomain,
@@ -109,6 +110,7 @@
     ``remaining_s`` is the time to the program's deadline, ``slack_s`` what is left of it after the
     program's expected work, ``keep_kv_s`` how long the engine keeps the program's KV cache after
     the call.  ``incarnation`` is the sidecar's life the order was placed on; empty means any.
+    ``alone`` asks for an upstream without other calls: the request was running at a crash.
     """
 
     call_id: CallId
@@ -124,6 +126,7 @@
     work: Work
     keep_kv_s: float = 0.0
     incarnation: Incarnation = Incarnation("")
+    alone: bool = False
 
 
 class ServiceReply(msgspec.Struct, frozen=True):
@@ -176,10 +179,11 @@
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
-    """First frame of a stream: who the entry is."""
+    """First frame of a stream: who the entry is; ``stream`` counts the process's streams."""
 
     node: NodeId
     incarnation: Incarnation
+    stream: int = 0
 
 
 class Dispatch(msgspec.Struct, frozen=True, tag="dispatch"):
@@ -261,13 +265,14 @@
 
 
 class SidecarHeartbeat(msgspec.Struct, frozen=True, tag="beat"):
-    """Liveness, state and load."""
+    """Liveness, state and load; ``echo`` is the sequence of the last entry heartbeat."""
 
     sequence: int
     state: UpstreamState
     load: LoadReport
     cache_events: tuple[CacheEvent, ...] = ()
     document_version: int = 0
+    echo: int = 0
 
 
 class StateNotice(msgspec.Struct, frozen=True, tag="state"):
@@ -277,10 +282,14 @@
 
 
 class CrashNotice(msgspec.Struct, frozen=True, tag="crash"):
-    """The upstream crashed while the request of this fingerprint ran on it."""
+    """The upstream crashed while the request of this fingerprint ran on it.
+
+    ``crash`` names the crash: several requests, or several notices, can be of one.
+    """
 
     fingerprint: Fingerprint
     alone: bool
+    crash: CrashId = CrashId("")
 
 
 SidecarFrame = Welcome | Chunk | Finished | SidecarHeartbeat | StateNotice | CrashNotice
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
@@ -0,0 +1,235 @@
+"""Run queued calls on the upstream, as many at once as it has slots."""
+
+import anyio
+from anyio.abc import TaskGroup
+
+from skylarkferry_core.calls import Call
+from skylarkferry_core.crashes import Suspicion
+from skylarkferry_core.errors import (
+    BadRequestError,
+    CallCancelledError,
+    DeadlinePassedError,
+    ErrorCode,
+    SkylarkferryError,
+)
+from skylarkferry_core.events import EventKind
+from skylarkferry_core.ids import CallId, CrashId
+from skylarkferry_core.messages import (
+    Cancel,
+    CrashNotice,
+    ModelWork,
+    Order,
+    Outcome,
+    ServiceWork,
+    StateNotice,
+    ToolWork,
+)
+from skylarkferry_core.outcomes import unknown
+from skylarkferry_core.states import CallState, FinalWord, PoolKind
+from skylarkferry_daemon.kv_keeper import KvKeeper
+from skylarkferry_daemon.sidecar_state import SidecarState
+from skylarkferry_daemon.upstream_adapters import Adapter, BrokenConnectionError
+from skylarkferry_daemon.upstream_probe import UpstreamProbe
+
+WORK_KINDS = {
+    PoolKind.MODEL: ModelWork,
+    PoolKind.TOOL: ToolWork,
+    PoolKind.SERVICE: ServiceWork,
+}
+
+
+class CallRunner:
+    """Carries the decisions of the call table out."""
+
+    def __init__(
+        self,
+        state: SidecarState,
+        adapter: Adapter,
+        probe: UpstreamProbe,
+        keeper: KvKeeper,
+        tasks: TaskGroup,
+    ) -> None:
+        self.state = state
+        self.work_kind = WORK_KINDS[state.settings.kind]
+        self.table = state.table
+        self.drain = state.drain
+        self.crashes = state.crashes
+        self.hub = state.hub
+        self.timers = state.timers
+        self.log = state.log
+        self.adapter = adapter
+        self.probe = probe
+        self.keeper = keeper
+        self.tasks = tasks
+        self.losses = 0
+        self.scopes: dict[CallId, anyio.CancelScope] = {}
+
+    def submit(self, order: Order) -> Call:
+        """Queue an order, or return what became of it before."""
+        is_new = order.call_id not in self.table.calls
+        call = self.table.accept(order, self.timers.now(), self._refusal(order))
+        if call.outcome is not None and is_new:
+            self._log_refusal(call)
+        if call.state is CallState.QUEUED and is_new:
+            self.timers.after(order.remaining_s, self.refuse_overdue)
+            self.start_calls()
+        return call
+
+    def _refusal(self, order: Order) -> SkylarkferryError | None:
+        if not isinstance(order.work, self.work_kind):
+            return BadRequestError("the upstream does other work")
+        return self.drain.refusal() or self.crashes.refusal(order.fingerprint)
+
+    def _log_refusal(self, call: Call) -> None:
+        assert call.outcome is not None
+        kind = EventKind.CALL_REFUSED
+        if call.outcome.error is ErrorCode.STALE_EPOCH:
+            kind = EventKind.ORDER_STALE
+        self.log.emit(
+            kind,
+            call.order.program_id,
+            call=call.order.call_id,
+            word=call.outcome.word.value,
+            error=_code(call.outcome),
+        )
+
+    def start_calls(self) -> None:
+        """Start as many waiting calls as may run now."""
+        while call := self.table.start_next(self.timers.now(), self.crashes.suspects()):
+            self.scopes[call.order.call_id] = anyio.CancelScope()
+            self.tasks.start_soon(self._run, call)
+
+    async def _run(self, call: Call) -> None:
+        """Run one call to its outcome."""
+        order = call.order
+        self.log.emit(EventKind.CALL_STARTED, order.program_id, call=order.call_id)
+        self.keeper.on_started(order)
+        scope = self.scopes[order.call_id]
+        outcome = unknown(order.call_id, ErrorCode.CANCELLED, "the call was cancelled")
+        with scope:
+            outcome = await self._outcome(call)
+        del self.scopes[order.call_id]
+        self._finish(call, outcome)
+
+    async def _outcome(self, call: Call) -> Outcome:
+        """Return how a call ended, in the time it has."""
+        order = call.order
+        remaining_s = call.due - self.timers.now()
+        try:
+            with anyio.fail_after(min(order.timeout_s, remaining_s)):
+                return await self.adapter.run(order, lambda text: self._emit(call, text))
+        except TimeoutError:
+            return _timed_out(order, is_deadline=remaining_s <= order.timeout_s)
+        except BrokenConnectionError as error:
+            await self._look_for_crash(order)
+            return unknown(order.call_id, _lost_code(order), f"the connection broke: {error}")
+        except Exception as error:
+            self.log.emit(EventKind.TASK_FAILED, order.program_id, error=repr(error))
+            return unknown(order.call_id, _lost_code(order), "the sidecar failed")
+
+    def _emit(self, call: Call, text: str) -> None:
+        self.table.append(call.order.call_id, text)
+        self.hub.mark(call)
+
+    def _finish(self, call: Call, outcome: Outcome) -> None:
+        order = call.order
+        self.keeper.on_ended(order)
+        self.table.finish(order.call_id, outcome, self.timers.now())
+        if outcome.word is FinalWord.DONE and self.crashes.on_done(order.fingerprint):
+            self.log.emit(EventKind.REQUEST_CLEARED, order.program_id, call=order.call_id)
+        if outcome.error is ErrorCode.NO_UPSTREAM:
+            self._set_reachable(False)
+        self.log.emit(
+            EventKind.CALL_FINISHED,
+            order.program_id,
+            call=order.call_id,
+            word=outcome.word.value,
+            error=_code(outcome),
+        )
+        self.hub.mark(call)
+        self.state.note_progress()
+        self.start_calls()
+
+    async def _look_for_crash(self, order: Order) -> None:
+        """Tell the entries when the upstream is down and this request was on it."""
+        if await self.probe.accepts_connections():
+            return
+        if self.drain.reachable:
+            self.log.emit(EventKind.UPSTREAM_CRASHED, running=len(self.table.running))
+        self._set_reachable(False)
+        if not order.fingerprint:
+            return
+        alone = order.alone or order.fingerprint in self.crashes.suspects()
+        crash = self._crash_id()
+        verdict = self.crashes.on_crash(order.fingerprint, crash)
+        kind = EventKind.REQUEST_SUSPECTED
+        if verdict is Suspicion.QUARANTINED:
+            kind = EventKind.REQUEST_QUARANTINED
+        self.log.emit(kind, order.program_id, fingerprint=order.fingerprint, alone=alone)
+        self.hub.broadcast(CrashNotice(order.fingerprint, alone, crash))
+
+    def _crash_id(self) -> CrashId:
+        """Return the name of the crash after which the upstream is unreachable now."""
+        return CrashId(f"{self.state.settings.upstream}/{self.state.incarnation}/{self.losses}")
+
+    def _set_reachable(self, reachable: bool) -> None:
+        """Announce that the upstream was lost or came back."""
+        if self.drain.reachable is reachable:
+            return
+        self.drain.reachable = reachable
+        self.losses += not reachable
+        kind = EventKind.UPSTREAM_REACHABLE if reachable else EventKind.UPSTREAM_UNREACHABLE
+        self.log.emit(kind)
+        self.hub.broadcast(StateNotice(self.drain.announced()))
+
+    async def check_reachable(self) -> None:
+        """Look whether a lost upstream is back."""
+        if not self.drain.reachable and await self.probe.accepts_connections():
+            self._set_reachable(True)
+
+    async def refuse_overdue(self) -> None:
+        """Refuse waiting calls whose remaining time is used up."""
+        for call_id in self.table.overdue(self.timers.now()):
+            self._refuse_queued(call_id, DeadlinePassedError("no time remained in the queue"))
+
+    def refuse_all_queued(self, error: SkylarkferryError) -> None:
+        """Refuse all waiting calls."""
+        for call_id in self.table.queued_ids():
+            self._refuse_queued(call_id, error)
+
+    def refuse_quarantined(self) -> None:
+        """Refuse waiting calls whose request is in quarantine."""
+        for queued in list(self.table.queue):
+            error = self.crashes.refusal(queued.order.fingerprint)
+            if error is not None:
+                self._refuse_queued(queued.order.call_id, error)
+
+    def _refuse_queued(self, call_id: CallId, error: SkylarkferryError) -> None:
+        call = self.table.refuse_queued(call_id, error, self.timers.now())
+        if call is not None:
+            self._log_refusal(call)
+            self.hub.mark(call)
+
+    def cancel(self, frame: Cancel) -> None:
+        """Stop a call that waits, or that runs and may be repeated."""
+        if self.table.fences.is_stale(frame.fence):
+            return
+        self._refuse_queued(frame.call_id, CallCancelledError("the call was cancelled"))
+        call = self.table.running.get(frame.call_id)
+        if call is not None and call.order.repeatable:
+            self.scopes[frame.call_id].cancel()
+
+
+def _code(outcome: Outcome) -> str:
+    return outcome.error.value if outcome.error else ""
+
+
+def _lost_code(order: Order) -> ErrorCode:
+    """Return the error of a call without an answer; a repeatable one may be tried again."""
+    return ErrorCode.UPSTREAM_FAILED if order.repeatable else ErrorCode.OUTCOME_UNKNOWN
+
+
+def _timed_out(order: Order, is_deadline: bool) -> Outcome:
+    if is_deadline and order.repeatable:
+        return unknown(order.call_id, ErrorCode.DEADLINE_PASSED, "the deadline passed")
+    return unknown(order.call_id, _lost_code(order), f"no answer within {order.timeout_s} s")
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/kv_keeper.py
@@ -0,0 +1,112 @@
+"""Order the engine to free KV cache that no program needs any more."""
+
+from http import HTTPStatus
+
+import httpx
+import msgspec
+
+from skylarkferry_core.errors import StaleEpochError
+from skylarkferry_core.events import EventKind
+from skylarkferry_core.fences import FenceGuard
+from skylarkferry_core.ids import ProgramId, partition_of
+from skylarkferry_core.kv_holds import KvHolds
+from skylarkferry_core.messages import Fence, Order, ReleaseProgram
+from skylarkferry_daemon.log import EventLog
+from skylarkferry_daemon.timers import TimerService
+from skylarkferry_daemon.upstream_adapters import fence_headers
+
+REQUEST_TIMEOUT_S = 5.0
+
+
+class ReleaseBody(msgspec.Struct):
+    """Body of a release order."""
+
+    prompt_cache_key: str
+
+
+class KvListing(msgspec.Struct):
+    """The engine's cached tokens by program."""
+
+    programs: dict[ProgramId, int]
+
+
+class KvKeeper:
+    """Follows the calls of programs and releases their cache at the engine."""
+
+    def __init__(
+        self,
+        client: httpx.AsyncClient,
+        holds: KvHolds,
+        fences: FenceGuard,
+        timers: TimerService,
+        log: EventLog,
+    ) -> None:
+        self.client = client
+        self.holds = holds
+        self.fences = fences
+        self.timers = timers
+        self.log = log
+
+    def on_started(self, order: Order) -> None:
+        """Note that a call runs."""
+        self.holds.on_started(order.program_id, order.fence)
+
+    def on_ended(self, order: Order) -> None:
+        """Note that a call ended."""
+        self.holds.on_ended(order.program_id, order.keep_kv_s, self.timers.now())
+
+    def release(self, frame: ReleaseProgram) -> None:
+        """Free a program's cache soon; a stale owner's word counts for nothing."""
+        if self.fences.is_stale(frame.fence):
+            self.log.emit(EventKind.ORDER_STALE, frame.program_id, order="release")
+            return
+        self.holds.on_release(frame.program_id, frame.fence, self.timers.now())
+
+    async def free_due(self) -> None:
+        """Order the releases that are due."""
+        for program_id, fence in self.holds.due(self.timers.now()):
+            await self._free(program_id, fence)
+
+    async def _free(self, program_id: ProgramId, fence: Fence | None) -> None:
+        try:
+            await self._order_release(program_id, fence or self._known_fence(program_id))
+        except StaleEpochError:
+            self.log.emit(EventKind.ORDER_STALE, program_id, order="release")
+            self.holds.on_freed(program_id)
+        except httpx.HTTPError as error:
+            self.log.emit(EventKind.KV_RELEASE_FAILED, program_id, error=type(error).__name__)
+            self.holds.on_failed(program_id, self.timers.now())
+        else:
+            self.log.emit(EventKind.KV_RELEASED, program_id)
+            self.holds.on_freed(program_id)
+
+    def _known_fence(self, program_id: ProgramId) -> Fence | None:
+        """Return the highest fence seen of a program that no entry claims."""
+        try:
+            partition = partition_of(program_id)
+        except ValueError:
+            return None
+        epoch = self.fences.highest.get(partition)
+        return Fence(partition, epoch) if epoch is not None else None
+
+    async def _order_release(self, program_id: ProgramId, fence: Fence | None) -> None:
+        response = await self.client.post(
+            "/v1/kv/release",
+            content=msgspec.json.encode(ReleaseBody(program_id)),
+            headers=fence_headers(fence) if fence is not None else {},
+            timeout=REQUEST_TIMEOUT_S,
+        )
+        if response.status_code == HTTPStatus.CONFLICT:
+            raise StaleEpochError("the engine saw a higher epoch")
+        response.raise_for_status()
+
+    async def sweep(self) -> None:
+        """Compare the engine's memory with what is claimed."""
+        try:
+            response = await self.client.get("/v1/kv", timeout=REQUEST_TIMEOUT_S)
+            response.raise_for_status()
+            listing = msgspec.json.decode(response.content, type=KvListing)
+        except (httpx.HTTPError, msgspec.DecodeError):
+            return
+        for program_id in self.holds.on_listing(set(listing.programs), self.timers.now()):
+            self.log.emit(EventKind.KV_ORPHAN_FOUND, program_id)
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
@@ -0,0 +1,281 @@
+"""An entry's stream to one sidecar, over reconnections and restarts."""
+
+from contextlib import AsyncExitStack
+
+import anyio
+import grpc
+from anyio.abc import TaskGroup
+
+from skylarkferry_core.errors import ErrorCode, UpstreamLostError
+from skylarkferry_core.events import EventKind
+from skylarkferry_core.ids import CallId, Incarnation, NodeId, UpstreamId
+from skylarkferry_core.interfaces import Host
+from skylarkferry_core.members import Member
+from skylarkferry_core.messages import (
+    Acknowledge,
+    Cancel,
+    Chunk,
+    CrashNotice,
+    Dispatch,
+    EntryBatch,
+    EntryFrame,
+    EntryHeartbeat,
+    Finished,
+    Hello,
+    Outcome,
+    ReleaseProgram,
+    SealReply,
+    SealRequest,
+    SidecarBatch,
+    SidecarFrame,
+    SidecarHeartbeat,
+    StateNotice,
+    Welcome,
+)
+from skylarkferry_core.outcomes import not_run
+from skylarkferry_daemon.followed_calls import FollowedCall
+from skylarkferry_daemon.log import EventLog
+from skylarkferry_daemon.quarantine import Quarantine
+from skylarkferry_daemon.timers import TimerService
+from skylarkferry_wire.clients import call, open_channel, open_stream
+from skylarkferry_wire.methods import SIDECAR_SEAL, SIDECAR_STREAM
+
+CONNECT_TIMEOUT_S = 2.0
+RECONNECT_S = 0.1
+MAX_RECONNECT_S = 1.0
+LOST_AFTER_S = 3.0
+SEAL_TIMEOUT_S = 2.0
+SEAL_TRIES = 3
+RELIABLE_FRAMES_KEPT = 100_000
+
+ReliableFrame = Acknowledge | ReleaseProgram
+
+
+class Link:
+    """Stream to one sidecar; each reconnection opens a new channel."""
+
+    def __init__(
+        self,
+        host: Host,
+        *,
+        node: NodeId,
+        incarnation: Incarnation,
+        heartbeat_s: float,
+        quarantine: Quarantine,
+        timers: TimerService,
+        log: EventLog,
+    ) -> None:
+        self.host = host
+        self.node = node
+        self.own_incarnation = incarnation
+        self.quarantine = quarantine
+        self.timers = timers
+        self.log = log
+        self.member = Member(heartbeat_s)
+        self.calls: dict[CallId, FollowedCall] = {}
+        self.frames: list[EntryFrame] = []
+        self.has_frames = anyio.Event()
+        self.reliable: list[tuple[int, ReliableFrame]] = []
+        self.document_version = 0
+        self.streams = 0
+        self.beats = 0
+        self.sent_tokens = 0
+        self.down_since = timers.now()
+        self.stream_scope: anyio.CancelScope | None = None
+
+    @property
+    def upstream(self) -> UpstreamId:
+        """Return the upstream's name."""
+        return UpstreamId(self.host.name)
+
+    async def run(self) -> None:
+        """Keep a stream open until cancelled."""
+        delay_s = RECONNECT_S
+        while True:
+            was_open = await self._serve_stream()
+            self._on_closed()
+            delay_s = RECONNECT_S if was_open else min(delay_s * 2, MAX_RECONNECT_S)
+            await anyio.sleep(delay_s)
+
+    async def _serve_stream(self) -> bool:
+        """Open a stream on a new channel and serve it; return whether it opened."""
+        async with AsyncExitStack() as stack:
+            channel = open_channel(self.host.address)
+            stack.push_async_callback(channel.close)
+            stream = open_stream(channel, SIDECAR_STREAM)
+            stack.callback(stream.cancel)
+            try:
+                with anyio.fail_after(CONNECT_TIMEOUT_S):
+                    await self._open(stream)
+            except (grpc.aio.AioRpcError, TimeoutError, UpstreamLostError):
+                return False
+            async with anyio.create_task_group() as tasks:
+                self.stream_scope = tasks.cancel_scope
+                await self._serve_open_stream(stream, tasks)
+        return True
+
+    async def _open(self, stream: grpc.aio.StreamStreamCall) -> None:
+        """Greet the sidecar and take its welcome."""
+        self.streams += 1
+        hello = Hello(self.node, self.own_incarnation, self.streams)
+        await stream.write(EntryBatch((hello, self._heartbeat())))
+        batch = await stream.read()
+        if not isinstance(batch, SidecarBatch):
+            raise UpstreamLostError("the stream ended before its welcome")
+        for frame in batch.frames:
+            self.take(frame)
+
+    async def _serve_open_stream(self, stream: grpc.aio.StreamStreamCall, tasks: TaskGroup) -> None:
+        """Send and receive until the stream ends or is cancelled."""
+        tasks.start_soon(self._write, stream)
+        try:
+            while isinstance(batch := await stream.read(), SidecarBatch):
+                self.member.on_frame(self.timers.now())
+                for frame in batch.frames:
+                    self.take(frame)
+        except (grpc.aio.AioRpcError, grpc.aio.UsageError):
+            pass
+        tasks.cancel_scope.cancel()
+
+    async def _write(self, stream: grpc.aio.StreamStreamCall) -> None:
+        """Send what is queued, as one batch each time."""
+        while True:
+            await self.has_frames.wait()
+            frames, self.frames = self.frames, []
+            self.has_frames = anyio.Event()
+            self._note_sent(frames)
+            try:
+                await stream.write(EntryBatch(tuple(frames)))
+            except (grpc.aio.AioRpcError, grpc.aio.UsageError):
+                return
+
+    def _note_sent(self, frames: list[EntryFrame]) -> None:
+        """Remember that the sidecar may receive these calls from now on."""
+        for frame in frames:
+            if not isinstance(frame, Dispatch):
+                continue
+            followed = self.calls.get(frame.order.call_id)
+            if followed is not None:
+                followed.sent_to = self.member.incarnation
+
+    def _push(self, frame: EntryFrame) -> None:
+        """Send a frame if the stream is open."""
+        if self.member.connected:
+            self.frames.append(frame)
+            self.has_frames.set()
+
+    def take(self, frame: SidecarFrame) -> None:
+        """Act on one frame of the sidecar."""
+        now = self.timers.now()
+        match frame:
+            case Welcome():
+                self._on_welcome(frame, now)
+            case Chunk():
+                if followed := self.calls.get(frame.call_id):
+                    followed.on_chunk(frame)
+            case Finished():
+                if followed := self.calls.get(frame.outcome.call_id):
+                    followed.finish(frame.outcome)
+            case SidecarHeartbeat():
+                self.member.on_state(frame.state, now)
+                self.member.on_load(frame.load, now)
+                self.sent_tokens = 0
+                self.reliable = [item for item in self.reliable if item[0] > frame.echo]
+            case StateNotice():
+                self.member.on_state(frame.state, now)
+            case CrashNotice():
+                self.quarantine.on_crash(frame)
+
+    def _on_welcome(self, frame: Welcome, now: float) -> None:
+        """Go on with everything that the sidecar may have missed."""
+        if self.member.incarnation not in ("", frame.incarnation):
+            self.log.emit(EventKind.SIDECAR_RESTARTED, upstream=self.upstream)
+        self.member.on_welcome(frame.incarnation, frame.state, frame.load, now)
+        self.log.emit(EventKind.STREAM_OPENED, upstream=self.upstream)
+        for followed in list(self.calls.values()):
+            self._send_call(followed)
+        for _, reliable in self.reliable:
+            self._push(reliable)
+
+    def _send_call(self, followed: FollowedCall) -> None:
+        """Send a call, or end it when it belongs to another life of the sidecar."""
+        if followed.is_for(self.member.incarnation):
+            self._push(followed.frame())
+        elif followed.was_sent():
+            followed.lose("the sidecar restarted")
+        else:
+            detail = "the sidecar restarted before the order was sent"
+            followed.finish(not_run(followed.call_id, ErrorCode.UPSTREAM_LOST, detail))
+
+    def _on_closed(self) -> None:
+        """Note that no stream is open."""
+        self.stream_scope = None
+        self.frames.clear()
+        if self.member.connected:
+            self.down_since = self.timers.now()
+            self.member.on_disconnected()
+            self.log.emit(EventKind.STREAM_LOST, upstream=self.upstream, calls=len(self.calls))
+
+    async def beat(self) -> None:
+        """Send a heartbeat, replace a silent stream and give lost calls up."""
+        now = self.timers.now()
+        if self.member.connected and self.member.is_silent(now) and self.stream_scope:
+            self.stream_scope.cancel()
+        self._push(self._heartbeat())
+        if not self.member.connected and now - self.down_since > LOST_AFTER_S:
+            self._give_up()
+
+    def _heartbeat(self) -> EntryHeartbeat:
+        self.beats += 1
+        return EntryHeartbeat(self.beats, self.document_version, self.quarantine.listed())
+
+    def _give_up(self) -> None:
+        """End the calls of a sidecar that cannot be reached."""
+        for followed in list(self.calls.values()):
+            if followed.was_sent():
+                followed.lose("the sidecar cannot be reached")
+            else:
+                detail = "the sidecar cannot be reached"
+                followed.finish(not_run(followed.call_id, ErrorCode.NO_UPSTREAM, detail))
+
+    async def follow(self, followed: FollowedCall) -> Outcome:
+        """Follow a call to its outcome; raise ``UpstreamLostError``."""
+        earlier = self.calls.get(followed.call_id)
+        if earlier is not None:
+            earlier.lose("the call is followed anew")
+        self.calls[followed.call_id] = followed
+        if self.member.connected:
+            self._send_call(followed)
+        try:
+            return await followed.wait()
+        except anyio.get_cancelled_exc_class():
+            self._push(Cancel(followed.call_id, followed.fence))
+            raise
+        finally:
+            if self.calls.get(followed.call_id) is followed:
+                del self.calls[followed.call_id]
+
+    def send_reliably(self, frame: ReliableFrame) -> None:
+        """Send a frame, and again after each reconnection until a heartbeat confirms it."""
+        self.reliable.append((self.beats + 1, frame))
+        del self.reliable[:-RELIABLE_FRAMES_KEPT]
+        self._push(frame)
+
+    async def seal(self, request: SealRequest) -> SealReply:
+        """Settle whether a call ran; each try opens a new channel."""
+        for attempt in range(SEAL_TRIES):
+            try:
+                return await self._seal_once(request)
+            except UpstreamLostError:
+                if attempt == SEAL_TRIES - 1:
+                    raise
+            await anyio.sleep(RECONNECT_S)
+        raise AssertionError
+
+    async def _seal_once(self, request: SealRequest) -> SealReply:
+        async with AsyncExitStack() as stack:
+            channel = open_channel(self.host.address)
+            stack.push_async_callback(channel.close)
+            reply = await call(channel, SIDECAR_SEAL, request, SEAL_TIMEOUT_S)
+        assert isinstance(reply, SealReply)
+        return reply
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
@@ -1,10 +1,133 @@
 """The sidecar role: queue, call table, fencing, drain and KV retention before one upstream."""
 
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+
 import anyio
+from anyio.abc import TaskGroup
 
+from skylarkferry_core.events import EventKind
+from skylarkferry_core.kv_holds import KvHolds
+from skylarkferry_core.members import SILENT_HEARTBEATS
+from skylarkferry_core.messages import SidecarHeartbeat, StateNotice
+from skylarkferry_core.states import PoolKind
+from skylarkferry_daemon.call_runner import CallRunner
+from skylarkferry_daemon.kv_keeper import KvKeeper
 from skylarkferry_daemon.settings import SidecarSettings
+from skylarkferry_daemon.sidecar_metrics import SidecarCollector, metrics_app, serve_metrics
+from skylarkferry_daemon.sidecar_service import SidecarService
+from skylarkferry_daemon.sidecar_state import SidecarState
+from skylarkferry_daemon.upstream_adapters import adapter_for, new_client
+from skylarkferry_daemon.upstream_probe import UpstreamProbe
+from skylarkferry_wire.methods import (
+    PROCESS_TIMELINE,
+    SIDECAR_DRAIN,
+    SIDECAR_SEAL,
+    SIDECAR_STREAM,
+)
+from skylarkferry_wire.servers import add_handlers, new_server
+
+RPC_GRACE_S = 1.0
+DELIVERY_WAIT_S = 5.0
+EXPIRE_INTERVAL_S = 30.0
+KV_FREE_INTERVAL_S = 0.25
+KV_SWEEP_INTERVAL_S = 10.0
+
+
+class Sidecar:
+    """One sidecar process: starts its parts and ends them in order."""
+
+    def __init__(self, settings: SidecarSettings, stop: anyio.Event) -> None:
+        self.settings = settings
+        self.stop = stop
+        self.state = SidecarState(settings)
+        self.beats = 0
+
+    async def run(self) -> None:
+        """Serve until ``stop`` is set, then drain."""
+        log = self.state.log
+        async with anyio.create_task_group() as tasks, AsyncExitStack() as stack:
+            runner = await self._start(stack, tasks)
+            log.emit(EventKind.PROCESS_STARTED, incarnation=self.state.incarnation)
+            await self.stop.wait()
+            await self._drain(runner)
+            await stack.aclose()
+            tasks.cancel_scope.cancel()
+        log.emit(EventKind.PROCESS_STOPPED)
+
+    async def _start(self, stack: AsyncExitStack, tasks: TaskGroup) -> CallRunner:
+        """Build the parts and open the servers."""
+        state = self.state
+        client = await stack.enter_async_context(new_client(self.settings.upstream_url))
+        keeper = KvKeeper(client, KvHolds(), state.fences, state.timers, state.log)
+        adapter = adapter_for(self.settings.kind, client)
+        probe = UpstreamProbe(self.settings.upstream_url)
+        runner = CallRunner(state, adapter, probe, keeper, tasks)
+        tasks.start_soon(state.timers.run, tasks)
+        self._subscribe(runner, keeper)
+        app = metrics_app(SidecarCollector(state))
+        await serve_metrics(app, self.settings.metrics_listen, stack, tasks)
+        await self._serve_rpc(SidecarService(state, runner, keeper, self.stop), stack)
+        return runner
+
+    def _subscribe(self, runner: CallRunner, keeper: KvKeeper) -> None:
+        """Set the periodic work up."""
+        timers = self.state.timers
+        timers.every(self.settings.heartbeat_s, self._beat)
+        timers.every(self.settings.heartbeat_s, runner.check_reachable)
+        timers.every(EXPIRE_INTERVAL_S, self._expire)
+        if self.settings.kind is PoolKind.MODEL:
+            timers.every(KV_FREE_INTERVAL_S, keeper.free_due)
+            timers.every(KV_SWEEP_INTERVAL_S, keeper.sweep)
+
+    async def _serve_rpc(self, service: SidecarService, stack: AsyncExitStack) -> None:
+        server = new_server()
+        add_handlers(
+            server,
+            {
+                SIDECAR_STREAM: service.serve_stream,
+                SIDECAR_SEAL: service.seal,
+                SIDECAR_DRAIN: service.start_drain,
+                PROCESS_TIMELINE: service.timeline,
+            },
+        )
+        server.add_insecure_port(self.settings.rpc_listen)
+        await server.start()
+        stack.push_async_callback(server.stop, RPC_GRACE_S)
+
+    async def _beat(self) -> None:
+        """Send a heartbeat with state and load to all entries; end silent streams."""
+        state = self.state
+        self.beats += 1
+        announced = state.drain.announced()
+        state.hub.beat(SidecarHeartbeat(self.beats, announced, state.table.load()))
+        silence_s = SILENT_HEARTBEATS * self.settings.heartbeat_s
+        state.hub.end_silent(state.timers.now() - silence_s)
+
+    async def _expire(self) -> None:
+        self.state.table.expire(self.state.timers.now())
+
+    async def _drain(self, runner: CallRunner) -> None:
+        """Announce, refuse what waits, finish what runs and deliver the outcomes."""
+        state = self.state
+        state.drain.start()
+        state.log.emit(EventKind.PROCESS_STOPPING)
+        state.log.emit(EventKind.UPSTREAM_LEAVING)
+        state.hub.broadcast(StateNotice(state.drain.announced()))
+        refusal = state.drain.refusal()
+        assert refusal is not None
+        runner.refuse_all_queued(refusal)
+        with anyio.move_on_after(self.settings.stop_grace_s):
+            await self._wait_for(state.is_idle)
+        with anyio.move_on_after(DELIVERY_WAIT_S):
+            await self._wait_for(state.is_delivered)
+
+    async def _wait_for(self, condition: Callable[[], bool]) -> None:
+        """Wait until a condition on the state holds."""
+        while not condition():
+            await self.state.progress.wait()
 
 
 async def run_sidecar(settings: SidecarSettings, stop: anyio.Event) -> None:
     """Serve as a sidecar until ``stop`` is set, then drain."""
-    await stop.wait()
+    await Sidecar(settings, stop).run()
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_service.py
@@ -0,0 +1,177 @@
+"""gRPC methods of a sidecar."""
+
+from typing import Any
+
+import anyio
+import grpc
+
+from skylarkferry_core.calls import Call
+from skylarkferry_core.errors import ErrorCode
+from skylarkferry_core.events import EventKind
+from skylarkferry_core.ids import program_of
+from skylarkferry_core.messages import (
+    Accepted,
+    Acknowledge,
+    Attach,
+    Cancel,
+    Dispatch,
+    DrainRequest,
+    EntryBatch,
+    EntryFrame,
+    EntryHeartbeat,
+    Finished,
+    Hello,
+    ReleaseProgram,
+    SealReply,
+    SealRequest,
+    TimelineReply,
+    TimelineRequest,
+    Welcome,
+)
+from skylarkferry_core.outcomes import unknown
+from skylarkferry_daemon.call_runner import CallRunner
+from skylarkferry_daemon.entry_streams import EntryStream
+from skylarkferry_daemon.kv_keeper import KvKeeper
+from skylarkferry_daemon.sidecar_state import SidecarState
+
+
+class SidecarService:
+    """Takes frames and requests of entries and passes them to the sidecar's parts."""
+
+    def __init__(
+        self, state: SidecarState, runner: CallRunner, keeper: KvKeeper, stop: anyio.Event
+    ) -> None:
+        self.state = state
+        self.table = state.table
+        self.hub = state.hub
+        self.timers = state.timers
+        self.log = state.log
+        self.runner = runner
+        self.keeper = keeper
+        self.stop = stop
+
+    async def serve_stream(self, requests: Any, context: grpc.aio.ServicerContext) -> None:
+        """Serve one entry's stream until either side ends it."""
+        stream = EntryStream()
+        stream.last_frame_at = self.timers.now()
+        self.hub.streams.add(stream)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._write, stream, context)
+                tasks.start_soon(self._end_on_order, stream, tasks.cancel_scope)
+                await self._read(stream, context)
+                tasks.cancel_scope.cancel()
+        finally:
+            self.hub.remove(stream)
+
+    async def _end_on_order(self, stream: EntryStream, scope: anyio.CancelScope) -> None:
+        """End a stream that a newer one replaced, or whose entry went silent."""
+        await stream.ended.wait()
+        self.log.emit(EventKind.STREAM_REPLACED, peer=_peer(stream))
+        scope.cancel()
+
+    async def _read(self, stream: EntryStream, context: grpc.aio.ServicerContext) -> None:
+        """Take the entry's batches in order."""
+        while (batch := await context.read()) is not grpc.aio.EOF:
+            assert isinstance(batch, EntryBatch)
+            stream.last_frame_at = self.timers.now()
+            for frame in batch.frames:
+                if stream.ended.is_set():
+                    return
+                self.take(stream, frame)
+
+    async def _write(self, stream: EntryStream, context: grpc.aio.ServicerContext) -> None:
+        """Send a batch each interval, or at once when something is urgent."""
+        while True:
+            await stream.news.wait()
+            with anyio.move_on_after(self.state.settings.frame_interval_s):
+                await stream.urgent.wait()
+            await context.write(stream.batch(self.table))
+            self.state.note_progress()
+
+    def take(self, stream: EntryStream, frame: EntryFrame) -> None:
+        """Act on one frame."""
+        match frame:
+            case Hello():
+                self._greet(stream, frame)
+            case Dispatch():
+                self._dispatch(stream, frame)
+            case Attach():
+                self._attach(stream, frame)
+            case Cancel():
+                self.runner.cancel(frame)
+            case Acknowledge():
+                self.table.acknowledge(frame.call_ids)
+                self.state.note_progress()
+            case ReleaseProgram():
+                self.keeper.release(frame)
+            case EntryHeartbeat():
+                stream.echo = frame.sequence
+                self._share_quarantine(stream, frame)
+
+    def _share_quarantine(self, stream: EntryStream, frame: EntryHeartbeat) -> None:
+        """Take an entry's list over, and refuse what waits of it."""
+        if stream.quarantined == frame.quarantined:
+            return
+        stream.quarantined = frame.quarantined
+        self.state.crashes.share(self.hub.quarantined())
+        self.runner.refuse_quarantined()
+
+    def _greet(self, stream: EntryStream, hello: Hello) -> None:
+        state = self.state
+        welcome = Welcome(
+            state.settings.upstream,
+            state.incarnation,
+            state.drain.announced(),
+            state.table.load(),
+        )
+        if self.hub.greet(stream, hello, welcome):
+            self.log.emit(EventKind.STREAM_OPENED, peer=_peer(stream))
+
+    def _dispatch(self, stream: EntryStream, frame: Dispatch) -> None:
+        self._follow(stream, self.runner.submit(frame.order), frame.offset)
+
+    def _attach(self, stream: EntryStream, frame: Attach) -> None:
+        call = self.table.calls.get(frame.call_id)
+        if call is None or self.table.fences.is_stale(frame.fence):
+            detail = "the sidecar does not know the call"
+            stream.push(Finished(unknown(frame.call_id, ErrorCode.OUTCOME_UNKNOWN, detail)))
+            return
+        self._follow(stream, call, frame.offset)
+
+    def _follow(self, stream: EntryStream, call: Call, offset: int) -> None:
+        """Send the call's news; one that is in no table is over with one frame."""
+        if self.table.calls.get(call.order.call_id) is call:
+            stream.follow(call, offset)
+            return
+        assert call.outcome is not None
+        stream.push(Finished(call.outcome))
+
+    async def seal(self, request: SealRequest, _: grpc.aio.ServicerContext) -> SealReply:
+        """Settle whether a call ran."""
+        reply = self.table.seal(request, self.timers.now())
+        call = self.table.calls.get(request.call_id)
+        if call is not None:
+            self.hub.mark(call)
+        self.log.emit(
+            EventKind.SEAL_ANSWERED,
+            program_of(request.call_id),
+            call=request.call_id,
+            verdict=reply.verdict.value,
+        )
+        return reply
+
+    async def start_drain(self, _: DrainRequest, __: grpc.aio.ServicerContext) -> Accepted:
+        """Begin a planned stop."""
+        self.stop.set()
+        return Accepted()
+
+    async def timeline(
+        self, request: TimelineRequest, _: grpc.aio.ServicerContext
+    ) -> TimelineReply:
+        """Return the events of this process."""
+        return self.log.timeline(request)
+
+
+def _peer(stream: EntryStream) -> str:
+    return stream.hello.node if stream.hello is not None else "unknown"
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_state.py
@@ -0,0 +1,46 @@
+"""What the parts of a sidecar share."""
+
+import uuid
+
+import anyio
+
+from skylarkferry_core.calls import CallTable, TableLimits
+from skylarkferry_core.crashes import CrashBook
+from skylarkferry_core.drains import DrainState
+from skylarkferry_core.fences import FenceGuard
+from skylarkferry_core.ids import Incarnation
+from skylarkferry_core.ordering import AgedSlackOrder
+from skylarkferry_daemon.entry_streams import StreamHub
+from skylarkferry_daemon.log import EventLog
+from skylarkferry_daemon.settings import SidecarSettings
+from skylarkferry_daemon.timers import TimerService
+
+
+class SidecarState:
+    """The decisions of one sidecar process, its streams, timers and log."""
+
+    def __init__(self, settings: SidecarSettings) -> None:
+        self.settings = settings
+        self.incarnation = Incarnation(uuid.uuid4().hex)
+        self.timers = TimerService()
+        self.log = EventLog(settings.upstream, settings.ring_events)
+        self.fences = FenceGuard()
+        self.drain = DrainState()
+        self.crashes = CrashBook()
+        limits = TableLimits(settings.slots, settings.queue_limit, settings.outcomes_kept)
+        self.table = CallTable(self.incarnation, limits, AgedSlackOrder(), self.fences)
+        self.hub = StreamHub(self.table)
+        self.progress = anyio.Event()
+
+    def note_progress(self) -> None:
+        """Wake what waits for calls to end or outcomes to be delivered."""
+        self.progress.set()
+        self.progress = anyio.Event()
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing runs on the upstream."""
+        return not self.table.running
+
+    def is_delivered(self) -> bool:
+        """Tell whether every outcome was sent, and unrepeatable ones acknowledged."""
+        return self.hub.is_flushed() and self.table.unsettled == 0
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/upstream_adapters.py
@@ -0,0 +1,217 @@
+"""Order calls from an upstream over HTTP and say for certain what became of them."""
+
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import asynccontextmanager
+from http import HTTPStatus
+from typing import Protocol
+
+import httpx
+import msgspec
+from httpx_sse import EventSource, SSEError
+
+from skylarkferry_core.errors import ErrorCode
+from skylarkferry_core.messages import (
+    Fence,
+    ModelWork,
+    Order,
+    Outcome,
+    ServiceReply,
+    ServiceWork,
+    ToolWork,
+)
+from skylarkferry_core.outcomes import not_run, unknown
+from skylarkferry_core.states import FinalWord, PoolKind
+from skylarkferry_daemon.completions import CompletionReader, completion_body
+
+CONNECT_TIMEOUT_S = 2.0
+ANSWER_BYTES = 8 * 1024 * 1024
+RETRY_AFTER_S = 1.0
+END_OF_STREAM = "[DONE]"
+NEVER_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+Emit = Callable[[str], None]
+
+
+class BrokenConnectionError(Exception):
+    """The connection ended after the order was sent."""
+
+
+class Adapter(Protocol):
+    """Runs the orders of one kind of upstream."""
+
+    async def run(self, order: Order, emit: Emit) -> Outcome:
+        """Run an order and emit its output.
+
+        Raise ``BrokenConnectionError`` when the upstream may have run it but did not answer.
+        """
+
+
+def fence_headers(fence: Fence) -> dict[str, str]:
+    """Return the headers that fence an order."""
+    return {
+        "Fencing-Partition": str(fence.partition),
+        "Fencing-Epoch": str(fence.epoch),
+    }
+
+
+def new_client(upstream_url: str) -> httpx.AsyncClient:
+    """Return a client without idle connections, which could close under an order."""
+    return httpx.AsyncClient(
+        base_url=upstream_url,
+        timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S),
+        limits=httpx.Limits(max_connections=None, max_keepalive_connections=0),
+        trust_env=False,
+    )
+
+
+@asynccontextmanager
+async def _response(
+    client: httpx.AsyncClient, request: httpx.Request
+) -> AsyncIterator[httpx.Response]:
+    """Send a request and close its response in the end."""
+    response = await client.send(request, stream=True)
+    try:
+        yield response
+    finally:
+        await response.aclose()
+
+
+async def _body(response: httpx.Response) -> bytes:
+    """Return a response's body; raise ``BrokenConnectionError`` when it is too large."""
+    body = bytearray()
+    async for piece in response.aiter_bytes():
+        body += piece
+        if len(body) > ANSWER_BYTES:
+            raise BrokenConnectionError(f"the answer exceeds {ANSWER_BYTES} bytes")
+    return bytes(body)
+
+
+def _refused(order: Order, response: httpx.Response) -> Outcome:
+    """Return the outcome of a call that the upstream answered with a failure."""
+    detail = f"the upstream answered {response.status_code}"
+    return Outcome(order.call_id, FinalWord.DONE, error=ErrorCode.UPSTREAM_FAILED, detail=detail)
+
+
+class ModelAdapter:
+    """Streams chat completions from a model engine."""
+
+    def __init__(self, client: httpx.AsyncClient) -> None:
+        self.client = client
+
+    async def run(self, order: Order, emit: Emit) -> Outcome:
+        """Run a turn; closing the response cancels it at the engine."""
+        assert isinstance(order.work, ModelWork)
+        headers = {
+            **fence_headers(order.fence),
+            "X-Request-Id": order.call_id,
+            "Accept": "text/event-stream",
+            "Content-Type": "application/json",
+        }
+        request = self.client.build_request(
+            "POST",
+            "/v1/chat/completions",
+            content=completion_body(order, order.work),
+            headers=headers,
+        )
+        async with _response(self.client, request) as response:
+            if response.status_code == HTTPStatus.CONFLICT:
+                detail = "the engine saw a higher epoch"
+                return not_run(order.call_id, ErrorCode.STALE_EPOCH, detail)
+            if response.status_code != HTTPStatus.OK:
+                return _refused(order, response)
+            return await self._read(order, response, emit)
+
+    async def _read(self, order: Order, response: httpx.Response, emit: Emit) -> Outcome:
+        reader = CompletionReader()
+        async for event in EventSource(response).aiter_sse():
+            if event.data == END_OF_STREAM:
+                return Outcome(
+                    order.call_id, FinalWord.DONE, message=reader.message(), usage=reader.usage
+                )
+            text = reader.take(event.data)
+            if text:
+                emit(text)
+        raise BrokenConnectionError("the stream ended early")
+
+
+class ToolAdapter:
+    """Calls a tool service with JSON arguments."""
+
+    def __init__(self, client: httpx.AsyncClient) -> None:
+        self.client = client
+
+    async def run(self, order: Order, emit: Emit) -> Outcome:
+        """Call a tool once."""
+        assert isinstance(order.work, ToolWork)
+        headers = {
+            **fence_headers(order.fence),
+            "Idempotency-Key": order.call_id,
+            "Content-Type": "application/json",
+        }
+        request = self.client.build_request(
+            "POST", order.work.path, content=order.work.arguments.encode(), headers=headers
+        )
+        async with _response(self.client, request) as response:
+            body = await _body(response)
+        result = body.decode(errors="replace")
+        if response.is_success:
+            return Outcome(order.call_id, FinalWord.DONE, result=result)
+        return msgspec.structs.replace(_refused(order, response), result=result)
+
+
+class ServiceAdapter:
+    """Relays requests to a plain service."""
+
+    def __init__(self, client: httpx.AsyncClient) -> None:
+        self.client = client
+
+    async def run(self, order: Order, emit: Emit) -> Outcome:
+        """Relay a request once; any status is an answer."""
+        work = order.work
+        assert isinstance(work, ServiceWork)
+        headers = fence_headers(order.fence)
+        if work.content_type:
+            headers["Content-Type"] = work.content_type
+        if not order.repeatable:
+            headers["Idempotency-Key"] = order.call_id
+        request = self.client.build_request(
+            work.method, work.path, content=work.body, headers=headers
+        )
+        async with _response(self.client, request) as response:
+            body = await _body(response)
+        content_type = response.headers.get("content-type", "")
+        reply = ServiceReply(response.status_code, content_type, body)
+        return Outcome(order.call_id, FinalWord.DONE, reply=reply)
+
+
+class CertainAdapter:
+    """Tells calls that were never sent from those that may have run."""
+
+    def __init__(self, adapter: Adapter) -> None:
+        self.adapter = adapter
+
+    async def run(self, order: Order, emit: Emit) -> Outcome:
+        """Run an order; errors of the connection become outcomes or ``BrokenConnectionError``."""
+        try:
+            return await self.adapter.run(order, emit)
+        except NEVER_SENT as error:
+            detail = f"the upstream refused the connection: {type(error).__name__}"
+            return not_run(order.call_id, ErrorCode.NO_UPSTREAM, detail, RETRY_AFTER_S)
+        except (httpx.InvalidURL, httpx.UnsupportedProtocol, httpx.LocalProtocolError) as error:
+            return not_run(order.call_id, ErrorCode.BAD_REQUEST, str(error))
+        except (httpx.TransportError, SSEError) as error:
+            raise BrokenConnectionError(type(error).__name__) from error
+        except msgspec.DecodeError as error:
+            return unknown(order.call_id, ErrorCode.UPSTREAM_FAILED, f"unreadable answer: {error}")
+
+
+ADAPTERS: Mapping[PoolKind, Callable[[httpx.AsyncClient], Adapter]] = {
+    PoolKind.MODEL: ModelAdapter,
+    PoolKind.TOOL: ToolAdapter,
+    PoolKind.SERVICE: ServiceAdapter,
+}
+
+
+def adapter_for(kind: PoolKind, client: httpx.AsyncClient) -> Adapter:
+    """Return the adapter of a kind of upstream."""
+    return CertainAdapter(ADAPTERS[kind](client))
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/upstream_probe.py
@@ -0,0 +1,36 @@
+"""Find out whether the upstream accepts connections."""
+
+from urllib.parse import urlsplit
+
+import anyio
+
+PROBE_TIMEOUT_S = 1.0
+PROBE_PAUSE_S = 0.05
+PROBES = 2
+DEFAULT_PORTS = {"http": 80, "https": 443}
+
+
+class UpstreamProbe:
+    """Opens a connection to the upstream and closes it again."""
+
+    def __init__(self, upstream_url: str) -> None:
+        parts = urlsplit(upstream_url)
+        self.host = parts.hostname or ""
+        self.port = parts.port or DEFAULT_PORTS[parts.scheme]
+
+    async def accepts_connections(self) -> bool:
+        """Tell whether two connections in a row are accepted."""
+        for _ in range(PROBES):
+            if not await self._connects():
+                return False
+            await anyio.sleep(PROBE_PAUSE_S)
+        return True
+
+    async def _connects(self) -> bool:
+        try:
+            with anyio.fail_after(PROBE_TIMEOUT_S):
+                stream = await anyio.connect_tcp(self.host, self.port)
+        except (OSError, TimeoutError):
+            return False
+        await stream.aclose()
+        return True
