Use the policy's queue order in the sidecar and report calls since a load report

Cause: core/queues.py came with the policy; a second order of the same kind would stand twice. Candidates now carry calls_since, which placement reads.

--- a/packages/skylarkferry-core/src/skylarkferry_core/members.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/members.py
@@ -1,5 +1,7 @@
 """What an entry believes of one upstream: host list, heartbeats and notices together."""
 
+import msgspec
+
 from skylarkferry_core.ids import Incarnation
 from skylarkferry_core.messages import LoadReport
 from skylarkferry_core.states import UpstreamState
@@ -98,13 +100,5 @@
 
     def aged_load(self, now: float) -> LoadReport:
         """Return the last load report with its age."""
-        report = self.load
-        return LoadReport(
-            report.queued,
-            report.running,
-            report.queued_prefill_tokens,
-            report.running_output_tokens,
-            report.slots,
-            report.free_kv_tokens,
-            report.age_s + max(now - self.load_at, 0.0),
-        )
+        age_s = self.load.age_s + max(now - self.load_at, 0.0)
+        return msgspec.structs.replace(self.load, age_s=age_s)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry_streams.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry_streams.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 import anyio
+import msgspec
 
 from skylarkferry_core.calls import Call, CallTable
 from skylarkferry_core.ids import CallId, Fingerprint, Incarnation, NodeId
@@ -135,7 +136,7 @@
         """Send a heartbeat to all entries, with the echo of each."""
         for stream in self.streams:
             if stream.hello is not None:
-                stream.push(_with_echo(heartbeat, stream.echo))
+                stream.push(msgspec.structs.replace(heartbeat, echo=stream.echo))
 
     def quarantined(self) -> set[Fingerprint]:
         """Return what any connected entry has in quarantine."""
@@ -148,14 +149,3 @@
 
 def _same_process(left: Hello, right: Hello) -> bool:
     return left.node == right.node and left.incarnation == right.incarnation
-
-
-def _with_echo(heartbeat: SidecarHeartbeat, echo: int) -> SidecarHeartbeat:
-    return SidecarHeartbeat(
-        heartbeat.sequence,
-        heartbeat.state,
-        heartbeat.load,
-        heartbeat.cache_events,
-        heartbeat.document_version,
-        echo,
-    )
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
@@ -80,6 +80,7 @@
         self.streams = 0
         self.beats = 0
         self.sent_tokens = 0
+        self.sent_calls = 0
         self.down_since = timers.now()
         self.stream_scope: anyio.CancelScope | None = None
 
@@ -180,6 +181,7 @@
                 self.member.on_state(frame.state, now)
                 self.member.on_load(frame.load, now)
                 self.sent_tokens = 0
+                self.sent_calls = 0
                 self.reliable = [item for item in self.reliable if item[0] > frame.echo]
             case StateNotice():
                 self.member.on_state(frame.state, now)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/links.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/links.py
@@ -171,6 +171,7 @@
             load=link.member.aged_load(now),
             sent_since=link.sent_tokens,
             share=spec.share if spec is not None else 0.0,
+            calls_since=link.sent_calls,
         )
 
     def _kind(self, link: Link) -> PoolKind:
@@ -204,6 +205,7 @@
     def _note_dispatch(self, link: Link, order: Order) -> None:
         """Remember the load this adds and which engines hold a program's KV cache."""
         link.sent_tokens += prompt_tokens(order)
+        link.sent_calls += 1
         if isinstance(order.work, ModelWork):
             self.engines.setdefault(order.program_id, set()).add(link.upstream)
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_state.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_state.py
@@ -9,7 +9,7 @@
 from skylarkferry_core.drains import DrainState
 from skylarkferry_core.fences import FenceGuard
 from skylarkferry_core.ids import Incarnation
-from skylarkferry_core.ordering import AgedSlackOrder
+from skylarkferry_core.queues import DEFAULT_QUEUE_ORDER, QUEUE_ORDERS
 from skylarkferry_daemon.entry_streams import StreamHub
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_daemon.settings import SidecarSettings
@@ -28,7 +28,8 @@
         self.drain = DrainState()
         self.crashes = CrashBook()
         limits = TableLimits(settings.slots, settings.queue_limit, settings.outcomes_kept)
-        self.table = CallTable(self.incarnation, limits, AgedSlackOrder(), self.fences)
+        queue_order = QUEUE_ORDERS[DEFAULT_QUEUE_ORDER]()
+        self.table = CallTable(self.incarnation, limits, queue_order, self.fences)
         self.hub = StreamHub(self.table)
         self.progress = anyio.Event()
 
