--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -34,6 +34,19 @@
     CALL_RETRIED = (208, Level.INFO, "A call that certainly did not run is placed again.")
     CALL_SEALED = (209, Level.INFO, "A sidecar answered a seal.")
 
+    NODE_REGISTERED = (301, Level.INFO, "The node has a lease under a new incarnation.")
+    NODE_DECLARED_DEAD = (302, Level.WARNING, "This node took a lapsed node's row away.")
+    NODE_LEASE_LOST = (303, Level.WARNING, "The node's own row is gone; it holds nothing now.")
+    NODE_SUPERSEDED = (304, Level.ERROR, "Another process registered under this node's name.")
+    NODE_RELEASED = (305, Level.INFO, "The node gave up its lease for a planned stop.")
+    PARTITION_ADOPTED = (306, Level.INFO, "This node holds a partition and replayed it.")
+    PARTITION_LOST = (307, Level.WARNING, "A partition's epoch moved; another node holds it.")
+    PLATFORM_LOST = (308, Level.WARNING, "The platform does not answer; durable work waits.")
+    PLATFORM_BACK = (309, Level.INFO, "The platform answers again.")
+    JOURNAL_GAP = (310, Level.ERROR, "A segment that a partition needs is missing.")
+    JOURNAL_COMPACTED = (311, Level.DEBUG, "A partition's records were copied; it needs no others.")
+    JOURNAL_COLLECTED = (312, Level.DEBUG, "Journal segments that nobody needs were deleted.")
+
     def __init__(self, number: int, level: Level, meaning: str) -> None:
         self.number = number
         self.level = level
--- a/packages/skylarkferry-core/src/skylarkferry_core/records.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/records.py
@@ -113,11 +113,16 @@
 
 
 class PartitionRecord(msgspec.Struct, frozen=True):
-    """A record with the partition and epoch it was written under."""
+    """A record with the partition and epoch it was written under.
+
+    ``copy_round`` is 0 for an original and the number of the round for a copy that replaces
+    earlier originals.
+    """
 
     partition: PartitionNumber
     epoch: Epoch
     record: Record
+    copy_round: int = 0
 
 
 class Segment(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/packages/skylarkferry-core/src/skylarkferry_core/takeovers.py
@@ -0,0 +1,175 @@
+"""Decides which partitions a node takes over, from a view of the rows."""
+
+from collections.abc import Collection
+
+import msgspec
+
+from skylarkferry_core.ids import FailureDomain, Incarnation, NodeId, PartitionNumber
+from skylarkferry_core.leases import LeaseObserver
+from skylarkferry_core.partitions import (
+    NOBODY,
+    NodeRow,
+    PartitionRow,
+    Peer,
+    node_key,
+    node_of,
+    partition_key,
+    target_of,
+    watched_by,
+    watchers_of,
+)
+
+WATCHERS = 2
+SMALL_CLUSTER_NODES = 8
+MOVES_PER_SCAN = 1
+BLIND_SHARE = 0.5
+
+
+class SeenNode(msgspec.Struct, frozen=True):
+    """A node row and its version."""
+
+    row: NodeRow
+    version: int
+
+
+class SeenPartition(msgspec.Struct, frozen=True):
+    """A partition row, possibly absent, and its version."""
+
+    partition: PartitionNumber
+    row: PartitionRow
+    version: int
+
+
+class ClusterView(msgspec.Struct):
+    """What a node last read of the rows and of the platform's host list."""
+
+    nodes: dict[NodeId, SeenNode] = msgspec.field(default_factory=dict)
+    partitions: dict[PartitionNumber, SeenPartition] = msgspec.field(default_factory=dict)
+    listed: frozenset[NodeId] = frozenset()
+    leaving: frozenset[NodeId] = frozenset()
+
+    def incarnations(self) -> dict[Incarnation, NodeId]:
+        """Return the node of each registered incarnation."""
+        return {seen.row.incarnation: node for node, seen in self.nodes.items()}
+
+    def staying(self) -> list[NodeId]:
+        """Return the registered nodes whose hosts are not leaving."""
+        return [node for node in self.nodes if node not in self.leaving]
+
+    def peers(self) -> list[Peer]:
+        """Return the registered nodes."""
+        return [Peer(node, seen.row.failure_domain) for node, seen in self.nodes.items()]
+
+
+class TakeoverPlanner:
+    """Choose lapsed nodes to declare dead and partitions to adopt.
+
+    Partitions of a dead node go to its watchers, which are the first to know; a partition whose
+    target does not take it within a lease goes to whoever sees that.
+    """
+
+    def __init__(self, node: NodeId, lease_s: float) -> None:
+        self.node = node
+        self.leases = LeaseObserver(lease_s, lease_s * BLIND_SHARE)
+        self.orphans = LeaseObserver(lease_s)
+        self.misplaced = LeaseObserver(lease_s)
+        self.domains: dict[NodeId, FailureDomain] = {}
+        self.suspects: set[NodeId] = set()
+
+    def observe_nodes(self, view: ClusterView, read: Collection[NodeId], now: float) -> None:
+        """Take the rows of the nodes that were ``read`` at ``now``."""
+        for node, seen in view.nodes.items():
+            if node in read:
+                self._observe_node(node, seen, now)
+        self.leases.retain({node_key(node) for node in view.nodes})
+
+    def _observe_node(self, node: NodeId, seen: SeenNode, now: float) -> None:
+        self.domains[node] = seen.row.failure_domain
+        if self.leases.observe(node_key(node), seen.version, now):
+            self.suspects.add(node)
+        else:
+            self.suspects.discard(node)
+
+    def observe_partitions(self, view: ClusterView, now: float) -> None:
+        """Take the partition rows of a view that was read at ``now``."""
+        self._note(self.orphans, self._orphaned(view), now)
+        self._note(self.misplaced, self._misplaced(view), now)
+
+    def _note(
+        self, observer: LeaseObserver, partitions: Collection[SeenPartition], now: float
+    ) -> None:
+        for seen in partitions:
+            observer.observe(partition_key(seen.partition), seen.version, now)
+        observer.retain({partition_key(seen.partition) for seen in partitions})
+
+    def watched(self, view: ClusterView) -> list[NodeId]:
+        """Return the nodes whose rows this node reads each time: neighbours and suspects."""
+        neighbours = watched_by(self.node, view.peers(), _watchers(len(view.nodes)))
+        suspects = self.suspects.intersection(view.nodes) - {self.node}
+        return sorted({*neighbours, *suspects})
+
+    def lapsed(self, view: ClusterView) -> list[SeenNode]:
+        """Return the nodes whose leases lapsed."""
+        others = (seen for node, seen in view.nodes.items() if node != self.node)
+        return [
+            seen for seen in others if self.leases.lapsed(node_key(seen.row.node), seen.version)
+        ]
+
+    def claims(self, view: ClusterView) -> list[SeenPartition]:
+        """Return the partitions to adopt: orphans first, then a few that are better placed here."""
+        if self.node in view.leaving or self.node not in view.nodes:
+            return []
+        orphaned = [seen for seen in self._orphaned(view) if self._takes(seen, view)]
+        return orphaned or self._moves(view)
+
+    def has_orphans(self, view: ClusterView) -> bool:
+        """Tell whether some partition has no registered owner."""
+        return bool(self._orphaned(view))
+
+    def _orphaned(self, view: ClusterView) -> list[SeenPartition]:
+        """Return the partitions without a registered owner."""
+        incarnations = view.incarnations()
+        return [seen for seen in view.partitions.values() if seen.row.owner not in incarnations]
+
+    def _takes(self, seen: SeenPartition, view: ClusterView) -> bool:
+        key = partition_key(seen.partition)
+        if target_of(key, self._heirs(seen.row.owner, view)) == self.node:
+            return True
+        return self.orphans.lapsed(key, seen.version)
+
+    def _heirs(self, owner: Incarnation, view: ClusterView) -> list[NodeId]:
+        """Return the nodes among which an orphan's target is chosen."""
+        if owner == NOBODY:
+            return sorted({*view.staying(), *(view.listed - view.leaving)})
+        dead = Peer(node_of(owner), self.domains.get(node_of(owner), FailureDomain("")))
+        watchers = watchers_of(dead, view.peers(), _watchers(len(view.nodes)))
+        heirs = {*watchers, dead.node}
+        return [node for node in view.staying() if node in heirs]
+
+    def _misplaced(self, view: ClusterView) -> list[SeenPartition]:
+        """Return the partitions of other live nodes whose target is this node."""
+        staying = view.staying()
+        incarnations = view.incarnations()
+        own = view.nodes.get(self.node)
+        if own is None:
+            return []
+        return [
+            seen
+            for seen in view.partitions.values()
+            if seen.row.owner in incarnations
+            and seen.row.owner != own.row.incarnation
+            and target_of(partition_key(seen.partition), staying) == self.node
+        ]
+
+    def _moves(self, view: ClusterView) -> list[SeenPartition]:
+        settled = [
+            seen
+            for seen in self._misplaced(view)
+            if self.misplaced.lapsed(partition_key(seen.partition), seen.version)
+        ]
+        return settled[:MOVES_PER_SCAN]
+
+
+def _watchers(nodes: int) -> int:
+    """Return how many nodes watch each node's lease."""
+    return nodes if nodes <= SMALL_CLUSTER_NODES else WATCHERS
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/cluster.py
@@ -0,0 +1,73 @@
+"""Reads the rows of nodes and partitions and the platform's host list."""
+
+import msgspec
+
+from skylarkferry_core.errors import PlatformUnavailableError
+from skylarkferry_core.ids import NodeId, PartitionNumber
+from skylarkferry_core.interfaces import HostList, Row, Table
+from skylarkferry_core.partitions import (
+    NODE_PREFIX,
+    PARTITION_PREFIX,
+    NodeRow,
+    PartitionRow,
+    node_key,
+    partition_of_key,
+)
+from skylarkferry_core.states import Role
+from skylarkferry_core.takeovers import ClusterView, SeenNode, SeenPartition
+
+
+class ClusterReader:
+    """Keep a view of the cluster up to date, in whole or for a few nodes only."""
+
+    def __init__(self, table: Table, host_list: HostList, partitions: int) -> None:
+        self.table = table
+        self.host_list = host_list
+        self.partitions = partitions
+        self.view = ClusterView()
+
+    async def read_all(self) -> ClusterView:
+        """Read all rows; partitions before nodes, so that an owner that is missing is gone."""
+        partitions = await self.table.scan(PARTITION_PREFIX)
+        await self.read_nodes()
+        self.view.partitions = self._partitions_of(partitions)
+        return self.view
+
+    def _partitions_of(self, rows: list[Row]) -> dict[PartitionNumber, SeenPartition]:
+        numbers = map(PartitionNumber, range(self.partitions))
+        seen = {number: SeenPartition(number, PartitionRow(), 0) for number in numbers}
+        for row in rows:
+            number = partition_of_key(row.key)
+            decoded = msgspec.msgpack.decode(row.value, type=PartitionRow)
+            seen[number] = SeenPartition(number, decoded, row.version)
+        return seen
+
+    async def read_nodes(self) -> None:
+        """Read all node rows."""
+        rows = await self.table.scan(NODE_PREFIX)
+        self.view.nodes = {}
+        for row in rows:
+            self._see_node(row)
+
+    async def read_some(self, nodes: list[NodeId]) -> None:
+        """Read the rows of some nodes."""
+        for node in nodes:
+            row = await self.table.read(node_key(node))
+            if row.version:
+                self._see_node(row)
+            else:
+                self.view.nodes.pop(node, None)
+
+    def _see_node(self, row: Row) -> None:
+        decoded = msgspec.msgpack.decode(row.value, type=NodeRow)
+        self.view.nodes[decoded.node] = SeenNode(decoded, row.version)
+
+    async def read_hosts(self) -> None:
+        """Read the host list; keep the last one when the platform does not answer."""
+        try:
+            hosts = await self.host_list.hosts()
+        except PlatformUnavailableError:
+            return
+        entries = [host for host in hosts if host.role == Role.ENTRY.value]
+        self.view.listed = frozenset(NodeId(host.name) for host in entries)
+        self.view.leaving = frozenset(NodeId(host.name) for host in entries if host.leaving)
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/patience.py
@@ -0,0 +1,65 @@
+"""Repeats platform requests through an outage."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import anyio
+
+from skylarkferry_core.errors import PlatformUnavailableError
+from skylarkferry_core.events import EventKind
+from skylarkferry_daemon.log import EventLog
+from skylarkferry_daemon.timers import TimerService
+
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 1.0
+
+Answer = TypeVar("Answer")
+
+
+class Patience:
+    """Repeat what the platform did not answer, and log when it goes and comes back."""
+
+    def __init__(self, timers: TimerService, events: EventLog) -> None:
+        self.timers = timers
+        self.events = events
+        self.lost_at: float | None = None
+
+    async def pause(self, delay_s: float) -> None:
+        """Wait ``delay_s`` seconds."""
+        elapsed = anyio.Event()
+
+        async def end() -> None:
+            elapsed.set()
+
+        timer = self.timers.after(delay_s, end)
+        try:
+            await elapsed.wait()
+        finally:
+            timer.cancel()
+
+    async def until_answered(self, request: Callable[[], Awaitable[Answer]]) -> Answer:
+        """Repeat an idempotent request until the platform answers it."""
+        delay_s = FIRST_RETRY_S
+        while True:
+            try:
+                answer = await request()
+            except PlatformUnavailableError as error:
+                self.lost(error)
+            else:
+                self.back()
+                return answer
+            await self.pause(delay_s)
+            delay_s = min(delay_s * 2, LONGEST_RETRY_S)
+
+    def lost(self, error: PlatformUnavailableError) -> None:
+        """Take note of a request without an answer."""
+        if self.lost_at is None:
+            self.lost_at = self.timers.now()
+            self.events.emit(EventKind.PLATFORM_LOST, detail=error.detail)
+
+    def back(self) -> None:
+        """Take note of an answer."""
+        if self.lost_at is not None:
+            lost_s = self.timers.now() - self.lost_at
+            self.lost_at = None
+            self.events.emit(EventKind.PLATFORM_BACK, lost_s=f"{lost_s:.1f}")
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,204 @@
+"""Fakes of the platform at its interfaces, with faults, and a loop whose time jumps."""
+
+import asyncio
+import selectors
+from collections.abc import Sequence
+
+import anyio
+
+from skylarkferry_core.errors import PlatformUnavailableError, WriteConflictError
+from skylarkferry_core.ids import FailureDomain, NodeId, SiteName
+from skylarkferry_core.interfaces import Condition, Host, Row, Write
+from skylarkferry_daemon.settings import (
+    EntrySettings,
+    LeaseSettings,
+    LimitSettings,
+    PlatformSettings,
+)
+from skylarkferry_daemon.timers import TimerService
+
+
+class JumpingLoop(asyncio.SelectorEventLoop):
+    """An event loop that jumps to its next timer instead of waiting for it."""
+
+    def __init__(self):
+        super().__init__(_JumpingSelector(self))
+        self.virtual_s = 1_000.0
+
+    def time(self):
+        return self.virtual_s
+
+
+class _JumpingSelector(selectors.DefaultSelector):
+    def __init__(self, loop):
+        super().__init__()
+        self.loop = loop
+
+    def select(self, timeout=None):
+        if timeout:
+            self.loop.virtual_s += timeout
+        return super().select(0)
+
+
+def run_virtual(function, *arguments):
+    """Run an asynchronous function on a loop whose time jumps."""
+    options = {"loop_factory": JumpingLoop}
+    return anyio.run(function, *arguments, backend_options=options)
+
+
+class RateTimers(TimerService):
+    """Timers on a clock that runs ``rate`` times as fast as the loop's."""
+
+    def __init__(self, rate):
+        super().__init__()
+        self.rate = rate
+
+    def now(self):
+        return super().now() * self.rate
+
+    async def _wait(self):
+        self.changed = anyio.Event()
+        delay_s = (self.heap[0][0] - self.now()) / self.rate if self.heap else 3600.0
+        with anyio.move_on_after(delay_s):
+            await self.changed.wait()
+
+
+class FakeTable:
+    """Rows in memory; versions are revisions of the whole table and never return."""
+
+    def __init__(self):
+        self.rows = {}
+        self.revision = 0
+        self.down = False
+        self.writes = 0
+        self.reads = 0
+
+    async def read(self, key):
+        await self._answer()
+        self.reads += 1
+        return self.rows.get(key, Row(key, b"", 0))
+
+    async def scan(self, prefix):
+        await self._answer()
+        self.reads += 1
+        return [self.rows[key] for key in sorted(self.rows) if key.startswith(prefix)]
+
+    async def _answer(self):
+        await anyio.sleep(0.001)
+        if self.down:
+            raise PlatformUnavailableError("down")
+
+    async def transact(self, conditions: Sequence[Condition], writes: Sequence[Write]) -> int:
+        await self._answer()
+        return self.apply(conditions, writes)
+
+    def apply(self, conditions, writes):
+        """Carry a transaction out at once."""
+        for condition in conditions:
+            row = self.rows.get(condition.key)
+            if condition.version != (row.version if row else 0):
+                raise WriteConflictError(condition.key)
+        self.revision += 1
+        self.writes += 1
+        for write in writes:
+            if write.value is None:
+                self.rows.pop(write.key, None)
+            else:
+                self.rows[write.key] = Row(write.key, write.value, self.revision)
+        return self.revision
+
+
+class FaultyTable:
+    """One node's way to the table: it loses, delays and repeats, and stands still when paused."""
+
+    def __init__(self, table):
+        self.table = table
+        self.lose_answers = 0
+        self.delay_writes = 0
+        self.cut = False
+        self.thawed = anyio.Event()
+        self.thawed.set()
+
+    def pause(self):
+        self.thawed = anyio.Event()
+
+    async def read(self, key):
+        return await self._guard(lambda: self.table.read(key))
+
+    async def scan(self, prefix):
+        return await self._guard(lambda: self.table.scan(prefix))
+
+    async def _guard(self, request):
+        await self.thawed.wait()
+        if self.cut:
+            raise PlatformUnavailableError("cut off")
+        answer = await request()
+        await self.thawed.wait()
+        return answer
+
+    async def transact(self, conditions, writes):
+        if self.delay_writes:
+            return await self._late(list(conditions), list(writes))
+        version = await self._guard(lambda: self.table.transact(conditions, writes))
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise PlatformUnavailableError("answer lost")
+        return version
+
+    async def _late(self, conditions, writes):
+        """Give up on a transaction that reaches the table five seconds later."""
+        self.delay_writes -= 1
+        loop = asyncio.get_running_loop()
+        loop.call_later(5.0, self._land, conditions, writes)
+        raise PlatformUnavailableError("no answer in time")
+
+    def _land(self, conditions, writes):
+        try:
+            self.table.apply(conditions, writes)
+        except WriteConflictError:
+            return
+
+
+class FakeObjectStore:
+    """Objects in memory."""
+
+    def __init__(self):
+        self.objects = {}
+
+    async def put(self, key, body):
+        self.objects[key] = body
+
+    async def get(self, key):
+        return self.objects.get(key)
+
+    async def delete(self, key):
+        self.objects.pop(key, None)
+
+
+class FakeHostList:
+    """A host list of entries, some of them leaving."""
+
+    def __init__(self, names):
+        self.names = names
+        self.leaving = set()
+
+    async def hosts(self):
+        domain = FailureDomain("a")
+        return [
+            Host(name, "entry", "127.0.0.1:1", domain, leaving=name in self.leaving)
+            for name in self.names
+        ]
+
+
+def entry_settings(node, *, partitions=4, **limits):
+    """Return settings of an entry that listens nowhere."""
+    return EntrySettings(
+        node=NodeId(node),
+        site=SiteName("arusha"),
+        failure_domain=FailureDomain("arusha-a"),
+        http_listen="127.0.0.1:1",
+        rpc_listen=f"127.0.0.1:{1 + sum(node.encode())}",
+        platform=PlatformSettings("http://t", "http://o", "http://h"),
+        lease=LeaseSettings(partitions=partitions),
+        limits=LimitSettings(**limits),
+    )
