Add the configuration document: sections, validation, edits and polling

Entries need one document that teams edit by section and that never reverts.

The version row lists each section's version, so a reader can tell a torn scan. Ruled out: retrying a lost write as a new edit (it meets its own first try and reports a conflict) and conditions on the sections alone (two sections that are valid apart can be invalid together).

A process applies a document only when its version is higher. The entry's new setting bootstrap_token_hash names the token that may write the first document and nothing after it.

--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -34,6 +34,24 @@
     CALL_RETRIED = (208, Level.INFO, "A call that certainly did not run is placed again.")
     CALL_SEALED = (209, Level.INFO, "A sidecar answered a seal.")
 
+    ACCESS_REFUSED = (501, Level.WARNING, "A request came without a valid bearer token.")
+    ACCESS_FORBIDDEN = (502, Level.WARNING, "A valid token asked for what it does not allow.")
+    REQUEST_REJECTED = (503, Level.INFO, "A request was malformed, too large or too slow.")
+    REQUEST_FAILED = (504, Level.ERROR, "A request failed without a typed error.")
+    CALLER_LEFT = (505, Level.INFO, "A caller closed the connection before its response ended.")
+    DRAIN_ORDERED = (506, Level.INFO, "An operator ordered an upstream to drain.")
+    BOOTSTRAP_USED = (507, Level.WARNING, "The bootstrap token created the first document.")
+
+    DOCUMENT_APPLIED = (601, Level.INFO, "A higher document version is in force at this process.")
+    DOCUMENT_EDITED = (602, Level.INFO, "An edit of the document was accepted.")
+    DOCUMENT_CONFLICT = (603, Level.INFO, "An edit was refused: its section had changed.")
+    DOCUMENT_REFUSED = (604, Level.INFO, "An edit was refused: the document would not validate.")
+    DOCUMENT_UNREADABLE = (605, Level.ERROR, "The stored document is unreadable; the old stays.")
+    DOCUMENT_STALE = (606, Level.WARNING, "The document cannot be polled; the old one stays.")
+    DOCUMENT_CURRENT = (607, Level.INFO, "The document can be polled again.")
+    DOCUMENT_RESOLVED = (608, Level.INFO, "The lost answer to an edit was resolved by reading.")
+    DOCUMENT_UNKNOWN = (609, Level.WARNING, "Nobody can tell yet whether an edit was accepted.")
+
     def __init__(self, number: int, level: Level, meaning: str) -> None:
         self.number = number
         self.level = level
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/document_edits.py
@@ -0,0 +1,199 @@
+"""Edits of the configuration document: compare-and-set with a known outcome."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import anyio
+import msgspec
+
+from skylarkferry_core.document import SECTIONS
+from skylarkferry_core.errors import (
+    BadRequestError,
+    DocumentConflictError,
+    DocumentInvalidError,
+    ForbiddenError,
+    OutcomeUnknownError,
+    OverloadedError,
+    PlatformUnavailableError,
+    WriteConflictError,
+)
+from skylarkferry_core.events import EventKind
+from skylarkferry_core.ids import TeamName
+from skylarkferry_core.interfaces import Table
+from skylarkferry_core.sections import parse_section
+from skylarkferry_core.validation import check_texts
+from skylarkferry_daemon.document_rows import Snapshot, read_snapshot, transaction
+from skylarkferry_daemon.log import EventLog
+
+ATTEMPTS = 8
+BACKOFF_S = 0.1
+BACKOFF_LIMIT_S = 2.0
+RETRY_AFTER_S = 2.0
+NO_TEAM = TeamName("")
+
+
+class SectionChange(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A section's new text; ``base_version`` is the version the editor read."""
+
+    section: str
+    text: str
+    base_version: int
+
+
+class Edit(msgspec.Struct, frozen=True):
+    """Sections changed together by one team; no team means the first document."""
+
+    edit_id: str
+    team: TeamName
+    changes: tuple[SectionChange, ...]
+
+
+class EditOutcome(msgspec.Struct, frozen=True):
+    """The document version an accepted edit made."""
+
+    version: int
+
+
+class Editor:
+    """Carries edits out; a repeat of an edit id finds the first one."""
+
+    def __init__(
+        self,
+        table: Table,
+        log: EventLog,
+        sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
+    ) -> None:
+        self.table = table
+        self.log = log
+        self.sleep = sleep
+
+    async def run(self, edit: Edit) -> EditOutcome:
+        """Make an edit; raise a refusal, or ``OutcomeUnknownError`` when nobody can tell."""
+        attempt = _Attempt(self, edit)
+        try:
+            return await attempt.run()
+        except DocumentConflictError:
+            self.log.emit(EventKind.DOCUMENT_CONFLICT, team=edit.team, edit=edit.edit_id)
+            raise
+        except DocumentInvalidError:
+            self.log.emit(EventKind.DOCUMENT_REFUSED, team=edit.team, edit=edit.edit_id)
+            raise
+        except OutcomeUnknownError:
+            self.log.emit(EventKind.DOCUMENT_UNKNOWN, team=edit.team, edit=edit.edit_id)
+            raise
+
+
+class _Attempt:
+    """One edit on its way; ``uncertain`` while a write's answer is lost."""
+
+    def __init__(self, editor: Editor, edit: Edit) -> None:
+        self.editor = editor
+        self.edit = edit
+        self.uncertain = False
+
+    async def run(self) -> EditOutcome:
+        for attempt in range(ATTEMPTS):
+            outcome = await self._try_once(attempt)
+            if outcome is not None:
+                return outcome
+        if self.uncertain:
+            raise self._unknown()
+        raise OverloadedError("too many edits at once", retry_after_s=RETRY_AFTER_S)
+
+    async def _try_once(self, attempt: int) -> EditOutcome | None:
+        """Read, check and write once; ``None`` means that it may be tried again."""
+        try:
+            before = await read_snapshot(self.editor.table)
+        except PlatformUnavailableError:
+            if not self.uncertain:
+                raise
+            await self._back_off(attempt)
+            return None
+        earlier = accepted_version(before, self.edit)
+        if earlier:
+            return self._resolved(earlier)
+        check(before, self.edit)
+        return await self._write(before, attempt)
+
+    async def _write(self, before: Snapshot, attempt: int) -> EditOutcome | None:
+        texts = {change.section: change.text for change in self.edit.changes}
+        conditions, writes = transaction(before, self.edit.team, self.edit.edit_id, texts)
+        try:
+            await self.editor.table.transact(conditions, writes)
+        except WriteConflictError:
+            return None
+        except PlatformUnavailableError:
+            self.uncertain = True
+            await self._back_off(attempt)
+            return None
+        return self._accepted(before.version.version + 1)
+
+    def _accepted(self, version: int) -> EditOutcome:
+        sections = ",".join(change.section for change in self.edit.changes)
+        self.editor.log.emit(
+            EventKind.DOCUMENT_EDITED, version=version, team=self.edit.team, sections=sections
+        )
+        return EditOutcome(version)
+
+    def _resolved(self, version: int) -> EditOutcome:
+        self.editor.log.emit(EventKind.DOCUMENT_RESOLVED, version=version, edit=self.edit.edit_id)
+        return EditOutcome(version)
+
+    async def _back_off(self, attempt: int) -> None:
+        limit_s = min(BACKOFF_LIMIT_S, BACKOFF_S * 2**attempt)
+        await self.editor.sleep(random.uniform(0.0, limit_s))
+
+    def _unknown(self) -> OutcomeUnknownError:
+        detail = f"the platform did not answer; repeat edit '{self.edit.edit_id}' to learn"
+        return OutcomeUnknownError(detail, retry_after_s=RETRY_AFTER_S)
+
+
+def accepted_version(before: Snapshot, edit: Edit) -> int:
+    """Return the version that this edit made earlier, or 0."""
+    for change in edit.changes:
+        row = before.sections.get(change.section)
+        for mark in row.edits if row else ():
+            if mark.edit_id == edit.edit_id:
+                return mark.version
+    return 0
+
+
+def check(before: Snapshot, edit: Edit) -> None:
+    """Raise the typed refusal of an edit that may not be made to this document."""
+    names = [change.section for change in edit.changes]
+    if not names or len(set(names)) != len(names) or not set(names) <= set(SECTIONS):
+        raise BadRequestError(f"expected sections out of {', '.join(SECTIONS)}, each once")
+    _check_team(before, edit)
+    for change in edit.changes:
+        _check_base(before, change)
+    texts = before.texts() | {change.section: change.text for change in edit.changes}
+    problems = check_texts(texts)
+    if problems:
+        raise DocumentInvalidError("\n".join(problem.line() for problem in problems))
+
+
+def _check_team(before: Snapshot, edit: Edit) -> None:
+    """Refuse a team that does not own a section in the stored document.
+
+    The first document comes without a team, by the bootstrap token.
+    """
+    if edit.team == NO_TEAM:
+        if before.version.version:
+            raise ForbiddenError("the document exists; edit it with a team's token")
+        return
+    teams, _ = parse_section("teams", before.texts().get("teams", "{}"))
+    allowed = teams[edit.team].sections if edit.team in teams else ()
+    for change in edit.changes:
+        if change.section not in allowed:
+            raise ForbiddenError(f"team '{edit.team}' does not own section '{change.section}'")
+
+
+def _check_base(before: Snapshot, change: SectionChange) -> None:
+    version = before.section_version(change.section)
+    if version != change.base_version:
+        row = before.sections.get(change.section)
+        team = row.team if row else NO_TEAM
+        raise DocumentConflictError(
+            f"section '{change.section}' is at version {version} by team '{team}', "
+            f"the edit starts from version {change.base_version}"
+        )
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/settings.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/settings.py
@@ -51,7 +51,10 @@
 class EntrySettings(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="role", tag="entry"
 ):
-    """Settings of an entry process."""
+    """Settings of an entry process.
+
+    ``bootstrap_token_hash`` is the SHA-256 of the token that may write the first document.
+    """
 
     node: NodeId
     site: SiteName
@@ -63,6 +66,7 @@
     limits: LimitSettings = LimitSettings()
     document_poll_s: Seconds = 1.0
     stop_grace_s: Seconds = 600.0
+    bootstrap_token_hash: Annotated[str, Meta(pattern=r"^([0-9a-f]{64})?$")] = ""
     log_level: str = "INFO"
 
 
