Add the callers' and operators' HTTP interface

Failures are RFC 9457 problem details; bodies are read within bounds of size and time and parsed by msgspec.

--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/bodies.py
@@ -0,0 +1,117 @@
+"""Request bodies: read within bounds of size and time, parsed into typed structs."""
+
+from typing import Annotated, TypeVar
+
+import anyio
+import msgspec
+from msgspec import Meta
+from starlette.requests import Request
+
+from skylarkferry_core.errors import BadRequestError, BodyTimeoutError, BodyTooLargeError
+from skylarkferry_core.ids import AgentName, CustomerId, RequestKey
+from skylarkferry_core.messages import Budget
+from skylarkferry_core.states import Priority
+from skylarkferry_daemon.document_edits import SectionChange
+from skylarkferry_daemon.settings import LimitSettings
+
+KEY_CHARACTERS = 200
+DEADLINE_LIMIT_S = 30 * 24 * 3600.0
+
+Body = TypeVar("Body")
+Name = Annotated[str, Meta(min_length=1, max_length=KEY_CHARACTERS)]
+
+
+class BudgetBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Upper bounds a caller sets below the customer's own."""
+
+    tokens: Annotated[int, Meta(gt=0)] | None = None
+    cost_micros: Annotated[int, Meta(ge=0)] | None = None
+    turns: Annotated[int, Meta(gt=0)] | None = None
+
+
+class ProgramBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /v1/programs``; an empty customer means the token's own."""
+
+    request_key: Name
+    agent: Name
+    input: str
+    deadline_s: Annotated[float, Meta(gt=0, le=DEADLINE_LIMIT_S)]
+    customer: Annotated[str, Meta(max_length=KEY_CHARACTERS)] = ""
+    budget: BudgetBody = BudgetBody()
+    priority: Priority | None = None
+
+    @property
+    def key(self) -> RequestKey:
+        """Return the request key as an id."""
+        return RequestKey(self.request_key)
+
+    @property
+    def agent_name(self) -> AgentName:
+        """Return the agent's name as an id."""
+        return AgentName(self.agent)
+
+    @property
+    def customer_id(self) -> CustomerId:
+        """Return the customer as an id."""
+        return CustomerId(self.customer)
+
+    def budget_within(self, limit: Budget) -> Budget:
+        """Return the program's budget; raise ``BadRequestError`` when it exceeds ``limit``."""
+        asked = Budget(
+            _or(self.budget.tokens, limit.tokens),
+            _or(self.budget.cost_micros, limit.cost_micros),
+            _or(self.budget.turns, limit.turns),
+        )
+        for name in Budget.__struct_fields__:
+            most = getattr(limit, name)
+            if getattr(asked, name) > most:
+                raise BadRequestError(f"budget.{name}: expected at most {most}")
+        return asked
+
+
+class EditBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``PUT /v1/config``: sections that change together."""
+
+    changes: tuple[SectionChange, ...]
+
+
+class DrainBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /v1/hosts/{host}/drain``."""
+
+    reason: str = ""
+
+
+async def read_body(request: Request, limits: LimitSettings) -> bytes:
+    """Return the body; raise ``BodyTooLargeError`` or ``BodyTimeoutError``."""
+    declared = request.headers.get("content-length", "0")
+    if declared.isdecimal() and int(declared) > limits.body_bytes:
+        raise _too_large(limits)
+    with anyio.move_on_after(limits.body_s):
+        return await _read_within(request, limits)
+    raise BodyTimeoutError(f"expected the whole body within {limits.body_s:g} s")
+
+
+async def read_as(request: Request, limits: LimitSettings, kind: type[Body]) -> Body:
+    """Return the JSON body as a typed struct; raise ``BadRequestError`` that names the key."""
+    body = await read_body(request, limits)
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise BadRequestError(f"body: {error}") from error
+
+
+async def _read_within(request: Request, limits: LimitSettings) -> bytes:
+    body = bytearray()
+    async for chunk in request.stream():
+        body += chunk
+        if len(body) > limits.body_bytes:
+            raise _too_large(limits)
+    return bytes(body)
+
+
+def _too_large(limits: LimitSettings) -> BodyTooLargeError:
+    return BodyTooLargeError(f"expected at most {limits.body_bytes} bytes")
+
+
+def _or(asked: int | None, default: int) -> int:
+    return default if asked is None else asked
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/edge.py
@@ -0,0 +1,141 @@
+"""What every route of the HTTP interface shares: its parts, authentication and failures."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any, Protocol
+
+import msgspec
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from skylarkferry_core.document import Document
+from skylarkferry_core.errors import MethodNotAllowedError, SkylarkferryError
+from skylarkferry_core.events import EventKind
+from skylarkferry_core.ids import UpstreamId
+from skylarkferry_core.messages import EventView, HostView, TimelineRequest
+from skylarkferry_daemon.document_edits import Edit, EditOutcome
+from skylarkferry_daemon.document_rows import Snapshot
+from skylarkferry_daemon.interfaces import Programs
+from skylarkferry_daemon.log import EventLog
+from skylarkferry_daemon.problems import internal_error, problem_response
+from skylarkferry_daemon.request_metrics import REQUESTS
+from skylarkferry_daemon.settings import LimitSettings
+from skylarkferry_daemon.tokens import Principal, TokenIndex
+
+JSON = "application/json"
+_REFUSALS = {
+    HTTPStatus.UNAUTHORIZED: EventKind.ACCESS_REFUSED,
+    HTTPStatus.FORBIDDEN: EventKind.ACCESS_FORBIDDEN,
+    HTTPStatus.BAD_REQUEST: EventKind.REQUEST_REJECTED,
+    HTTPStatus.REQUEST_TIMEOUT: EventKind.REQUEST_REJECTED,
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: EventKind.REQUEST_REJECTED,
+}
+
+
+class EditableDocuments(Protocol):
+    """The document in force, its stored texts, and edits of it."""
+
+    current: Document
+    snapshot: Snapshot
+    loaded: bool
+
+    async def refresh(self) -> None:
+        """Poll the stored document."""
+
+    async def edit(self, edit: Edit) -> EditOutcome:
+        """Make an edit; raise typed refusals."""
+
+
+class HostSource(Protocol):
+    """Knows the upstreams; :class:`Sidecars` is one."""
+
+    def hosts(self) -> Sequence[HostView]:
+        """Return all upstreams as this process sees them."""
+
+
+@dataclass(frozen=True)
+class Edge:
+    """Parts of the entry behind its HTTP interface.
+
+    ``drain`` orders a sidecar to drain, ``timeline`` collects events of all processes, and
+    ``stopping`` tells whether a planned stop began.
+    """
+
+    programs: Programs
+    documents: EditableDocuments
+    sidecars: HostSource
+    log: EventLog
+    limits: LimitSettings
+    drain: Callable[[UpstreamId, str], Awaitable[None]]
+    timeline: Callable[[TimelineRequest], Awaitable[Sequence[EventView]]]
+    stopping: Callable[[], bool] = lambda: False
+    tokens: TokenIndex = field(default_factory=TokenIndex)
+
+    def authenticate(self, request: Request) -> Principal:
+        """Return who sends a request; raise ``UnauthenticatedError``."""
+        header = request.headers.get("authorization", "")
+        return self.tokens.authenticate(header, self.documents.current, self.documents.loaded)
+
+
+Handler = Callable[[Edge, Request], Awaitable[Response]]
+
+
+def route(edge: Edge, path: str, **handlers: Handler) -> Route:
+    """Return the route of a path with one handler for each method; ``any`` takes the rest."""
+
+    async def endpoint(request: Request) -> Response:
+        handler = handlers.get(request.method.lower(), handlers.get("any"))
+        response = await _answer(edge, handler, request)
+        REQUESTS.labels(path, response.status_code).inc()
+        return response
+
+    return Route(path, _AnyMethod(endpoint))
+
+
+def json_response(value: Any, status: int = HTTPStatus.OK, **headers: str) -> Response:
+    """Return a typed value as JSON; underscores in header names become hyphens."""
+    named = {name.replace("_", "-"): text for name, text in headers.items()}
+    return Response(msgspec.json.encode(value), status, named, media_type=JSON)
+
+
+def refuse(edge: Edge, request: Request, error: SkylarkferryError) -> Response:
+    """Log a refusal where it matters and return its response."""
+    kind = _REFUSALS.get(HTTPStatus(error.status))
+    if kind is not None:
+        edge.log.emit(kind, path=request.url.path, code=error.code.value, caller=_peer(request))
+    return problem_response(error)
+
+
+async def _answer(edge: Edge, handler: Handler | None, request: Request) -> Response:
+    """Run a handler and turn every failure into problem details."""
+    try:
+        if handler is None:
+            raise MethodNotAllowedError(f"the path takes no {request.method}")
+        return await handler(edge, request)
+    except SkylarkferryError as error:
+        return refuse(edge, request, error)
+    except ClientDisconnect:
+        edge.log.emit(EventKind.CALLER_LEFT, path=request.url.path, caller=_peer(request))
+        return Response(status_code=HTTPStatus.BAD_REQUEST)
+    except Exception as error:
+        edge.log.emit(EventKind.REQUEST_FAILED, path=request.url.path, error=repr(error))
+        return problem_response(internal_error())
+
+
+def _peer(request: Request) -> str:
+    return request.client.host if request.client else ""
+
+
+class _AnyMethod:
+    """ASGI application of an endpoint; Starlette leaves the method to it."""
+
+    def __init__(self, endpoint: Callable[[Request], Awaitable[Response]]) -> None:
+        self.endpoint = endpoint
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one request."""
+        request = Request(scope, receive, send)
+        response = await self.endpoint(request)
+        await response(scope, receive, send)
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/problems.py
@@ -0,0 +1,56 @@
+"""RFC 9457 problem details of typed errors."""
+
+import math
+from http import HTTPStatus
+
+import msgspec
+from starlette.responses import Response
+
+from skylarkferry_core.errors import ErrorCode, SkylarkferryError
+from skylarkferry_core.states import FinalWord
+
+CONTENT_TYPE = "application/problem+json"
+TYPE_PREFIX = "urn:skylarkferry:error:"
+
+
+class ProblemDetails(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Body of a failed request; ``word`` says what is known of the work."""
+
+    type: str
+    title: str
+    status: int
+    code: ErrorCode
+    detail: str
+    word: FinalWord | None = None
+    retry_after_s: float | None = None
+
+
+def details_of(error: SkylarkferryError) -> ProblemDetails:
+    """Return the problem details of an error."""
+    return ProblemDetails(
+        type=TYPE_PREFIX + error.code.value,
+        title=HTTPStatus(error.status).phrase,
+        status=int(error.status),
+        code=error.code,
+        detail=error.detail,
+        word=error.word,
+        retry_after_s=error.retry_after_s,
+    )
+
+
+def problem_response(error: SkylarkferryError) -> Response:
+    """Return the response of an error, with ``Retry-After`` where coming back makes sense."""
+    headers = {}
+    if error.retry_after_s is not None:
+        headers["Retry-After"] = str(math.ceil(error.retry_after_s))
+    if error.status is HTTPStatus.UNAUTHORIZED:
+        headers["WWW-Authenticate"] = "Bearer"
+    body = msgspec.json.encode(details_of(error))
+    return Response(body, int(error.status), headers, media_type=CONTENT_TYPE)
+
+
+def internal_error() -> SkylarkferryError:
+    """Return the error of a request that failed in an unforeseen way."""
+    error = SkylarkferryError("the request failed inside the entry; its outcome is unknown")
+    error.word = FinalWord.UNKNOWN
+    return error
