Add the bench: fake engines on a virtual clock, two workloads, faults and tables

`Order.prefill_tokens` and `Order.output_tokens` are new, with defaults: the sidecar needs the entry's estimates for its load report. Prefix hashing became the published variant with bounded load (1.25 times the mean of calls): without the bound one engine took every program of an agent and the baseline was weak.

--- /dev/null
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/entries.py
@@ -0,0 +1,317 @@
+"""Entries of the bench: they drive programs with the product's decisions."""
+
+from collections.abc import Callable
+from functools import partial
+from random import Random
+
+from skylarkferry_bench.caches import CacheKey
+from skylarkferry_bench.clocks import VirtualClock
+from skylarkferry_bench.engines import EngineCall
+from skylarkferry_bench.estimates import ProgramEstimates
+from skylarkferry_bench.measures import Recorder
+from skylarkferry_bench.policies import Policy
+from skylarkferry_bench.upstreams import Upstream
+from skylarkferry_bench.views import Views
+from skylarkferry_bench.workloads import ProgramSpec, RunSpec, TurnSpec, Workload
+from skylarkferry_core.admissions import ADMISSIONS, AdmissionRequest
+from skylarkferry_core.ids import (
+    CallId,
+    Epoch,
+    Fingerprint,
+    ModelName,
+    PartitionNumber,
+    RunId,
+    ToolName,
+    UpstreamId,
+)
+from skylarkferry_core.interfaces import PlacementRequest
+from skylarkferry_core.messages import Fence, ModelWork, Order
+from skylarkferry_core.placements import PLACEMENTS, usable, wait_s
+from skylarkferry_core.retention import PauseEstimates, Retention
+from skylarkferry_core.retries import RetryBudget, RetryPolicy, RetryRequest
+from skylarkferry_core.states import Priority
+
+HOP_S = 0.001
+_PLAIN_BACKOFF_S = 0.1
+_PLAIN_ATTEMPTS = 6
+_EXPECTED_PAUSE_S = 2.0
+_NO_WORK = ModelWork(ModelName("model"), (), (), 0)
+_FENCE = Fence(PartitionNumber(0), Epoch(1))
+
+
+class Run:
+    """A conversation under way."""
+
+    def __init__(self, spec: RunSpec, run_id: RunId, parent: "Run | None") -> None:
+        self.spec = spec
+        self.run_id = run_id
+        self.parent = parent
+        self.turn = 0
+        self.prompt_tokens = spec.prefix_tokens + spec.input_tokens
+        self.last_upstream = UpstreamId("")
+        self.attempts = 0
+
+
+class Program:
+    """A program under way; ``work_s`` is the time its calls and pauses took without waiting."""
+
+    def __init__(self, spec: ProgramSpec, accepted_at: float) -> None:
+        self.spec = spec
+        self.accepted_at = accepted_at
+        self.work_s = 0.0
+        self.calls = 0
+        self.runs = 0
+        self.upstreams: set[UpstreamId] = set()
+
+    def remaining_s(self, now: float) -> float:
+        """Return the seconds to the deadline."""
+        return self.accepted_at + self.spec.deadline_s - now
+
+
+OnLost = Callable[[ProgramSpec, float | None], None]
+
+
+class Entry:
+    """One entry process: admits programs, places their calls and follows them.
+
+    ``on_lost`` hears of programs that were refused or failed, with the time to come back.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: VirtualClock,
+        workload: Workload,
+        policy: Policy,
+        views: Views,
+        recorder: Recorder,
+        random: Random,
+        on_lost: OnLost,
+    ) -> None:
+        self.clock = clock
+        self.workload = workload
+        self.policy = policy
+        self.views = views
+        self.recorder = recorder
+        self.on_lost = on_lost
+        self.placement = PLACEMENTS[policy.placement](random)
+        self.admission = ADMISSIONS[policy.admission]()
+        self.retention = Retention()
+        self.pauses = PauseEstimates()
+        self.estimates = ProgramEstimates()
+        self.retries = RetryPolicy(random, RetryBudget())
+
+    def start(self, spec: ProgramSpec) -> None:
+        """Admit or refuse a program."""
+        refusal = self.admission.admit(self._admission_request(spec), self.clock.now)
+        if refusal is not None:
+            self.recorder.refused(spec, self.clock.now)
+            self.on_lost(spec, refusal.retry_after_s)
+            return
+        program = Program(spec, self.clock.now)
+        self._turn(program, Run(spec.root, RunId("0"), None))
+
+    def _admission_request(self, spec: ProgramSpec) -> AdmissionRequest:
+        root = spec.root
+        tokens = root.prefix_tokens + root.input_tokens
+        request = self._placement_request(spec, Run(root, RunId("0"), None), tokens)
+        found = usable(request, self.views.candidates(request, self.clock.now))
+        return AdmissionRequest(
+            customer=spec.customer,
+            deadline_s=spec.deadline_s,
+            expected_s=self.estimates.work_s.get(spec.kind),
+            wait_s=min((wait_s(item) for item in found), default=spec.deadline_s),
+            expected_calls=self.estimates.calls.get(spec.kind),
+        )
+
+    def _placement_request(
+        self, spec: ProgramSpec, run: Run, prompt_tokens: int
+    ) -> PlacementRequest:
+        return PlacementRequest(
+            program_id=spec.program_id,
+            prompt_tokens=prompt_tokens,
+            output_tokens=int(self.estimates.output_tokens.get(run.spec.agent)),
+            failure_domain=self.workload.site.failure_domains[0],
+            last_upstream=run.last_upstream,
+            run_id=run.run_id,
+            prefix=run.spec.prefix,
+            prefix_tokens=run.spec.prefix_tokens,
+        )
+
+    def _turn(self, program: Program, run: Run) -> None:
+        now = self.clock.now
+        request = self._placement_request(program.spec, run, run.prompt_tokens)
+        candidates = self.views.candidates(request, now)
+        name = self.placement.place(request, candidates, self.workload.site)
+        run.attempts += 1
+        if run.attempts == 1:
+            self.retries.first()
+        if name is None:
+            self._retry(program, run)
+            return
+        chosen = next(item for item in candidates if item.upstream == name)
+        prefill = request.prompt_tokens - int(chosen.cached_tokens * chosen.cache_trust)
+        order = self._order(program, run, request, prefill)
+        call = self._call(program, run, request, order)
+        self.views.sent(name, request, prefill, now)
+        run.last_upstream = name
+        program.upstreams.add(name)
+        upstream = self.views.views[name].upstream
+        self.clock.after(HOP_S, lambda: upstream.enqueue(order, call))
+
+    def _order(self, program: Program, run: Run, request: PlacementRequest, prefill: int) -> Order:
+        spec = program.spec
+        now = self.clock.now
+        left_s = max(self.estimates.work_s.get(spec.kind) - program.work_s, 0.0)
+        remaining_s = program.remaining_s(now)
+        return Order(
+            call_id=CallId(f"{spec.program_id}/{run.run_id}/{run.turn}.0.{run.attempts}"),
+            program_id=spec.program_id,
+            customer=spec.customer,
+            fence=_FENCE,
+            priority=spec.priority,
+            repeatable=True,
+            remaining_s=remaining_s,
+            slack_s=remaining_s - left_s,
+            timeout_s=remaining_s,
+            fingerprint=Fingerprint(""),
+            work=_NO_WORK,
+            keep_kv_s=self._keep_s(run, request),
+            prefill_tokens=prefill,
+            output_tokens=request.output_tokens,
+        )
+
+    def _keep_s(self, run: Run, request: PlacementRequest) -> float:
+        if not self.policy.retains:
+            return 0.0
+        pause = self.pauses.pause(ToolName(run.spec.agent), _EXPECTED_PAUSE_S)
+        name = run.last_upstream
+        tokens = request.prompt_tokens + request.output_tokens - request.prefix_tokens
+        speed = self.views.speeds.speed(name)
+        view = next(iter(self.views.views.values())) if not name else self.views.views[name]
+        return self.retention.keep_s(pause, tokens, speed, view.load)
+
+    def _call(
+        self, program: Program, run: Run, request: PlacementRequest, order: Order
+    ) -> EngineCall:
+        turn = run.spec.turns[run.turn]
+        spec = program.spec
+        upstreams = self.views.views
+
+        def on_end(call: EngineCall) -> None:
+            upstream = upstreams[run.last_upstream].upstream
+            upstream.ended(call)
+            load = upstream.load()
+            taken_at = self.clock.now
+            self.recorder.computed(call)
+            if upstream.feed.rides:
+                self.clock.after(HOP_S, lambda: self.views.hear_load(upstream, load, taken_at))
+            self.clock.after(HOP_S, lambda: self._ended(program, run, request, call))
+
+        def on_failure(call: EngineCall) -> None:
+            self.clock.after(HOP_S, lambda: self._failed(program, run))
+
+        return EngineCall(
+            run=CacheKey(spec.program_id, run.run_id),
+            prefix=CacheKey(prefix=run.spec.prefix),
+            prefix_tokens=run.spec.prefix_tokens,
+            prompt_tokens=run.prompt_tokens,
+            output_tokens=turn.output_tokens,
+            priority=spec.priority if self.policy.queue_order != "fifo" else Priority.URGENT,
+            keep_s=order.keep_kv_s,
+            on_end=on_end,
+            on_failure=on_failure,
+        )
+
+    def _failed(self, program: Program, run: Run) -> None:
+        self.views.failed(run.last_upstream, self.clock.now)
+        self._retry(program, run)
+
+    def _retry(self, program: Program, run: Run) -> None:
+        delay_s = self._retry_delay_s(program, run)
+        if delay_s is None:
+            self._fail(program)
+            return
+        self.clock.after(delay_s, lambda: self._turn(program, run))
+
+    def _retry_delay_s(self, program: Program, run: Run) -> float | None:
+        if self.policy.jitters:
+            remaining_s = program.remaining_s(self.clock.now)
+            return self.retries.delay_s(RetryRequest(run.attempts, remaining_s))
+        if run.attempts >= _PLAIN_ATTEMPTS:
+            return None
+        return _PLAIN_BACKOFF_S * float(2**run.attempts)
+
+    def _fail(self, program: Program) -> None:
+        self.recorder.failed(program.spec)
+        self._close(program)
+        self.on_lost(program.spec, None)
+
+    def _ended(
+        self, program: Program, run: Run, request: PlacementRequest, call: EngineCall
+    ) -> None:
+        now = self.clock.now
+        tokens = call.prompt_tokens + call.output_tokens
+        decode_s = now - call.first_token_at
+        prefill_s = call.first_token_at - call.started_at
+        self.views.beliefs.finished(run.last_upstream, request, tokens)
+        self.views.speeds.observe(
+            run.last_upstream,
+            call.prompt_tokens - call.cached_tokens,
+            prefill_s,
+            call.output_tokens,
+            decode_s,
+        )
+        self.estimates.output_tokens.observe(run.spec.agent, call.output_tokens)
+        program.work_s += prefill_s + decode_s
+        program.calls += 1
+        run.attempts = 0
+        run.prompt_tokens = tokens
+        self._follow(program, run)
+
+    def _follow(self, program: Program, run: Run) -> None:
+        """Go on after a turn: a pause, a sub-agent, or the end of the run."""
+        turn = run.spec.turns[run.turn]
+        run.turn += 1
+        if run.parent is None and program.spec.abandon_turn == run.turn - 1:
+            self.recorder.abandoned(program.spec)
+            self._close(program)
+        elif turn.child is not None:
+            program.runs += 1
+            child_id = RunId(f"{run.run_id}.{program.runs}")
+            self._turn(program, Run(turn.child, child_id, run))
+        elif turn.tool is not None:
+            program.work_s += turn.pause_s
+            self.clock.after(turn.pause_s, lambda: self._resume(program, run, turn))
+        elif run.parent is not None:
+            self._end_child(program, run, run.parent)
+        else:
+            self._end(program)
+
+    def _end_child(self, program: Program, run: Run, parent: Run) -> None:
+        for upstream in self.views.views.values():
+            upstream.upstream.engine.cache.end(program.spec.program_id, self.clock.now, run.run_id)
+        parent.prompt_tokens += parent.spec.turns[parent.turn - 1].result_tokens
+        self._turn(program, parent)
+
+    def _resume(self, program: Program, run: Run, turn: TurnSpec) -> None:
+        self.pauses.observe(ToolName(run.spec.agent), turn.pause_s)
+        run.prompt_tokens += turn.result_tokens
+        self._turn(program, run)
+
+    def _end(self, program: Program) -> None:
+        spec = program.spec
+        self.recorder.ended(spec, self.clock.now)
+        self.estimates.work_s.observe(spec.kind, program.work_s)
+        self.estimates.calls.observe(spec.kind, program.calls)
+        self._close(program)
+
+    def _close(self, program: Program) -> None:
+        """Mark the program's memory as held in vain, and free it if the policy does."""
+        program_id = program.spec.program_id
+        for name in program.upstreams:
+            upstream: Upstream = self.views.views[name].upstream
+            upstream.engine.cache.end(program_id, self.clock.now)
+            if self.policy.releases:
+                self.clock.after(HOP_S, partial(upstream.release, program_id))
+        self.views.beliefs.released(program_id)
--- /dev/null
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/faults.py
@@ -0,0 +1,81 @@
+"""Faults of a run, at fractions of its duration."""
+
+from collections.abc import Callable, Mapping, Sequence
+
+import msgspec
+
+from skylarkferry_bench.clocks import VirtualClock
+from skylarkferry_bench.upstreams import FeedSpec, Upstream
+from skylarkferry_core.ids import PoolName
+
+_SLOWNESS = 3.0
+_STALE_S = 4.0
+_EVENT_LOSS = 0.3
+_OUTAGE_S = 15.0
+_CALLER_RETRIES = 5
+
+Inject = Callable[[VirtualClock, Sequence[Upstream], float], None]
+Shares = Callable[[float, float], Mapping[PoolName, float]]
+
+POOL = PoolName("models")
+OLD_POOL = PoolName("old-provider")
+NEW_POOL = PoolName("new-provider")
+
+
+def _nothing(clock: VirtualClock, upstreams: Sequence[Upstream], duration_s: float) -> None:
+    """Leave the run alone."""
+
+
+def _replica_dies(clock: VirtualClock, upstreams: Sequence[Upstream], duration_s: float) -> None:
+    clock.at(0.4 * duration_s, upstreams[0].die)
+    clock.at(0.7 * duration_s, upstreams[0].revive)
+
+
+def _replica_slow(clock: VirtualClock, upstreams: Sequence[Upstream], duration_s: float) -> None:
+    def slow() -> None:
+        upstreams[0].engine.slowness = _SLOWNESS
+
+    clock.at(0.3 * duration_s, slow)
+
+
+def _outage(clock: VirtualClock, upstreams: Sequence[Upstream], duration_s: float) -> None:
+    for upstream in upstreams:
+        clock.at(0.4 * duration_s, upstream.die)
+        clock.at(0.4 * duration_s + _OUTAGE_S, upstream.revive)
+
+
+def _one_pool(now: float, duration_s: float) -> Mapping[PoolName, float]:
+    return {POOL: 1.0}
+
+
+def _shift(now: float, duration_s: float) -> Mapping[PoolName, float]:
+    """Move all traffic from the old pool to the new one in the middle half of the run."""
+    moved = min(max((now / duration_s - 0.25) / 0.5, 0.0), 1.0)
+    return {OLD_POOL: 1.0 - moved, NEW_POOL: moved}
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """A fault, the load it is met at, and how often callers come back after a failure."""
+
+    name: str
+    inject: Inject = _nothing
+    load: float = 1.0
+    feed: FeedSpec = FeedSpec()
+    shares: Shares = _one_pool
+    two_pools: bool = False
+    caller_retries: int = 0
+
+
+FAULTS: Mapping[str, Fault] = {
+    fault.name: fault
+    for fault in (
+        Fault("none"),
+        Fault("replica dies", _replica_dies),
+        Fault("replica at a third of its speed", _replica_slow),
+        Fault("stale load reports", feed=FeedSpec(report_lag_s=_STALE_S, rides=False)),
+        Fault("cache events with gaps", feed=FeedSpec(event_loss=_EVENT_LOSS)),
+        Fault("provider leaves", load=0.5, shares=_shift, two_pools=True),
+        Fault("overload at 1.5 times", load=1.5),
+        Fault("callers retry after an outage", _outage, caller_retries=_CALLER_RETRIES),
+    )
+}
--- /dev/null
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/plans.py
@@ -0,0 +1,87 @@
+"""What ``make bench`` runs: the comparisons, their seeds and their figures."""
+
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from statistics import mean, stdev
+
+import msgspec
+
+from skylarkferry_bench.measures import Measures
+from skylarkferry_bench.policies import ABLATIONS, BASELINES, FULL, POLICIES, Policy
+from skylarkferry_bench.runs import RunSpec, run_one
+
+_WORKERS = 3
+LOADS = (0.8, 1.0, 1.25, 1.5)
+
+
+class Spread(msgspec.Struct, frozen=True):
+    """Mean and standard deviation over the seeds."""
+
+    mean: float
+    deviation: float
+
+
+class Cell(msgspec.Struct, frozen=True):
+    """The measures of one policy in one setting, one for each seed."""
+
+    workload: str
+    policy: str
+    fault: str
+    load: float
+    measures: tuple[Measures, ...]
+
+    def spread(self, name: str) -> Spread:
+        """Return the spread of a measure."""
+        values = [float(getattr(item, name)) for item in self.measures]
+        return Spread(mean(values), stdev(values) if len(values) > 1 else 0.0)
+
+    def kind_p95_s(self, kind: str) -> float:
+        """Return the mean 95th percentile of a class of programs, in seconds."""
+        return mean(item.kind_p95_s.get(kind, 0.0) for item in self.measures)
+
+
+class Setting(msgspec.Struct, frozen=True):
+    """A policy in a workload, a fault and a load."""
+
+    workload: str
+    policy: Policy
+    fault: str = "none"
+    load: float = 1.0
+
+
+def load_settings(workload: str) -> list[Setting]:
+    """Return every policy at every load."""
+    policies = POLICIES.values()
+    return [Setting(workload, policy, "none", load) for load in LOADS for policy in policies]
+
+
+def ablation_settings(workload: str) -> list[Setting]:
+    """Return the product's policy with one decision replaced, at load 1."""
+    return [Setting(workload, policy) for policy in ABLATIONS.values()]
+
+
+def fault_settings(workload: str, faults: Sequence[str]) -> list[Setting]:
+    """Return the product and the baselines under every fault."""
+    policies = [POLICIES[name] for name in (*BASELINES, FULL.name)]
+    return [Setting(workload, policy, fault) for fault in faults for policy in policies]
+
+
+def measure(settings: Sequence[Setting], seeds: int) -> list[Cell]:
+    """Run each setting with each seed, on a few processes."""
+    specs = [
+        RunSpec(setting.workload, setting.policy, setting.fault, seed, setting.load)
+        for setting in settings
+        for seed in range(seeds)
+    ]
+    with ProcessPoolExecutor(_WORKERS) as executor:
+        results = list(executor.map(run_one, specs, chunksize=seeds))
+    return [
+        Cell(
+            workload=setting.workload,
+            policy=setting.policy.name,
+            fault=setting.fault,
+            load=setting.load,
+            measures=tuple(results[index * seeds : (index + 1) * seeds]),
+        )
+        for index, setting in enumerate(settings)
+    ]
--- /dev/null
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/policies.py
@@ -0,0 +1,48 @@
+"""Policies under comparison: the product's decisions and plain baselines."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from skylarkferry_core.admissions import DEFAULT_ADMISSION
+from skylarkferry_core.placements import DEFAULT_PLACEMENT
+from skylarkferry_core.queues import DEFAULT_QUEUE_ORDER
+
+
+class Policy(msgspec.Struct, frozen=True):
+    """Names of the decisions; ``releases`` frees memory at a program's end, ``retains`` pins it.
+
+    ``jitters`` spreads retries and keeps to a budget; without it they follow a fixed doubling.
+    """
+
+    name: str
+    placement: str
+    queue_order: str = "fifo"
+    admission: str = "open"
+    releases: bool = False
+    retains: bool = False
+    jitters: bool = False
+
+
+BASELINES = ("random", "round_robin", "least_load", "sticky", "prefix_hash")
+FULL = Policy(
+    name="skylarkferry",
+    placement=DEFAULT_PLACEMENT,
+    queue_order=DEFAULT_QUEUE_ORDER,
+    admission=DEFAULT_ADMISSION,
+    releases=True,
+    retains=True,
+    jitters=True,
+)
+POLICIES: Mapping[str, Policy] = {
+    **{name: Policy(name, name) for name in BASELINES},
+    FULL.name: FULL,
+}
+ABLATIONS: Mapping[str, Policy] = {
+    "fifo queue": msgspec.structs.replace(FULL, name="fifo queue", queue_order="fifo"),
+    "no retention": msgspec.structs.replace(FULL, name="no retention", retains=False),
+    "no release": msgspec.structs.replace(FULL, name="no release", releases=False),
+    "sticky placement": msgspec.structs.replace(FULL, name="sticky placement", placement="sticky"),
+    "open admission": msgspec.structs.replace(FULL, name="open admission", admission="open"),
+}
+"""The product's policy with one decision replaced by its plain version."""
--- /dev/null
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/upstreams.py
@@ -0,0 +1,164 @@
+"""A fake engine with the queue of its sidecar, its load reports and its cache events."""
+
+from collections.abc import Callable
+from functools import partial
+from random import Random
+
+import msgspec
+
+from skylarkferry_bench.caches import CacheKey, PrefixCache
+from skylarkferry_bench.clocks import VirtualClock
+from skylarkferry_bench.engines import EngineCall, EngineSpec, FakeEngine
+from skylarkferry_core.ids import FailureDomain, PoolName, ProgramId, RunId, UpstreamId
+from skylarkferry_core.interfaces import QueuedOrder, QueueOrder
+from skylarkferry_core.messages import CacheEvent, LoadReport, Order
+
+_CONNECTION_RESET_S = 0.2
+
+
+class FeedSpec(msgspec.Struct, frozen=True):
+    """What entries hear: interval and lag of load reports, delay and lost part of cache events.
+
+    With ``rides`` a fresh load report comes with each outcome too.
+    """
+
+    report_interval_s: float = 1.0
+    report_lag_s: float = 0.1
+    event_delay_s: float = 0.5
+    event_loss: float = 0.0
+    rides: bool = True
+
+
+class Pending(msgspec.Struct):
+    """An order in the queue with the true call behind it."""
+
+    queued: QueuedOrder
+    call: EngineCall
+
+
+LoadListener = Callable[["Upstream", LoadReport, float], None]
+EventListener = Callable[["Upstream", list[CacheEvent]], None]
+HeldReport = Callable[[float], None]
+
+
+class Upstream:
+    """One model replica and its sidecar."""
+
+    def __init__(
+        self,
+        *,
+        name: UpstreamId,
+        pool: PoolName,
+        domain: FailureDomain,
+        clock: VirtualClock,
+        spec: EngineSpec,
+        order: QueueOrder,
+        feed: FeedSpec,
+        random: Random,
+        on_held: HeldReport,
+    ) -> None:
+        self.name = name
+        self.pool = pool
+        self.domain = domain
+        self.clock = clock
+        self.spec = spec
+        self.order = order
+        self.feed = feed
+        self.random = random
+        self.engine = FakeEngine(
+            clock, spec, PrefixCache(spec.kv_tokens, on_held, self._cache_changed)
+        )
+        self.queue: list[Pending] = []
+        self.running: dict[int, Pending] = {}
+        self.dead = False
+        self.sequence = 0
+        self.changes: dict[CacheKey, int] = {}
+        self.load_listeners: list[LoadListener] = []
+        self.event_listeners: list[EventListener] = []
+        clock.after(random.uniform(0, feed.report_interval_s), self._report)
+
+    def enqueue(self, order: Order, call: EngineCall) -> None:
+        """Take an order; it fails like a reset connection when the replica is dead."""
+        if self.dead:
+            self.clock.after(_CONNECTION_RESET_S, lambda: call.on_failure(call))
+            return
+        self.queue.append(Pending(QueuedOrder(order, self.clock.now), call))
+        self._dispatch()
+
+    def ended(self, call: EngineCall) -> None:
+        """Free the slot of a call that the engine finished."""
+        del self.running[id(call)]
+        self._dispatch()
+
+    def release(self, program_id: ProgramId, run_id: RunId | None = None) -> None:
+        """Free the KV memory of a program, or of one run of it."""
+        self.engine.cache.release(program_id, self.clock.now, run_id)
+
+    def die(self) -> None:
+        """Lose all calls, queued and running, and the cache."""
+        self.dead = True
+        lost = [pending.call for pending in self.queue] + self.engine.fail_all()
+        self.queue.clear()
+        self.running.clear()
+        for call in lost:
+            self.clock.after(_CONNECTION_RESET_S, partial(call.on_failure, call))
+
+    def revive(self) -> None:
+        """Serve again, with an empty cache."""
+        self.dead = False
+
+    def load(self) -> LoadReport:
+        """Return the exact load at this moment."""
+        waiting = [pending.queued.order for pending in self.queue]
+        engine = self.engine
+        prefill = sum(call.prefill_left for call in engine.prefilling)
+        held = [self.running[id(call)].queued.order for call in engine.waiting]
+        prefill += sum(order.prefill_tokens for order in [*waiting, *held])
+        return LoadReport(
+            queued=len(waiting),
+            running=len(self.running),
+            queued_prefill_tokens=prefill,
+            running_output_tokens=engine.output_left(),
+            slots=self.spec.slots,
+            free_kv_tokens=self.spec.kv_tokens - engine.cache.used,
+            kv_tokens=self.spec.kv_tokens,
+        )
+
+    def _dispatch(self) -> None:
+        while self.queue and len(self.running) < self.spec.slots:
+            orders = [pending.queued for pending in self.queue]
+            pending = self.queue.pop(self.order.next_index(orders, self.clock.now))
+            self.running[id(pending.call)] = pending
+            self.engine.submit(pending.call)
+
+    def _report(self) -> None:
+        feed = self.feed
+        if not self.dead:
+            load = self.load()
+            events = self._events()
+            taken_at = self.clock.now
+            self.clock.after(feed.report_lag_s, lambda: self._tell_load(load, taken_at))
+            self.clock.after(feed.event_delay_s, lambda: self._tell_events(events))
+        self.clock.after(feed.report_interval_s, self._report)
+
+    def _tell_load(self, load: LoadReport, taken_at: float) -> None:
+        for listener in self.load_listeners:
+            listener(self, load, taken_at)
+
+    def _tell_events(self, events: list[CacheEvent]) -> None:
+        for listener in self.event_listeners:
+            listener(self, events)
+
+    def _cache_changed(self, key: CacheKey, tokens: int) -> None:
+        self.changes[key] = tokens
+
+    def _events(self) -> list[CacheEvent]:
+        events = []
+        for key, tokens in self.changes.items():
+            self.sequence += 1
+            if self.random.random() >= self.feed.event_loss:
+                run = key.run_id or RunId("0")
+                event = CacheEvent(self.sequence, key.program_id, tokens, run, key.prefix)
+                events.append(event)
+        self.changes.clear()
+        return events
--- /dev/null
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/views.py
@@ -0,0 +1,120 @@
+"""An entry's view of the upstreams: load, what it sent since, states and speeds."""
+
+from collections import deque
+from collections.abc import Callable, Mapping, Sequence
+
+from skylarkferry_bench.upstreams import Upstream
+from skylarkferry_core.breakers import Breaker
+from skylarkferry_core.cache_beliefs import CacheBeliefs
+from skylarkferry_core.ids import PoolName, UpstreamId
+from skylarkferry_core.interfaces import Candidate, PlacementRequest
+from skylarkferry_core.messages import CacheEvent, LoadReport
+from skylarkferry_core.speeds import SpeedEstimates
+from skylarkferry_core.states import PoolKind, UpstreamState
+
+_GONE_AFTER_S = 10.0
+
+Shares = Callable[[float], Mapping[PoolName, float]]
+
+
+class UpstreamView:
+    """One upstream as an entry sees it; ``sent`` has the time and prefill tokens of each order."""
+
+    def __init__(self, upstream: Upstream, now: float) -> None:
+        self.upstream = upstream
+        self.load = LoadReport(
+            slots=upstream.spec.slots,
+            free_kv_tokens=upstream.spec.kv_tokens,
+            kv_tokens=upstream.spec.kv_tokens,
+        )
+        self.taken_at = now
+        self.sent: deque[tuple[float, int]] = deque()
+        self.failed_at: float | None = None
+        self.breaker = Breaker()
+
+    def update(self, load: LoadReport, taken_at: float) -> None:
+        """Take a newer report; what was sent before it is part of it."""
+        if taken_at < self.taken_at:
+            return
+        self.load = load
+        self.taken_at = taken_at
+        self.failed_at = None
+        while self.sent and self.sent[0][0] <= taken_at:
+            self.sent.popleft()
+
+    def state(self, now: float) -> UpstreamState:
+        """Return the state from reports and failed calls."""
+        if self.failed_at is None:
+            return UpstreamState.LIVE
+        if now - self.failed_at > _GONE_AFTER_S:
+            return UpstreamState.GONE
+        return UpstreamState.SUSPECT
+
+
+class Views:
+    """All upstreams as one entry sees them."""
+
+    def __init__(self, upstreams: Sequence[Upstream], shares: Shares, now: float) -> None:
+        self.views = {upstream.name: UpstreamView(upstream, now) for upstream in upstreams}
+        self.shares = shares
+        self.beliefs = CacheBeliefs()
+        self.speeds = SpeedEstimates()
+
+    def candidates(self, request: PlacementRequest, now: float) -> list[Candidate]:
+        """Return the candidates of a call."""
+        shares = self.shares(now)
+        return [self._candidate(view, request, now, shares) for view in self.views.values()]
+
+    def sent(self, name: UpstreamId, request: PlacementRequest, prefill: int, now: float) -> None:
+        """Note an order on its way."""
+        self.views[name].sent.append((now, prefill))
+        self.beliefs.placed(name, request)
+
+    def failed(self, name: UpstreamId, now: float) -> None:
+        """Note that an upstream lost its calls and its cache."""
+        view = self.views[name]
+        view.failed_at = view.failed_at or now
+        self.beliefs.lost(name)
+
+    def hear_load(self, upstream: Upstream, load: LoadReport, taken_at: float) -> None:
+        """Take a load report."""
+        self.views[upstream.name].update(load, taken_at)
+
+    def hear_events(self, upstream: Upstream, events: Sequence[CacheEvent]) -> None:
+        """Take cache events."""
+        for event in events:
+            self.beliefs.observe(upstream.name, event)
+
+    def _candidate(
+        self,
+        view: UpstreamView,
+        request: PlacementRequest,
+        now: float,
+        shares: Mapping[PoolName, float],
+    ) -> Candidate:
+        upstream = view.upstream
+        load = view.load
+        belief = self.beliefs.belief(upstream.name, request)
+        return Candidate(
+            upstream=upstream.name,
+            pool=upstream.pool,
+            kind=PoolKind.MODEL,
+            state=view.state(now),
+            failure_domain=upstream.domain,
+            load=LoadReport(
+                load.queued,
+                load.running,
+                load.queued_prefill_tokens,
+                load.running_output_tokens,
+                load.slots,
+                load.free_kv_tokens,
+                now - view.taken_at,
+                load.kv_tokens,
+            ),
+            sent_since=sum(tokens for _, tokens in view.sent),
+            cached_tokens=belief.tokens,
+            cache_trust=belief.trust,
+            share=shares.get(upstream.pool, 0.0),
+            calls_since=len(view.sent),
+            speed=self.speeds.speed(upstream.name),
+        )
--- a/packages/skylarkferry-core/src/skylarkferry_core/messages.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/messages.py
@@ -110,6 +110,7 @@
     ``remaining_s`` is the time to the program's deadline, ``slack_s`` what is left of it after the
     program's expected work, ``keep_kv_s`` how long the engine keeps the program's KV cache after
     the call.  ``incarnation`` is the sidecar's life the order was placed on; empty means any.
+    ``prefill_tokens`` and ``output_tokens`` are the entry's estimates of what the call computes.
     """
 
     call_id: CallId
@@ -125,6 +126,8 @@
     work: Work
     keep_kv_s: float = 0.0
     incarnation: Incarnation = Incarnation("")
+    prefill_tokens: int = 0
+    output_tokens: int = 0
 
 
 class ServiceReply(msgspec.Struct, frozen=True):
--- a/packages/skylarkferry-core/src/skylarkferry_core/placements.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/placements.py
@@ -14,6 +14,7 @@
 
 _RANDOM_CANDIDATES = 2
 _EVICTION_WEIGHT = 0.5
+_LOAD_BOUND = 1.25
 _UNKNOWN_CALL_S = 1.0
 
 
@@ -104,20 +105,26 @@
 
 
 class PrefixHashPlacement:
-    """Rendezvous hashing by shared prefix, or by program where the prompt has none."""
+    """Rendezvous hashing by shared prefix, or by program where the prompt has none.
 
-    def __init__(self, random: Random) -> None:
+    Upstreams with more than ``bound`` times the mean of calls are passed over.
+    """
+
+    def __init__(self, random: Random, bound: float = _LOAD_BOUND) -> None:
         self.random = random
+        self.bound = bound
 
     def place(
         self, request: PlacementRequest, candidates: Sequence[Candidate], site: SiteSpec
     ) -> UpstreamId | None:
-        """Return the usable upstream with the highest hash."""
+        """Return the upstream with the highest hash among those within the bound."""
         found = usable(request, candidates)
-        key = request.prefix or request.program_id
         if not found:
             return None
-        return max(found, key=lambda item: _rendezvous(key, item.upstream)).upstream
+        key = request.prefix or request.program_id
+        limit = self.bound * (sum(map(calls_at, found)) + 1) / len(found)
+        within = [item for item in found if calls_at(item) < limit]
+        return max(within or found, key=lambda item: _rendezvous(key, item.upstream)).upstream
 
 
 class CompletionPlacement:
