--- a/packages/skylarkferry-core/src/skylarkferry_core/messages.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/messages.py
@@ -112,6 +112,7 @@
     program's expected work, ``keep_kv_s`` how long the engine keeps the program's KV cache after
     the call.  ``incarnation`` is the sidecar's life the order was placed on; empty means any.
     ``alone`` asks for an upstream without other calls: the request was running at a crash.
+    ``prefill_tokens`` and ``output_tokens`` are the entry's estimates of what the call computes.
     """
 
     call_id: CallId
@@ -128,6 +129,8 @@
     keep_kv_s: float = 0.0
     incarnation: Incarnation = Incarnation("")
     alone: bool = False
+    prefill_tokens: int = 0
+    output_tokens: int = 0
 
 
 class ServiceReply(msgspec.Struct, frozen=True):
