Print the slopes of the codec and of control messages

Cause: docs/CAPACITY.md is to stand on slopes measured on this code.

`make slopes` (`python -m skylarkferry_bench slopes [GROUP]`) prints a table for each group.

--- a/packages/skylarkferry-bench/src/skylarkferry_bench/__main__.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/__main__.py
@@ -16,6 +16,7 @@
     measure,
 )
 from skylarkferry_bench.policies import FULL
+from skylarkferry_bench.slopes import slopes
 from skylarkferry_bench.workloads import WORKLOADS
 
 _SEEDS = 10
@@ -49,7 +50,7 @@
     sys.stdout.write(f"### {title}\n\n{text}\n")
 
 
-COMMANDS = {"run": run}
+COMMANDS = {"run": run, "slopes": slopes}
 
 if __name__ == "__main__":
     fire.Fire(COMMANDS)
--- /dev/null
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/codec_slopes.py
@@ -0,0 +1,67 @@
+"""Processor time and bytes of journal records and orders."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from skylarkferry_bench import samples
+from skylarkferry_bench.resources import Slope, cpu_us_each
+from skylarkferry_core.messages import Dispatch, EntryBatch, Order
+from skylarkferry_core.records import PartitionRecord, Record, Segment
+from skylarkferry_wire.codec import decoder, encode
+
+REPEATS = 20_000
+ORDER_REPEATS = 500
+SEGMENT_RECORDS = 64
+ORDER_TOKENS = (1_000, 8_000, 250_000)
+
+
+def codec_slopes() -> Iterator[Slope]:
+    """Measure encoding and decoding."""
+    for name, record in samples.records_of(1).items():
+        yield from _record(name, record)
+    yield from _segment()
+    for tokens in ORDER_TOKENS:
+        yield from _order(tokens)
+
+
+def _entry(record: Record) -> PartitionRecord:
+    return PartitionRecord(samples.FENCE.partition, samples.FENCE.epoch, record)
+
+
+def _record(name: str, record: Record) -> Iterator[Slope]:
+    entry = _entry(record)
+    encoded = encode(entry)
+    decode = decoder(PartitionRecord)
+    yield Slope(f"journal record {name}", len(encoded), "bytes")
+    yield Slope(f"journal record {name}, encode", cpu_us_each(lambda: encode(entry), REPEATS), "us")
+    decode_us = cpu_us_each(lambda: decode(encoded), REPEATS)
+    yield Slope(f"journal record {name}, decode", decode_us, "us")
+
+
+def _segment() -> Iterator[Slope]:
+    entries = tuple(_entry(samples.turn_of(number)) for number in range(SEGMENT_RECORDS))
+    segment = Segment(samples.INCARNATION, 1, entries)
+    repeats = REPEATS // SEGMENT_RECORDS
+    encode_us = cpu_us_each(lambda: encode(segment), repeats) / SEGMENT_RECORDS
+    yield Slope("segment of 64 turns, encode a record", encode_us, "us")
+    decode = decoder(Segment)
+    body = encode(segment)
+    decode_us = cpu_us_each(lambda: decode(body), repeats) / SEGMENT_RECORDS
+    yield Slope("segment of 64 turns, decode a record", decode_us, "us")
+
+
+def _order(tokens: int) -> Iterator[Slope]:
+    batch = EntryBatch((Dispatch(_order_of(tokens)),))
+    body = encode(batch)
+    decode = decoder(EntryBatch)
+    name = f"order with {tokens} tokens of history"
+    yield Slope(name, len(body), "bytes")
+    yield Slope(f"{name}, encode", cpu_us_each(lambda: encode(batch), ORDER_REPEATS), "us")
+    yield Slope(f"{name}, decode", cpu_us_each(lambda: decode(body), ORDER_REPEATS), "us")
+    as_json = cpu_us_each(lambda: msgspec.json.encode(batch), ORDER_REPEATS)
+    yield Slope(f"{name}, encode as JSON", as_json, "us")
+
+
+def _order_of(tokens: int) -> Order:
+    return samples.order_of(1, tokens)
--- /dev/null
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/resources.py
@@ -0,0 +1,60 @@
+"""Processor time, memory and measured slopes of processes."""
+
+import gc
+import os
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+_USER_TICKS_FIELD = 13
+_SYSTEM_TICKS_FIELD = 14
+MICROSECONDS_PER_S = 1e6
+MIB = 1_048_576
+
+
+class Slope(msgspec.Struct, frozen=True):
+    """A measured figure, its unit, and what it was measured on."""
+
+    name: str
+    value: float
+    unit: str
+    basis: str = ""
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor seconds that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[_USER_TICKS_FIELD - 2]) + int(fields[_SYSTEM_TICKS_FIELD - 2])
+    return ticks / _TICKS_PER_S
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * _PAGE_BYTES
+
+
+def own_resident_bytes() -> int:
+    """Return this process's resident memory after a garbage collection."""
+    gc.collect()
+    return resident_bytes(os.getpid())
+
+
+def cpu_us_each(action: Callable[[], object], repeats: int) -> float:
+    """Return the processor time of one call of ``action``, in microseconds."""
+    start = time.process_time()
+    for _ in range(repeats):
+        action()
+    return (time.process_time() - start) / repeats * MICROSECONDS_PER_S
+
+
+def bytes_each(make: Callable[[int], object], count: int) -> float:
+    """Return the resident bytes of one of ``count`` objects that stay alive together."""
+    before = own_resident_bytes()
+    kept = [make(number) for number in range(count)]
+    grown = own_resident_bytes() - before
+    del kept
+    return grown / count
