Add the demonstration's script

Cause: newcomers need one command that shows a program from end to end over separate processes.

The script starts the processes itself, waits for states instead of times, and ends each by its id.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,10 +7,11 @@
 demo="$root/samples/demo"
 logs="$(mktemp -d)"
 pids=""
+upstreams=5
 
 finish() {
     for pid in $pids; do
-        kill "$pid" 2>/dev/null || true
+        kill -TERM "$pid" 2>/dev/null || true
     done
     for pid in $pids; do
         wait "$pid" 2>/dev/null || true
@@ -32,15 +33,61 @@
 }
 
 wait_for() {
-    echo "waiting for $1"
+    what="$1"
     shift
     tries=0
     until "$@" >"$logs/wait.out" 2>&1; do
         tries=$((tries + 1))
-        if [ "$tries" -gt 300 ]; then
-            cat "$logs/wait.out" "$logs"/*.log >&2
+        if [ "$tries" -gt 200 ]; then
+            echo "waited in vain for $what" >&2
+            tail -n 20 "$logs"/*.out "$logs"/*.log >&2
             exit 1
         fi
         sleep 0.2
     done
 }
+
+all_live_at() {
+    live="$(ferry --url "$1" --json hosts | grep -o '"live"' | wc -l)"
+    [ "$live" -eq "$upstreams" ]
+}
+
+echo "== start one platform, three engines, two services, their sidecars and two entries"
+start platform skylarkferry_standins platform --listen 127.0.0.1:7400 --hosts "$demo/hosts.json"
+for number in 1 2 3; do
+    start "calc-models-$number" skylarkferry_standins engine --listen "127.0.0.1:745$number"
+done
+start shop-tools-1 skylarkferry_standins service --listen 127.0.0.1:7454
+start shop-apps-1 skylarkferry_standins service --listen 127.0.0.1:7455
+for upstream in calc-models-1 calc-models-2 calc-models-3 shop-tools-1 shop-apps-1; do
+    start "sidecar-$upstream" skylarkferry_daemon serve "$demo/sidecar-$upstream.jsonc"
+done
+for number in 1 2; do
+    start "entry-$number" skylarkferry_daemon serve "$demo/entry-$number.jsonc"
+done
+
+first=http://127.0.0.1:7401
+second=http://127.0.0.1:7402
+export SKYLARKFERRY_URL="$first,$second"
+bootstrap=bootstrap-demo-token
+operator=operators-demo-token
+caller=gearworks-demo-token
+
+wait_for "the entries" ferry --token "$bootstrap" config get
+echo "== write the first configuration document"
+ferry --token "$bootstrap" config init "$demo/document"
+export SKYLARKFERRY_TOKEN="$operator"
+wait_for "the first entry to see the upstreams" all_live_at "$first"
+wait_for "the second entry to see the upstreams" all_live_at "$second"
+ferry hosts
+
+echo "== run a sizing program"
+view="$(ferry --token "$caller" --json run "$demo/program.jsonc")"
+program="$(echo "$view" | sed 's/.*"program_id":"\([^"]*\)".*/\1/')"
+
+echo "== the answer"
+ferry --token "$caller" answer "$program"
+echo "== each call's final word"
+ferry --token "$caller" show "$program"
+echo "== the time line over all processes"
+ferry timeline --program "$program"
