--- a/packages/skylarkferry-bench/src/skylarkferry_bench/resources.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/resources.py
@@ -3,7 +3,9 @@
 import gc
 import os
 import time
-from collections.abc import Callable
+import tracemalloc
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import msgspec
@@ -52,9 +54,26 @@
 
 
 def bytes_each(make: Callable[[int], object], count: int) -> float:
-    """Return the resident bytes of one of ``count`` objects that stay alive together."""
-    before = own_resident_bytes()
-    kept = [make(number) for number in range(count)]
-    grown = own_resident_bytes() - before
+    """Return the allocated bytes of one of ``count`` objects that stay alive together."""
+    with allocations() as allocated:
+        kept = [make(number) for number in range(count)]
+        grown = allocated()
     del kept
     return grown / count
+
+
+@contextmanager
+def allocations() -> Iterator[Callable[[], int]]:
+    """Yield a function that returns the bytes allocated since, of objects that are alive."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+
+    def allocated() -> int:
+        gc.collect()
+        return tracemalloc.get_traced_memory()[0] - before
+
+    try:
+        yield allocated
+    finally:
+        tracemalloc.stop()
