--- a/packages/skylarkferry-core/src/skylarkferry_core/admissions.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/admissions.py
@@ -43,6 +43,12 @@
     def admit(self, request: AdmissionRequest, now: float) -> Refusal | None:
         """Return ``None`` to admit, or the refusal; it is told to the caller at once."""
 
+    def settle(self, customer: CustomerId, tokens: int) -> None:
+        """Give a customer back what an ended program was charged too much; less than 0 charges."""
+
+    def share_with(self, nodes: int) -> None:
+        """Take an equal part of every customer's limit, one of ``nodes``."""
+
 
 class OpenAdmission:
     """Admit everything."""
@@ -51,6 +57,12 @@
         """Return ``None``."""
         return None
 
+    def settle(self, customer: CustomerId, tokens: int) -> None:
+        """Do nothing: nothing was charged."""
+
+    def share_with(self, nodes: int) -> None:
+        """Do nothing: there is no limit."""
+
 
 class CustomerSlice:
     """One node's slice of a customer's rate limit: a token bucket of ``burst_s`` seconds."""
@@ -112,6 +124,16 @@
             return Refusal(ErrorCode.CUSTOMER_LIMIT, max(wait_s, _MIN_RETRY_AFTER_S))
         return None
 
+    def settle(self, customer: CustomerId, tokens: int) -> None:
+        """Settle an ended program's charge; a negative amount leaves the slice in debt."""
+        held = self.slices.get(customer)
+        if held is not None:
+            held.give_back(tokens)
+
+    def share_with(self, nodes: int) -> None:
+        """Set this node's part of every customer's limit."""
+        self.slice_share = 1.0 / max(nodes, 1)
+
     def late_s(self, request: AdmissionRequest) -> float:
         """Return by how many seconds the program is expected to miss its deadline."""
         waits_s = request.wait_s * request.expected_calls
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/admitting.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/admitting.py
@@ -7,32 +7,47 @@
 from skylarkferry_core.errors import (
     BudgetExhaustedError,
     CustomerLimitError,
+    ErrorCode,
     OverloadedError,
     PlatformUnavailableError,
     UnknownAgentError,
     UnknownServiceError,
     error_for,
 )
-from skylarkferry_core.ids import CustomerId
+from skylarkferry_core.ids import AgentName, CustomerId, ProgramId
 from skylarkferry_core.messages import ProgramRequest
+from skylarkferry_core.programs import Program
 from skylarkferry_daemon.context import EntryContext
+from skylarkferry_daemon.interfaces import Ownership
 from skylarkferry_daemon.plans import pool_of_service
 
 RETRY_AFTER_S = 2.0
 OUTAGE_RETRY_S = 5.0
 STALLED_JOURNAL_S = 1.0
+TYPICAL_WEIGHT = 0.1
+
+
+_REASONS = {
+    ErrorCode.DEADLINE_UNREACHABLE: "the program could not end by its deadline",
+    ErrorCode.CUSTOMER_LIMIT: "the customer's tokens of this minute are used up",
+}
 
 
 class Admitter:
     """Decide on programs that ask to start at this node."""
 
-    def __init__(self, context: EntryContext, admission: Admission, capacity: int) -> None:
+    def __init__(
+        self, context: EntryContext, admission: Admission, ownership: Ownership, capacity: int
+    ) -> None:
         self.context = context
         self.admission = admission
+        self.ownership = ownership
         self.capacity = capacity
         self.under_way: Counter[CustomerId] = Counter()
+        self.charges: dict[ProgramId, int] = {}
+        self.typical_tokens: dict[AgentName, float] = {}
 
-    def admit(self, request: ProgramRequest, now: float) -> None:
+    def admit(self, program_id: ProgramId, request: ProgramRequest, now: float) -> None:
         """Count a program in, or raise the typed refusal; nothing of a refused one ever runs."""
         self._check_platform()
         if self.under_way.total() >= self.capacity:
@@ -40,16 +55,25 @@
         if request.service is not None:
             self._check_service(request)
         else:
-            self._check_agent(request, now)
+            self.charges[program_id] = self._check_agent(request, now)
         self.under_way[request.customer] += 1
 
     def resumed(self, request: ProgramRequest) -> None:
         """Count a program in that another node admitted."""
         self.under_way[request.customer] += 1
 
-    def ended(self, request: ProgramRequest) -> None:
-        """Count a program out."""
-        self.under_way[request.customer] -= 1
+    def ended(self, program: Program) -> None:
+        """Count a program out and settle its customer's slice with what it spent."""
+        customer = program.request.customer
+        self.under_way[customer] -= 1
+        charged = self.charges.pop(program.program_id, None)
+        if charged is None:
+            return
+        spent = program.budget.spent.tokens
+        self.admission.settle(customer, charged - spent)
+        agent = program.request.agent
+        typical = self.typical_tokens.get(agent, float(spent))
+        self.typical_tokens[agent] = typical + TYPICAL_WEIGHT * (spent - typical)
 
     def _check_platform(self) -> None:
         if self.context.journal.stalled_s() > STALLED_JOURNAL_S:
@@ -63,7 +87,8 @@
         if pool_of_service(self.context.documents.current, service) is None:
             raise UnknownServiceError(f"no service {service}")
 
-    def _check_agent(self, request: ProgramRequest, now: float) -> None:
+    def _check_agent(self, request: ProgramRequest, now: float) -> int:
+        """Return the tokens charged to the customer's slice."""
         document = self.context.documents.current
         spec = document.agents.get(request.agent)
         if spec is None:
@@ -71,9 +96,12 @@
         customer = document.budgets.get(request.customer)
         if customer is not None:
             self._check_limits(request, customer)
-        refusal = self.admission.admit(self._question(request, spec, customer), now)
+        question = self._question(request, spec, customer)
+        self.admission.share_with(len(self.ownership.node_addresses()) + 1)
+        refusal = self.admission.admit(question, now)
         if refusal is not None:
-            raise error_for(refusal.code, "refused at admission", refusal.retry_after_s)
+            raise error_for(refusal.code, _REASONS[refusal.code], refusal.retry_after_s)
+        return question.tokens
 
     def _check_limits(self, request: ProgramRequest, customer: CustomerSpec) -> None:
         if self.under_way[request.customer] >= customer.programs_under_way:
@@ -94,6 +122,11 @@
             expected_s=spec.expected_s,
             wait_s=self.context.placer.shortest_wait_s(spec.model),
             expected_calls=float(max(len(spec.tools) + 1, 1)),
-            tokens=request.budget.tokens,
+            tokens=self._expected_tokens(request, spec),
             tokens_per_minute=customer.tokens_per_minute if customer else 0,
         )
+
+    def _expected_tokens(self, request: ProgramRequest, spec: AgentSpec) -> int:
+        """Return what programs of this agent typically spend, at most this one's budget."""
+        typical = self.typical_tokens.get(request.agent, float(spec.max_output_tokens))
+        return min(int(typical), request.budget.tokens)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
@@ -80,7 +80,7 @@
         fence = self._fence_of(program_id)
         entry = self.entries.get(program_id)
         if entry is None:
-            self.admitter.admit(request, anyio.current_time())
+            self.admitter.admit(program_id, request, anyio.current_time())
             entry = self._accept(program_id, request, fence)
         elif entry.program.request != request:
             raise RequestKeyReusedError("the request key stands for a different body")
@@ -136,7 +136,7 @@
         found = self.entries.get(entry.program.program_id)
         if found is entry:
             del self.entries[entry.program.program_id]
-        self.admitter.ended(entry.program.request)
+        self.admitter.ended(entry.program)
         entry.accepted.set()
         entry.feed.lose()
 
@@ -144,7 +144,7 @@
         """Keep an ended program's answer, within the bound, and free the rest."""
         entry.driver = None
         entry.program.runs.clear()
-        self.admitter.ended(entry.program.request)
+        self.admitter.ended(entry.program)
         self.ended[entry.program.program_id] = None
         while len(self.ended) > self.ended_kept:
             oldest, _ = self.ended.popitem(last=False)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/drivers.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/drivers.py
@@ -81,6 +81,7 @@
     def abandon(self) -> None:
         """Stop at once and write nothing more: another node drives the program."""
         self.abandoned = True
+        self.context.sidecars.detach(self.program.program_id)
         self.whole_scope.cancel()
 
     async def run(self) -> None:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/followed_calls.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/followed_calls.py
@@ -13,7 +13,8 @@
 class FollowedCall:
     """One call; ``offset`` characters of its output arrived.
 
-    ``sent_to`` is the sidecar's incarnation that may have received it.
+    ``sent_to`` is the sidecar's incarnation that may have received it; a ``detached`` call
+    goes on at the sidecar when nobody here follows it any longer.
     """
 
     def __init__(
@@ -25,6 +26,7 @@
         self.order = order
         self.offset = 0
         self.sent_to = NEVER_SENT
+        self.detached = False
         self.done = anyio.Event()
         self.outcome: Outcome | None = None
         self.error: SkylarkferryError | None = None
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/interfaces.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/interfaces.py
@@ -78,6 +78,9 @@
     def release(self, program_id: ProgramId, fence: Fence) -> None:
         """Tell every sidecar that may hold the program's KV cache to free it."""
 
+    def detach(self, program_id: ProgramId) -> None:
+        """Let a program's calls go on when they are cancelled here: its next owner follows them."""
+
     def hosts(self) -> Sequence[HostView]:
         """Return all upstreams as this process sees them."""
 
@@ -93,7 +96,7 @@
         """
 
     def stalled_s(self) -> float:
-        """Return for how many seconds the oldest record waits to become durable."""
+        """Return for how many seconds the platform has not answered; 0 while it does."""
 
 
 class PartitionListener(Protocol):
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/journal.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/journal.py
@@ -95,6 +95,12 @@
             await self.room.wait()
             self._check(fence)
 
+    def stalled_s(self) -> float:
+        """Return for how many seconds the platform has not answered; 0 while it does."""
+        if self.patience.lost_at is None:
+            return 0.0
+        return self.patience.timers.now() - self.patience.lost_at
+
     async def flush(self) -> None:
         """Wait until all records are in the table, unless the platform does not answer."""
         while self.queue.waiting_or_in_flight() and self.patience.lost_at is None:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
@@ -251,7 +251,8 @@
         try:
             return await followed.wait()
         except anyio.get_cancelled_exc_class():
-            self._push(Cancel(followed.call_id, followed.fence))
+            if not followed.detached:
+                self._push(Cancel(followed.call_id, followed.fence))
             raise
         finally:
             if self.calls.get(followed.call_id) is followed:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/links.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/links.py
@@ -17,6 +17,7 @@
     PoolName,
     ProgramId,
     UpstreamId,
+    program_of,
 )
 from skylarkferry_core.interfaces import Candidate, Host, HostList
 from skylarkferry_core.messages import (
@@ -242,6 +243,13 @@
             if used is None or upstream in used:
                 link.send_reliably(ReleaseProgram(program_id, fence))
 
+    def detach(self, program_id: ProgramId) -> None:
+        """Let a program's calls go on at their sidecars when they are not followed any longer."""
+        for link in self.links.values():
+            for followed in link.calls.values():
+                if program_of(followed.call_id) == program_id:
+                    followed.detached = True
+
     def hosts(self) -> Sequence[HostView]:
         """Return all upstreams as this process sees them."""
         return [self._view(link) for link in self.links.values()]
