--- a/packages/skylarkferry-core/src/skylarkferry_core/calls.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/calls.py
@@ -8,14 +8,13 @@
 from skylarkferry_core.fences import FenceGuard
 from skylarkferry_core.ids import CallId, Fingerprint, Incarnation
 from skylarkferry_core.interfaces import QueuedOrder, QueueOrder
-from skylarkferry_core.messages import LoadReport, ModelWork, Order, Outcome, SealReply, SealRequest
+from skylarkferry_core.messages import Order, Outcome, SealReply, SealRequest
 from skylarkferry_core.outcomes import not_run, unknown
 from skylarkferry_core.states import CallState, FinalWord, SealVerdict
 
 RETENTION_S = 3_600.0
 RETRY_AFTER_S = 1.0
 SEALED_DETAIL = "the call was sealed before it ran"
-CHARS_PER_TOKEN = 4
 
 
 class TableLimits(msgspec.Struct, frozen=True):
@@ -258,30 +257,6 @@
                 self.unsettled += 1
         self.sealed = {key: at for key, at in self.sealed.items() if at > oldest}
 
-    def load(self) -> LoadReport:
-        """Return the exact load; prefill tokens are estimates from the prompts' length."""
-        return LoadReport(
-            queued=len(self.queue),
-            running=len(self.running),
-            queued_prefill_tokens=sum(prompt_tokens(queued.order) for queued in self.queue),
-            running_output_tokens=sum(_output_left(call) for call in self.running.values()),
-            slots=self.limits.slots,
-        )
-
-
-def prompt_tokens(order: Order) -> int:
-    """Return an estimate of the tokens in an order's prompt."""
-    if not isinstance(order.work, ModelWork):
-        return 0
-    return sum(len(message.content) for message in order.work.messages) // CHARS_PER_TOKEN
-
-
-def _output_left(call: Call) -> int:
-    """Return an estimate of the tokens a running call still generates."""
-    if not isinstance(call.order.work, ModelWork):
-        return 0
-    return max(call.order.work.max_tokens - len(call.text) // CHARS_PER_TOKEN, 0)
-
 
 def _ended_call(order: Order, outcome: Outcome, now: float) -> Call:
     return Call(order, CallState.ENDED, due=now, outcome=outcome, ended_at=now)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/links.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/links.py
@@ -6,7 +6,6 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from skylarkferry_core.calls import prompt_tokens
 from skylarkferry_core.errors import ErrorCode, PlatformUnavailableError, UpstreamLostError
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import (
@@ -19,6 +18,7 @@
     UpstreamId,
 )
 from skylarkferry_core.interfaces import Candidate, Host, HostList
+from skylarkferry_core.loads import prompt_tokens
 from skylarkferry_core.messages import (
     Acknowledge,
     Fence,
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
@@ -100,7 +100,7 @@
         state = self.state
         self.beats += 1
         announced = state.drain.announced()
-        state.hub.beat(SidecarHeartbeat(self.beats, announced, state.table.load()))
+        state.hub.beat(SidecarHeartbeat(self.beats, announced, state.load()))
         silence_s = SILENT_HEARTBEATS * self.settings.heartbeat_s
         state.hub.end_silent(state.timers.now() - silence_s)
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_service.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_service.py
@@ -123,7 +123,7 @@
             state.settings.upstream,
             state.incarnation,
             state.drain.announced(),
-            state.table.load(),
+            state.load(),
         )
         if self.hub.greet(stream, hello, welcome):
             self.log.emit(EventKind.STREAM_OPENED, peer=_peer(stream))
@@ -133,7 +133,11 @@
 
     def _attach(self, stream: EntryStream, frame: Attach) -> None:
         call = self.table.calls.get(frame.call_id)
-        if call is None or self.table.fences.is_stale(frame.fence):
+        if self.table.fences.is_stale(frame.fence):
+            detail = f"epoch {frame.fence.epoch} is stale"
+            stream.push(Finished(unknown(frame.call_id, ErrorCode.STALE_EPOCH, detail)))
+            return
+        if call is None:
             detail = "the sidecar does not know the call"
             stream.push(Finished(unknown(frame.call_id, ErrorCode.OUTCOME_UNKNOWN, detail)))
             return
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_state.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_state.py
@@ -9,6 +9,8 @@
 from skylarkferry_core.drains import DrainState
 from skylarkferry_core.fences import FenceGuard
 from skylarkferry_core.ids import Incarnation
+from skylarkferry_core.loads import EngineMemory, load_of
+from skylarkferry_core.messages import LoadReport
 from skylarkferry_core.queues import DEFAULT_QUEUE_ORDER, QUEUE_ORDERS
 from skylarkferry_daemon.entry_streams import StreamHub
 from skylarkferry_daemon.log import EventLog
@@ -31,8 +33,13 @@
         queue_order = QUEUE_ORDERS[DEFAULT_QUEUE_ORDER]()
         self.table = CallTable(self.incarnation, limits, queue_order, self.fences)
         self.hub = StreamHub(self.table)
+        self.memory = EngineMemory()
         self.progress = anyio.Event()
 
+    def load(self) -> LoadReport:
+        """Return the load to report now."""
+        return load_of(self.table, self.memory)
+
     def note_progress(self) -> None:
         """Wake what waits for calls to end or outcomes to be delivered."""
         self.progress.set()
--- /dev/null
+++ b/tests/core/test_calls.py
@@ -0,0 +1,199 @@
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is, MatchesAny
+
+from sidecar_fakes import fence, tool_order
+from skylarkferry_core.calls import CallTable, TableLimits
+from skylarkferry_core.errors import ErrorCode, StaleEpochError
+from skylarkferry_core.fences import FenceGuard
+from skylarkferry_core.ids import Incarnation
+from skylarkferry_core.messages import Outcome, SealRequest
+from skylarkferry_core.queues import FifoOrder
+from skylarkferry_core.states import CallState, FinalWord, SealVerdict
+
+LIVES = ("life-0", "life-1", "life-2")
+LIFE_OF = {"a": LIVES[0], "b": LIVES[0], "c": LIVES[1]}
+NAMES = tuple(LIFE_OF)
+
+
+def new_table(life=LIVES[0], **limits):
+    values = {"slots": 2, "queue_limit": 10, "outcomes_kept": 100} | limits
+    return CallTable(Incarnation(life), TableLimits(**values), FifoOrder(), FenceGuard())
+
+
+def order_of(name, epoch=1):
+    return tool_order(name, epoch=epoch, incarnation=Incarnation(LIFE_OF[name]))
+
+
+def seal_of(name, epoch=1):
+    return SealRequest(order_of(name).call_id, fence(epoch), Incarnation(LIFE_OF[name]))
+
+
+def done(name):
+    return Outcome(order_of(name).call_id, FinalWord.DONE, result=f"result of {name}")
+
+
+class NaiveSystem:
+    """What happened, in plain sets: the table's answers are judged by it."""
+
+    def __init__(self):
+        self.runs = []
+        self.ended = set()
+        self.never = set()
+        self.forgotten = set()
+        self.highest = 0
+        self.life = 0
+
+    def restart(self):
+        self.life += 1
+        self.highest = 0
+        self.never = set()
+        self.forgotten = set()
+
+    def ran_now(self, name):
+        return (name, LIVES[self.life]) in self.runs
+
+
+def deliver(table, naive, name, epoch):
+    """Deliver a dispatch; a call told as not run must neither have run nor run later."""
+    call = table.accept(order_of(name, epoch), now=0.0)
+    is_stale = epoch < naive.highest
+    naive.highest = max(naive.highest, epoch)
+    if call.outcome is None:
+        assert not is_stale
+        assert LIFE_OF[name] == LIVES[naive.life]
+        return
+    if call.outcome.word is FinalWord.NOT_RUN:
+        assert all(ran != name for ran, _ in naive.runs)
+        assert is_stale or name in naive.never
+    if call.outcome.word is FinalWord.DONE:
+        assert call.outcome == done(name)
+        assert naive.ran_now(name)
+
+
+def start(table, naive):
+    call = table.start_next(now=0.0)
+    if call is None:
+        return
+    name = call.order.call_id[-1]
+    assert name not in naive.never
+    assert all(ran != name for ran, _ in naive.runs), "a call ran twice"
+    naive.runs.append((name, LIVES[naive.life]))
+
+
+def finish(table, naive, name):
+    if table.finish(order_of(name).call_id, done(name), now=0.0):
+        naive.ended.add(name)
+
+
+def seal(table, naive, name, epoch):
+    try:
+        reply = table.seal(seal_of(name, epoch), now=0.0)
+    except StaleEpochError:
+        assert epoch < naive.highest
+        return
+    assert epoch >= naive.highest
+    naive.highest = epoch
+    assert reply.verdict is expected_verdict(naive, name)
+    if reply.verdict is SealVerdict.SEALED:
+        naive.never.add(name)
+
+
+def expected_verdict(naive, name):
+    if LIFE_OF[name] != LIVES[naive.life] or name in naive.forgotten:
+        return SealVerdict.UNKNOWN
+    if not naive.ran_now(name):
+        return SealVerdict.SEALED
+    return SealVerdict.EXECUTED if name in naive.ended else SealVerdict.IN_PROGRESS
+
+
+def acknowledge(table, naive, name):
+    table.acknowledge([order_of(name).call_id])
+    if naive.ran_now(name) and name in naive.ended:
+        naive.forgotten.add(name)
+
+
+def cancel(table, naive, name):
+    error = StaleEpochError("cancelled by the test")
+    if table.refuse_queued(order_of(name).call_id, error, now=0.0):
+        naive.never.add(name)
+
+
+names = st.sampled_from(NAMES)
+epochs = st.integers(1, 3)
+steps = st.one_of(
+    st.tuples(st.just(deliver), names, epochs),
+    st.tuples(st.just(start)),
+    st.tuples(st.just(finish), names),
+    st.tuples(st.just(seal), names, epochs),
+    st.tuples(st.just(acknowledge), names),
+    st.tuples(st.just(cancel), names),
+)
+sessions_by_life = st.lists(
+    st.lists(steps, min_size=10, max_size=30), min_size=1, max_size=len(LIVES)
+)
+
+
+@given(sessions_by_life)
+def test_lost_repeated_and_reordered_frames_never_run_a_call_twice(sessions):
+    naive = NaiveSystem()
+    for life, session in zip(LIVES, sessions, strict=False):
+        table = new_table(life)
+        for step, *arguments in session:
+            step(table, naive, *arguments)
+        naive.restart()
+
+
+bound_steps = st.tuples(st.sampled_from("ab"), st.sampled_from(["dispatch", "run", "ack"]))
+
+
+@given(st.lists(bound_steps, max_size=40))
+def test_at_the_bound_no_unacknowledged_outcome_is_forgotten(session):
+    table = new_table(outcomes_kept=1, slots=1)
+    kept = {}
+    for name, step in session:
+        order = order_of(name)
+        if step == "dispatch":
+            call = table.accept(order, now=0.0)
+            if call.outcome is not None and call.outcome.word is FinalWord.NOT_RUN:
+                assert_that(call.outcome.error, Is(ErrorCode.OVERLOADED))
+                assert_that(call.outcome.retry_after_s, Equals(1.0))
+        elif step == "run" and (started := table.start_next(now=0.0)):
+            ran = started.order.call_id[-1]
+            table.finish(started.order.call_id, done(ran), now=0.0)
+            kept[ran] = done(ran)
+        elif step == "ack":
+            table.acknowledge([order.call_id])
+            kept.pop(name, None)
+        assert_that(len(table.calls), MatchesAny(Equals(0), Equals(1)))
+        for ran, outcome in kept.items():
+            reply = table.seal(seal_of(ran), now=0.0)
+            assert_that(reply.outcome, Equals(outcome))
+
+
+def test_an_outcome_past_its_retention_is_unknown_and_never_runs_again():
+    table = new_table(retention_s=10.0)
+    table.accept(order_of("a"), now=0.0)
+    table.start_next(now=0.0)
+    table.finish(order_of("a").call_id, done("a"), now=1.0)
+    table.expire(now=20.0)
+    assert_that(table.accept(order_of("a"), now=20.0).outcome.word, Is(FinalWord.UNKNOWN))
+    assert_that(table.seal(seal_of("a"), now=20.0).verdict, Is(SealVerdict.UNKNOWN))
+    assert_that(table.unsettled, Equals(1))
+    table.acknowledge([order_of("a").call_id])
+    assert_that(table.unsettled, Equals(0))
+
+
+def test_a_suspect_runs_without_neighbours():
+    table = new_table(slots=4)
+    suspects = {order_of("b").fingerprint}
+    for call in (order_of("a"), order_of("b"), tool_order("e", repeatable=True)):
+        table.accept(call, now=0.0)
+    assert_that(table.start_next(0.0, suspects).order.call_id[-1], Equals("a"))
+    assert_that(table.start_next(0.0, suspects), Is(None))
+    table.finish(order_of("a").call_id, done("a"), now=0.0)
+    assert_that(table.start_next(0.0, suspects).order.call_id[-1], Equals("b"))
+    assert_that(table.start_next(0.0, suspects), Is(None))
+    table.finish(order_of("b").call_id, done("b"), now=0.0)
+    assert_that(table.start_next(0.0, suspects).state, Is(CallState.RUNNING))
