--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -34,6 +34,19 @@
     CALL_RETRIED = (208, Level.INFO, "A call that certainly did not run is placed again.")
     CALL_SEALED = (209, Level.INFO, "A sidecar answered a seal.")
 
+    NODE_REGISTERED = (301, Level.INFO, "The node has a lease under a new incarnation.")
+    NODE_DECLARED_DEAD = (302, Level.WARNING, "This node took a lapsed node's row away.")
+    NODE_LEASE_LOST = (303, Level.WARNING, "The node's own row is gone; it holds nothing now.")
+    NODE_SUPERSEDED = (304, Level.ERROR, "Another process registered under this node's name.")
+    NODE_RELEASED = (305, Level.INFO, "The node gave up its lease for a planned stop.")
+    PARTITION_ADOPTED = (306, Level.INFO, "This node holds a partition and replayed it.")
+    PARTITION_LOST = (307, Level.WARNING, "A partition's epoch moved; another node holds it.")
+    PLATFORM_LOST = (308, Level.WARNING, "The platform does not answer; durable work waits.")
+    PLATFORM_BACK = (309, Level.INFO, "The platform answers again.")
+    JOURNAL_GAP = (310, Level.ERROR, "A segment that a partition needs is missing.")
+    JOURNAL_COMPACTED = (311, Level.DEBUG, "A partition's records were copied; it needs no others.")
+    JOURNAL_COLLECTED = (312, Level.DEBUG, "Journal segments that nobody needs were deleted.")
+
     STREAM_OPENED = (401, Level.INFO, "An entry's stream to a sidecar is open.")
     STREAM_LOST = (402, Level.WARNING, "An entry's stream to a sidecar ended or went silent.")
     STREAM_REPLACED = (403, Level.INFO, "A newer stream of the same entry process took over.")
@@ -54,6 +67,23 @@
     KV_ORPHAN_FOUND = (418, Level.INFO, "The engine holds KV cache that nobody claims.")
     KV_RELEASE_FAILED = (419, Level.WARNING, "The engine did not confirm a release.")
     HOSTS_UNAVAILABLE = (420, Level.WARNING, "The host list did not answer; the last one stays.")
+    ACCESS_REFUSED = (501, Level.WARNING, "A request came without a valid bearer token.")
+    ACCESS_FORBIDDEN = (502, Level.WARNING, "A valid token asked for what it does not allow.")
+    REQUEST_REJECTED = (503, Level.INFO, "A request was malformed, too large or too slow.")
+    REQUEST_FAILED = (504, Level.ERROR, "A request failed without a typed error.")
+    CALLER_LEFT = (505, Level.INFO, "A caller closed the connection before its response ended.")
+    DRAIN_ORDERED = (506, Level.INFO, "An operator ordered an upstream to drain.")
+    BOOTSTRAP_USED = (507, Level.WARNING, "The bootstrap token created the first document.")
+
+    DOCUMENT_APPLIED = (601, Level.INFO, "A higher document version is in force at this process.")
+    DOCUMENT_EDITED = (602, Level.INFO, "An edit of the document was accepted.")
+    DOCUMENT_CONFLICT = (603, Level.INFO, "An edit was refused: its section had changed.")
+    DOCUMENT_REFUSED = (604, Level.INFO, "An edit was refused: the document would not validate.")
+    DOCUMENT_UNREADABLE = (605, Level.ERROR, "The stored document is unreadable; the old stays.")
+    DOCUMENT_STALE = (606, Level.WARNING, "The document cannot be polled; the old one stays.")
+    DOCUMENT_CURRENT = (607, Level.INFO, "The document can be polled again.")
+    DOCUMENT_RESOLVED = (608, Level.INFO, "The lost answer to an edit was resolved by reading.")
+    DOCUMENT_UNKNOWN = (609, Level.WARNING, "Nobody can tell yet whether an edit was accepted.")
 
     def __init__(self, number: int, level: Level, meaning: str) -> None:
         self.number = number
