--- a/packages/skylarkferry-core/src/skylarkferry_core/calls.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/calls.py
@@ -269,11 +269,15 @@
 def _stale_outcome(order: Order, known: Call | None) -> Outcome:
     """Return the answer to an order under a stale epoch; ``not_run`` only when it never ran."""
     detail = f"epoch {order.fence.epoch} is stale"
-    if known is None:
+    if known is None or _never_ran(known):
         return not_run(order.call_id, ErrorCode.STALE_EPOCH, detail)
     return unknown(order.call_id, ErrorCode.STALE_EPOCH, detail)
 
 
+def _never_ran(call: Call) -> bool:
+    return call.outcome is not None and call.outcome.word is FinalWord.NOT_RUN
+
+
 def _seal_known(call: Call) -> SealReply:
     """Return the verdict on a call that runs or ended."""
     if call.outcome is None:
