--- /dev/null
+++ b/packages/skylarkferry-client/src/skylarkferry_client/api.py
@@ -0,0 +1,114 @@
+"""Requests to the entries' HTTP interface; a request is safe to send again to another entry."""
+
+import time
+from collections.abc import Callable
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import httpx
+import msgspec
+
+from skylarkferry_client.failures import CommandError, RefusedError, UnreachableError
+from skylarkferry_client.settings import ClientSettings
+from skylarkferry_core.errors import ErrorCode
+from skylarkferry_core.http_messages import PROBLEM_TYPE, ProblemDetails
+
+CONNECT_TIMEOUT_S = 3.0
+REPLY_TIMEOUT_S = 60.0
+ROUNDS = 4
+PAUSE_S = 0.5
+RETRIED_CODES = frozenset(
+    (ErrorCode.PLATFORM_UNAVAILABLE, ErrorCode.NOT_OWNER, ErrorCode.OUTCOME_UNKNOWN)
+)
+
+Reply = TypeVar("Reply")
+
+
+class Api:
+    """Sends each request to the entries in turn until one gives a final answer.
+
+    Every request is idempotent: programs carry their request key, edits an ``Idempotency-Key``.
+    """
+
+    def __init__(
+        self,
+        settings: ClientSettings,
+        client: httpx.Client | None = None,
+        sleep: Callable[[float], None] = time.sleep,
+    ) -> None:
+        self.urls = settings.urls
+        timeout = httpx.Timeout(REPLY_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
+        self.client = client or httpx.Client(timeout=timeout, trust_env=False)
+        self.headers = {"Authorization": f"Bearer {settings.token}"} if settings.token else {}
+        self.sleep = sleep
+
+    def get(self, path: str, kind: type[Reply], **query: str) -> Reply:
+        """Return the decoded reply of a GET."""
+        return _decode(self.send("GET", path, query=query), kind)
+
+    def post(self, path: str, body: Any, kind: type[Reply]) -> Reply:
+        """Return the decoded reply of a POST with a JSON body."""
+        return _decode(self.send("POST", path, content=msgspec.json.encode(body)), kind)
+
+    def delete(self, path: str, kind: type[Reply]) -> Reply:
+        """Return the decoded reply of a DELETE."""
+        return _decode(self.send("DELETE", path), kind)
+
+    def put(self, path: str, content: bytes, kind: type[Reply], **headers: str) -> Reply:
+        """Return the decoded reply of a PUT; underscores in header names become hyphens."""
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        return _decode(self.send("PUT", path, content=content, headers=named), kind)
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        *,
+        query: dict[str, str] | None = None,
+        content: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> httpx.Response:
+        """Send a request until an entry answers for good; raise ``CommandError``."""
+        failure: CommandError = UnreachableError("no entry answered")
+        for attempt in range(ROUNDS * len(self.urls)):
+            if attempt and attempt % len(self.urls) == 0:
+                self.sleep(PAUSE_S)
+            url = self.urls[attempt % len(self.urls)].rstrip("/") + path
+            try:
+                merged = self.headers | (headers or {})
+                response = self.client.request(
+                    method, url, params=query, content=content, headers=merged
+                )
+            except httpx.InvalidURL as error:
+                raise UnreachableError(f"{url}: {error}") from error
+            except httpx.TransportError as error:
+                failure = UnreachableError(f"{url}: {error or type(error).__name__}")
+                continue
+            if response.is_success:
+                return response
+            failure = _refusal(response)
+            if not _is_retried(failure):
+                raise failure
+        raise failure
+
+
+def path_of(*segments: str) -> str:
+    """Return a path of the interface; each segment is quoted."""
+    return "/v1/" + "/".join(quote(segment, safe="") for segment in segments)
+
+
+def _refusal(response: httpx.Response) -> CommandError:
+    if response.headers.get("content-type", "").startswith(PROBLEM_TYPE):
+        return RefusedError(_decode(response, ProblemDetails))
+    return CommandError(f"{response.url}: unexpected status {response.status_code}")
+
+
+def _is_retried(failure: CommandError) -> bool:
+    return isinstance(failure, RefusedError) and failure.problem.code in RETRIED_CODES
+
+
+def _decode(response: httpx.Response, kind: type[Reply]) -> Reply:
+    try:
+        return msgspec.json.decode(response.content, type=kind)
+    except msgspec.MsgspecError as error:
+        raise CommandError(f"{response.url}: unexpected reply: {error}") from error
--- /dev/null
+++ b/packages/skylarkferry-client/src/skylarkferry_client/failures.py
@@ -0,0 +1,63 @@
+"""Failures of a command and the exit codes they end with."""
+
+from enum import IntEnum
+
+from skylarkferry_core.errors import ErrorCode
+from skylarkferry_core.http_messages import ProblemDetails
+from skylarkferry_core.states import FinalWord
+
+
+class ExitCode(IntEnum):
+    """Exit code of the command line."""
+
+    DONE = 0
+    FAILED = 1
+    USAGE = 2
+    NOT_RUN = 3
+    UNKNOWN = 4
+    UNREACHABLE = 5
+    CONFLICT = 6
+    WAITING = 7
+
+
+class CommandError(Exception):
+    """A failure that ends the command with one message and an exit code."""
+
+    exit_code = ExitCode.FAILED
+
+
+class UsageError(CommandError):
+    """The command, a file or a setting is wrong."""
+
+    exit_code = ExitCode.USAGE
+
+
+class UnreachableError(CommandError):
+    """No entry answered."""
+
+    exit_code = ExitCode.UNREACHABLE
+
+
+class RefusedError(CommandError):
+    """An entry answered with problem details."""
+
+    def __init__(self, problem: ProblemDetails) -> None:
+        super().__init__(_message(problem))
+        self.problem = problem
+        self.exit_code = _exit_code(problem)
+
+
+def _message(problem: ProblemDetails) -> str:
+    word = f", {problem.word.value}" if problem.word else ""
+    retry = ""
+    if problem.retry_after_s is not None:
+        retry = f"; come back in {problem.retry_after_s:g} s"
+    return f"{problem.detail} ({problem.code.value}{word}{retry})"
+
+
+def _exit_code(problem: ProblemDetails) -> ExitCode:
+    if problem.code is ErrorCode.DOCUMENT_CONFLICT:
+        return ExitCode.CONFLICT
+    if problem.word is FinalWord.UNKNOWN:
+        return ExitCode.UNKNOWN
+    return ExitCode.NOT_RUN
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/bodies.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/bodies.py
@@ -11,7 +11,6 @@
 from skylarkferry_core.ids import AgentName, CustomerId, RequestKey
 from skylarkferry_core.messages import Budget
 from skylarkferry_core.states import Priority
-from skylarkferry_daemon.document_edits import SectionChange
 from skylarkferry_daemon.settings import LimitSettings
 
 KEY_CHARACTERS = 200
@@ -69,18 +68,6 @@
         return asked
 
 
-class EditBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Body of ``PUT /v1/config``: sections that change together."""
-
-    changes: tuple[SectionChange, ...]
-
-
-class DrainBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Body of ``POST /v1/hosts/{host}/drain``."""
-
-    reason: str = ""
-
-
 async def read_body(request: Request, limits: LimitSettings) -> bytes:
     """Return the body; raise ``BodyTooLargeError`` or ``BodyTimeoutError``."""
     declared = request.headers.get("content-length", "0")
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/document_edits.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/document_edits.py
@@ -18,6 +18,7 @@
     WriteConflictError,
 )
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.http_messages import EditOutcome, SectionChange
 from skylarkferry_core.ids import TeamName
 from skylarkferry_core.interfaces import Table
 from skylarkferry_core.sections import parse_section
@@ -32,14 +33,6 @@
 NO_TEAM = TeamName("")
 
 
-class SectionChange(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A section's new text; ``base_version`` is the version the editor read."""
-
-    section: str
-    text: str
-    base_version: int
-
-
 class Edit(msgspec.Struct, frozen=True):
     """Sections changed together by one team; no team means the first document."""
 
@@ -48,12 +41,6 @@
     changes: tuple[SectionChange, ...]
 
 
-class EditOutcome(msgspec.Struct, frozen=True):
-    """The document version an accepted edit made."""
-
-    version: int
-
-
 class Editor:
     """Carries edits out; a repeat of an edit id finds the first one."""
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/documents.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/documents.py
@@ -5,9 +5,10 @@
 from skylarkferry_core.document import Document
 from skylarkferry_core.errors import PlatformUnavailableError
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.http_messages import EditOutcome
 from skylarkferry_core.interfaces import Table
 from skylarkferry_core.sections import parse_document
-from skylarkferry_daemon.document_edits import Edit, Editor, EditOutcome
+from skylarkferry_daemon.document_edits import Edit, Editor
 from skylarkferry_daemon.document_rows import EMPTY_SNAPSHOT, Snapshot, read_snapshot, read_version
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_daemon.request_metrics import DOCUMENT_VERSION
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/edge.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/edge.py
@@ -13,9 +13,10 @@
 from skylarkferry_core.document import Document
 from skylarkferry_core.errors import MethodNotAllowedError, SkylarkferryError
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.http_messages import EditOutcome
 from skylarkferry_core.ids import UpstreamId
 from skylarkferry_core.messages import EventView, HostView, TimelineRequest
-from skylarkferry_daemon.document_edits import Edit, EditOutcome
+from skylarkferry_daemon.document_edits import Edit
 from skylarkferry_daemon.document_rows import Snapshot
 from skylarkferry_daemon.interfaces import Programs
 from skylarkferry_daemon.log import EventLog
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/operators.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/operators.py
@@ -12,6 +12,15 @@
 from skylarkferry_core.document import SECTIONS
 from skylarkferry_core.errors import BadRequestError, NotFoundError
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.http_messages import (
+    DocumentView,
+    DrainBody,
+    EditBody,
+    EditOutcome,
+    Health,
+    SectionChange,
+    SectionView,
+)
 from skylarkferry_core.ids import ProgramId, TeamName, UpstreamId
 from skylarkferry_core.messages import (
     Accepted,
@@ -21,36 +30,13 @@
     TimelineRequest,
 )
 from skylarkferry_core.sections import EMPTY_TEXT
-from skylarkferry_daemon.bodies import DrainBody, EditBody, read_as, read_body
-from skylarkferry_daemon.document_edits import NO_TEAM, Edit, EditOutcome, SectionChange
+from skylarkferry_daemon.bodies import read_as, read_body
+from skylarkferry_daemon.document_edits import NO_TEAM, Edit
 from skylarkferry_daemon.edge import Edge, json_response, route
 
 TEXT = "application/json5; charset=utf-8"
 
 
-class SectionView(msgspec.Struct, frozen=True):
-    """One section as edited; version 0 and no team when nobody did."""
-
-    section: str
-    version: int
-    team: TeamName
-    text: str
-
-
-class DocumentView(msgspec.Struct, frozen=True):
-    """The document in force at the entry that answers."""
-
-    version: int
-    sections: tuple[SectionView, ...]
-
-
-class Health(msgspec.Struct, frozen=True):
-    """Whether the entry takes new work, and its document version."""
-
-    serving: bool
-    document_version: int
-
-
 def operator_routes(edge: Edge) -> list[Route]:
     """Return the routes for operators."""
     return [
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/problems.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/problems.py
@@ -6,25 +6,13 @@
 import msgspec
 from starlette.responses import Response
 
-from skylarkferry_core.errors import ErrorCode, SkylarkferryError
+from skylarkferry_core.errors import SkylarkferryError
+from skylarkferry_core.http_messages import PROBLEM_TYPE, ProblemDetails
 from skylarkferry_core.states import FinalWord
 
-CONTENT_TYPE = "application/problem+json"
 TYPE_PREFIX = "urn:skylarkferry:error:"
 
 
-class ProblemDetails(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Body of a failed request; ``word`` says what is known of the work."""
-
-    type: str
-    title: str
-    status: int
-    code: ErrorCode
-    detail: str
-    word: FinalWord | None = None
-    retry_after_s: float | None = None
-
-
 def details_of(error: SkylarkferryError) -> ProblemDetails:
     """Return the problem details of an error."""
     return ProblemDetails(
@@ -46,7 +34,7 @@
     if error.status is HTTPStatus.UNAUTHORIZED:
         headers["WWW-Authenticate"] = "Bearer"
     body = msgspec.json.encode(details_of(error))
-    return Response(body, int(error.status), headers, media_type=CONTENT_TYPE)
+    return Response(body, int(error.status), headers, media_type=PROBLEM_TYPE)
 
 
 def internal_error() -> SkylarkferryError:
--- a/tests/edge_fakes.py
+++ b/tests/edge_fakes.py
@@ -12,6 +12,7 @@
     PlatformUnavailableError,
     WriteConflictError,
 )
+from skylarkferry_core.http_messages import SectionChange
 from skylarkferry_core.ids import FailureDomain, ProgramId, UpstreamId, program_id_for
 from skylarkferry_core.interfaces import Row
 from skylarkferry_core.messages import (
@@ -25,7 +26,7 @@
     WatchItem,
 )
 from skylarkferry_core.states import FinalWord, PoolKind, ProgramState, UpstreamState
-from skylarkferry_daemon.document_edits import Edit, SectionChange
+from skylarkferry_daemon.document_edits import Edit
 from skylarkferry_daemon.documents import TableDocuments
 from skylarkferry_daemon.edge import Edge
 from skylarkferry_daemon.http_server import serve_http
