--- /dev/null
+++ b/packages/skylarkferry-client/src/skylarkferry_client/commands.py
@@ -0,0 +1,173 @@
+"""Commands for callers and operators."""
+
+import re
+import time
+import uuid
+from importlib.metadata import version as package_version
+
+import msgspec
+
+from skylarkferry_client.api import path_of
+from skylarkferry_client.config_commands import ConfigCommands
+from skylarkferry_client.failures import CommandError, ExitCode, UsageError
+from skylarkferry_client.files import ProgramFile, read_program
+from skylarkferry_client.session import Session
+from skylarkferry_client.tables import call_table, event_lines, host_table, program_table
+from skylarkferry_core.clocks import HybridClock
+from skylarkferry_core.events import EventKind, kind_of
+from skylarkferry_core.http_messages import DrainBody
+from skylarkferry_core.messages import (
+    Accepted,
+    HostsReply,
+    ListReply,
+    ProgramView,
+    TimelineReply,
+)
+from skylarkferry_core.states import FinalWord, ProgramState
+
+WAIT_SLICE_S = 5.0
+_AGE = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h)")
+_UNIT_S = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
+
+
+class EventCommands:
+    """Explain numbered events."""
+
+    def explain(self, number: int) -> None:
+        """Print what event NUMBER means."""
+        kind = kind_of(number)
+        if kind is None:
+            numbers = ", ".join(str(each.number) for each in EventKind)
+            raise UsageError(f"expected one of {numbers}, found '{number}'")
+        print(f"{kind.number} {kind.name.lower()} ({kind.level.value}): {kind.meaning}")
+
+
+class Commands:
+    """Run and follow agent programs, and operate skylarkferry.
+
+    Exit codes: 0 done, 1 failed, 2 wrong command, file or setting, 3 not run, 4 unknown whether it
+    ran, 5 no entry answered, 6 the section changed meanwhile, 7 not ended yet.
+
+    --url HTTP://HOST:PORT[,...] names entries, tried in turn (or SKYLARKFERRY_URL); --token or
+    SKYLARKFERRY_TOKEN is the bearer token; --settings FILE holds both; --json prints JSON.
+    """
+
+    def __init__(
+        self, url: str = "", token: str = "", settings: str = "", json: bool = False
+    ) -> None:
+        self._session = Session(str(url), str(token), str(settings), json)
+        self.config = ConfigCommands(self._session)
+        self.events = EventCommands()
+
+    def programs(self) -> None:
+        """List the programs under way."""
+        reply = self._session.api().get(path_of("programs"), ListReply)
+        self._session.printer.reply(reply, program_table(reply.programs))
+
+    def show(self, program: str) -> None:
+        """Show the state, spent budget and calls of PROGRAM."""
+        self._print_program(self._program(str(program)))
+
+    def answer(self, program: str, wait: float = 0.0) -> None:
+        """Print the answer of PROGRAM; --wait SECONDS waits for it."""
+        self._print_answer(self._await_answer(str(program), float(wait)))
+
+    def cancel(self, program: str) -> None:
+        """Cancel PROGRAM; a call that may not be repeated keeps its own final word."""
+        view = self._session.api().delete(path_of("programs", str(program)), ProgramView)
+        self._print_program(view)
+
+    def run(self, file: str) -> None:
+        """Start the program in FILE and wait for its answer."""
+        program = read_program(str(file))
+        if not program.request_key:
+            program = msgspec.structs.replace(program, request_key=str(uuid.uuid4()))
+        view = self._start(program)
+        self._session.printer.progress(f"program {view.program_id} accepted")
+        self._print_answer(self._await_answer(view.program_id, program.deadline_s))
+
+    def hosts(self) -> None:
+        """List the upstreams with their state and load."""
+        reply = self._session.api().get(path_of("hosts"), HostsReply)
+        self._session.printer.reply(reply, host_table(reply.hosts))
+
+    def drain(self, host: str, reason: str = "") -> None:
+        """Order HOST to take no new work and finish what is in flight."""
+        path = path_of("hosts", str(host), "drain")
+        self._session.api().post(path, DrainBody(str(reason)), Accepted)
+        self._session.printer.reply(Accepted())
+        self._session.printer.progress(f"{host} takes no new work")
+
+    def timeline(self, program: str = "", since: str = "") -> None:
+        """Print the events of all processes in order; --program ID, --since AGE as 30s or 5m."""
+        query = {"program": str(program), "since": str(_stamp_of(str(since)))}
+        reply = self._session.api().get(path_of("timeline"), TimelineReply, **query)
+        if self._session.printer.as_json:
+            self._session.printer.reply(reply)
+            return
+        for line in event_lines(reply.events):
+            self._session.printer.line(line)
+
+    def version(self) -> None:
+        """Print the version of this command."""
+        self._session.printer.line(package_version("skylarkferry-client"))
+
+    def _program(self, program: str) -> ProgramView:
+        return self._session.api().get(path_of("programs", program), ProgramView)
+
+    def _start(self, program: ProgramFile) -> ProgramView:
+        return self._session.api().post(path_of("programs"), program, ProgramView)
+
+    def _await_answer(self, program: str, wait_s: float) -> ProgramView:
+        """Ask for the answer until it is there or ``wait_s`` seconds are over."""
+        end = time.monotonic() + wait_s
+        path = path_of("programs", program, "answer")
+        while True:
+            slice_s = max(0.0, min(WAIT_SLICE_S, end - time.monotonic()))
+            view = self._session.api().get(path, ProgramView, wait_s=f"{slice_s:.3f}")
+            if view.state == ProgramState.ENDED.value or time.monotonic() >= end:
+                return view
+            spent = f"{view.turns_spent} turns, {view.tokens_spent} tokens"
+            self._session.printer.progress(f"program {program} {view.state}: {spent}")
+
+    def _print_program(self, view: ProgramView) -> None:
+        self._session.printer.reply(view, program_table([view]), call_table(view.calls))
+
+    def _print_answer(self, view: ProgramView) -> None:
+        """Print an answer and end with the exit code of its final word."""
+        if self._session.printer.as_json:
+            self._session.printer.reply(view)
+        else:
+            self._session.printer.line(view.answer)
+        code = _exit_code(view)
+        if code is not ExitCode.DONE:
+            raise _ended_badly(view, code)
+
+
+def _exit_code(view: ProgramView) -> ExitCode:
+    if view.state != ProgramState.ENDED.value:
+        return ExitCode.WAITING
+    if view.word is FinalWord.UNKNOWN:
+        return ExitCode.UNKNOWN
+    if view.word is FinalWord.NOT_RUN:
+        return ExitCode.NOT_RUN
+    return ExitCode.FAILED if view.error else ExitCode.DONE
+
+
+def _ended_badly(view: ProgramView, code: ExitCode) -> CommandError:
+    word = view.word.value if view.word else "no answer yet"
+    reason = view.error.value if view.error else view.state
+    error = CommandError(f"program {view.program_id}: {word}, {reason} {view.detail}".rstrip())
+    error.exit_code = code
+    return error
+
+
+def _stamp_of(age: str) -> int:
+    """Return the hybrid logical time that lies ``age`` back, 0 for no age."""
+    if not age:
+        return 0
+    found = _AGE.fullmatch(age)
+    if found is None:
+        raise UsageError(f"--since: expected an age as 30s, 5m or 2h, found '{age}'")
+    back_s = float(found.group(1)) * _UNIT_S[found.group(2)]
+    return HybridClock().stamp(time.time() - back_s)
--- /dev/null
+++ b/packages/skylarkferry-client/src/skylarkferry_client/tables.py
@@ -0,0 +1,119 @@
+"""Human tables and JSON of replies."""
+
+import sys
+from collections.abc import Iterable, Sequence
+from datetime import datetime
+from typing import Any
+
+import msgspec
+from rich.console import Console
+from rich.markup import escape
+from rich.table import Table
+
+from skylarkferry_core.clocks import wall_of
+from skylarkferry_core.messages import CallView, EventView, HostView, ProgramView
+
+_MICROS_PER_UNIT = 1_000_000
+
+
+class Printer:
+    """Writes replies to standard output, and progress and failures to standard error."""
+
+    def __init__(self, as_json: bool) -> None:
+        self.as_json = as_json
+        self.out = Console(file=sys.stdout, highlight=False, soft_wrap=True)
+        self.err = Console(file=sys.stderr, highlight=False, soft_wrap=True)
+
+    def reply(self, reply: Any, *tables: Table) -> None:
+        """Print a reply as JSON or as tables."""
+        if self.as_json:
+            print(msgspec.json.encode(reply).decode())
+            return
+        for table in tables:
+            self.out.print(table)
+
+    def line(self, text: str) -> None:
+        """Print a line as it is."""
+        print(text)
+
+    def progress(self, text: str) -> None:
+        """Print a line of progress."""
+        self.err.print(escape(text), style="dim")
+
+
+def program_table(views: Iterable[ProgramView]) -> Table:
+    """Return one line for each program."""
+    names = ("program", "customer", "agent", "state", "word", "turns", "tokens", "cost")
+    return _table(names, [_program_row(view) for view in views])
+
+
+def call_table(calls: Iterable[CallView]) -> Table:
+    """Return one line for each tool or service call."""
+    rows = [(call.call_id, call.name, _value(call.word), _value(call.error)) for call in calls]
+    return _table(("call", "name", "word", "error"), rows)
+
+
+def host_table(hosts: Iterable[HostView]) -> Table:
+    """Return one line for each upstream."""
+    names = ("host", "kind", "pool", "domain", "state", "queued", "running", "slots", "age")
+    return _table(names, [_host_row(host) for host in hosts])
+
+
+def event_lines(events: Iterable[EventView]) -> list[str]:
+    """Return one line for each event of a time line."""
+    return [_event_line(event) for event in events]
+
+
+def _program_row(view: ProgramView) -> Sequence[str]:
+    budget = view.budget
+    return (
+        view.program_id,
+        view.customer,
+        view.agent,
+        view.state,
+        _value(view.word),
+        f"{view.turns_spent}/{budget.turns}",
+        f"{view.tokens_spent}/{budget.tokens}",
+        f"{_units(view.cost_spent_micros)}/{_units(budget.cost_micros)}",
+    )
+
+
+def _host_row(host: HostView) -> Sequence[str]:
+    load = host.load
+    return (
+        host.upstream,
+        host.kind.value,
+        host.pool,
+        host.failure_domain,
+        host.state.value,
+        str(load.queued),
+        str(load.running),
+        str(load.slots),
+        f"{load.age_s:.1f} s",
+    )
+
+
+def _event_line(event: EventView) -> str:
+    moment = datetime.fromtimestamp(wall_of(event.time)).isoformat(timespec="milliseconds")
+    parts = [moment, f"{event.node:<12}", f"[{event.number}]", event.name.lower()]
+    if event.program_id:
+        parts.append(f"program={event.program_id}")
+    parts.extend(f"{name}={value}" for name, value in event.fields.items())
+    return " ".join(parts)
+
+
+def _table(names: Sequence[str], rows: Iterable[Sequence[str]]) -> Table:
+    table = Table(box=None, pad_edge=False, header_style="bold")
+    for name in names:
+        table.add_column(name, no_wrap=True)
+    for row in rows:
+        table.add_row(*(escape(cell) for cell in row))
+    return table
+
+
+def _value(state: Any) -> str:
+    return "" if state is None else str(state.value)
+
+
+def _units(micros: int) -> str:
+    return f"{micros / _MICROS_PER_UNIT:g}"
