--- a/packages/skylarkferry-core/src/skylarkferry_core/messages.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/messages.py
@@ -9,6 +9,7 @@
 from skylarkferry_core.ids import (
     AgentName,
     CallId,
+    CrashId,
     CustomerId,
     Epoch,
     FailureDomain,
@@ -19,6 +20,7 @@
     PartitionNumber,
     ProgramId,
     RequestKey,
+    RunId,
     ServiceName,
     ToolName,
     UpstreamId,
@@ -109,6 +111,8 @@
     ``remaining_s`` is the time to the program's deadline, ``slack_s`` what is left of it after the
     program's expected work, ``keep_kv_s`` how long the engine keeps the program's KV cache after
     the call.  ``incarnation`` is the sidecar's life the order was placed on; empty means any.
+    ``alone`` asks for an upstream without other calls: the request was running at a crash.
+    ``prefill_tokens`` and ``output_tokens`` are the entry's estimates of what the call computes.
     """
 
     call_id: CallId
@@ -124,6 +128,9 @@
     work: Work
     keep_kv_s: float = 0.0
     incarnation: Incarnation = Incarnation("")
+    alone: bool = False
+    prefill_tokens: int = 0
+    output_tokens: int = 0
 
 
 class ServiceReply(msgspec.Struct, frozen=True):
@@ -153,7 +160,11 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """Exact load before one upstream; rides on outcomes and heartbeats."""
+    """Exact load before one upstream; rides on outcomes and heartbeats.
+
+    ``running_output_tokens`` is what the running calls still have to decode, ``kv_tokens`` the
+    size of the engine's KV memory, or 0 when unknown.
+    """
 
     queued: int = 0
     running: int = 0
@@ -162,24 +173,31 @@
     slots: int = 1
     free_kv_tokens: int = 0
     age_s: float = 0.0
+    kv_tokens: int = 0
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
-    """A change of a program's cached prefix at an engine, with the engine's sequence number."""
+    """A change of a cached prefix at an engine, with the engine's sequence number.
+
+    It concerns one run of a program or, when ``prefix`` is set, a prefix that programs share.
+    """
 
     sequence: int
     program_id: ProgramId
     cached_tokens: int
+    run_id: RunId = RunId("0")
+    prefix: Fingerprint = Fingerprint("")
 
 
 # Frames from an entry to a sidecar.
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
-    """First frame of a stream: who the entry is."""
+    """First frame of a stream: who the entry is; ``stream`` counts the process's streams."""
 
     node: NodeId
     incarnation: Incarnation
+    stream: int = 0
 
 
 class Dispatch(msgspec.Struct, frozen=True, tag="dispatch"):
@@ -261,13 +279,14 @@
 
 
 class SidecarHeartbeat(msgspec.Struct, frozen=True, tag="beat"):
-    """Liveness, state and load."""
+    """Liveness, state and load; ``echo`` is the sequence of the last entry heartbeat."""
 
     sequence: int
     state: UpstreamState
     load: LoadReport
     cache_events: tuple[CacheEvent, ...] = ()
     document_version: int = 0
+    echo: int = 0
 
 
 class StateNotice(msgspec.Struct, frozen=True, tag="state"):
@@ -277,10 +296,14 @@
 
 
 class CrashNotice(msgspec.Struct, frozen=True, tag="crash"):
-    """The upstream crashed while the request of this fingerprint ran on it."""
+    """The upstream crashed while the request of this fingerprint ran on it.
+
+    ``crash`` names the crash: several requests, or several notices, can be of one.
+    """
 
     fingerprint: Fingerprint
     alone: bool
+    crash: CrashId = CrashId("")
 
 
 SidecarFrame = Welcome | Chunk | Finished | SidecarHeartbeat | StateNotice | CrashNotice
@@ -332,7 +355,10 @@
 
 
 class ProgramRequest(msgspec.Struct, frozen=True):
-    """What a caller asks for; ``deadline_s`` is the time it allows, from acceptance."""
+    """What a caller asks for; ``deadline_s`` is the time it allows, from acceptance.
+
+    With ``service`` set, the program is one call of a plain service that may not be repeated.
+    """
 
     request_key: RequestKey
     customer: CustomerId
@@ -341,6 +367,7 @@
     deadline_s: float
     budget: Budget
     priority: Priority = Priority.NORMAL
+    service: ServiceWork | None = None
 
 
 class ProgramView(msgspec.Struct, frozen=True):
