Run the demonstration to its end

Cause: `--json` before a command swallows the command's name, so the script waited in vain. Flags stand after the command now, and tables get 160 columns since the output is no terminal.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -48,7 +48,7 @@
 }
 
 all_live_at() {
-    live="$(ferry --url "$1" --json hosts | grep -o '"live"' | wc -l)"
+    live="$(ferry hosts --url "$1" --json | grep -o '"live"' | wc -l)"
     [ "$live" -eq "$upstreams" ]
 }
 
@@ -68,26 +68,26 @@
 
 first=http://127.0.0.1:7401
 second=http://127.0.0.1:7402
-export SKYLARKFERRY_URL="$first,$second"
+export SKYLARKFERRY_URL="$first,$second" COLUMNS=160
 bootstrap=bootstrap-demo-token
 operator=operators-demo-token
 caller=gearworks-demo-token
 
-wait_for "the entries" ferry --token "$bootstrap" config get
+wait_for "the entries" ferry config get --token "$bootstrap"
 echo "== write the first configuration document"
-ferry --token "$bootstrap" config init "$demo/document"
+ferry config init "$demo/document" --token "$bootstrap"
 export SKYLARKFERRY_TOKEN="$operator"
 wait_for "the first entry to see the upstreams" all_live_at "$first"
 wait_for "the second entry to see the upstreams" all_live_at "$second"
 ferry hosts
 
 echo "== run a sizing program"
-view="$(ferry --token "$caller" --json run "$demo/program.jsonc")"
+view="$(ferry run "$demo/program.jsonc" --token "$caller" --json)"
 program="$(echo "$view" | sed 's/.*"program_id":"\([^"]*\)".*/\1/')"
 
 echo "== the answer"
-ferry --token "$caller" answer "$program"
+ferry answer "$program" --token "$caller"
 echo "== each call's final word"
-ferry --token "$caller" show "$program"
+ferry show "$program" --token "$caller"
 echo "== the time line over all processes"
 ferry timeline --program "$program"
