Let hypercorn alone close the test's listening descriptor

Cause: test_http2_without_tls_is_served failed in whole runs with OSError 9: the test's socket object and hypercorn both owned descriptor and closed it, the second time when it was another's. Ruled out: the server under test; the test passes alone.

--- a/tests/edge_fakes.py
+++ b/tests/edge_fakes.py
@@ -243,7 +243,8 @@
         await under_test.documents.edit(first_edit())
     else:
         await under_test.documents.refresh()
-    bind = f"fd://{under_test.socket.fileno()}"
+    # Hypercorn closes the descriptor, so the socket object must not close it again.
+    bind = f"fd://{under_test.socket.detach()}"
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(serve_http, under_test.edge, bind, under_test.stop.wait, grace_s)
         try:
