Test the streams between entries and sidecars

Cause: reconnection, drain, seal by an adopter, restarts, time-outs and refusals need a proof over real gRPC and HTTP connections. SilentProxy stands for a middle box that lost track of a connection: what is open goes silent for good, new connections work.

--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -49,7 +49,7 @@
 
     STREAM_OPENED = (401, Level.INFO, "An entry's stream to a sidecar is open.")
     STREAM_LOST = (402, Level.WARNING, "An entry's stream to a sidecar ended or went silent.")
-    STREAM_REPLACED = (403, Level.INFO, "A newer stream of the same entry process took over.")
+    STREAM_ENDED = (403, Level.INFO, "A sidecar ended a stream: replaced, silent or planned stop.")
     SIDECAR_RESTARTED = (404, Level.WARNING, "A sidecar is in a new incarnation.")
     UPSTREAM_LEAVING = (405, Level.INFO, "The upstream takes no new work.")
     UPSTREAM_UNREACHABLE = (406, Level.WARNING, "The upstream refuses connections.")
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry_streams.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry_streams.py
@@ -121,6 +121,11 @@
             if stream.last_frame_at < oldest:
                 stream.ended.set()
 
+    def end_all(self) -> None:
+        """End all streams."""
+        for stream in self.streams:
+            stream.ended.set()
+
     def mark(self, call: Call) -> None:
         """Tell the followers of a call that it has news."""
         for stream in self.streams:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
@@ -121,6 +121,7 @@
             await self._wait_for(state.is_idle)
         with anyio.move_on_after(DELIVERY_WAIT_S):
             await self._wait_for(state.is_delivered)
+        state.hub.end_all()
 
     async def _wait_for(self, condition: Callable[[], bool]) -> None:
         """Wait until a condition on the state holds."""
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_service.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_service.py
@@ -63,11 +63,12 @@
                 tasks.cancel_scope.cancel()
         finally:
             self.hub.remove(stream)
+            self.state.note_progress()
 
     async def _end_on_order(self, stream: EntryStream, scope: anyio.CancelScope) -> None:
-        """End a stream that a newer one replaced, or whose entry went silent."""
+        """End a stream that a newer one replaced, that went silent, or at a planned stop."""
         await stream.ended.wait()
-        self.log.emit(EventKind.STREAM_REPLACED, peer=_peer(stream))
+        self.log.emit(EventKind.STREAM_ENDED, peer=_peer(stream))
         scope.cancel()
 
     async def _read(self, stream: EntryStream, context: grpc.aio.ServicerContext) -> None:
--- a/tests/daemon/test_links.py
+++ b/tests/daemon/test_links.py
@@ -1,22 +1,66 @@
 import anyio
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, Is
+from testtools.matchers import Equals, HasLength, Is
 
 from sidecar_fakes import (
+    DOMAIN,
     POOL,
     UPSTREAM,
+    FakeDocuments,
+    FakeHosts,
+    FakeUpstream,
     RecordingSink,
+    RunningSidecar,
+    SilentProxy,
+    fence,
     model_order,
+    open_links,
     open_pair,
+    state_of,
     tool_order,
     wait_until,
 )
-from skylarkferry_core.states import FinalWord, PoolKind
+from skylarkferry_core.errors import ErrorCode, StaleEpochError, UpstreamLostError
+from skylarkferry_core.ids import Incarnation
+from skylarkferry_core.interfaces import Host
+from skylarkferry_core.messages import SealRequest
+from skylarkferry_core.states import FinalWord, PoolKind, SealVerdict, UpstreamState
 
 pytestmark = pytest.mark.anyio
 
 
+class Dispatches:
+    """Dispatches calls in the background and keeps their outcomes."""
+
+    def __init__(self, links, tasks):
+        self.links = links
+        self.tasks = tasks
+        self.outcomes = {}
+        self.lost = []
+        self.sinks = {}
+
+    def start(self, order):
+        self.sinks[order.call_id] = RecordingSink()
+        self.tasks.start_soon(self.run, order)
+        return self.sinks[order.call_id]
+
+    async def run(self, order):
+        try:
+            outcome = await self.links.dispatch(UPSTREAM, order, self.sinks[order.call_id])
+        except UpstreamLostError:
+            self.lost.append(order.call_id)
+            return
+        self.outcomes[order.call_id] = outcome
+        self.links.acknowledge(UPSTREAM, order.call_id)
+
+
+async def acknowledge(links, order):
+    """Acknowledge an outcome and wait until the sidecar confirmed."""
+    links.acknowledge(UPSTREAM, order.call_id)
+    await wait_until(lambda: not links.links[UPSTREAM].reliable)
+
+
 async def test_a_tool_call_runs_once_and_carries_its_fence():
     async with open_pair() as (upstream, _, links):
         order = tool_order(incarnation=links.incarnation(UPSTREAM))
@@ -31,19 +75,150 @@
         assert_that([c.upstream for c in links.candidates(POOL)], Equals([UPSTREAM]))
 
 
-async def test_a_model_call_streams_its_text_and_usage():
-    async with open_pair(PoolKind.MODEL) as (upstream, _, links):
+async def test_a_silent_connection_is_replaced_and_the_text_goes_on_without_a_gap():
+    upstream = FakeUpstream()
+    upstream.hold()
+    sidecar = RunningSidecar(upstream, PoolKind.MODEL)
+    proxy = SilentProxy(sidecar.settings.rpc_listen)
+    hosts = FakeHosts(Host(UPSTREAM, "sidecar", proxy.address, DOMAIN, POOL))
+    async with anyio.create_task_group() as tasks, upstream.served():
+        tasks.start_soon(sidecar.run)
+        tasks.start_soon(proxy.run)
+        async with open_links(hosts, FakeDocuments(PoolKind.MODEL)) as links:
+            await wait_until(lambda: state_of(links) is UpstreamState.LIVE)
+            calls = Dispatches(links, tasks)
+            order = model_order()
+            sink = calls.start(order)
+            await wait_until(lambda: sink.text == "Module")
+            proxy.silence()
+            upstream.gate.set()
+            await wait_until(lambda: order.call_id in calls.outcomes)
+            assert_that(sink.text, Equals("Module two fits"))
+            assert_that(upstream.calls, HasLength(1))
+            sidecar.stop.set()
+            await sidecar.stopped.wait()
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_drain_finishes_what_runs_and_refuses_what_waits():
+    async with open_pair(slots=1) as (upstream, sidecar, links), anyio.create_task_group() as tasks:
         upstream.hold()
-        sink = RecordingSink()
-        outcomes = []
+        calls = Dispatches(links, tasks)
+        running = tool_order("running", repeatable=True)
+        waiting, late = tool_order("waiting"), tool_order("late")
+        calls.start(running)
+        await upstream.started.wait()
+        calls.start(waiting)
+        await wait_until(lambda: links.candidates(POOL)[0].load.queued == 1)
+        sidecar.stop.set()
+        await wait_until(lambda: waiting.call_id in calls.outcomes)
+        assert_that(state_of(links), Is(UpstreamState.LEAVING))
+        calls.start(late)
+        await wait_until(lambda: late.call_id in calls.outcomes)
+        for order in (waiting, late):
+            assert_that(calls.outcomes[order.call_id].word, Is(FinalWord.NOT_RUN))
+            assert_that(calls.outcomes[order.call_id].error, Is(ErrorCode.UPSTREAM_LEAVING))
+        upstream.gate.set()
+        await wait_until(lambda: running.call_id in calls.outcomes)
+        assert_that(calls.outcomes[running.call_id].word, Is(FinalWord.DONE))
+        await sidecar.stopped.wait()
+        assert_that(upstream.calls, Equals([running.call_id]))
 
-        async def dispatch():
-            outcomes.append(await links.dispatch(UPSTREAM, model_order(), sink))
 
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(dispatch)
-            await wait_until(lambda: sink.text == "Module")
-            upstream.gate.set()
-        assert_that(sink.text, Equals("Module two fits"))
-        assert_that(outcomes[0].message.content, Equals(sink.text))
-        assert_that(outcomes[0].usage.output_tokens, Equals(2))
+async def test_an_adopter_seals_attaches_and_shuts_the_old_owner_out():
+    async with open_pair(slots=1) as (upstream, _, links), anyio.create_task_group() as tasks:
+        upstream.hold()
+        calls = Dispatches(links, tasks)
+        life = links.incarnation(UPSTREAM)
+        running, waiting = tool_order("a", incarnation=life), tool_order("b", incarnation=life)
+        calls.start(running)
+        await upstream.started.wait()
+        calls.start(waiting)
+        verdicts = {}
+        for order in (running, waiting):
+            reply = await links.seal(UPSTREAM, SealRequest(order.call_id, fence(2), life))
+            verdicts[order.call_id] = reply.verdict
+        assert_that(verdicts[running.call_id], Is(SealVerdict.IN_PROGRESS))
+        assert_that(verdicts[waiting.call_id], Is(SealVerdict.SEALED))
+        with pytest.raises(StaleEpochError):
+            await links.seal(UPSTREAM, SealRequest(running.call_id, fence(1), life))
+        late = await links.dispatch(UPSTREAM, tool_order("late", epoch=1), RecordingSink())
+        assert_that((late.word, late.error), Equals((FinalWord.NOT_RUN, ErrorCode.STALE_EPOCH)))
+        upstream.gate.set()
+        outcome = await links.attach(UPSTREAM, running.call_id, fence(2), RecordingSink())
+        assert_that(outcome.result, Equals('{"ordered":1}'))
+        assert_that(upstream.calls, Equals([running.call_id]))
+        links.acknowledge(UPSTREAM, running.call_id)
+        links.acknowledge(UPSTREAM, waiting.call_id)
+        links.acknowledge(UPSTREAM, late.call_id)
+
+
+async def test_a_restarted_sidecar_cannot_tell_and_runs_nothing_of_its_earlier_life():
+    async with open_pair() as (upstream, _, links):
+        order = tool_order(incarnation=Incarnation("an earlier life"))
+        outcome = await links.dispatch(UPSTREAM, order, RecordingSink())
+        assert_that(outcome.word, Is(FinalWord.NOT_RUN))
+        assert_that(outcome.error, Is(ErrorCode.UPSTREAM_LOST))
+        request = SealRequest(order.call_id, fence(), Incarnation("an earlier life"))
+        reply = await links.seal(UPSTREAM, request)
+        assert_that(reply.verdict, Is(SealVerdict.UNKNOWN))
+        assert_that(upstream.calls, HasLength(0))
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "error"),
+    [(False, ErrorCode.OUTCOME_UNKNOWN), (True, ErrorCode.UPSTREAM_FAILED)],
+)
+async def test_a_hanging_tool_ends_as_unknown(repeatable, error):
+    async with open_pair() as (upstream, _, links):
+        upstream.hold()
+        order = tool_order(repeatable=repeatable, timeout_s=0.05)
+        outcome = await links.dispatch(UPSTREAM, order, RecordingSink())
+        await acknowledge(links, order)
+        assert_that((outcome.word, outcome.error), Equals((FinalWord.UNKNOWN, error)))
+
+
+async def test_a_refused_connection_is_not_run_and_makes_the_upstream_suspect():
+    upstream = FakeUpstream()
+    sidecar = RunningSidecar(upstream)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(sidecar.run)
+        async with open_links(FakeHosts(sidecar.host), FakeDocuments()) as links:
+            await wait_until(lambda: state_of(links) is UpstreamState.LIVE)
+            order = tool_order()
+            outcome = await links.dispatch(UPSTREAM, order, RecordingSink())
+            links.acknowledge(UPSTREAM, order.call_id)
+            assert_that(outcome.word, Is(FinalWord.NOT_RUN))
+            assert_that(outcome.error, Is(ErrorCode.NO_UPSTREAM))
+            await wait_until(lambda: state_of(links) is UpstreamState.SUSPECT)
+            async with upstream.served():
+                await wait_until(lambda: state_of(links) is UpstreamState.LIVE)
+            sidecar.stop.set()
+            await sidecar.stopped.wait()
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_waiting_call_whose_time_is_used_up_is_refused_at_once():
+    async with open_pair(slots=1) as (upstream, _, links), anyio.create_task_group() as tasks:
+        upstream.hold()
+        calls = Dispatches(links, tasks)
+        running = tool_order("a")
+        calls.start(running)
+        await upstream.started.wait()
+        waiting = tool_order("b", remaining_s=0.05)
+        outcome = await links.dispatch(UPSTREAM, waiting, RecordingSink())
+        links.acknowledge(UPSTREAM, waiting.call_id)
+        assert_that(outcome.error, Is(ErrorCode.DEADLINE_PASSED))
+        assert_that(outcome.word, Is(FinalWord.NOT_RUN))
+        upstream.gate.set()
+        await wait_until(lambda: running.call_id in calls.outcomes)
+        assert_that(upstream.calls, Equals([running.call_id]))
+
+
+async def test_an_ended_program_is_released_at_the_engine():
+    async with open_pair(PoolKind.MODEL) as (upstream, _, links):
+        order = model_order(keep_kv_s=60.0)
+        await links.dispatch(UPSTREAM, order, RecordingSink())
+        links.release(order.program_id, fence())
+        await wait_until(lambda: upstream.released)
+        assert_that(upstream.released, Equals([order.program_id]))
--- a/tests/sidecar_fakes.py
+++ b/tests/sidecar_fakes.py
@@ -301,3 +301,39 @@
 def state_of(links):
     views = links.hosts()
     return views[0].state if views else None
+
+
+class SilentProxy:
+    """Forwards TCP connections; those that are open when it is silenced go silent for good."""
+
+    def __init__(self, target):
+        self.target = target
+        self.address = free_address()
+        self.accepted = 0
+        self.silenced = 0
+
+    def silence(self):
+        self.silenced = self.accepted
+
+    async def run(self):
+        host, _, port = self.address.partition(":")
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
+        await listener.serve(self.forward)
+
+    async def forward(self, client):
+        self.accepted += 1
+        number = self.accepted
+        host, _, port = self.target.partition(":")
+        with suppress(OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            server = await anyio.connect_tcp(host, int(port))
+            async with server, client, anyio.create_task_group() as tasks:
+                tasks.start_soon(self.copy, client, server, number)
+                tasks.start_soon(self.copy, server, client, number)
+
+    async def copy(self, source, sink, number):
+        with suppress(anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            while True:
+                data = await source.receive()
+                if number <= self.silenced:
+                    await anyio.sleep_forever()
+                await sink.send(data)
