Report the engine's memory and cache events to the entries

Cause: placement reads free KV memory and cache events, which the sidecar did not pass on. EngineReports polls load and events twice a second; heartbeats carry them; SidecarLinks.beliefs takes the events. A restarted engine numbers from the start again, so the position is dropped when the upstream was lost. kv_sweep_s and kv_unclaimed_s are settings now.

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
@@ -61,7 +61,6 @@
         self.probe = probe
         self.keeper = keeper
         self.tasks = tasks
-        self.losses = 0
         self.scopes: dict[CallId, anyio.CancelScope] = {}
 
     def submit(self, order: Order) -> Call:
@@ -170,14 +169,15 @@
 
     def _crash_id(self) -> CrashId:
         """Return the name of the crash after which the upstream is unreachable now."""
-        return CrashId(f"{self.state.settings.upstream}/{self.state.incarnation}/{self.losses}")
+        state = self.state
+        return CrashId(f"{state.settings.upstream}/{state.incarnation}/{state.losses}")
 
     def _set_reachable(self, reachable: bool) -> None:
         """Announce that the upstream was lost or came back."""
         if self.drain.reachable is reachable:
             return
         self.drain.reachable = reachable
-        self.losses += not reachable
+        self.state.losses += not reachable
         kind = EventKind.UPSTREAM_REACHABLE if reachable else EventKind.UPSTREAM_UNREACHABLE
         self.log.emit(kind)
         self.hub.broadcast(StateNotice(self.drain.announced()))
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/engine_reports.py
@@ -0,0 +1,71 @@
+"""Read a model engine's load and cache events for the heartbeats."""
+
+import httpx
+import msgspec
+
+from skylarkferry_core.ids import ProgramId
+from skylarkferry_core.messages import CacheEvent
+from skylarkferry_daemon.sidecar_state import SidecarState
+
+REQUEST_TIMEOUT_S = 1.0
+EVENTS_KEPT = 10_000
+
+
+class EngineLoad(msgspec.Struct):
+    """The engine's own report; it lags."""
+
+    free_kv_tokens: int = 0
+
+
+class EngineEvent(msgspec.Struct):
+    """A change of what the engine caches of a program."""
+
+    sequence: int
+    prompt_cache_key: ProgramId
+    cached_tokens: int
+
+
+class EngineEvents(msgspec.Struct):
+    """The engine's events after a number, late and with gaps."""
+
+    events: list[EngineEvent]
+
+
+class EngineReports:
+    """Polls the engine and hands over what is new."""
+
+    def __init__(self, client: httpx.AsyncClient, state: SidecarState) -> None:
+        self.client = client
+        self.state = state
+        self.after = 0
+        self.losses = 0
+
+    async def poll(self) -> None:
+        """Read load and events; an engine that does not answer leaves the last ones."""
+        try:
+            await self._read_load()
+            await self._read_events()
+        except (httpx.HTTPError, msgspec.DecodeError):
+            return
+
+    async def _read_load(self) -> None:
+        load = msgspec.json.decode(await self._get("/v1/load"), type=EngineLoad)
+        self.state.memory.free_tokens = load.free_kv_tokens
+
+    async def _read_events(self) -> None:
+        """Take new events over; a restarted engine counts from the start."""
+        if self.losses != self.state.losses:
+            self.losses = self.state.losses
+            self.after = 0
+        body = await self._get(f"/v1/kv/events?after={self.after}")
+        for event in msgspec.json.decode(body, type=EngineEvents).events:
+            self.after = max(self.after, event.sequence)
+            self.state.cache_events.append(
+                CacheEvent(event.sequence, event.prompt_cache_key, event.cached_tokens)
+            )
+        del self.state.cache_events[:-EVENTS_KEPT]
+
+    async def _get(self, path: str) -> bytes:
+        response = await self.client.get(path, timeout=REQUEST_TIMEOUT_S)
+        response.raise_for_status()
+        return response.content
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/kv_keeper.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/kv_keeper.py
@@ -7,12 +7,10 @@
 
 from skylarkferry_core.errors import StaleEpochError
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.fences import FenceGuard
 from skylarkferry_core.ids import ProgramId, partition_of
 from skylarkferry_core.kv_holds import KvHolds
 from skylarkferry_core.messages import Fence, Order, ReleaseProgram
-from skylarkferry_daemon.log import EventLog
-from skylarkferry_daemon.timers import TimerService
+from skylarkferry_daemon.sidecar_state import SidecarState
 from skylarkferry_daemon.upstream_adapters import fence_headers
 
 REQUEST_TIMEOUT_S = 5.0
@@ -33,19 +31,13 @@
 class KvKeeper:
     """Follows the calls of programs and releases their cache at the engine."""
 
-    def __init__(
-        self,
-        client: httpx.AsyncClient,
-        holds: KvHolds,
-        fences: FenceGuard,
-        timers: TimerService,
-        log: EventLog,
-    ) -> None:
+    def __init__(self, client: httpx.AsyncClient, holds: KvHolds, state: SidecarState) -> None:
         self.client = client
         self.holds = holds
-        self.fences = fences
-        self.timers = timers
-        self.log = log
+        self.fences = state.fences
+        self.memory = state.memory
+        self.timers = state.timers
+        self.log = state.log
 
     def on_started(self, order: Order) -> None:
         """Note that a call runs."""
@@ -108,5 +100,6 @@
             listing = msgspec.json.decode(response.content, type=KvListing)
         except (httpx.HTTPError, msgspec.DecodeError):
             return
+        self.memory.tokens = self.memory.free_tokens + sum(listing.programs.values())
         for program_id in self.holds.on_listing(set(listing.programs), self.timers.now()):
             self.log.emit(EventKind.KV_ORPHAN_FOUND, program_id)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
@@ -6,6 +6,7 @@
 import grpc
 from anyio.abc import TaskGroup
 
+from skylarkferry_core.cache_beliefs import CacheBeliefs
 from skylarkferry_core.errors import ErrorCode, UpstreamLostError
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import CallId, Incarnation, NodeId, UpstreamId
@@ -62,6 +63,7 @@
         incarnation: Incarnation,
         heartbeat_s: float,
         quarantine: Quarantine,
+        beliefs: CacheBeliefs,
         timers: TimerService,
         log: EventLog,
     ) -> None:
@@ -69,6 +71,7 @@
         self.node = node
         self.own_incarnation = incarnation
         self.quarantine = quarantine
+        self.beliefs = beliefs
         self.timers = timers
         self.log = log
         self.member = Member(heartbeat_s)
@@ -178,16 +181,22 @@
                 if followed := self.calls.get(frame.outcome.call_id):
                     followed.finish(frame.outcome)
             case SidecarHeartbeat():
-                self.member.on_state(frame.state, now)
-                self.member.on_load(frame.load, now)
-                self.sent_tokens = 0
-                self.sent_calls = 0
-                self.reliable = [item for item in self.reliable if item[0] > frame.echo]
+                self._on_heartbeat(frame, now)
             case StateNotice():
                 self.member.on_state(frame.state, now)
             case CrashNotice():
                 self.quarantine.on_crash(frame)
 
+    def _on_heartbeat(self, frame: SidecarHeartbeat, now: float) -> None:
+        """Take state, load and cache events; forget reliable frames that arrived."""
+        self.member.on_state(frame.state, now)
+        self.member.on_load(frame.load, now)
+        self.sent_tokens = 0
+        self.sent_calls = 0
+        self.reliable = [item for item in self.reliable if item[0] > frame.echo]
+        for event in frame.cache_events:
+            self.beliefs.observe(self.upstream, event)
+
     def _on_welcome(self, frame: Welcome, now: float) -> None:
         """Go on with everything that the sidecar may have missed."""
         if self.member.incarnation not in ("", frame.incarnation):
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/links.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/links.py
@@ -6,6 +6,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from skylarkferry_core.cache_beliefs import CacheBeliefs
 from skylarkferry_core.errors import ErrorCode, PlatformUnavailableError, UpstreamLostError
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import (
@@ -71,6 +72,7 @@
         self.heartbeat_s = heartbeat_s
         self.links: dict[UpstreamId, Link] = {}
         self.scopes: dict[UpstreamId, anyio.CancelScope] = {}
+        self.beliefs = CacheBeliefs()
         self.engines: dict[ProgramId, set[UpstreamId]] = {}
 
     async def run(self) -> None:
@@ -118,6 +120,7 @@
             incarnation=self.own_incarnation,
             heartbeat_s=self.heartbeat_s,
             quarantine=self.quarantine,
+            beliefs=self.beliefs,
             timers=self.timers,
             log=self.log,
         )
@@ -140,6 +143,7 @@
     def _remove(self, upstream: UpstreamId) -> None:
         """Close a stream; its calls are lost."""
         link = self.links.pop(upstream)
+        self.beliefs.lost(upstream)
         self.scopes.pop(upstream).cancel()
         for followed in list(link.calls.values()):
             followed.lose("the upstream moved")
@@ -237,6 +241,7 @@
     def release(self, program_id: ProgramId, fence: Fence) -> None:
         """Free a program's KV cache where this process used it, or else everywhere."""
         used = self.engines.pop(program_id, None)
+        self.beliefs.released(program_id)
         for upstream, link in self.links.items():
             if self._kind(link) is not PoolKind.MODEL:
                 continue
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/settings.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/settings.py
@@ -87,6 +87,8 @@
     outcomes_kept: Count = 100_000
     frame_interval_s: Seconds = 0.015
     heartbeat_s: Seconds = 1.0
+    kv_sweep_s: Seconds = 10.0
+    kv_unclaimed_s: Seconds = 60.0
     stop_grace_s: Seconds = 600.0
     ring_events: Count = 10_000
     log_level: str = "INFO"
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
@@ -12,6 +12,7 @@
 from skylarkferry_core.messages import SidecarHeartbeat, StateNotice
 from skylarkferry_core.states import PoolKind
 from skylarkferry_daemon.call_runner import CallRunner
+from skylarkferry_daemon.engine_reports import EngineReports
 from skylarkferry_daemon.kv_keeper import KvKeeper
 from skylarkferry_daemon.settings import SidecarSettings
 from skylarkferry_daemon.sidecar_metrics import SidecarCollector, metrics_app, serve_metrics
@@ -31,7 +32,7 @@
 DELIVERY_WAIT_S = 5.0
 EXPIRE_INTERVAL_S = 30.0
 KV_FREE_INTERVAL_S = 0.25
-KV_SWEEP_INTERVAL_S = 10.0
+ENGINE_POLL_S = 0.5
 
 
 class Sidecar:
@@ -59,26 +60,28 @@
         """Build the parts and open the servers."""
         state = self.state
         client = await stack.enter_async_context(new_client(self.settings.upstream_url))
-        keeper = KvKeeper(client, KvHolds(), state.fences, state.timers, state.log)
+        holds = KvHolds(self.settings.kv_unclaimed_s)
+        keeper = KvKeeper(client, holds, state)
         adapter = adapter_for(self.settings.kind, client)
         probe = UpstreamProbe(self.settings.upstream_url)
         runner = CallRunner(state, adapter, probe, keeper, tasks)
         tasks.start_soon(state.timers.run, tasks)
-        self._subscribe(runner, keeper)
+        self._subscribe(runner, keeper, EngineReports(client, state))
         app = metrics_app(SidecarCollector(state))
         await serve_metrics(app, self.settings.metrics_listen, stack, tasks)
         await self._serve_rpc(SidecarService(state, runner, keeper, self.stop), stack)
         return runner
 
-    def _subscribe(self, runner: CallRunner, keeper: KvKeeper) -> None:
+    def _subscribe(self, runner: CallRunner, keeper: KvKeeper, reports: EngineReports) -> None:
         """Set the periodic work up."""
         timers = self.state.timers
         timers.every(self.settings.heartbeat_s, self._beat)
         timers.every(self.settings.heartbeat_s, runner.check_reachable)
         timers.every(EXPIRE_INTERVAL_S, self._expire)
         if self.settings.kind is PoolKind.MODEL:
+            timers.every(ENGINE_POLL_S, reports.poll)
             timers.every(KV_FREE_INTERVAL_S, keeper.free_due)
-            timers.every(KV_SWEEP_INTERVAL_S, keeper.sweep)
+            timers.every(self.settings.kv_sweep_s, keeper.sweep)
 
     async def _serve_rpc(self, service: SidecarService, stack: AsyncExitStack) -> None:
         server = new_server()
@@ -100,7 +103,8 @@
         state = self.state
         self.beats += 1
         announced = state.drain.announced()
-        state.hub.beat(SidecarHeartbeat(self.beats, announced, state.load()))
+        events = state.take_cache_events()
+        state.hub.beat(SidecarHeartbeat(self.beats, announced, state.load(), events))
         silence_s = SILENT_HEARTBEATS * self.settings.heartbeat_s
         state.hub.end_silent(state.timers.now() - silence_s)
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_state.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_state.py
@@ -10,7 +10,7 @@
 from skylarkferry_core.fences import FenceGuard
 from skylarkferry_core.ids import Incarnation
 from skylarkferry_core.loads import EngineMemory, load_of
-from skylarkferry_core.messages import LoadReport
+from skylarkferry_core.messages import CacheEvent, LoadReport
 from skylarkferry_core.queues import DEFAULT_QUEUE_ORDER, QUEUE_ORDERS
 from skylarkferry_daemon.entry_streams import StreamHub
 from skylarkferry_daemon.log import EventLog
@@ -34,12 +34,19 @@
         self.table = CallTable(self.incarnation, limits, queue_order, self.fences)
         self.hub = StreamHub(self.table)
         self.memory = EngineMemory()
+        self.cache_events: list[CacheEvent] = []
+        self.losses = 0
         self.progress = anyio.Event()
 
     def load(self) -> LoadReport:
         """Return the load to report now."""
         return load_of(self.table, self.memory)
 
+    def take_cache_events(self) -> tuple[CacheEvent, ...]:
+        """Return the events that no heartbeat carried yet."""
+        events, self.cache_events = tuple(self.cache_events), []
+        return events
+
     def note_progress(self) -> None:
         """Wake what waits for calls to end or outcomes to be delivered."""
         self.progress.set()
