--- /dev/null
+++ b/tests/core/test_members.py
@@ -0,0 +1,64 @@
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from skylarkferry_core.ids import Incarnation
+from skylarkferry_core.members import LIST_LAG_S, Member
+from skylarkferry_core.messages import LoadReport
+from skylarkferry_core.states import UpstreamState
+
+FIRST, SECOND = Incarnation("first"), Incarnation("second")
+LIVE, LEAVING = UpstreamState.LIVE, UpstreamState.LEAVING
+
+
+@pytest.fixture
+def member():
+    member = Member(heartbeat_s=1.0)
+    member.on_listed(False, now=0.0)
+    member.on_welcome(FIRST, LIVE, LoadReport(), now=0.0)
+    return member
+
+
+def test_leaving_never_goes_back_within_an_incarnation(member):
+    member.on_state(LEAVING, now=1.0)
+    member.on_state(LIVE, now=1.1)
+    member.on_listed(False, now=1.2)
+    assert_that(member.state(1.2), Is(LEAVING))
+    member.on_disconnected()
+    member.on_welcome(FIRST, LIVE, LoadReport(), now=2.0)
+    assert_that(member.state(2.0), Is(LEAVING))
+
+
+def test_a_new_incarnation_is_live_while_the_list_still_marks_the_old_one(member):
+    member.on_listed(True, now=1.0)
+    assert_that(member.state(1.0), Is(LEAVING))
+    member.on_welcome(SECOND, LIVE, LoadReport(), now=2.0)
+    member.on_listed(True, now=3.0)
+    assert_that(member.state(3.0), Is(LIVE))
+
+
+def test_a_mark_that_outlasts_the_lists_lag_counts_for_the_new_incarnation(member):
+    member.on_listed(True, now=1.0)
+    member.on_welcome(SECOND, LIVE, LoadReport(), now=2.0)
+    late = 2.0 + LIST_LAG_S + 0.1
+    member.on_state(LIVE, late)
+    assert_that(member.state(late), Is(LEAVING))
+
+
+def test_a_lost_notice_is_made_good_by_the_list(member):
+    member.on_listed(True, now=1.0)
+    member.on_state(LIVE, now=1.5)
+    assert_that(member.state(1.5), Is(LEAVING))
+
+
+def test_a_silent_upstream_is_suspect_and_an_unlisted_lost_one_is_gone(member):
+    assert_that(member.state(2.9), Is(LIVE))
+    assert_that(member.state(3.1), Is(UpstreamState.SUSPECT))
+    member.on_disconnected()
+    assert_that(member.state(3.1), Is(UpstreamState.SUSPECT))
+    member.on_unlisted()
+    assert_that(member.state(3.1), Is(UpstreamState.GONE))
+
+
+def test_a_load_report_ages(member):
+    assert_that(member.aged_load(2.5).age_s, Equals(2.5))
--- a/tests/sidecar_fakes.py
+++ b/tests/sidecar_fakes.py
@@ -12,6 +12,7 @@
 from starlette.routing import Route
 
 from skylarkferry_core.document import Document, PoolSpec
+from skylarkferry_core.errors import WriteConflictError
 from skylarkferry_core.ids import (
     CallId,
     CustomerId,
@@ -191,6 +192,9 @@
         return [row for key, row in sorted(self.rows.items()) if key.startswith(prefix)]
 
     async def transact(self, conditions, writes):
+        for condition in conditions:
+            if (await self.read(condition.key)).version != condition.version:
+                raise WriteConflictError(condition.key)
         for write in writes:
             version = self.rows.get(write.key, Row(write.key, b"", 0)).version + 1
             self.rows[write.key] = Row(write.key, write.value, version)
