--- a/tests/sidecar_fakes.py
+++ b/tests/sidecar_fakes.py
@@ -12,6 +12,7 @@
 from starlette.routing import Route
 
 from skylarkferry_core.document import Document, PoolSpec
+from skylarkferry_core.errors import WriteConflictError
 from skylarkferry_core.ids import (
     CallId,
     CustomerId,
@@ -191,6 +192,9 @@
         return [row for key, row in sorted(self.rows.items()) if key.startswith(prefix)]
 
     async def transact(self, conditions, writes):
+        for condition in conditions:
+            if (await self.read(condition.key)).version != condition.version:
+                raise WriteConflictError(condition.key)
         for write in writes:
             version = self.rows.get(write.key, Row(write.key, b"", 0)).version + 1
             self.rows[write.key] = Row(write.key, write.value, version)
@@ -301,3 +305,39 @@
 def state_of(links):
     views = links.hosts()
     return views[0].state if views else None
+
+
+class SilentProxy:
+    """Forwards TCP connections; those that are open when it is silenced go silent for good."""
+
+    def __init__(self, target):
+        self.target = target
+        self.address = free_address()
+        self.accepted = 0
+        self.silenced = 0
+
+    def silence(self):
+        self.silenced = self.accepted
+
+    async def run(self):
+        host, _, port = self.address.partition(":")
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
+        await listener.serve(self.forward)
+
+    async def forward(self, client):
+        self.accepted += 1
+        number = self.accepted
+        host, _, port = self.target.partition(":")
+        with suppress(OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            server = await anyio.connect_tcp(host, int(port))
+            async with server, client, anyio.create_task_group() as tasks:
+                tasks.start_soon(self.copy, client, server, number)
+                tasks.start_soon(self.copy, server, client, number)
+
+    async def copy(self, source, sink, number):
+        with suppress(anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            while True:
+                data = await source.receive()
+                if number <= self.silenced:
+                    await anyio.sleep_forever()
+                await sink.send(data)
