Hold calls back that would evict KV memory of programs under way

Cause: above the knee every policy computed 30 to 50% of all prompt tokens again. A paused or queued program's cache was evicted by a newcomer, which was evicted in turn.

`KvGate` lets a call pass when its new tokens fit beside what running calls use and paused or queued programs keep (`LoadReport.held_kv_tokens`, new, with a default).

Ruled out: giving up the hold after 30 s.

--- a/packages/skylarkferry-bench/src/skylarkferry_bench/caches.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/caches.py
@@ -100,6 +100,18 @@
             if run_id in (None, key.run_id) and not self.entries[key].users:
                 self._shrink(self.entries[key], self.entries[key].tokens, now)
 
+    def pin(self, run: CacheKey, until: float) -> None:
+        """Keep a run's memory until a time."""
+        entry = self.entries.get(run)
+        if entry is not None:
+            entry.pinned_until = max(entry.pinned_until, until)
+
+    def held(self, now: float) -> int:
+        """Return the tokens in use or pinned, with the shared prefixes below them."""
+        held = [item for item in self.entries.values() if item.users or item.pinned_until > now]
+        bases = {id(item.base): item.base.tokens for item in held if item.base}
+        return sum(bases.values()) + sum(item.tokens for item in held if not item.key.prefix)
+
     def settle(self, now: float) -> None:
         """Report what is still held for ended runs."""
         for entry in self.entries.values():
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/policies.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/policies.py
@@ -10,9 +10,11 @@
 
 
 class Policy(msgspec.Struct, frozen=True):
-    """Names of the decisions; ``releases`` frees memory at a program's end, ``retains`` pins it.
+    """Names of the decisions of a policy, and which of the others it takes.
 
-    ``jitters`` spreads retries and keeps to a budget; without it they follow a fixed doubling.
+    ``releases`` frees memory at a program's end, ``retains`` keeps it over pauses, ``gates`` holds
+    calls back that would evict kept memory, ``jitters`` spreads retries and keeps to a budget;
+    without the last they follow a fixed doubling.
     """
 
     name: str
@@ -21,6 +23,7 @@
     admission: str = "open"
     releases: bool = False
     retains: bool = False
+    gates: bool = False
     jitters: bool = False
 
 
@@ -32,6 +35,7 @@
     admission=DEFAULT_ADMISSION,
     releases=True,
     retains=True,
+    gates=True,
     jitters=True,
 )
 POLICIES: Mapping[str, Policy] = {
@@ -40,6 +44,7 @@
 }
 ABLATIONS: Mapping[str, Policy] = {
     "fifo queue": msgspec.structs.replace(FULL, name="fifo queue", queue_order="fifo"),
+    "no gate": msgspec.structs.replace(FULL, name="no gate", gates=False),
     "no retention": msgspec.structs.replace(FULL, name="no retention", retains=False),
     "no release": msgspec.structs.replace(FULL, name="no release", releases=False),
     "sticky placement": msgspec.structs.replace(FULL, name="sticky placement", placement="sticky"),
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/runs.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/runs.py
@@ -13,6 +13,7 @@
 from skylarkferry_bench.upstreams import Upstream
 from skylarkferry_bench.views import Views
 from skylarkferry_bench.workloads import WORKLOADS, ProgramSpec, draw_programs
+from skylarkferry_core.gates import KvGate
 from skylarkferry_core.ids import UpstreamId
 from skylarkferry_core.queues import QUEUE_ORDERS
 
@@ -90,6 +91,7 @@
             clock=self.clock,
             spec=workload.engine,
             order=QUEUE_ORDERS[self.spec.policy.queue_order](),
+            gate=KvGate() if self.spec.policy.gates else None,
             feed=self.fault.feed,
             random=Random(f"{self.spec.seed}:{index}"),
             on_held=self.recorder.held,
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/upstreams.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/upstreams.py
@@ -1,5 +1,6 @@
 """A fake engine with the queue of its sidecar, its load reports and its cache events."""
 
+import math
 from collections.abc import Callable
 from functools import partial
 from random import Random
@@ -9,11 +10,13 @@
 from skylarkferry_bench.caches import CacheKey, PrefixCache
 from skylarkferry_bench.clocks import VirtualClock
 from skylarkferry_bench.engines import EngineCall, EngineSpec, FakeEngine
+from skylarkferry_core.gates import KvGate
 from skylarkferry_core.ids import FailureDomain, PoolName, ProgramId, RunId, UpstreamId
 from skylarkferry_core.interfaces import QueuedOrder, QueueOrder
 from skylarkferry_core.messages import CacheEvent, LoadReport, Order
 
 _CONNECTION_RESET_S = 0.2
+_LOOK_AGAIN_S = 0.25
 
 
 class FeedSpec(msgspec.Struct, frozen=True):
@@ -53,6 +56,7 @@
         clock: VirtualClock,
         spec: EngineSpec,
         order: QueueOrder,
+        gate: KvGate | None,
         feed: FeedSpec,
         random: Random,
         on_held: HeldReport,
@@ -63,6 +67,8 @@
         self.clock = clock
         self.spec = spec
         self.order = order
+        self.gate = gate
+        self.looks_again = False
         self.feed = feed
         self.random = random
         self.engine = FakeEngine(
@@ -82,6 +88,8 @@
         if self.dead:
             self.clock.after(_CONNECTION_RESET_S, lambda: call.on_failure(call))
             return
+        if self.gate is not None:
+            self.engine.cache.pin(call.run, math.inf)
         self.queue.append(Pending(QueuedOrder(order, self.clock.now), call))
         self._dispatch()
 
@@ -122,15 +130,39 @@
             slots=self.spec.slots,
             free_kv_tokens=self.spec.kv_tokens - engine.cache.used,
             kv_tokens=self.spec.kv_tokens,
+            held_kv_tokens=engine.cache.held(self.clock.now),
         )
 
     def _dispatch(self) -> None:
         while self.queue and len(self.running) < self.spec.slots:
-            orders = [pending.queued for pending in self.queue]
-            pending = self.queue.pop(self.order.next_index(orders, self.clock.now))
+            index = self._next_index()
+            if index is None:
+                self._look_again()
+                return
+            pending = self.queue.pop(index)
             self.running[id(pending.call)] = pending
             self.engine.submit(pending.call)
 
+    def _next_index(self) -> int | None:
+        orders = [pending.queued for pending in self.queue]
+        now = self.clock.now
+        if self.gate is None:
+            return self.order.next_index(orders, now)
+        eligible = self.gate.eligible(orders, self.load(), now)
+        if not eligible:
+            return None
+        return eligible[self.order.next_index([orders[index] for index in eligible], now)]
+
+    def _look_again(self) -> None:
+        """Look at the queue later: memory that is kept frees itself by time."""
+        if not self.looks_again:
+            self.looks_again = True
+            self.clock.after(_LOOK_AGAIN_S, self._looked_again)
+
+    def _looked_again(self) -> None:
+        self.looks_again = False
+        self._dispatch()
+
     def _report(self) -> None:
         feed = self.feed
         if not self.dead:
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/views.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/views.py
@@ -110,6 +110,7 @@
                 load.free_kv_tokens,
                 now - view.taken_at,
                 load.kv_tokens,
+                load.held_kv_tokens,
             ),
             sent_since=sum(tokens for _, tokens in view.sent),
             cached_tokens=belief.tokens,
--- a/packages/skylarkferry-core/src/skylarkferry_core/messages.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/messages.py
@@ -160,7 +160,8 @@
     """Exact load before one upstream; rides on outcomes and heartbeats.
 
     ``running_output_tokens`` is what the running calls still have to decode, ``kv_tokens`` the
-    size of the engine's KV memory, or 0 when unknown.
+    size of the engine's KV memory, or 0 when unknown, and ``held_kv_tokens`` what of it running
+    calls use or paused programs keep.
     """
 
     queued: int = 0
@@ -171,6 +172,7 @@
     free_kv_tokens: int = 0
     age_s: float = 0.0
     kv_tokens: int = 0
+    held_kv_tokens: int = 0
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
