Charge a placement for the calls that its prefill delays and for memory that is held

A call whose prompt is not cached stalls every call of the batch, and the estimate left that out; it also took an engine with a free slot and full memory for idle.

The cost now adds prefill time for each running call there, the batch's slowing of decode and a wait that grows with held memory.

Ruled out: a bonus for the last upstream (factor 1.5 and 3 on the cost of others).

--- a/packages/skylarkferry-core/src/skylarkferry_core/placements.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/placements.py
@@ -15,6 +15,7 @@
 _RANDOM_CANDIDATES = 2
 _EVICTION_WEIGHT = 0.5
 _LOAD_BOUND = 1.25
+_FULL_MEMORY_WAIT_S = 4.0
 _UNKNOWN_CALL_S = 1.0
 
 
@@ -169,6 +170,12 @@
     return candidate.load.queued + candidate.load.running + candidate.calls_since
 
 
+def open_slots(candidate: Candidate) -> int:
+    """Return the calls an upstream runs at once: its slots, or fewer while its memory is full."""
+    load = candidate.load
+    return min(load.slots, load.running) if load.queued else load.slots
+
+
 def cached_at(request: PlacementRequest, candidate: Candidate) -> float:
     """Return the prompt tokens expected in the upstream's cache."""
     return min(candidate.cached_tokens, request.prompt_tokens) * candidate.cache_trust
@@ -188,12 +195,36 @@
     return prefill_wait_s + ahead * (mean_left_s or _UNKNOWN_CALL_S) / load.slots
 
 
+def memory_wait_s(candidate: Candidate) -> float:
+    """Return the expected seconds before KV memory is free, by the part that is held."""
+    load = candidate.load
+    if load.kv_tokens <= 0:
+        return 0.0
+    return _FULL_MEMORY_WAIT_S * (load.held_kv_tokens + candidate.sent_since) / load.kv_tokens
+
+
+def prefill_s(request: PlacementRequest, candidate: Candidate) -> float:
+    """Return the seconds to compute the uncached part of the prompt."""
+    uncached = request.prompt_tokens - cached_at(request, candidate)
+    return uncached / candidate.speed.prefill_tokens_per_s
+
+
+def decode_s(request: PlacementRequest, candidate: Candidate) -> float:
+    """Return the seconds to decode the output, or to run a tool, among the calls there."""
+    alone_s = request.output_tokens / candidate.speed.decode_tokens_per_s or _UNKNOWN_CALL_S
+    return alone_s * (1.0 + calls_at(candidate) / candidate.load.slots)
+
+
 def completion_s(request: PlacementRequest, candidate: Candidate) -> float:
     """Return the expected seconds until the call ends at an upstream."""
-    uncached = request.prompt_tokens - cached_at(request, candidate)
-    prefill_s = uncached / candidate.speed.prefill_tokens_per_s
-    decode_s = request.output_tokens / candidate.speed.decode_tokens_per_s
-    return wait_s(candidate) + prefill_s + decode_s
+    waits_s = wait_s(candidate) + memory_wait_s(candidate)
+    return waits_s + prefill_s(request, candidate) + decode_s(request, candidate)
+
+
+def delay_s(request: PlacementRequest, candidate: Candidate) -> float:
+    """Return the seconds by which the call's prefill delays the calls that run there, in sum."""
+    running = min(calls_at(candidate), candidate.load.slots)
+    return running * prefill_s(request, candidate)
 
 
 def waste_s(request: PlacementRequest, candidate: Candidate, best_cached: float) -> float:
@@ -212,8 +243,9 @@
     request: PlacementRequest, candidate: Candidate, best_cached: float, site: SiteSpec
 ) -> float:
     """Return the weighted cost of an upstream, in seconds."""
-    latency = site.latency_weight * completion_s(request, candidate)
-    return latency + site.cache_weight * waste_s(request, candidate, best_cached)
+    latency_s = completion_s(request, candidate) + delay_s(request, candidate)
+    wasted_s = waste_s(request, candidate, best_cached)
+    return site.latency_weight * latency_s + site.cache_weight * wasted_s
 
 
 def _rendezvous(key: str, upstream: UpstreamId) -> int:
