Admit by the demand that is due at each deadline

Cause: admission multiplied the shortest wait by the expected calls.

`DemandBook` is the processor demand test of earliest-deadline scheduling over the slots of this node; `Admission.progressed` and `ended` are new, `AdmissionRequest` gains `program_id`, `work_s` and `capacity` with defaults (without capacity the old rule applies). An entry also frees a run's memory where it was when its next call goes elsewhere.

--- a/packages/skylarkferry-bench/src/skylarkferry_bench/entries.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/entries.py
@@ -26,7 +26,7 @@
 )
 from skylarkferry_core.interfaces import PlacementRequest
 from skylarkferry_core.messages import Fence, ModelWork, Order
-from skylarkferry_core.placements import PLACEMENTS, usable, wait_s
+from skylarkferry_core.placements import PLACEMENTS, open_slots, usable, wait_s
 from skylarkferry_core.retention import PauseEstimates, Retention
 from skylarkferry_core.retries import RetryBudget, RetryPolicy, RetryRequest
 from skylarkferry_core.states import Priority
@@ -59,6 +59,7 @@
         self.spec = spec
         self.accepted_at = accepted_at
         self.work_s = 0.0
+        self.slot_s = 0.0
         self.calls = 0
         self.runs = 0
         self.upstreams: set[UpstreamId] = set()
@@ -74,7 +75,8 @@
 class Entry:
     """One entry process: admits programs, places their calls and follows them.
 
-    ``on_lost`` hears of programs that were refused or failed, with the time to come back.
+    ``on_lost`` hears of programs that were refused or failed, with the time to come back;
+    ``nodes`` entries share the upstreams.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         recorder: Recorder,
         random: Random,
         on_lost: OnLost,
+        nodes: int,
     ) -> None:
         self.clock = clock
         self.workload = workload
@@ -94,6 +97,7 @@
         self.views = views
         self.recorder = recorder
         self.on_lost = on_lost
+        self.nodes = nodes
         self.placement = PLACEMENTS[policy.placement](random)
         self.admission = ADMISSIONS[policy.admission]()
         self.retention = Retention()
@@ -122,6 +126,9 @@
             expected_s=self.estimates.work_s.get(spec.kind),
             wait_s=min((wait_s(item) for item in found), default=spec.deadline_s),
             expected_calls=self.estimates.calls.get(spec.kind),
+            program_id=spec.program_id,
+            work_s=self.estimates.slot_s.get(spec.kind),
+            capacity=sum(open_slots(item) for item in found) / self.nodes,
         )
 
     def _placement_request(
@@ -154,11 +161,19 @@
         order = self._order(program, run, request, prefill)
         call = self._call(program, run, request, order)
         self.views.sent(name, request, prefill, now)
+        self._leave(program, run, name)
         run.last_upstream = name
         program.upstreams.add(name)
         upstream = self.views.views[name].upstream
         self.clock.after(HOP_S, lambda: upstream.enqueue(order, call))
 
+    def _leave(self, program: Program, run: Run, name: UpstreamId) -> None:
+        """Free a run's memory where it was before, when its next call goes elsewhere."""
+        if self.policy.releases and run.last_upstream not in ("", name):
+            old = self.views.views[run.last_upstream].upstream
+            program_id = program.spec.program_id
+            self.clock.after(HOP_S, lambda: old.release(program_id, run.run_id))
+
     def _order(self, program: Program, run: Run, request: PlacementRequest, prefill: int) -> Order:
         spec = program.spec
         now = self.clock.now
@@ -264,6 +279,8 @@
         )
         self.estimates.output_tokens.observe(run.spec.agent, call.output_tokens)
         program.work_s += prefill_s + decode_s
+        program.slot_s += prefill_s + decode_s
+        self.admission.progressed(program.spec.program_id, prefill_s + decode_s)
         program.calls += 1
         run.attempts = 0
         run.prompt_tokens = tokens
@@ -303,12 +320,14 @@
         spec = program.spec
         self.recorder.ended(spec, self.clock.now)
         self.estimates.work_s.observe(spec.kind, program.work_s)
+        self.estimates.slot_s.observe(spec.kind, program.slot_s)
         self.estimates.calls.observe(spec.kind, program.calls)
         self._close(program)
 
     def _close(self, program: Program) -> None:
         """Mark the program's memory as held in vain, and free it if the policy does."""
         program_id = program.spec.program_id
+        self.admission.ended(program_id)
         for name in program.upstreams:
             upstream: Upstream = self.views.views[name].upstream
             upstream.engine.cache.end(program_id, self.clock.now)
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/estimates.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/estimates.py
@@ -27,5 +27,6 @@
 
     def __init__(self) -> None:
         self.work_s = Averages(10.0)
+        self.slot_s = Averages(5.0)
         self.calls = Averages(4.0)
         self.output_tokens = Averages(100.0)
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/runs.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/runs.py
@@ -114,6 +114,7 @@
             recorder=self.recorder,
             random=random,
             on_lost=self._lost,
+            nodes=_ENTRIES,
         )
 
 
--- a/packages/skylarkferry-core/src/skylarkferry_core/admissions.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/admissions.py
@@ -5,13 +5,14 @@
 
 import msgspec
 
+from skylarkferry_core.demands import DemandBook
 from skylarkferry_core.errors import ErrorCode
-from skylarkferry_core.ids import CustomerId
+from skylarkferry_core.ids import CustomerId, ProgramId
 
 _SECONDS_PER_MINUTE = 60.0
 _BURST_S = 10.0
 _MIN_RETRY_AFTER_S = 0.5
-_SAFETY = 1.0
+_UTILIZATION = 0.9
 
 
 class AdmissionRequest(msgspec.Struct, frozen=True):
@@ -19,6 +20,8 @@
 
     ``expected_s`` is its work on idle upstreams, ``wait_s`` the wait that each of its
     ``expected_calls`` meets now at the least loaded upstream, ``tokens`` what it may use.
+    ``work_s`` is the part of ``expected_s`` in which its calls occupy a slot of an upstream, and
+    ``capacity`` the slots open to this node, 0 when unknown.
     """
 
     customer: CustomerId
@@ -28,6 +31,9 @@
     expected_calls: float = 1.0
     tokens: int = 0
     tokens_per_minute: int = 0
+    program_id: ProgramId = ProgramId("")
+    work_s: float = 0.0
+    capacity: float = 0.0
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -43,6 +49,12 @@
     def admit(self, request: AdmissionRequest, now: float) -> Refusal | None:
         """Return ``None`` to admit, or the refusal; it is told to the caller at once."""
 
+    def progressed(self, program_id: ProgramId, work_s: float) -> None:
+        """Note that calls of an admitted program occupied a slot for ``work_s`` seconds."""
+
+    def ended(self, program_id: ProgramId) -> None:
+        """Note that an admitted program ended."""
+
 
 class OpenAdmission:
     """Admit everything."""
@@ -51,6 +63,12 @@
         """Return ``None``."""
         return None
 
+    def progressed(self, program_id: ProgramId, work_s: float) -> None:
+        """Do nothing."""
+
+    def ended(self, program_id: ProgramId) -> None:
+        """Do nothing."""
+
 
 class CustomerSlice:
     """One node's slice of a customer's rate limit: a token bucket of ``burst_s`` seconds."""
@@ -96,26 +114,46 @@
     ``slice_share`` is this node's part of every customer's limit, 1 for a single node.
     """
 
-    def __init__(self, slice_share: float = 1.0, safety: float = _SAFETY) -> None:
+    def __init__(self, slice_share: float = 1.0, utilization: float = _UTILIZATION) -> None:
         self.slice_share = slice_share
-        self.safety = safety
+        self.utilization = utilization
         self.slices: dict[CustomerId, CustomerSlice] = {}
+        self.book = DemandBook()
 
     def admit(self, request: AdmissionRequest, now: float) -> Refusal | None:
         """Return ``None`` to admit, or the refusal."""
-        late_s = self.late_s(request)
+        late_s = max(self._late_alone_s(request), self._late_s(request, now))
         if late_s > 0:
             code = ErrorCode.DEADLINE_UNREACHABLE
             return Refusal(code, max(late_s, _MIN_RETRY_AFTER_S))
         wait_s = self._take(request, now)
         if wait_s > 0:
             return Refusal(ErrorCode.CUSTOMER_LIMIT, max(wait_s, _MIN_RETRY_AFTER_S))
+        if request.capacity > 0:
+            self.book.add(request.program_id, now + request.deadline_s, request.work_s)
         return None
 
-    def late_s(self, request: AdmissionRequest) -> float:
-        """Return by how many seconds the program is expected to miss its deadline."""
-        waits_s = request.wait_s * request.expected_calls
-        return self.safety * (request.expected_s + waits_s) - request.deadline_s
+    def progressed(self, program_id: ProgramId, work_s: float) -> None:
+        """Take done work off the demand."""
+        self.book.progress(program_id, work_s)
+
+    def ended(self, program_id: ProgramId) -> None:
+        """Take a program's demand away."""
+        self.book.remove(program_id)
+
+    def _late_alone_s(self, request: AdmissionRequest) -> float:
+        """Return by how many seconds the program misses its deadline even without others."""
+        waits_s = 0.0
+        if request.capacity <= 0:
+            waits_s = request.wait_s * request.expected_calls
+        return request.expected_s + waits_s - request.deadline_s
+
+    def _late_s(self, request: AdmissionRequest, now: float) -> float:
+        """Return by how many seconds some program would miss its deadline."""
+        if request.capacity <= 0:
+            return 0.0
+        capacity = request.capacity * self.utilization
+        return self.book.late_s(now + request.deadline_s, request.work_s, capacity, now)
 
     def _take(self, request: AdmissionRequest, now: float) -> float:
         if request.tokens_per_minute <= 0:
