--- a/packages/skylarkferry-core/src/skylarkferry_core/admissions.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/admissions.py
@@ -55,6 +55,12 @@
     def ended(self, program_id: ProgramId) -> None:
         """Note that an admitted program ended."""
 
+    def settle(self, customer: CustomerId, tokens: int) -> None:
+        """Give a customer back what an ended program was charged too much; less than 0 charges."""
+
+    def share_with(self, nodes: int) -> None:
+        """Take an equal part of every customer's limit, one of ``nodes``."""
+
 
 class OpenAdmission:
     """Admit everything."""
@@ -69,6 +75,12 @@
     def ended(self, program_id: ProgramId) -> None:
         """Do nothing."""
 
+    def settle(self, customer: CustomerId, tokens: int) -> None:
+        """Do nothing: nothing was charged."""
+
+    def share_with(self, nodes: int) -> None:
+        """Do nothing: there is no limit."""
+
 
 class CustomerSlice:
     """One node's slice of a customer's rate limit: a token bucket of ``burst_s`` seconds."""
@@ -141,6 +153,16 @@
         """Take a program's demand away."""
         self.book.remove(program_id)
 
+    def settle(self, customer: CustomerId, tokens: int) -> None:
+        """Settle an ended program's charge; a negative amount leaves the slice in debt."""
+        held = self.slices.get(customer)
+        if held is not None:
+            held.give_back(tokens)
+
+    def share_with(self, nodes: int) -> None:
+        """Set this node's part of every customer's limit."""
+        self.slice_share = 1.0 / max(nodes, 1)
+
     def _late_alone_s(self, request: AdmissionRequest) -> float:
         """Return by how many seconds the program misses its deadline even without others."""
         waits_s = 0.0
