Start newcomers only where the typical size of all programs leaves KV memory

Cause: at 1.5 times load in Arusha engines ran one call at a time with their memory full. Queued programs kept theirs from each other, and newcomers had passed the gate at their first prompt and then grown threefold.

The gate now takes the most urgent call that fits: continuing programs against memory in use, newcomers against the learned mean size of all programs (`Order.typical_tokens`, `Order.cached_tokens`, `LoadReport.reserved_kv_tokens`, new, with defaults); urgent newcomers need room for their first call only. Admission has a second demand test for KV token-seconds.

--- a/packages/skylarkferry-bench/src/skylarkferry_bench/entries.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/entries.py
@@ -50,6 +50,8 @@
         self.prompt_tokens = spec.prefix_tokens + spec.input_tokens
         self.last_upstream = UpstreamId("")
         self.attempts = 0
+        self.kv_token_s = 0.0
+        self.held_s = 0.0
 
 
 class Program:
@@ -60,6 +62,7 @@
         self.accepted_at = accepted_at
         self.work_s = 0.0
         self.slot_s = 0.0
+        self.kv_token_s = 0.0
         self.calls = 0
         self.runs = 0
         self.upstreams: set[UpstreamId] = set()
@@ -129,6 +132,8 @@
             program_id=spec.program_id,
             work_s=self.estimates.slot_s.get(spec.kind),
             capacity=sum(open_slots(item) for item in found) / self.nodes,
+            kv_token_s=self.estimates.kv_token_s.get(spec.kind),
+            kv_tokens=sum(item.load.kv_tokens for item in found) / self.nodes,
         )
 
     def _placement_request(
@@ -194,6 +199,8 @@
             keep_kv_s=self._keep_s(run, request),
             prefill_tokens=prefill,
             output_tokens=request.output_tokens,
+            cached_tokens=max(request.prompt_tokens - prefill - request.prefix_tokens, 0),
+            typical_tokens=int(self.estimates.typical_tokens.get(run.spec.agent)),
         )
 
     def _keep_s(self, run: Run, request: PlacementRequest) -> float:
@@ -279,8 +286,14 @@
         )
         self.estimates.output_tokens.observe(run.spec.agent, call.output_tokens)
         program.work_s += prefill_s + decode_s
+        turn = run.spec.turns[run.turn]
+        held_tokens = tokens - run.spec.prefix_tokens
+        kv_token_s = held_tokens * (prefill_s + decode_s + turn.pause_s)
         program.slot_s += prefill_s + decode_s
-        self.admission.progressed(program.spec.program_id, prefill_s + decode_s)
+        program.kv_token_s += kv_token_s
+        run.kv_token_s += kv_token_s
+        run.held_s += prefill_s + decode_s + turn.pause_s
+        self.admission.progressed(program.spec.program_id, prefill_s + decode_s, kv_token_s)
         program.calls += 1
         run.attempts = 0
         run.prompt_tokens = tokens
@@ -290,6 +303,8 @@
         """Go on after a turn: a pause, a sub-agent, or the end of the run."""
         turn = run.spec.turns[run.turn]
         run.turn += 1
+        if run.turn == len(run.spec.turns):
+            self.estimates.typical_tokens.observe(run.spec.agent, run.kv_token_s / run.held_s)
         if run.parent is None and program.spec.abandon_turn == run.turn - 1:
             self.recorder.abandoned(program.spec)
             self._close(program)
@@ -321,6 +336,7 @@
         self.recorder.ended(spec, self.clock.now)
         self.estimates.work_s.observe(spec.kind, program.work_s)
         self.estimates.slot_s.observe(spec.kind, program.slot_s)
+        self.estimates.kv_token_s.observe(spec.kind, program.kv_token_s)
         self.estimates.calls.observe(spec.kind, program.calls)
         self._close(program)
 
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/upstreams.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/upstreams.py
@@ -122,6 +122,7 @@
         prefill = sum(call.prefill_left for call in engine.prefilling)
         held = [self.running[id(call)].queued.order for call in engine.waiting]
         prefill += sum(order.prefill_tokens for order in [*waiting, *held])
+        held_tokens, reserved_tokens = engine.cache.held(self.clock.now)
         return LoadReport(
             queued=len(waiting),
             running=len(self.running),
@@ -130,7 +131,8 @@
             slots=self.spec.slots,
             free_kv_tokens=self.spec.kv_tokens - engine.cache.used,
             kv_tokens=self.spec.kv_tokens,
-            held_kv_tokens=engine.cache.held(self.clock.now),
+            held_kv_tokens=held_tokens,
+            reserved_kv_tokens=reserved_tokens,
         )
 
     def _dispatch(self) -> None:
@@ -142,16 +144,14 @@
             pending = self.queue.pop(index)
             self.running[id(pending.call)] = pending
             self.engine.submit(pending.call)
+            self.engine.cache.expect(pending.call.run, pending.queued.order.typical_tokens)
 
     def _next_index(self) -> int | None:
         orders = [pending.queued for pending in self.queue]
         now = self.clock.now
         if self.gate is None:
             return self.order.next_index(orders, now)
-        eligible = self.gate.eligible(orders, self.load(), now)
-        if not eligible:
-            return None
-        return eligible[self.order.next_index([orders[index] for index in eligible], now)]
+        return self.gate.next_index(orders, self.load(), self.order, now)
 
     def _look_again(self) -> None:
         """Look at the queue later: memory that is kept frees itself by time."""
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/views.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/views.py
@@ -111,6 +111,7 @@
                 now - view.taken_at,
                 load.kv_tokens,
                 load.held_kv_tokens,
+                load.reserved_kv_tokens,
             ),
             sent_since=sum(tokens for _, tokens in view.sent),
             cached_tokens=belief.tokens,
--- a/packages/skylarkferry-core/src/skylarkferry_core/admissions.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/admissions.py
@@ -12,6 +12,7 @@
 _SECONDS_PER_MINUTE = 60.0
 _BURST_S = 10.0
 _MIN_RETRY_AFTER_S = 0.5
+
 _UTILIZATION = 0.9
 
 
@@ -21,7 +22,8 @@
     ``expected_s`` is its work on idle upstreams, ``wait_s`` the wait that each of its
     ``expected_calls`` meets now at the least loaded upstream, ``tokens`` what it may use.
     ``work_s`` is the part of ``expected_s`` in which its calls occupy a slot of an upstream, and
-    ``capacity`` the slots open to this node, 0 when unknown.
+    ``capacity`` the slots open to this node, 0 when unknown; ``kv_token_s`` and ``kv_tokens`` are
+    the same for KV memory, in token-seconds and tokens.
     """
 
     customer: CustomerId
@@ -34,6 +36,8 @@
     program_id: ProgramId = ProgramId("")
     work_s: float = 0.0
     capacity: float = 0.0
+    kv_token_s: float = 0.0
+    kv_tokens: float = 0.0
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -49,8 +53,8 @@
     def admit(self, request: AdmissionRequest, now: float) -> Refusal | None:
         """Return ``None`` to admit, or the refusal; it is told to the caller at once."""
 
-    def progressed(self, program_id: ProgramId, work_s: float) -> None:
-        """Note that calls of an admitted program occupied a slot for ``work_s`` seconds."""
+    def progressed(self, program_id: ProgramId, work_s: float, kv_token_s: float = 0.0) -> None:
+        """Note what an admitted program used: seconds of a slot, token-seconds of KV memory."""
 
     def ended(self, program_id: ProgramId) -> None:
         """Note that an admitted program ended."""
@@ -69,7 +73,7 @@
         """Return ``None``."""
         return None
 
-    def progressed(self, program_id: ProgramId, work_s: float) -> None:
+    def progressed(self, program_id: ProgramId, work_s: float, kv_token_s: float = 0.0) -> None:
         """Do nothing."""
 
     def ended(self, program_id: ProgramId) -> None:
@@ -130,7 +134,8 @@
         self.slice_share = slice_share
         self.utilization = utilization
         self.slices: dict[CustomerId, CustomerSlice] = {}
-        self.book = DemandBook()
+        self.slot_book = DemandBook()
+        self.kv_book = DemandBook()
 
     def admit(self, request: AdmissionRequest, now: float) -> Refusal | None:
         """Return ``None`` to admit, or the refusal."""
@@ -141,17 +146,22 @@
         wait_s = self._take(request, now)
         if wait_s > 0:
             return Refusal(ErrorCode.CUSTOMER_LIMIT, max(wait_s, _MIN_RETRY_AFTER_S))
+        deadline_at = now + request.deadline_s
         if request.capacity > 0:
-            self.book.add(request.program_id, now + request.deadline_s, request.work_s)
+            self.slot_book.add(request.program_id, deadline_at, request.work_s)
+        if request.kv_tokens > 0:
+            self.kv_book.add(request.program_id, deadline_at, request.kv_token_s)
         return None
 
-    def progressed(self, program_id: ProgramId, work_s: float) -> None:
+    def progressed(self, program_id: ProgramId, work_s: float, kv_token_s: float = 0.0) -> None:
         """Take done work off the demand."""
-        self.book.progress(program_id, work_s)
+        self.slot_book.progress(program_id, work_s)
+        self.kv_book.progress(program_id, kv_token_s)
 
     def ended(self, program_id: ProgramId) -> None:
         """Take a program's demand away."""
-        self.book.remove(program_id)
+        self.slot_book.remove(program_id)
+        self.kv_book.remove(program_id)
 
     def settle(self, customer: CustomerId, tokens: int) -> None:
         """Settle an ended program's charge; a negative amount leaves the slice in debt."""
@@ -172,10 +182,16 @@
 
     def _late_s(self, request: AdmissionRequest, now: float) -> float:
         """Return by how many seconds some program would miss its deadline."""
-        if request.capacity <= 0:
-            return 0.0
-        capacity = request.capacity * self.utilization
-        return self.book.late_s(now + request.deadline_s, request.work_s, capacity, now)
+        deadline_at = now + request.deadline_s
+        late_s = 0.0
+        if request.capacity > 0:
+            slots = request.capacity * self.utilization
+            late_s = self.slot_book.late_s(deadline_at, request.work_s, slots, now)
+        if request.kv_tokens > 0:
+            tokens = request.kv_tokens * self.utilization
+            kv_late_s = self.kv_book.late_s(deadline_at, request.kv_token_s, tokens, now)
+            late_s = max(late_s, kv_late_s)
+        return late_s
 
     def _take(self, request: AdmissionRequest, now: float) -> float:
         if request.tokens_per_minute <= 0:
--- a/packages/skylarkferry-core/src/skylarkferry_core/demands.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/demands.py
@@ -8,7 +8,7 @@
 
 
 class Demand(msgspec.Struct):
-    """One program: the monotonic time of its deadline and its remaining work in slot-seconds."""
+    """One program: the monotonic time of its deadline and its remaining work in units of capacity times seconds."""
 
     deadline_at: float
     work_s: float
@@ -17,7 +17,7 @@
 class DemandBook:
     """Test whether a program fits beside those under way, served by earliest deadline.
 
-    Capacity counts upstream slots; work counts the seconds that calls occupy one.
+    Capacity counts slots of upstreams, and work the seconds of one, or both count KV tokens.
     """
 
     def __init__(self) -> None:
--- a/packages/skylarkferry-core/src/skylarkferry_core/messages.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/messages.py
@@ -112,7 +112,9 @@
     program's expected work, ``keep_kv_s`` how long the engine keeps the program's KV cache after
     the call.  ``incarnation`` is the sidecar's life the order was placed on; empty means any.
     ``alone`` asks for an upstream without other calls: the request was running at a crash.
-    ``prefill_tokens`` and ``output_tokens`` are the entry's estimates of what the call computes.
+    ``prefill_tokens`` and ``output_tokens`` are the entry's estimates of what the call computes,
+    ``cached_tokens`` what the run itself has in the upstream's cache, without shared prefixes, and
+    ``typical_tokens`` what runs of its kind hold there on average over their life.
     """
 
     call_id: CallId
@@ -131,6 +133,8 @@
     alone: bool = False
     prefill_tokens: int = 0
     output_tokens: int = 0
+    cached_tokens: int = 0
+    typical_tokens: int = 0
 
 
 class ServiceReply(msgspec.Struct, frozen=True):
@@ -164,7 +168,8 @@
 
     ``running_output_tokens`` is what the running calls still have to decode, ``kv_tokens`` the
     size of the engine's KV memory, or 0 when unknown, and ``held_kv_tokens`` what of it running
-    calls use or paused programs keep.
+    calls use or paused programs keep; ``reserved_kv_tokens`` counts their typical size where that
+    is larger.
     """
 
     queued: int = 0
@@ -176,6 +181,7 @@
     age_s: float = 0.0
     kv_tokens: int = 0
     held_kv_tokens: int = 0
+    reserved_kv_tokens: int = 0
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
