--- a/packages/skylarkferry-core/src/skylarkferry_core/demands.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/demands.py
@@ -8,7 +8,10 @@
 
 
 class Demand(msgspec.Struct):
-    """One program: the monotonic time of its deadline and its remaining work in units of capacity times seconds."""
+    """One program: the monotonic time of its deadline and its remaining work.
+
+    Work counts units of capacity times seconds.
+    """
 
     deadline_at: float
     work_s: float
--- a/packages/skylarkferry-core/src/skylarkferry_core/gates.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/gates.py
@@ -16,8 +16,8 @@
     Running calls and paused programs keep theirs.  A queued program keeps its memory from less
     urgent ones, not from more urgent ones: otherwise a full engine would run one call at a time.
     A newcomer starts only where the typical size of all programs leaves room, for they grow;
-    an urgent one needs just room for its first call.  A call that was held for ``max_hold_s`` passes in any case, and so does
-    any call of an idle engine.
+    an urgent one needs just room for its first call.  A call that was held for ``max_hold_s``
+    passes in any case, and so does any call of an idle engine.
     """
 
     def __init__(self, max_hold_s: float = _MAX_HOLD_S) -> None:
