Treat InvalidStateError of a finished RPC as the end of the stream

Cause: an entry thawed after a freeze past its lease exited: grpc.aio raises asyncio.InvalidStateError, no gRPC error, for a write on a call that ended meanwhile, and the link's task took the process down. Ruled out: the sidecar, whose streams had ended in order; ownership, which had stepped down. Before: test_a_driver_frozen_past_its_lease_and_thawed_repeats_nothing failed with connection refused at the thawed entry. After: passed.

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
@@ -1,5 +1,6 @@
 """An entry's stream to one sidecar, over reconnections and restarts."""
 
+import asyncio
 from contextlib import AsyncExitStack
 
 import anyio
@@ -50,6 +51,8 @@
 RELIABLE_FRAMES_KEPT = 100_000
 
 ReliableFrame = Acknowledge | ReleaseProgram
+# A write on a call that ended raises InvalidStateError, which is no gRPC error.
+STREAM_ENDED = (grpc.aio.AioRpcError, grpc.aio.UsageError, asyncio.InvalidStateError)
 
 
 class Link:
@@ -111,7 +114,7 @@
             try:
                 with anyio.fail_after(CONNECT_TIMEOUT_S):
                     await self._open(stream)
-            except (grpc.aio.AioRpcError, TimeoutError, UpstreamLostError):
+            except (*STREAM_ENDED, TimeoutError, UpstreamLostError):
                 return False
             async with anyio.create_task_group() as tasks:
                 self.stream_scope = tasks.cancel_scope
@@ -137,7 +140,7 @@
                 self.member.on_frame(self.timers.now())
                 for frame in batch.frames:
                     self.take(frame)
-        except (grpc.aio.AioRpcError, grpc.aio.UsageError):
+        except STREAM_ENDED:
             pass
         tasks.cancel_scope.cancel()
 
@@ -150,7 +153,7 @@
             self._note_sent(frames)
             try:
                 await stream.write(EntryBatch(tuple(frames)))
-            except (grpc.aio.AioRpcError, grpc.aio.UsageError):
+            except STREAM_ENDED:
                 return
 
     def _note_sent(self, frames: list[EntryFrame]) -> None:
