Leave a frozen owner at once, and end cancelled gRPC calls as anyio expects

Cause: a request forwarded to a frozen owner waited for its timeout of 10 s although the partition had a new owner after 5 s. Cancelling the forwarded call when the partition moves gave callers a 500: a cancelled gRPC call raises a CancelledError of its own, which no anyio scope takes for its own, so it ended the request's whole task. Ruled out: the HTTP server and the handler, which logged nothing.

--- a/packages/skylarkferry-core/src/skylarkferry_core/errors.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/errors.py
@@ -204,6 +204,12 @@
     status = HTTPStatus.BAD_GATEWAY
 
 
+class ConnectionLostError(UpstreamLostError):
+    """The connection to another process was lost; the request may or may not have run there."""
+
+    word = None
+
+
 class StaleEpochError(SkylarkferryError):
     """The order carries a lower epoch than one seen before."""
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
@@ -24,7 +24,7 @@
     ProgramView,
     WatchItem,
 )
-from skylarkferry_core.programs import Program, replay
+from skylarkferry_core.programs import SERVICE_SLOT, Program, replay
 from skylarkferry_core.records import ProgramAccepted, Record
 from skylarkferry_daemon.admitting import Admitter
 from skylarkferry_daemon.context import EntryContext
@@ -213,7 +213,12 @@
         """Return the outcome of a program that stands for one service call, once it ended."""
         entry = self._find(ProgramSelector(program_id))
         await entry.feed.wait_ended()
-        return next(iter(entry.program.outcomes.values()))
+        ended = entry.program.ended
+        assert ended is not None
+        for outcome in entry.program.outcomes.values():
+            return outcome
+        call_id = entry.program.call_id(SERVICE_SLOT)
+        return Outcome(call_id, ended.word, error=ended.error, detail=ended.detail)
 
     def list(self) -> list[ProgramView]:
         """Return the programs under way on this node."""
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry.py
@@ -94,7 +94,13 @@
         )
         relay = ServiceRelay(self.context, self.incarnation)
         self.peers = peers
-        self.programs = SystemPrograms(self.directory, self.ownership, peers, relay)
+        self.programs = SystemPrograms(
+            directory=self.directory,
+            ownership=self.ownership,
+            peers=peers,
+            relay=relay,
+            tasks=tasks,
+        )
 
     def _context(self) -> EntryContext:
         randomness = random.Random(self.incarnation)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/forwarding.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/forwarding.py
@@ -4,12 +4,13 @@
 from typing import Any, TypeVar
 
 import anyio
+from anyio.abc import TaskGroup
 
 from skylarkferry_core.errors import (
+    ConnectionLostError,
     NotFoundError,
     NotOwnerError,
     SkylarkferryError,
-    UpstreamLostError,
 )
 from skylarkferry_core.ids import (
     AgentName,
@@ -33,6 +34,7 @@
 )
 from skylarkferry_daemon.directory import ProgramDirectory
 from skylarkferry_daemon.interfaces import Ownership
+from skylarkferry_daemon.peer_streams import Answer, follow
 from skylarkferry_daemon.peers import Peers
 from skylarkferry_daemon.relays import ServiceRelay, reply_of
 from skylarkferry_wire.methods import (
@@ -59,15 +61,18 @@
 
     def __init__(
         self,
+        *,
         directory: ProgramDirectory,
         ownership: Ownership,
         peers: Peers,
         relay: ServiceRelay,
+        tasks: TaskGroup,
     ) -> None:
         self.directory = directory
         self.ownership = ownership
         self.peers = peers
         self.relay = relay
+        self.tasks = tasks
 
     async def start(self, request: ProgramRequest) -> ProgramView:
         """Start a program at its owner; the key makes a repeat after a lost answer harmless."""
@@ -107,7 +112,7 @@
                     give_up_at = anyio.current_time() + OWNER_WAIT_S
                     yield item
                 return
-            except (NotOwnerError, UpstreamLostError):
+            except (NotOwnerError, ConnectionLostError):
                 if anyio.current_time() >= give_up_at:
                     raise
             await anyio.sleep(OWNER_POLL_S)
@@ -118,7 +123,14 @@
         if self.ownership.fence(partition) is not None:
             return self.directory.watch(selector, after)
         address = self._owner(partition)
-        return self.peers.stream(address, ENTRY_WATCH, WatchRequest(selector, after))
+        items = self.peers.stream(address, ENTRY_WATCH, WatchRequest(selector, after))
+        return follow(items, lambda: self._moved(partition, address), self.tasks)
+
+    def _moved(self, partition: PartitionNumber, address: str) -> bool:
+        """Tell whether a partition is known to have another owner than the one at ``address``."""
+        if self.ownership.fence(partition) is not None:
+            return True
+        return self.ownership.owner_address(partition) not in (None, address)
 
     async def service(self, request: ServiceRequest) -> ServiceReply:
         """Relay a request to a plain service; with a key it runs at most once."""
@@ -168,13 +180,32 @@
             try:
                 if self.ownership.fence(partition) is not None:
                     return await local()
-                address = self._owner(partition)
-                return await self.peers.call(address, method, request, timeout_s)
-            except (NotOwnerError, UpstreamLostError):
+                return await self._call_owner(partition, method, request, timeout_s)
+            except (NotOwnerError, ConnectionLostError):
                 if anyio.current_time() >= give_up_at:
                     raise
             await anyio.sleep(OWNER_POLL_S)
 
+    async def _call_owner(
+        self, partition: PartitionNumber, method: Method, request: Any, timeout_s: float
+    ) -> Any:
+        """Call the owner; raise ``NotOwnerError`` when the partition moves before it answers."""
+        address = self._owner(partition)
+        answer = Answer()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cancel_when_moved, partition, address, tasks.cancel_scope)
+            await answer.take(self.peers.call(address, method, request, timeout_s))
+            tasks.cancel_scope.cancel()
+        return answer.get()
+
+    async def _cancel_when_moved(
+        self, partition: PartitionNumber, address: str, scope: anyio.CancelScope
+    ) -> None:
+        while True:
+            if self._moved(partition, address):
+                scope.cancel()
+            await anyio.sleep(OWNER_POLL_S)
+
     def _owner(self, partition: PartitionNumber) -> str:
         address = self.ownership.owner_address(partition)
         if address is None:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
@@ -39,6 +39,7 @@
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_daemon.quarantine import Quarantine
 from skylarkferry_daemon.timers import TimerService
+from skylarkferry_wire.cancellation import awaited
 from skylarkferry_wire.clients import call, open_channel, open_stream
 from skylarkferry_wire.methods import SIDECAR_SEAL, SIDECAR_STREAM
 
@@ -52,7 +53,12 @@
 
 ReliableFrame = Acknowledge | ReleaseProgram
 # A write on a call that ended raises InvalidStateError, which is no gRPC error.
-STREAM_ENDED = (grpc.aio.AioRpcError, grpc.aio.UsageError, asyncio.InvalidStateError)
+STREAM_ENDED = (
+    grpc.aio.AioRpcError,
+    grpc.aio.UsageError,
+    asyncio.InvalidStateError,
+    UpstreamLostError,
+)
 
 
 class Link:
@@ -114,7 +120,7 @@
             try:
                 with anyio.fail_after(CONNECT_TIMEOUT_S):
                     await self._open(stream)
-            except (*STREAM_ENDED, TimeoutError, UpstreamLostError):
+            except (*STREAM_ENDED, TimeoutError):
                 return False
             async with anyio.create_task_group() as tasks:
                 self.stream_scope = tasks.cancel_scope
@@ -125,8 +131,8 @@
         """Greet the sidecar and take its welcome."""
         self.streams += 1
         hello = Hello(self.node, self.own_incarnation, self.streams)
-        await stream.write(EntryBatch((hello, self._heartbeat())))
-        batch = await stream.read()
+        await awaited(stream.write(EntryBatch((hello, self._heartbeat()))))
+        batch = await awaited(stream.read())
         if not isinstance(batch, SidecarBatch):
             raise UpstreamLostError("the stream ended before its welcome")
         for frame in batch.frames:
@@ -136,7 +142,7 @@
         """Send and receive until the stream ends or is cancelled."""
         tasks.start_soon(self._write, stream)
         try:
-            while isinstance(batch := await stream.read(), SidecarBatch):
+            while isinstance(batch := await awaited(stream.read()), SidecarBatch):
                 self.member.on_frame(self.timers.now())
                 for frame in batch.frames:
                     self.take(frame)
@@ -152,7 +158,7 @@
             self.has_frames = anyio.Event()
             self._note_sent(frames)
             try:
-                await stream.write(EntryBatch(tuple(frames)))
+                await awaited(stream.write(EntryBatch(tuple(frames))))
             except STREAM_ENDED:
                 return
 
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/peer_streams.py
@@ -0,0 +1,84 @@
+"""Wait for another entry's answers only while it still is the one to ask."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+from anyio.streams.memory import MemoryObjectSendStream
+
+from skylarkferry_core.errors import NotOwnerError, SkylarkferryError
+
+CHECK_INTERVAL_S = 0.1
+ITEMS_AHEAD = 64
+
+
+class Answer:
+    """Outcome of a call that a task group may cancel: a reply, a typed error, or neither."""
+
+    def __init__(self) -> None:
+        self.reply: Any = None
+        self.error: SkylarkferryError | None = NotOwnerError("the partition moved meanwhile")
+
+    async def take(self, call: Awaitable[Any]) -> None:
+        """Wait for the call and keep what it gives."""
+        try:
+            self.reply = await call
+            self.error = None
+        except SkylarkferryError as error:
+            self.error = error
+
+    def get(self) -> Any:
+        """Return the reply or raise the error; a cancelled call gives ``NotOwnerError``."""
+        if self.error is not None:
+            raise self.error
+        return self.reply
+
+
+class _Pump:
+    """Reads a stream in a task of its own and passes the items on."""
+
+    def __init__(self, items: AsyncIterator[Any], send: MemoryObjectSendStream[Any]) -> None:
+        self.items = items
+        self.send = send
+        self.scope = anyio.CancelScope()
+        self.error: SkylarkferryError | None = None
+
+    async def run(self) -> None:
+        """Read until the stream ends, fails or is cancelled."""
+        with self.scope, self.send:
+            try:
+                async for item in self.items:
+                    await self.send.send(item)
+            except SkylarkferryError as error:
+                self.error = error
+
+
+async def follow(
+    items: AsyncIterator[Any], moved: Callable[[], bool], tasks: TaskGroup
+) -> AsyncIterator[Any]:
+    """Iterate a peer's stream; raise ``NotOwnerError`` as soon as ``moved`` holds.
+
+    A peer that is frozen keeps its stream open and silent, so the stream's end alone is not
+    enough.  The reader runs in ``tasks``; the stream's own typed error is raised at its end.
+    """
+    send, receive = anyio.create_memory_object_stream[Any](ITEMS_AHEAD)
+    pump = _Pump(items, send)
+    tasks.start_soon(pump.run)
+    try:
+        while True:
+            item = None
+            with anyio.move_on_after(CHECK_INTERVAL_S):
+                try:
+                    item = await receive.receive()
+                except anyio.EndOfStream:
+                    break
+            if item is not None:
+                yield item
+            elif moved():
+                raise NotOwnerError("the program has another owner")
+    finally:
+        pump.scope.cancel()
+        receive.close()
+    if pump.error is not None:
+        raise pump.error
--- /dev/null
+++ b/packages/skylarkferry-wire/src/skylarkferry_wire/cancellation.py
@@ -0,0 +1,28 @@
+"""Make cancelled gRPC calls end as anyio expects."""
+
+import asyncio
+from collections.abc import Awaitable
+from typing import TypeVar
+
+from anyio.lowlevel import checkpoint_if_cancelled
+
+from skylarkferry_core.errors import ConnectionLostError
+
+Reply = TypeVar("Reply")
+
+
+async def awaited(call: Awaitable[Reply]) -> Reply:
+    """Await a gRPC call inside anyio's cancel scopes.
+
+    A cancelled call raises a ``CancelledError`` of gRPC's own, which no cancel scope recognises as
+    its own and which would end the whole task.  It is replaced by the scope's one; when no scope
+    was cancelled, the call itself was, which raises ``ConnectionLostError``.
+    """
+    try:
+        return await call
+    except asyncio.CancelledError as error:
+        await checkpoint_if_cancelled()
+        task = asyncio.current_task()
+        if task is not None and task.cancelling():
+            raise
+        raise ConnectionLostError("the RPC was cancelled") from error
--- a/packages/skylarkferry-wire/src/skylarkferry_wire/clients.py
+++ b/packages/skylarkferry-wire/src/skylarkferry_wire/clients.py
@@ -5,6 +5,7 @@
 
 import grpc
 
+from skylarkferry_wire.cancellation import awaited
 from skylarkferry_wire.codec import decoder, encode
 from skylarkferry_wire.errors import error_from
 from skylarkferry_wire.methods import Method
@@ -36,7 +37,7 @@
         method.path, request_serializer=encode, response_deserializer=decoder(method.reply)
     )
     try:
-        return await rpc(request, timeout=timeout_s)
+        return await awaited(rpc(request, timeout=timeout_s))
     except grpc.aio.AioRpcError as error:
         raise error_from(error) from error
 
@@ -47,7 +48,8 @@
         method.path, request_serializer=encode, response_deserializer=decoder(method.reply)
     )
     try:
-        async for reply in rpc(request):
+        replies = rpc(request)
+        while (reply := await awaited(replies.read())) is not grpc.aio.EOF:
             yield reply
     except grpc.aio.AioRpcError as error:
         raise error_from(error) from error
--- a/packages/skylarkferry-wire/src/skylarkferry_wire/errors.py
+++ b/packages/skylarkferry-wire/src/skylarkferry_wire/errors.py
@@ -6,7 +6,7 @@
 import grpc
 import msgspec
 
-from skylarkferry_core.errors import ErrorCode, SkylarkferryError
+from skylarkferry_core.errors import ConnectionLostError, SkylarkferryError
 from skylarkferry_core.messages import Failure, error_of, failure_of
 
 
@@ -20,15 +20,14 @@
 def error_from(error: grpc.aio.AioRpcError) -> SkylarkferryError:
     """Return the typed error that an RPC ended with.
 
-    A failure of the transport gives ``UPSTREAM_LOST`` and no final word: the request may have run.
+    A failure of the transport gives ``ConnectionLostError``: the request may have run.
     """
     if error.code() == grpc.StatusCode.FAILED_PRECONDITION:
         try:
             return error_of(msgspec.json.decode(error.details() or "", type=Failure))
         except msgspec.DecodeError:
             pass
-    detail = f"RPC failed: {error.code().name}"
-    return error_of(Failure(ErrorCode.UPSTREAM_LOST, detail))
+    return ConnectionLostError(f"RPC failed: {error.code().name}")
 
 
 Handler = Callable[[Any, grpc.aio.ServicerContext], Awaitable[Any]]
--- a/tests/processes/programs.py
+++ b/tests/processes/programs.py
@@ -23,7 +23,7 @@
 def start(client: httpx.Client, key: str, **changes: Any) -> str:
     """Start a sizing program and return its id."""
     response = client.post("/v1/programs", json=sizing_body(key, **changes))
-    response.raise_for_status()
+    assert response.is_success, response.text
     return response.json()["program_id"]
 
 
@@ -32,7 +32,7 @@
     while True:
         response = client.get(f"/v1/programs/{program_id}/answer?wait_s={ANSWER_WAIT_S}")
         if response.status_code != httpx.codes.ACCEPTED:
-            response.raise_for_status()
+            assert response.is_success, response.text
             return response.json()
 
 
