Print the slopes of whole processes

Cause: docs/CAPACITY.md needs what an entry and a sidecar cost at rest and under load, and what they ask of the platform.

--- /dev/null
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/callers.py
@@ -0,0 +1,103 @@
+"""Callers that start programs and follow them, and the times they see."""
+
+import time
+from collections.abc import AsyncIterator
+from typing import Any
+
+import httpx
+import httpx_sse
+import msgspec
+
+from skylarkferry_standins.deployment import CUSTOMER_TOKEN
+
+ANSWER_WAIT_S = 60
+TIMEOUT_S = 600.0
+CONNECTIONS = 512
+CHARACTERS_PER_TOKEN = 4
+
+
+class Arrivals(msgspec.Struct):
+    """When a request was sent and when each of its tokens came, in seconds."""
+
+    sent_at: float
+    tokens: list[float]
+
+    @property
+    def first_token_s(self) -> float:
+        """Return the time to the first token."""
+        return self.tokens[0] - self.sent_at
+
+    def gaps_s(self) -> list[float]:
+        """Return the times between tokens; tokens of one frame have no time between them."""
+        return [late - early for early, late in zip(self.tokens, self.tokens[1:], strict=False)]
+
+
+def open_caller(url: str, token: str = CUSTOMER_TOKEN) -> httpx.AsyncClient:
+    """Return a client of an entry or engine; the caller closes it."""
+    limits = httpx.Limits(max_connections=CONNECTIONS, max_keepalive_connections=CONNECTIONS)
+    headers = {"Authorization": f"Bearer {token}"}
+    return httpx.AsyncClient(base_url=url, headers=headers, timeout=TIMEOUT_S, limits=limits)
+
+
+async def start_program(client: httpx.AsyncClient, agent: str, key: str) -> str:
+    """Start a program and return its id."""
+    body = {"request_key": key, "agent": agent, "input": "size a pair", "deadline_s": 86_400}
+    response = await client.post("/v1/programs", json=body)
+    response.raise_for_status()
+    program_id: str = response.json()["program_id"]
+    return program_id
+
+
+async def run_program(client: httpx.AsyncClient, agent: str, key: str) -> dict[str, Any]:
+    """Run a program to its answer and return its view."""
+    program_id = await start_program(client, agent, key)
+    while True:
+        path = f"/v1/programs/{program_id}/answer?wait_s={ANSWER_WAIT_S}"
+        response = await client.get(path)
+        response.raise_for_status()
+        if response.status_code == httpx.codes.OK:
+            view: dict[str, Any] = response.json()
+            return view
+
+
+async def stream_program(client: httpx.AsyncClient, agent: str, key: str) -> Arrivals:
+    """Run a program and note when its output comes."""
+    arrivals = Arrivals(time.perf_counter(), [])
+    program_id = await start_program(client, agent, key)
+    path = f"/v1/programs/{program_id}/events"
+    async with httpx_sse.aconnect_sse(client, "GET", path) as source:
+        async for event in source.aiter_sse():
+            if event.event == "delta":
+                _note(arrivals, event.json()["text"])
+    return arrivals
+
+
+async def stream_engine(client: httpx.AsyncClient, instructions: str, tokens: int) -> Arrivals:
+    """Ask the engine itself and note when its output comes."""
+    body = {
+        "model": "calc",
+        "messages": [
+            {"role": "system", "content": instructions},
+            {"role": "user", "content": "size a pair"},
+        ],
+        "max_tokens": tokens,
+        "stream": True,
+    }
+    arrivals = Arrivals(time.perf_counter(), [])
+    async with httpx_sse.aconnect_sse(client, "POST", "/v1/chat/completions", json=body) as source:
+        async for text in _texts(source):
+            _note(arrivals, text)
+    return arrivals
+
+
+async def _texts(source: httpx_sse.EventSource) -> AsyncIterator[str]:
+    async for event in source.aiter_sse():
+        if event.data == "[DONE]":
+            return
+        for choice in event.json()["choices"]:
+            yield choice["delta"].get("content", "")
+
+
+def _note(arrivals: Arrivals, text: str) -> None:
+    now = time.perf_counter()
+    arrivals.tokens += [now] * -(-len(text) // CHARACTERS_PER_TOKEN)
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/slopes.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/slopes.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 
 from skylarkferry_bench.codec_slopes import codec_slopes
+from skylarkferry_bench.node_slopes import node_slopes
 from skylarkferry_bench.resources import Slope
 from skylarkferry_bench.state_slopes import state_slopes
 from skylarkferry_bench.stream_slopes import stream_slopes
@@ -12,6 +13,7 @@
     "codec": codec_slopes,
     "state": state_slopes,
     "streams": stream_slopes,
+    "nodes": node_slopes,
 }
 
 
--- /dev/null
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/testbeds.py
@@ -0,0 +1,65 @@
+"""Deployments of real processes to measure on."""
+
+import tempfile
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from typing import Any
+
+import pyjson5
+
+from skylarkferry_standins.deployment import DOMAINS, Deployment
+
+DOCUMENT = Path(__file__).parents[4] / "samples" / "demo" / "document"
+CALLER_TIMEOUT_S = 600.0
+QUEUE_LIMIT = 20_000
+FAST_ENGINE = {"slots": 256, "prefill_per_s": 1e6, "decode_per_s": 4_000.0}
+
+
+def section(name: str) -> dict[str, Any]:
+    """Return a section of the demonstration's document."""
+    plain: dict[str, Any] = pyjson5.decode((DOCUMENT / f"{name}.jsonc").read_text())
+    return plain
+
+
+def generous_budgets() -> dict[str, Any]:
+    """Return the customers with limits that no measurement meets."""
+    budgets = section("budgets")
+    for customer in budgets.values():
+        customer |= {"programs_under_way": 100_000, "tokens_per_minute": 10**12}
+    return budgets
+
+
+@contextmanager
+def testbed(
+    *,
+    entries: int = 1,
+    engines: int = 1,
+    engine: dict[str, Any] | None = None,
+    sidecar: dict[str, Any] | None = None,
+    document: dict[str, Any] | None = None,
+) -> Iterator[Deployment]:
+    """Start entries, engines and a tool service with its sidecar, ready for programs."""
+    with ExitStack() as stack:
+        directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        deployment = Deployment(directory, DOCUMENT, stack)
+        deployment.start_platform()
+        quiet = {"log_level": "WARNING"}
+        overrides = quiet | {"queue_limit": QUEUE_LIMIT} | (sidecar or {})
+        for number in range(engines):
+            deployment.add_upstream(
+                f"calc-models-{number + 1}",
+                "model",
+                "calc-models",
+                DOMAINS[number % len(DOMAINS)],
+                sidecar=overrides,
+                **(engine or FAST_ENGINE),
+            )
+        deployment.add_upstream("shop-tools-1", "tool", "shop-tools", DOMAINS[0], sidecar=overrides)
+        for number in range(entries):
+            deployment.add_entry(f"entry-{number + 1}", DOMAINS[number % len(DOMAINS)], **quiet)
+        deployment.publish_hosts()
+        deployment.wait_ready()
+        deployment.write_document(**({"budgets": generous_budgets()} | (document or {})))
+        deployment.wait_for_upstreams()
+        yield deployment
