--- a/packages/skylarkferry-core/src/skylarkferry_core/clocks.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/clocks.py
@@ -1,13 +1,13 @@
 """Hybrid logical clock for the time line over all processes."""
 
-_LOGICAL_BITS = 16
+_LOGICAL_BITS = 10
 _MICROSECONDS_PER_S = 1_000_000
 
 
 class HybridClock:
     """Stamp events so that an effect never sorts before its cause.
 
-    A stamp is an integer: wall microseconds shifted by 16 bits, plus a logical counter.
+    A stamp is an integer: wall microseconds shifted by 10 bits, plus a logical counter.
     """
 
     def __init__(self) -> None:
--- a/tests/processes/programs.py
+++ b/tests/processes/programs.py
@@ -5,6 +5,7 @@
 import httpx
 
 ANSWER_WAIT_S = 30
+DRIVER_EVENTS = (201, 204)
 
 
 def sizing_body(key: str, **changes: Any) -> dict[str, Any]:
@@ -41,3 +42,25 @@
     text = client.get(f"/v1/programs/{program_id}/events", headers=headers).text
     blocks = [block.removeprefix(": heartbeat\n") for block in text.split("\n\n")]
     return "\n\n".join(block for block in blocks if block.startswith("id: "))
+
+
+def wait_for_step(client: httpx.Client, program_id: str, number: int) -> None:
+    """Follow a program's events until step ``number``."""
+    with client.stream("GET", f"/v1/programs/{program_id}/events") as response:
+        for line in response.iter_lines():
+            if line == f"id: {number}":
+                return
+
+
+def driver_of(client: httpx.Client, program_id: str) -> str:
+    """Return the entry that drives a program, from the time line; the client is an operator's."""
+    events = client.get("/v1/timeline", params={"program": program_id}).json()["events"]
+    drivers = [event["node"] for event in events if event["number"] in DRIVER_EVENTS]
+    return drivers[-1]
+
+
+def effects_of(effects: list[dict[str, str]], program_id: str) -> list[str]:
+    """Return the paths that a program's calls executed, in order."""
+    return [
+        effect["path"] for effect in effects if effect["idempotency_key"].startswith(program_id)
+    ]
