Measure what an entry adds to an engine's calls

`python -m skylarkferry_bench overhead [latency|gaps|turns|waiting]` asks the engine directly and through the entry in turns, in the same run.

--- a/packages/skylarkferry-bench/src/skylarkferry_bench/__main__.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/__main__.py
@@ -7,6 +7,7 @@
 
 from skylarkferry_bench import reports
 from skylarkferry_bench.faults import FAULTS
+from skylarkferry_bench.overhead import overhead
 from skylarkferry_bench.plans import (
     LOADS,
     Cell,
@@ -50,7 +51,7 @@
     sys.stdout.write(f"### {title}\n\n{text}\n")
 
 
-COMMANDS = {"run": run, "slopes": slopes}
+COMMANDS = {"run": run, "slopes": slopes, "overhead": overhead}
 
 if __name__ == "__main__":
     fire.Fire(COMMANDS)
--- /dev/null
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/overhead.py
@@ -0,0 +1,234 @@
+"""What an entry and a sidecar add to the calls of an engine, and what programs cost an entry."""
+
+import time
+from collections.abc import Awaitable, Callable, Iterator
+
+import anyio
+
+from skylarkferry_bench.callers import (
+    Arrivals,
+    open_caller,
+    run_program,
+    start_program,
+    stream_engine,
+    stream_program,
+)
+from skylarkferry_bench.resources import Slope, cpu_s, resident_bytes
+from skylarkferry_bench.slopes import write_table
+from skylarkferry_bench.testbeds import FAST_ENGINE, section, testbed
+from skylarkferry_standins.deployment import Deployment
+
+PERCENTILES = (50, 95, 99)
+MS_PER_S = 1_000.0
+FIRST_TOKEN_PAIRS = 200
+GAP_PAIRS = 48
+GAP_WORKERS = 8
+GAP_TOKENS = 60
+GAP_TOKENS_PER_S = 20.0
+TURNS_PER_S = 40
+TURNS_PER_PROGRAM = 7
+PACED_S = 30
+WORKERS = 48
+SATURATED_S = 20
+WAITING = (1_000, 10_000)
+STARTERS = 64
+SETTLE_S = 3.0
+SETTLED_CORES = 0.5
+
+AGENT = "latency-report"
+INSTRUCTIONS = "[agent:long-report] You report at length."
+
+
+def overhead(part: str = "") -> None:
+    """Measure all parts, or one of latency, gaps, turns and waiting, and print tables."""
+    for name in [part] if part else MEASURES:
+        write_table(name, MEASURES[name]())
+
+
+def percentile(values: list[float], share: int) -> float:
+    """Return a percentile by the nearest rank."""
+    ordered = sorted(values)
+    rank = -(-len(ordered) * share // 100)
+    return ordered[max(rank, 1) - 1]
+
+
+def _agents(max_tokens: int) -> dict[str, object]:
+    agents = section("agents")
+    agents[AGENT] = {
+        "model": "calc",
+        "instructions": INSTRUCTIONS,
+        "max_output_tokens": max_tokens,
+        "expected_s": 1.0,
+    }
+    return agents
+
+
+async def _pairs(deployment: Deployment, count: int, workers: int, tokens: int) -> list[Arrivals]:
+    """Ask the engine directly and through the entry, in turns; return direct ones first."""
+    direct: list[Arrivals] = []
+    through: list[Arrivals] = []
+    engine_url = deployment.upstreams["calc-models-1"].url
+    entry_url = deployment.entries["entry-1"].url
+    async with open_caller(engine_url) as engine, open_caller(entry_url) as entry:
+        numbers = iter(range(count))
+
+        async def work() -> None:
+            for number in numbers:
+                direct.append(await stream_engine(engine, INSTRUCTIONS, tokens))
+                through.append(await stream_program(entry, AGENT, f"pair-{tokens}-{number}"))
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(workers):
+                tasks.start_soon(work)
+    return direct + through
+
+
+def _compare(name: str, direct: list[float], through: list[float]) -> Iterator[Slope]:
+    basis = f"{len(direct)} direct, {len(through)} through"
+    for share in PERCENTILES:
+        straight = percentile(direct, share) * MS_PER_S
+        routed = percentile(through, share) * MS_PER_S
+        yield Slope(f"{name}, direct, percentile {share}", straight, "ms", basis)
+        yield Slope(f"{name}, through, percentile {share}", routed, "ms", basis)
+        yield Slope(f"{name}, added, percentile {share}", routed - straight, "ms", basis)
+
+
+def first_token() -> Iterator[Slope]:
+    """Compare the time to the first token, one caller at a time."""
+    with testbed(engine=FAST_ENGINE, document={"agents": _agents(4)}) as deployment:
+        found = anyio.run(_pairs, deployment, FIRST_TOKEN_PAIRS, 1, 4)
+    times = [arrivals.first_token_s for arrivals in found]
+    yield from _compare("first token", times[:FIRST_TOKEN_PAIRS], times[FIRST_TOKEN_PAIRS:])
+
+
+def token_gaps() -> Iterator[Slope]:
+    """Compare the times between tokens at a decode speed near 57 ms a token."""
+    engine = FAST_ENGINE | {"decode_per_s": GAP_TOKENS_PER_S}
+    with testbed(engine=engine, document={"agents": _agents(GAP_TOKENS)}) as deployment:
+        found = anyio.run(_pairs, deployment, GAP_PAIRS, GAP_WORKERS, GAP_TOKENS)
+    gaps = [arrivals.gaps_s() for arrivals in found]
+    direct = [gap for some in gaps[:GAP_PAIRS] for gap in some]
+    through = [gap for some in gaps[GAP_PAIRS:] for gap in some]
+    yield from _compare("between tokens", direct, through)
+
+
+async def _paced(url: str) -> int:
+    """Start programs at a fixed rate; return how many were done."""
+    done = 0
+    rate = TURNS_PER_S / TURNS_PER_PROGRAM
+    async with open_caller(url) as client, anyio.create_task_group() as tasks:
+
+        async def run(number: int) -> None:
+            nonlocal done
+            view = await run_program(client, "gear-sizer", f"paced-{number}")
+            done += view["word"] == "done"
+
+        start = anyio.current_time()
+        for number in range(int(rate * PACED_S)):
+            await anyio.sleep_until(start + number / rate)
+            tasks.start_soon(run, number)
+    return done
+
+
+async def _saturated(url: str) -> int:
+    """Run programs by many callers at once; return how many were done."""
+    done = 0
+    async with open_caller(url) as client, anyio.create_task_group() as tasks:
+        end = anyio.current_time() + SATURATED_S
+
+        async def call(worker: int) -> None:
+            nonlocal done
+            number = 0
+            while anyio.current_time() < end:
+                number += 1
+                view = await run_program(client, "gear-sizer", f"full-{worker}-{number}")
+                done += view["word"] == "done"
+
+        for worker in range(WORKERS):
+            tasks.start_soon(call, worker)
+    return done
+
+
+def turns() -> Iterator[Slope]:
+    """Measure an entry's share of a core at 40 turns a second, and its turns at most."""
+    with testbed(engines=2) as deployment:
+        for name, load in (("40 turns a second asked", _paced), ("at most", _saturated)):
+            yield from _turns(deployment, name, load)
+
+
+def _turns(
+    deployment: Deployment, name: str, load: Callable[[str], Awaitable[int]]
+) -> Iterator[Slope]:
+    entry = deployment.entries["entry-1"]
+    used_s, start = cpu_s(entry.process.pid), time.monotonic()
+    programs = anyio.run(load, entry.url)
+    elapsed_s = time.monotonic() - start
+    used_s = cpu_s(entry.process.pid) - used_s
+    carried = programs * TURNS_PER_PROGRAM
+    basis = f"{programs} programs, {elapsed_s:.1f} s"
+    yield Slope(f"turns a second, {name}", carried / elapsed_s, "", basis)
+    yield Slope(f"entry's share of a core, {name}", used_s / elapsed_s, "cores", basis)
+    yield Slope(f"turns a second and core of an entry, {name}", carried / used_s, "", basis)
+
+
+async def _start_waiting(url: str, first: int, last: int) -> None:
+    async with open_caller(url) as client, anyio.create_task_group() as tasks:
+        numbers = iter(range(first, last))
+
+        async def start() -> None:
+            for number in numbers:
+                await start_program(client, "endless-search", f"waiting-{number}")
+
+        for _ in range(STARTERS):
+            tasks.start_soon(start)
+
+
+def waiting() -> Iterator[Slope]:
+    """Measure the resident memory of an entry with programs that wait for a tool."""
+    tools = section("tools")
+    tools["stock_lookup"]["timeout_s"] = 86_400
+    with testbed(document={"tools": tools}) as deployment:
+        deployment.upstreams["shop-tools-1"].set_faults(hang_before_effect=1_000_000)
+        entry = deployment.entries["entry-1"]
+        anyio.run(_start_waiting, entry.url, -STARTERS, 0)
+        base = _settled_bytes(deployment)
+        counts, sizes = [0], [0]
+        for count in WAITING:
+            used_s, start = cpu_s(entry.process.pid), time.monotonic()
+            anyio.run(_start_waiting, entry.url, counts[-1], count)
+            start_ms = (cpu_s(entry.process.pid) - used_s) / (count - counts[-1]) * MS_PER_S
+            counts.append(count)
+            sizes.append(_settled_bytes(deployment) - base)
+            basis = f"{time.monotonic() - start:.0f} s"
+            yield Slope(f"a waiting program, up to {count:,}", sizes[-1] / count, "bytes", basis)
+            yield Slope(f"start of a program, up to {count:,}", start_ms, "ms", basis)
+        grown = (sizes[-1] - sizes[-2]) / (counts[-1] - counts[-2])
+        yield Slope("a waiting program, from 1,000 to 10,000", grown, "bytes", "")
+        yield from _rest(entry.process.pid)
+
+
+def _settled_bytes(deployment: Deployment) -> int:
+    """Return the entry's resident memory once it has little to do."""
+    pid = deployment.entries["entry-1"].process.pid
+    last = cpu_s(pid)
+    while True:
+        time.sleep(SETTLE_S)
+        used_s = cpu_s(pid) - last
+        if used_s < SETTLE_S * SETTLED_CORES:
+            return resident_bytes(pid)
+        last += used_s
+
+
+def _rest(pid: int) -> Iterator[Slope]:
+    used_s = cpu_s(pid)
+    time.sleep(SETTLE_S)
+    share = (cpu_s(pid) - used_s) / SETTLE_S
+    yield Slope(f"entry's share of a core, {WAITING[-1]:,} waiting", share, "cores", "")
+
+
+MEASURES: dict[str, Callable[[], Iterator[Slope]]] = {
+    "latency": first_token,
+    "gaps": token_gaps,
+    "turns": turns,
+    "waiting": waiting,
+}
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/slopes.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/slopes.py
@@ -1,8 +1,9 @@
 """Print the slopes from which ``docs/CAPACITY.md`` is worked out."""
 
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
+from skylarkferry_bench.adoption_slopes import adoption_slopes
 from skylarkferry_bench.codec_slopes import codec_slopes
 from skylarkferry_bench.node_slopes import node_slopes
 from skylarkferry_bench.resources import Slope
@@ -14,19 +15,24 @@
     "state": state_slopes,
     "streams": stream_slopes,
     "nodes": node_slopes,
+    "adoption": adoption_slopes,
 }
+TABLE_HEAD = "| slope | value | unit | over |\n| --- | --- | --- | --- |\n"
 
 
 def slopes(group: str = "") -> None:
     """Measure all groups of slopes, or one of them, and print a table of each."""
     for name in [group] if group else GROUPS:
-        sys.stdout.write(
-            f"### {name}\n\n| slope | value | unit | over |\n| --- | --- | --- | --- |\n"
-        )
-        for slope in GROUPS[name]():
-            sys.stdout.write(line(slope))
-            sys.stdout.flush()
-        sys.stdout.write("\n")
+        write_table(name, GROUPS[name]())
+
+
+def write_table(title: str, measured: Iterable[Slope]) -> None:
+    """Print slopes as they are measured."""
+    sys.stdout.write(f"### {title}\n\n{TABLE_HEAD}")
+    for slope in measured:
+        sys.stdout.write(line(slope))
+        sys.stdout.flush()
+    sys.stdout.write("\n")
 
 
 def line(slope: Slope) -> str:
