--- /dev/null
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/node_slopes.py
@@ -0,0 +1,113 @@
+"""What real processes cost at rest and under load."""
+
+import time
+from collections.abc import Iterator
+
+import anyio
+
+from skylarkferry_bench.callers import open_caller, run_program
+from skylarkferry_bench.resources import MIB, Slope, cpu_s, resident_bytes
+from skylarkferry_bench.testbeds import testbed
+from skylarkferry_standins.deployment import Deployment
+
+IDLE_S = 20
+LOAD_S = 20
+WORKERS = 16
+TURNS_PER_PROGRAM = 7
+MILLICORES = 1_000.0
+
+
+def node_slopes() -> Iterator[Slope]:
+    """Measure two entries at rest and under load."""
+    with testbed(entries=2, engines=2) as deployment:
+        yield from _memory(deployment, "at rest")
+        yield from _idle(deployment)
+        yield from _load(deployment)
+        yield from _memory(deployment, "after the load")
+
+
+def _processes(deployment: Deployment) -> dict[str, int]:
+    """Return one process of each kind."""
+    return {
+        "entry": deployment.entries["entry-1"].process.pid,
+        "sidecar of an engine": deployment.upstreams["calc-models-1"].sidecar.pid,
+        "sidecar of a service": deployment.upstreams["shop-tools-1"].sidecar.pid,
+    }
+
+
+def _memory(deployment: Deployment, when: str) -> Iterator[Slope]:
+    for name, pid in _processes(deployment).items():
+        yield Slope(f"resident memory, {name}, {when}", resident_bytes(pid) / MIB, "MiB")
+
+
+class Period:
+    """Processor time and platform requests of a stretch of time."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.start = time.monotonic()
+        self.cpu = {name: cpu_s(pid) for name, pid in _processes(deployment).items()}
+        self.counters = deployment.counters()
+
+    def elapsed_s(self) -> float:
+        """Return the seconds since the start."""
+        return time.monotonic() - self.start
+
+    def used_s(self) -> dict[str, float]:
+        """Return the processor seconds since the start, by process."""
+        processes = _processes(self.deployment)
+        return {name: cpu_s(pid) - self.cpu[name] for name, pid in processes.items()}
+
+    def requests(self) -> dict[str, int]:
+        """Return the platform's counters since the start."""
+        now = self.deployment.counters()
+        return {name: now[name] - before for name, before in self.counters.items()}
+
+
+def _idle(deployment: Deployment) -> Iterator[Slope]:
+    entries = len(deployment.entries)
+    period = Period(deployment)
+    time.sleep(IDLE_S)
+    elapsed_s = period.elapsed_s()
+    for name, used_s in period.used_s().items():
+        share = used_s / elapsed_s * MILLICORES
+        yield Slope(f"{name} at rest", share, "thousandths of a core", f"{IDLE_S} s")
+    for name, count in period.requests().items():
+        value = count / elapsed_s / entries
+        yield Slope(f"platform {name} a second and entry at rest", value, "", f"{IDLE_S} s")
+
+
+async def _run_for(url: str, seconds: float) -> int:
+    """Run programs by some callers at once; return how many ended."""
+    ended = 0
+    async with open_caller(url) as client, anyio.create_task_group() as tasks:
+        end = anyio.current_time() + seconds
+
+        async def call(worker: int) -> None:
+            nonlocal ended
+            number = 0
+            while anyio.current_time() < end:
+                number += 1
+                view = await run_program(client, "gear-sizer", f"load-{worker}-{number}")
+                ended += view["word"] == "done"
+
+        for worker in range(WORKERS):
+            tasks.start_soon(call, worker)
+    return ended
+
+
+def _load(deployment: Deployment) -> Iterator[Slope]:
+    """Load the first entry; programs of the other's partitions are forwarded to it."""
+    period = Period(deployment)
+    programs = anyio.run(_run_for, deployment.entries["entry-1"].url, LOAD_S)
+    elapsed_s, used_s, requests = period.elapsed_s(), period.used_s(), period.requests()
+    basis = f"{programs} programs"
+    yield Slope("programs a second under load, two entries", programs / elapsed_s, "", basis)
+    turns = programs * TURNS_PER_PROGRAM
+    yield Slope("turns a second under load, two entries", turns / elapsed_s, "", basis)
+    for name, seconds in used_s.items():
+        share = seconds / elapsed_s * MILLICORES
+        yield Slope(f"{name} under load", share, "thousandths of a core", basis)
+    for name, count in requests.items():
+        yield Slope(f"platform {name} a program", count / programs, "", basis)
+        yield Slope(f"platform {name} a second under load", count / elapsed_s, "", basis)
