--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/upstream_adapters.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/upstream_adapters.py
@@ -86,6 +86,11 @@
     return bytes(body)
 
 
+def _local_path(path: str) -> str:
+    """Return a path that cannot name another host."""
+    return "/" + path.lstrip("/")
+
+
 def _refused(order: Order, response: httpx.Response) -> Outcome:
     """Return the outcome of a call that the upstream answered with a failure."""
     detail = f"the upstream answered {response.status_code}"
@@ -149,7 +154,10 @@
             "Content-Type": "application/json",
         }
         request = self.client.build_request(
-            "POST", order.work.path, content=order.work.arguments.encode(), headers=headers
+            "POST",
+            _local_path(order.work.path),
+            content=order.work.arguments.encode(),
+            headers=headers,
         )
         async with _response(self.client, request) as response:
             body = await _body(response)
@@ -175,7 +183,7 @@
         if not order.repeatable:
             headers["Idempotency-Key"] = order.call_id
         request = self.client.build_request(
-            work.method, work.path, content=work.body, headers=headers
+            work.method, _local_path(work.path), content=work.body, headers=headers
         )
         async with _response(self.client, request) as response:
             body = await _body(response)
