--- a/packages/skylarkferry-core/src/skylarkferry_core/replays.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/replays.py
@@ -36,7 +36,8 @@
 
 def _is_base_copy(entry: PartitionRecord, row: PartitionRow) -> bool:
     """Tell whether a record is a copy of the round that is in force."""
-    return bool(entry.copy_round) and entry.copy_round == row.base_round
+    copied = (entry.copy_round, entry.epoch)
+    return bool(entry.copy_round) and copied == (row.base_round, row.base_epoch)
 
 
 def _is_later_original(entry: PartitionRecord, segment: Segment, row: PartitionRow) -> bool:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -35,8 +35,9 @@
         self.loop = loop
 
     def select(self, timeout=None):
-        if timeout:
-            self.loop.virtual_s += timeout
+        if timeout is None:
+            raise RuntimeError("deadlock: no task is ready and no timer is set")
+        self.loop.virtual_s += timeout
         return super().select(0)
 
 
--- /dev/null
+++ b/tests/nodes.py
@@ -0,0 +1,85 @@
+"""Entries' ownership and journal on fakes, each node with its own clock."""
+
+import anyio
+import msgspec
+
+from fakes import (
+    FakeHostList,
+    FakeObjectStore,
+    FakeTable,
+    FaultyTable,
+    RateTimers,
+    entry_settings,
+)
+from skylarkferry_core.ids import PartitionNumber, ProgramId
+from skylarkferry_core.partitions import PartitionRow, partition_key
+from skylarkferry_core.records import AllotmentTaken
+from skylarkferry_core.replays import replay
+from skylarkferry_daemon.log import EventLog
+from skylarkferry_daemon.ownership import PartitionOwnership
+from skylarkferry_daemon.platform import PlatformServices
+from skylarkferry_daemon.segment_reader import SegmentReader
+
+PARTITIONS = 4
+
+
+class Listener:
+    """Remembers what was adopted and lost."""
+
+    def __init__(self):
+        self.records = {}
+        self.fences = {}
+
+    async def on_adopted(self, fence, records):
+        self.fences[fence.partition] = fence
+        self.records[fence.partition] = list(records)
+
+    async def on_lost(self, partition):
+        self.fences.pop(partition)
+
+
+class Node:
+    """An entry's ownership with its own clock and its own way to the table."""
+
+    def __init__(self, name, cluster, rate=1.0, **limits):
+        self.name = name
+        self.timers = RateTimers(rate)
+        self.table = FaultyTable(cluster.table)
+        services = PlatformServices(self.table, cluster.objects, cluster.hosts)
+        events = EventLog(name, 1_000)
+        settings = entry_settings(name, partitions=PARTITIONS, **limits)
+        self.ownership = PartitionOwnership(settings, services, self.timers, events)
+        self.listener = Listener()
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED):
+        async with anyio.create_task_group() as tasks:
+            task_status.started(tasks.cancel_scope)
+            tasks.start_soon(self.timers.run, tasks)
+            tasks.start_soon(self.ownership.run, self.listener)
+
+    def held(self):
+        numbers = map(PartitionNumber, range(PARTITIONS))
+        return {number for number in numbers if self.ownership.fence(number)}
+
+    async def append(self, fence, record, *, durable):
+        await self.ownership.journal.append(fence, record, durable=durable)
+
+
+class Cluster:
+    def __init__(self, names):
+        self.table = FakeTable()
+        self.objects = FakeObjectStore()
+        self.hosts = FakeHostList(names)
+
+    async def replayed(self, partition):
+        """Return the records that an adopter would read."""
+        row = msgspec.msgpack.decode(
+            self.table.rows[partition_key(partition)].value, type=PartitionRow
+        )
+        reader = SegmentReader(self.table, self.objects)
+        segments = await reader.read(journal.incarnation for journal in row.journals)
+        return replay(partition, row, segments)
+
+
+def record(partition, number):
+    return AllotmentTaken(ProgramId(f"{partition:04d}-p"), number, 0)
