--- a/packages/skylarkferry-core/src/skylarkferry_core/admissions.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/admissions.py
@@ -5,13 +5,15 @@
 
 import msgspec
 
+from skylarkferry_core.demands import DemandBook
 from skylarkferry_core.errors import ErrorCode
-from skylarkferry_core.ids import CustomerId
+from skylarkferry_core.ids import CustomerId, ProgramId
 
 _SECONDS_PER_MINUTE = 60.0
 _BURST_S = 10.0
 _MIN_RETRY_AFTER_S = 0.5
-_SAFETY = 1.0
+
+_UTILIZATION = 0.9
 
 
 class AdmissionRequest(msgspec.Struct, frozen=True):
@@ -19,6 +21,9 @@
 
     ``expected_s`` is its work on idle upstreams, ``wait_s`` the wait that each of its
     ``expected_calls`` meets now at the least loaded upstream, ``tokens`` what it may use.
+    ``work_s`` is the part of ``expected_s`` in which its calls occupy a slot of an upstream, and
+    ``capacity`` the slots open to this node, 0 when unknown; ``kv_token_s`` and ``kv_tokens`` are
+    the same for KV memory, in token-seconds and tokens.
     """
 
     customer: CustomerId
@@ -28,6 +33,11 @@
     expected_calls: float = 1.0
     tokens: int = 0
     tokens_per_minute: int = 0
+    program_id: ProgramId = ProgramId("")
+    work_s: float = 0.0
+    capacity: float = 0.0
+    kv_token_s: float = 0.0
+    kv_tokens: float = 0.0
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -43,6 +53,18 @@
     def admit(self, request: AdmissionRequest, now: float) -> Refusal | None:
         """Return ``None`` to admit, or the refusal; it is told to the caller at once."""
 
+    def progressed(self, program_id: ProgramId, work_s: float, kv_token_s: float = 0.0) -> None:
+        """Note what an admitted program used: seconds of a slot, token-seconds of KV memory."""
+
+    def ended(self, program_id: ProgramId) -> None:
+        """Note that an admitted program ended."""
+
+    def settle(self, customer: CustomerId, tokens: int) -> None:
+        """Give a customer back what an ended program was charged too much; less than 0 charges."""
+
+    def share_with(self, nodes: int) -> None:
+        """Take an equal part of every customer's limit, one of ``nodes``."""
+
 
 class OpenAdmission:
     """Admit everything."""
@@ -51,6 +73,18 @@
         """Return ``None``."""
         return None
 
+    def progressed(self, program_id: ProgramId, work_s: float, kv_token_s: float = 0.0) -> None:
+        """Do nothing."""
+
+    def ended(self, program_id: ProgramId) -> None:
+        """Do nothing."""
+
+    def settle(self, customer: CustomerId, tokens: int) -> None:
+        """Do nothing: nothing was charged."""
+
+    def share_with(self, nodes: int) -> None:
+        """Do nothing: there is no limit."""
+
 
 class CustomerSlice:
     """One node's slice of a customer's rate limit: a token bucket of ``burst_s`` seconds."""
@@ -96,26 +130,68 @@
     ``slice_share`` is this node's part of every customer's limit, 1 for a single node.
     """
 
-    def __init__(self, slice_share: float = 1.0, safety: float = _SAFETY) -> None:
+    def __init__(self, slice_share: float = 1.0, utilization: float = _UTILIZATION) -> None:
         self.slice_share = slice_share
-        self.safety = safety
+        self.utilization = utilization
         self.slices: dict[CustomerId, CustomerSlice] = {}
+        self.slot_book = DemandBook()
+        self.kv_book = DemandBook()
 
     def admit(self, request: AdmissionRequest, now: float) -> Refusal | None:
         """Return ``None`` to admit, or the refusal."""
-        late_s = self.late_s(request)
+        late_s = max(self._late_alone_s(request), self._late_s(request, now))
         if late_s > 0:
             code = ErrorCode.DEADLINE_UNREACHABLE
             return Refusal(code, max(late_s, _MIN_RETRY_AFTER_S))
         wait_s = self._take(request, now)
         if wait_s > 0:
             return Refusal(ErrorCode.CUSTOMER_LIMIT, max(wait_s, _MIN_RETRY_AFTER_S))
+        deadline_at = now + request.deadline_s
+        if request.capacity > 0:
+            self.slot_book.add(request.program_id, deadline_at, request.work_s)
+        if request.kv_tokens > 0:
+            self.kv_book.add(request.program_id, deadline_at, request.kv_token_s)
         return None
 
-    def late_s(self, request: AdmissionRequest) -> float:
-        """Return by how many seconds the program is expected to miss its deadline."""
-        waits_s = request.wait_s * request.expected_calls
-        return self.safety * (request.expected_s + waits_s) - request.deadline_s
+    def progressed(self, program_id: ProgramId, work_s: float, kv_token_s: float = 0.0) -> None:
+        """Take done work off the demand."""
+        self.slot_book.progress(program_id, work_s)
+        self.kv_book.progress(program_id, kv_token_s)
+
+    def ended(self, program_id: ProgramId) -> None:
+        """Take a program's demand away."""
+        self.slot_book.remove(program_id)
+        self.kv_book.remove(program_id)
+
+    def settle(self, customer: CustomerId, tokens: int) -> None:
+        """Settle an ended program's charge; a negative amount leaves the slice in debt."""
+        held = self.slices.get(customer)
+        if held is not None:
+            held.give_back(tokens)
+
+    def share_with(self, nodes: int) -> None:
+        """Set this node's part of every customer's limit."""
+        self.slice_share = 1.0 / max(nodes, 1)
+
+    def _late_alone_s(self, request: AdmissionRequest) -> float:
+        """Return by how many seconds the program misses its deadline even without others."""
+        waits_s = 0.0
+        if request.capacity <= 0:
+            waits_s = request.wait_s * request.expected_calls
+        return request.expected_s + waits_s - request.deadline_s
+
+    def _late_s(self, request: AdmissionRequest, now: float) -> float:
+        """Return by how many seconds some program would miss its deadline."""
+        deadline_at = now + request.deadline_s
+        late_s = 0.0
+        if request.capacity > 0:
+            slots = request.capacity * self.utilization
+            late_s = self.slot_book.late_s(deadline_at, request.work_s, slots, now)
+        if request.kv_tokens > 0:
+            tokens = request.kv_tokens * self.utilization
+            kv_late_s = self.kv_book.late_s(deadline_at, request.kv_token_s, tokens, now)
+            late_s = max(late_s, kv_late_s)
+        return late_s
 
     def _take(self, request: AdmissionRequest, now: float) -> float:
         if request.tokens_per_minute <= 0:
--- a/packages/skylarkferry-core/src/skylarkferry_core/messages.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/messages.py
@@ -9,6 +9,7 @@
 from skylarkferry_core.ids import (
     AgentName,
     CallId,
+    CrashId,
     CustomerId,
     Epoch,
     FailureDomain,
@@ -110,6 +111,10 @@
     ``remaining_s`` is the time to the program's deadline, ``slack_s`` what is left of it after the
     program's expected work, ``keep_kv_s`` how long the engine keeps the program's KV cache after
     the call.  ``incarnation`` is the sidecar's life the order was placed on; empty means any.
+    ``alone`` asks for an upstream without other calls: the request was running at a crash.
+    ``prefill_tokens`` and ``output_tokens`` are the entry's estimates of what the call computes,
+    ``cached_tokens`` what the run itself has in the upstream's cache, without shared prefixes, and
+    ``typical_tokens`` what runs of its kind hold there on average over their life.
     """
 
     call_id: CallId
@@ -125,6 +130,11 @@
     work: Work
     keep_kv_s: float = 0.0
     incarnation: Incarnation = Incarnation("")
+    alone: bool = False
+    prefill_tokens: int = 0
+    output_tokens: int = 0
+    cached_tokens: int = 0
+    typical_tokens: int = 0
 
 
 class ServiceReply(msgspec.Struct, frozen=True):
@@ -157,7 +167,9 @@
     """Exact load before one upstream; rides on outcomes and heartbeats.
 
     ``running_output_tokens`` is what the running calls still have to decode, ``kv_tokens`` the
-    size of the engine's KV memory, or 0 when unknown.
+    size of the engine's KV memory, or 0 when unknown, and ``held_kv_tokens`` what of it running
+    calls use or paused programs keep; ``reserved_kv_tokens`` counts their typical size where that
+    is larger.
     """
 
     queued: int = 0
@@ -168,6 +180,8 @@
     free_kv_tokens: int = 0
     age_s: float = 0.0
     kv_tokens: int = 0
+    held_kv_tokens: int = 0
+    reserved_kv_tokens: int = 0
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
@@ -187,10 +201,11 @@
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
-    """First frame of a stream: who the entry is."""
+    """First frame of a stream: who the entry is; ``stream`` counts the process's streams."""
 
     node: NodeId
     incarnation: Incarnation
+    stream: int = 0
 
 
 class Dispatch(msgspec.Struct, frozen=True, tag="dispatch"):
@@ -272,13 +287,14 @@
 
 
 class SidecarHeartbeat(msgspec.Struct, frozen=True, tag="beat"):
-    """Liveness, state and load."""
+    """Liveness, state and load; ``echo`` is the sequence of the last entry heartbeat."""
 
     sequence: int
     state: UpstreamState
     load: LoadReport
     cache_events: tuple[CacheEvent, ...] = ()
     document_version: int = 0
+    echo: int = 0
 
 
 class StateNotice(msgspec.Struct, frozen=True, tag="state"):
@@ -288,10 +304,14 @@
 
 
 class CrashNotice(msgspec.Struct, frozen=True, tag="crash"):
-    """The upstream crashed while the request of this fingerprint ran on it."""
+    """The upstream crashed while the request of this fingerprint ran on it.
+
+    ``crash`` names the crash: several requests, or several notices, can be of one.
+    """
 
     fingerprint: Fingerprint
     alone: bool
+    crash: CrashId = CrashId("")
 
 
 SidecarFrame = Welcome | Chunk | Finished | SidecarHeartbeat | StateNotice | CrashNotice
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/interfaces.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/interfaces.py
@@ -78,6 +78,9 @@
     def release(self, program_id: ProgramId, fence: Fence) -> None:
         """Tell every sidecar that may hold the program's KV cache to free it."""
 
+    def detach(self, program_id: ProgramId) -> None:
+        """Let a program's calls go on when they are cancelled here: its next owner follows them."""
+
     def hosts(self) -> Sequence[HostView]:
         """Return all upstreams as this process sees them."""
 
@@ -92,6 +95,9 @@
         return at once unless the backlog is full.  Raise ``NotOwnerError`` when the epoch moved.
         """
 
+    def stalled_s(self) -> float:
+        """Return for how many seconds the platform has not answered; 0 while it does."""
+
 
 class PartitionListener(Protocol):
     """Hears of partitions that this node gains and loses."""
