--- a/packages/skylarkferry-bench/src/skylarkferry_bench/workloads.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/workloads.py
@@ -151,7 +151,7 @@
     replicas=6,
     engine=EngineSpec(0.018, 0.0004, 0.00035, 256, 48_000, 12),
     site=_site("arusha", 1.0, 0.5),
-    programs_per_s=1.25,
+    programs_per_s=1.4,
     kinds=(
         ProgramKind("sizing", 0.6, 90.0, Priority.NORMAL, _sizing, 0.05),
         ProgramKind("quote", 0.25, 30.0, Priority.URGENT, _quote, 0.02),
@@ -164,7 +164,7 @@
     replicas=5,
     engine=EngineSpec(0.016, 0.0004, 0.0004, 256, 32_000, 10),
     site=_site("lisboa", 1.0, 1.5),
-    programs_per_s=1.4,
+    programs_per_s=2.0,
     kinds=(
         ProgramKind("lookup", 0.6, 12.0, Priority.URGENT, _lookup, 0.02),
         ProgramKind("order-chat", 0.32, 120.0, Priority.NORMAL, _order_chat, 0.15),
