Print the slopes of what an entry reads at the size to design for

Cause: host list and cluster rows grow with the size, so their cost cannot be seen on a small deployment.

--- /dev/null
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/cluster_slopes.py
@@ -0,0 +1,167 @@
+"""What an entry reads of the platform at the size to design for, and what a replay costs."""
+
+import tempfile
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import ExitStack
+from pathlib import Path
+
+import anyio
+import httpx
+import msgspec
+
+from skylarkferry_bench import samples
+from skylarkferry_bench.resources import MICROSECONDS_PER_S, Slope
+from skylarkferry_bench.testbeds import DOCUMENT
+from skylarkferry_core.ids import Epoch, FailureDomain, NodeId, PartitionNumber
+from skylarkferry_core.interfaces import Write
+from skylarkferry_core.partitions import (
+    JournalReference,
+    NodeRow,
+    PartitionRow,
+    incarnation_of,
+    node_key,
+    partition_key,
+    segment_key,
+)
+from skylarkferry_core.records import PartitionRecord, Segment
+from skylarkferry_core.replays import replay
+from skylarkferry_core.segments import StoredSegment
+from skylarkferry_daemon.cluster import ClusterReader
+from skylarkferry_daemon.platform import PlatformServices, connect_platform
+from skylarkferry_daemon.segment_reader import SegmentReader
+from skylarkferry_daemon.settings import PlatformSettings
+from skylarkferry_standins.deployment import Deployment
+
+NODES = 320
+SIDECARS = 12_000
+PARTITIONS = 2_048
+DOMAINS = 14
+SEGMENTS = 200
+SEGMENT_RECORDS = 64
+ROWS_AT_ONCE = 100
+REPEATS = 5
+
+Reading = Callable[[], Awaitable[object]]
+
+
+def cluster_slopes() -> Iterator[Slope]:
+    """Fill a platform with the rows of 320 nodes and read them as an entry does."""
+    with ExitStack() as stack:
+        directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        deployment = Deployment(directory, DOCUMENT, stack)
+        deployment.start_platform()
+        yield from anyio.run(_measure, deployment.platform_url)
+
+
+class ReceivedBytes:
+    """Counts the bytes of the answers that a client received."""
+
+    def __init__(self) -> None:
+        self.total = 0
+
+    async def note(self, response: httpx.Response) -> None:
+        """Count one answer."""
+        self.total += len(await response.aread())
+
+
+async def _measure(url: str) -> list[Slope]:
+    received = ReceivedBytes()
+    hooks = {"response": [received.note]}
+    async with httpx.AsyncClient(event_hooks=hooks, timeout=60.0) as client:
+        settings = PlatformSettings(url, f"{url}/objects", f"{url}/hosts", timeout_s=60.0)
+        services = connect_platform(client, settings)
+        await client.put(f"{url}/control/hosts", json=_hosts())
+        await _write(services, _rows())
+        reader = ClusterReader(services.table, services.host_list, PARTITIONS)
+        readings: dict[str, Reading] = {
+            f"host list of {NODES + SIDECARS:,} hosts": services.host_list.hosts,
+            f"all rows of {NODES} nodes and {PARTITIONS:,} partitions": reader.read_all,
+            "one row": lambda: services.table.read(node_key(NodeId("entry-001"))),
+        }
+        slopes = [
+            slope
+            for name, reading in readings.items()
+            async for slope in _read(name, reading, received)
+        ]
+        return slopes + [slope async for slope in _replay(services, received)]
+
+
+def _hosts() -> list[dict[str, object]]:
+    return [_host(f"entry-{number:03d}", "entry", number) for number in range(NODES)] + [
+        _host(f"calc-models-{number:05d}", "sidecar", number) for number in range(SIDECARS)
+    ]
+
+
+def _host(name: str, role: str, number: int) -> dict[str, object]:
+    labels = {
+        "host": name,
+        "role": role,
+        "failure_domain": f"domain-{number % DOMAINS}",
+        "pool": "calc-models" if role == "sidecar" else "",
+        "leaving": "false",
+    }
+    return {"targets": [f"10.{number // 65_536}.{number // 256 % 256}.{number % 256}:7100"]} | {
+        "labels": labels
+    }
+
+
+def _rows() -> list[Write]:
+    rows: list[Write] = []
+    for number in range(NODES):
+        node = NodeId(f"entry-{number:03d}")
+        domain = FailureDomain(f"domain-{number % DOMAINS}")
+        row = NodeRow(node, incarnation_of(node, "0123456789ab"), 1_000, "10.0.0.1:7100", domain)
+        rows.append(Write(node_key(node), msgspec.msgpack.encode(row)))
+    for number in range(PARTITIONS):
+        owner = incarnation_of(NodeId(f"entry-{number % NODES:03d}"), "0123456789ab")
+        journals = (JournalReference(owner, 100),)
+        partition = PartitionRow(owner, Epoch(3), journals, 1, Epoch(3), 100)
+        key = partition_key(PartitionNumber(number))
+        rows.append(Write(key, msgspec.msgpack.encode(partition)))
+    return rows
+
+
+async def _write(services: PlatformServices, writes: list[Write]) -> None:
+    for start in range(0, len(writes), ROWS_AT_ONCE):
+        await services.table.transact([], writes[start : start + ROWS_AT_ONCE])
+
+
+async def _read(name: str, reading: Reading, received: ReceivedBytes) -> AsyncIterator[Slope]:
+    await reading()
+    before, start = received.total, time.process_time()
+    for _ in range(REPEATS):
+        await reading()
+    cpu_us = (time.process_time() - start) / REPEATS * MICROSECONDS_PER_S
+    yield Slope(f"read {name}", (received.total - before) / REPEATS, "bytes")
+    yield Slope(f"read {name}, processor", cpu_us, "us", f"{REPEATS} reads")
+
+
+async def _replay(services: PlatformServices, received: ReceivedBytes) -> AsyncIterator[Slope]:
+    """Read a journal back and replay one of its partitions."""
+    for sequence in range(1, SEGMENTS + 1):
+        await services.table.transact([], [_segment(sequence)])
+    before, cpu, start = received.total, time.process_time(), time.perf_counter()
+    segments = await SegmentReader(services.table, services.objects).read([samples.INCARNATION])
+    row = PartitionRow(
+        samples.INCARNATION, samples.FENCE.epoch, (JournalReference(samples.INCARNATION, 1),)
+    )
+    replay(samples.FENCE.partition, row, segments)
+    records = SEGMENTS * SEGMENT_RECORDS
+    basis = f"{records} records of turns"
+    cpu_us = (time.process_time() - cpu) / records * MICROSECONDS_PER_S
+    wall_us = (time.perf_counter() - start) / records * MICROSECONDS_PER_S
+    yield Slope("replay a record", (received.total - before) / records, "bytes", basis)
+    yield Slope("replay a record, processor", cpu_us, "us", basis)
+    yield Slope("replay a record, wall time", wall_us, "us", basis)
+
+
+def _segment(sequence: int) -> Write:
+    fence = samples.FENCE
+    entries = tuple(
+        PartitionRecord(fence.partition, fence.epoch, samples.turn_of(number, sequence))
+        for number in range(SEGMENT_RECORDS)
+    )
+    body = msgspec.msgpack.encode(Segment(samples.INCARNATION, sequence, entries))
+    value = msgspec.msgpack.encode(StoredSegment(body=body))
+    return Write(segment_key(samples.INCARNATION, sequence), value)
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/slopes.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/slopes.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Iterator
 
 from skylarkferry_bench.adoption_slopes import adoption_slopes
+from skylarkferry_bench.cluster_slopes import cluster_slopes
 from skylarkferry_bench.codec_slopes import codec_slopes
 from skylarkferry_bench.node_slopes import node_slopes
 from skylarkferry_bench.resources import Slope
@@ -14,6 +15,7 @@
     "codec": codec_slopes,
     "state": state_slopes,
     "streams": stream_slopes,
+    "cluster": cluster_slopes,
     "nodes": node_slopes,
     "adoption": adoption_slopes,
 }
