--- a/packages/skylarkferry-bench/src/skylarkferry_bench/cluster_slopes.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/cluster_slopes.py
@@ -1,5 +1,7 @@
 """What an entry reads of the platform at the size to design for, and what a replay costs."""
 
+import hashlib
+import json
 import tempfile
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
@@ -11,7 +13,7 @@
 import msgspec
 
 from skylarkferry_bench import samples
-from skylarkferry_bench.resources import MICROSECONDS_PER_S, Slope
+from skylarkferry_bench.resources import MICROSECONDS_PER_S, Slope, cpu_us_each
 from skylarkferry_bench.testbeds import DOCUMENT
 from skylarkferry_core.ids import Epoch, FailureDomain, NodeId, PartitionNumber
 from skylarkferry_core.interfaces import Write
@@ -27,6 +29,7 @@
 from skylarkferry_core.records import PartitionRecord, Segment
 from skylarkferry_core.replays import replay
 from skylarkferry_core.segments import StoredSegment
+from skylarkferry_core.validation import check_texts
 from skylarkferry_daemon.cluster import ClusterReader
 from skylarkferry_daemon.platform import PlatformServices, connect_platform
 from skylarkferry_daemon.segment_reader import SegmentReader
@@ -37,6 +40,7 @@
 SIDECARS = 12_000
 PARTITIONS = 2_048
 DOMAINS = 14
+CUSTOMERS = 920
 SEGMENTS = 200
 SEGMENT_RECORDS = 64
 ROWS_AT_ONCE = 100
@@ -52,6 +56,26 @@
         deployment = Deployment(directory, DOCUMENT, stack)
         deployment.start_platform()
         yield from anyio.run(_measure, deployment.platform_url)
+    yield from _document()
+
+
+def _document() -> Iterator[Slope]:
+    """Measure a document with all customers; the other sections are the demonstration's."""
+    texts = {path.stem: path.read_text() for path in sorted(DOCUMENT.glob("*.jsonc"))}
+    names = [f"customer-{number:03d}" for number in range(CUSTOMERS)]
+    texts["budgets"] = json.dumps({name: _customer(name) for name in names}, indent=2)
+    assert not check_texts(texts)
+    size = sum(len(text.encode()) for text in texts.values())
+    basis = f"{CUSTOMERS} customers"
+    yield Slope("document", size, "bytes", basis)
+    check_us = cpu_us_each(lambda: check_texts(texts), REPEATS)
+    yield Slope("parse and check a document", check_us, "us", basis)
+
+
+def _customer(name: str) -> dict[str, object]:
+    digest = hashlib.sha256(name.encode()).hexdigest()
+    budget = {"tokens": 250_000, "cost_micros": 1_000_000, "turns": 360}
+    return {"token_hashes": [digest], "program_budget": budget, "tokens_per_minute": 10_000_000}
 
 
 class ReceivedBytes:
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/codec_slopes.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/codec_slopes.py
@@ -6,6 +6,7 @@
 
 from skylarkferry_bench import samples
 from skylarkferry_bench.resources import Slope, cpu_us_each
+from skylarkferry_bench.stream_peer import entry_beat, sidecar_beat
 from skylarkferry_core.messages import Dispatch, EntryBatch, Order
 from skylarkferry_core.records import PartitionRecord, Record, Segment
 from skylarkferry_wire.codec import decoder, encode
@@ -20,6 +21,8 @@
     """Measure encoding and decoding."""
     for name, record in samples.records_of(1).items():
         yield from _record(name, record)
+    yield Slope("heartbeat of an entry", len(encode(entry_beat(1_000))), "bytes")
+    yield Slope("heartbeat of a sidecar", len(encode(sidecar_beat(1_000))), "bytes")
     yield from _segment()
     for tokens in ORDER_TOKENS:
         yield from _order(tokens)
