Say in one line that an address cannot be listened on

Cause: a sidecar whose port was taken ended with a trace-back of gRPC or hypercorn. Both listeners now raise SettingsInvalidError, and skylarkferryd prints it and exits with 2. The metrics socket is bound before hypercorn starts, since a failed bind inside it also logs a failed lifespan.

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/main.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/main.py
@@ -2,6 +2,8 @@
 
 import signal
 import sys
+from collections.abc import Iterator
+from typing import NoReturn
 
 import anyio
 import fire
@@ -46,15 +48,34 @@
     try:
         return settings_module.load(path)
     except SettingsInvalidError as error:
-        print(f"skylarkferryd: {error.detail}", file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
+        _exit_with(error.detail)
+
+
+def _exit_with(detail: str) -> NoReturn:
+    print(f"skylarkferryd: {detail}", file=sys.stderr)
+    sys.exit(EXIT_SETTINGS)
 
 
 def serve(path: str) -> None:
     """Serve with the settings in the file at PATH until SIGTERM."""
     settings = _load_or_exit(path)
     set_up_logging(settings.log_level)
-    anyio.run(_serve, settings)
+    details: list[str] = []
+    try:
+        anyio.run(_serve, settings)
+    except* SettingsInvalidError as group:
+        details.extend(_details(group))
+    if details:
+        _exit_with(f"{path}: {details[0]}")
+
+
+def _details(group: BaseExceptionGroup) -> Iterator[str]:
+    """Yield what each settings error of a group says."""
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _details(error)
+        elif isinstance(error, SettingsInvalidError):
+            yield error.detail
 
 
 def check(path: str) -> None:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
@@ -26,7 +26,7 @@
     SIDECAR_SEAL,
     SIDECAR_STREAM,
 )
-from skylarkferry_wire.servers import add_handlers, new_server
+from skylarkferry_wire.servers import add_handlers, listen, new_server
 
 RPC_GRACE_S = 1.0
 DELIVERY_WAIT_S = 5.0
@@ -68,7 +68,7 @@
         tasks.start_soon(state.timers.run, tasks)
         self._subscribe(runner, keeper, EngineReports(client, state))
         app = metrics_app(SidecarCollector(state))
-        await serve_metrics(app, self.settings.metrics_listen, stack, tasks)
+        serve_metrics(app, self.settings.metrics_listen, stack, tasks)
         await self._serve_rpc(SidecarService(state, runner, keeper, self.stop), stack)
         return runner
 
@@ -94,7 +94,7 @@
                 PROCESS_TIMELINE: service.timeline,
             },
         )
-        server.add_insecure_port(self.settings.rpc_listen)
+        listen(server, self.settings.rpc_listen)
         await server.start()
         stack.push_async_callback(server.stop, RPC_GRACE_S)
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_metrics.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_metrics.py
@@ -1,6 +1,7 @@
 """Metrics of a sidecar and its HTTP endpoint."""
 
 import asyncio
+import socket
 from contextlib import AsyncExitStack, suppress
 
 import anyio
@@ -15,6 +16,7 @@
 from starlette.responses import PlainTextResponse, Response
 from starlette.routing import Route
 
+from skylarkferry_core.errors import SettingsInvalidError
 from skylarkferry_core.states import UpstreamState
 from skylarkferry_daemon.sidecar_state import SidecarState
 
@@ -63,12 +65,19 @@
     return Starlette(routes=[Route("/metrics", metrics), Route("/healthz", healthz)])
 
 
-async def serve_metrics(
-    app: Starlette, listen: str, stack: AsyncExitStack, tasks: TaskGroup
-) -> None:
-    """Serve on ``listen`` until ``stack`` closes."""
+def _bind(address: str) -> int:
+    """Return the descriptor of a listening socket; raise ``SettingsInvalidError``."""
+    host, _, port = address.partition(":")
+    try:
+        return socket.create_server((host, int(port))).detach()
+    except OSError as error:
+        raise SettingsInvalidError(f"cannot listen on {address}") from error
+
+
+def serve_metrics(app: Starlette, address: str, stack: AsyncExitStack, tasks: TaskGroup) -> None:
+    """Serve on ``address`` until ``stack`` closes."""
     config = Config()
-    config.bind = [listen]
+    config.bind = [f"fd://{_bind(address)}"]
     config.graceful_timeout = GRACE_S
     config.accesslog = None
     config.errorlog = None
@@ -76,7 +85,7 @@
     stack.callback(stopped.set)
 
     async def run() -> None:
-        # hypercorn raises this when a connection outlives the graceful timeout
+        # hypercorn raises InvalidStateError when a connection outlives the graceful timeout
         with suppress(asyncio.InvalidStateError):
             await hypercorn.asyncio.serve(app, config, shutdown_trigger=stopped.wait)
 
--- a/packages/skylarkferry-wire/src/skylarkferry_wire/servers.py
+++ b/packages/skylarkferry-wire/src/skylarkferry_wire/servers.py
@@ -5,6 +5,7 @@
 
 import grpc
 
+from skylarkferry_core.errors import SettingsInvalidError
 from skylarkferry_wire.codec import decoder, encode
 from skylarkferry_wire.errors import typed_errors
 from skylarkferry_wire.methods import Method, Shape
@@ -49,3 +50,11 @@
 def new_server() -> grpc.aio.Server:
     """Return a server that listens nowhere yet."""
     return grpc.aio.server(options=SERVER_OPTIONS)
+
+
+def listen(server: grpc.aio.Server, address: str) -> None:
+    """Open a port; raise ``SettingsInvalidError`` when the address cannot be had."""
+    try:
+        server.add_insecure_port(address)
+    except RuntimeError as error:
+        raise SettingsInvalidError(f"cannot listen on {address}") from error
--- a/tests/daemon/test_links.py
+++ b/tests/daemon/test_links.py
@@ -1,7 +1,7 @@
 import anyio
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, HasLength, Is
+from testtools.matchers import Equals, HasLength, Is, Not
 
 from sidecar_fakes import (
     DOMAIN,
@@ -21,7 +21,12 @@
     tool_order,
     wait_until,
 )
-from skylarkferry_core.errors import ErrorCode, StaleEpochError, UpstreamLostError
+from skylarkferry_core.errors import (
+    ErrorCode,
+    SettingsInvalidError,
+    StaleEpochError,
+    UpstreamLostError,
+)
 from skylarkferry_core.ids import Incarnation
 from skylarkferry_core.interfaces import Host
 from skylarkferry_core.messages import SealRequest
@@ -222,3 +227,11 @@
         links.release(order.program_id, fence())
         await wait_until(lambda: upstream.released)
         assert_that(upstream.released, Equals([order.program_id]))
+
+
+async def test_an_address_in_use_is_a_settings_error():
+    async with open_pair() as (upstream, sidecar, _):
+        second = RunningSidecar(upstream, metrics_listen=sidecar.settings.metrics_listen)
+        with pytest.raises(ExceptionGroup) as raised:
+            await second.run()
+        assert_that(raised.value.subgroup(SettingsInvalidError), Not(Is(None)))
