Run the measured policy in the entries

The sidecar times each call; the entry learns speeds, pauses and typical programs from outcomes. A breaker's interrupted trial goes back to open, else a cancelled trial would keep it half open.

--- a/packages/skylarkferry-core/src/skylarkferry_core/breakers.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/breakers.py
@@ -44,6 +44,11 @@
         if self.state is BreakerState.OPEN and self.allows(now):
             self.state = BreakerState.HALF_OPEN
 
+    def interrupted(self) -> None:
+        """Note a call that was given up before its outcome; the next call is the trial instead."""
+        if self.state is BreakerState.HALF_OPEN:
+            self.state = BreakerState.OPEN
+
     def succeeded(self) -> None:
         """Note a call that the upstream answered."""
         if self.state is BreakerState.HALF_OPEN:
--- a/packages/skylarkferry-core/src/skylarkferry_core/messages.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/messages.py
@@ -145,6 +145,14 @@
     body: bytes
 
 
+class Timing(msgspec.Struct, frozen=True):
+    """Seconds at the upstream: until the first output, from there to the end, and in all."""
+
+    first_output_s: float = 0.0
+    rest_s: float = 0.0
+    run_s: float = 0.0
+
+
 class Outcome(msgspec.Struct, frozen=True):
     """How a call ended.
 
@@ -161,6 +169,7 @@
     error: ErrorCode | None = None
     detail: str = ""
     retry_after_s: float | None = None
+    timing: Timing = Timing()
 
 
 class LoadReport(msgspec.Struct, frozen=True):
--- a/packages/skylarkferry-core/src/skylarkferry_core/turns.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/turns.py
@@ -4,13 +4,22 @@
 
 from skylarkferry_core.budgets import Amount, cost_of
 from skylarkferry_core.document import Document, ToolSpec
-from skylarkferry_core.ids import AgentName, ToolName
+from skylarkferry_core.ids import (
+    AgentName,
+    FailureDomain,
+    ProgramId,
+    ToolName,
+    fingerprint_of,
+)
+from skylarkferry_core.interfaces import PlacementRequest
 from skylarkferry_core.messages import ChatMessage, ModelWork, ToolOffer, ToolRequest, ToolWork
 from skylarkferry_core.runs import Run
 from skylarkferry_core.states import ChatRole
 
 MESSAGE_OVERHEAD_TOKENS = 16
 MIN_OUTPUT_TOKENS = 16
+BYTES_PER_TOKEN = 4
+EXPECTED_OUTPUT_PART = 4
 _SUB_AGENT_PARAMETERS = (
     '{"type":"object","properties":{"input":{"type":"string"}},"required":["input"]}'
 )
@@ -87,6 +96,27 @@
     amount: Amount
 
 
+def expected_turn(document: Document, program_id: ProgramId, run: Run) -> PlacementRequest:
+    """Return what placement expects of a run's next turn; its instructions are a shared prefix."""
+    spec = document.agents[run.agent]
+    shared = len(spec.instructions.encode())
+    shared += sum(len(msgspec.json.encode(offer)) for offer in offers(document, run.agent))
+    fresh = run.history[run.measured_messages :]
+    prompt = run.measured_tokens
+    if not run.measured_messages:
+        prompt = shared // BYTES_PER_TOKEN
+    prompt += sum(_message_tokens(message) // BYTES_PER_TOKEN for message in fresh)
+    return PlacementRequest(
+        program_id=program_id,
+        prompt_tokens=prompt,
+        output_tokens=spec.max_output_tokens // EXPECTED_OUTPUT_PART,
+        failure_domain=FailureDomain(""),
+        run_id=run.run_id,
+        prefix=fingerprint_of(spec.instructions.encode()),
+        prefix_tokens=shared // BYTES_PER_TOKEN,
+    )
+
+
 def sub_agent_input(arguments: str) -> str:
     """Return the input a model gave a sub-agent; other JSON stands for itself."""
     try:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/admitting.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/admitting.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from skylarkferry_core.admissions import Admission, AdmissionRequest
+from skylarkferry_core.admissions import AdmissionRequest
 from skylarkferry_core.document import AgentSpec, CustomerSpec
 from skylarkferry_core.errors import (
     BudgetExhaustedError,
@@ -14,7 +14,7 @@
     UnknownServiceError,
     error_for,
 )
-from skylarkferry_core.ids import AgentName, CustomerId, ProgramId
+from skylarkferry_core.ids import CustomerId, ProgramId
 from skylarkferry_core.messages import ProgramRequest
 from skylarkferry_core.programs import Program
 from skylarkferry_daemon.context import EntryContext
@@ -24,7 +24,6 @@
 RETRY_AFTER_S = 2.0
 OUTAGE_RETRY_S = 5.0
 STALLED_JOURNAL_S = 1.0
-TYPICAL_WEIGHT = 0.1
 
 
 _REASONS = {
@@ -36,16 +35,12 @@
 class Admitter:
     """Decide on programs that ask to start at this node."""
 
-    def __init__(
-        self, context: EntryContext, admission: Admission, ownership: Ownership, capacity: int
-    ) -> None:
+    def __init__(self, context: EntryContext, ownership: Ownership, capacity: int) -> None:
         self.context = context
-        self.admission = admission
         self.ownership = ownership
         self.capacity = capacity
         self.under_way: Counter[CustomerId] = Counter()
         self.charges: dict[ProgramId, int] = {}
-        self.typical_tokens: dict[AgentName, float] = {}
 
     def admit(self, program_id: ProgramId, request: ProgramRequest, now: float) -> None:
         """Count a program in, or raise the typed refusal; nothing of a refused one ever runs."""
@@ -55,7 +50,7 @@
         if request.service is not None:
             self._check_service(request)
         else:
-            self.charges[program_id] = self._check_agent(request, now)
+            self.charges[program_id] = self._check_agent(program_id, request, now)
         self.under_way[request.customer] += 1
 
     def resumed(self, request: ProgramRequest) -> None:
@@ -69,11 +64,8 @@
         charged = self.charges.pop(program.program_id, None)
         if charged is None:
             return
-        spent = program.budget.spent.tokens
-        self.admission.settle(customer, charged - spent)
-        agent = program.request.agent
-        typical = self.typical_tokens.get(agent, float(spent))
-        self.typical_tokens[agent] = typical + TYPICAL_WEIGHT * (spent - typical)
+        self.context.admission.settle(customer, charged - program.budget.spent.tokens)
+        self.context.admission.ended(program.program_id)
 
     def _check_platform(self) -> None:
         if self.context.journal.stalled_s() > STALLED_JOURNAL_S:
@@ -87,7 +79,7 @@
         if pool_of_service(self.context.documents.current, service) is None:
             raise UnknownServiceError(f"no service {service}")
 
-    def _check_agent(self, request: ProgramRequest, now: float) -> int:
+    def _check_agent(self, program_id: ProgramId, request: ProgramRequest, now: float) -> int:
         """Return the tokens charged to the customer's slice."""
         document = self.context.documents.current
         spec = document.agents.get(request.agent)
@@ -96,9 +88,9 @@
         customer = document.budgets.get(request.customer)
         if customer is not None:
             self._check_limits(request, customer)
-        question = self._question(request, spec, customer)
-        self.admission.share_with(len(self.ownership.node_addresses()) + 1)
-        refusal = self.admission.admit(question, now)
+        question = self._question(program_id, request, spec, customer)
+        self.context.admission.share_with(len(self.ownership.node_addresses()) + 1)
+        refusal = self.context.admission.admit(question, now)
         if refusal is not None:
             raise error_for(refusal.code, _REASONS[refusal.code], refusal.retry_after_s)
         return question.tokens
@@ -114,19 +106,22 @@
             raise BudgetExhaustedError("the turns exceed the customer's for one program")
 
     def _question(
-        self, request: ProgramRequest, spec: AgentSpec, customer: CustomerSpec | None
+        self,
+        program_id: ProgramId,
+        request: ProgramRequest,
+        spec: AgentSpec,
+        customer: CustomerSpec | None,
     ) -> AdmissionRequest:
+        typical = self.context.estimates.typical_of(request.agent, spec)
+        nodes = len(self.ownership.node_addresses()) + 1
         return AdmissionRequest(
             customer=request.customer,
             deadline_s=request.deadline_s,
-            expected_s=spec.expected_s,
+            expected_s=typical.work_s,
             wait_s=self.context.placer.shortest_wait_s(spec.model),
-            expected_calls=float(max(len(spec.tools) + 1, 1)),
-            tokens=self._expected_tokens(request, spec),
+            tokens=min(int(typical.tokens), request.budget.tokens),
             tokens_per_minute=customer.tokens_per_minute if customer else 0,
+            program_id=program_id,
+            work_s=typical.work_s,
+            capacity=self.context.placer.slots(spec.model) / nodes,
         )
-
-    def _expected_tokens(self, request: ProgramRequest, spec: AgentSpec) -> int:
-        """Return what programs of this agent typically spend, at most this one's budget."""
-        typical = self.typical_tokens.get(request.agent, float(spec.max_output_tokens))
-        return min(int(typical), request.budget.tokens)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/attempts.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/attempts.py
@@ -108,9 +108,7 @@
         return await self._dispatch(plan, intent)
 
     def _place(self, plan: CallPlan, tried: list[UpstreamId]) -> UpstreamId | None:
-        return self.context.placer.place(
-            plan.target, self.program.program_id, plan.prompt_tokens, plan.output_tokens, tried
-        )
+        return self.context.placer.place(plan.target, plan.request, tried)
 
     def _intent(self, plan: CallPlan, call_id: CallId, upstream: UpstreamId) -> CallIntended:
         incarnation = self.context.sidecars.incarnation(upstream)
@@ -131,13 +129,17 @@
 
     async def _dispatch(self, plan: CallPlan, intent: CallIntended) -> Outcome:
         plan.begin()
-        order = plan.order(intent.call_id, intent.incarnation)
+        order = plan.order(intent)
         self.context.log_placed(self.program.program_id, intent)
+        self.context.estimates.begin(intent.upstream)
         try:
-            return _checked(await self._follow(plan, intent, order))
+            outcome = _checked(await self._follow(plan, intent, order))
         except anyio.get_cancelled_exc_class():
+            self.context.estimates.breaker(intent.upstream).interrupted()
             await self._settle_cancelled(plan, intent)
             raise
+        self.context.estimates.observe(intent.upstream, outcome)
+        return outcome
 
     async def _follow(self, plan: CallPlan, intent: CallIntended, order: Order) -> Outcome:
         try:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
@@ -1,6 +1,7 @@
 """Run queued calls on the upstream, as many at once as it has slots."""
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
 from skylarkferry_core.calls import Call
@@ -28,6 +29,7 @@
 from skylarkferry_core.states import CallState, FinalWord, PoolKind
 from skylarkferry_daemon.kv_keeper import KvKeeper
 from skylarkferry_daemon.sidecar_state import SidecarState
+from skylarkferry_daemon.stopwatches import Stopwatch
 from skylarkferry_daemon.upstream_adapters import Adapter, BrokenConnectionError
 from skylarkferry_daemon.upstream_probe import UpstreamProbe
 
@@ -105,18 +107,20 @@
         self.keeper.on_started(order)
         scope = self.scopes[order.call_id]
         outcome = unknown(order.call_id, ErrorCode.CANCELLED, "the call was cancelled")
+        watch = Stopwatch(self.timers)
         with scope:
-            outcome = await self._outcome(call)
+            outcome = await self._outcome(call, watch)
         del self.scopes[order.call_id]
+        outcome = msgspec.structs.replace(outcome, timing=watch.timing())
         self._finish(call, outcome)
 
-    async def _outcome(self, call: Call) -> Outcome:
+    async def _outcome(self, call: Call, watch: Stopwatch) -> Outcome:
         """Return how a call ended, in the time it has."""
         order = call.order
         remaining_s = call.due - self.timers.now()
         try:
             with anyio.fail_after(min(order.timeout_s, remaining_s)):
-                return await self.adapter.run(order, lambda text: self._emit(call, text))
+                return await self.adapter.run(order, lambda text: self._emit(call, text, watch))
         except TimeoutError:
             return _timed_out(order, is_deadline=remaining_s <= order.timeout_s)
         except BrokenConnectionError as error:
@@ -126,7 +130,8 @@
             self.log.emit(EventKind.TASK_FAILED, order.program_id, error=repr(error))
             return unknown(order.call_id, _lost_code(order), "the sidecar failed")
 
-    def _emit(self, call: Call, text: str) -> None:
+    def _emit(self, call: Call, text: str, watch: Stopwatch) -> None:
+        watch.note_output()
         self.table.append(call.order.call_id, text)
         self.hub.mark(call)
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/context.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/context.py
@@ -6,11 +6,13 @@
 
 import msgspec
 
+from skylarkferry_core.admissions import Admission
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import ProgramId
 from skylarkferry_core.messages import Outcome
 from skylarkferry_core.records import CallIntended
 from skylarkferry_core.retries import RetryBudget, RetryPolicy
+from skylarkferry_daemon.estimates import Estimates
 from skylarkferry_daemon.interfaces import Documents, Journal, Sidecars
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_daemon.placing import Placer
@@ -23,6 +25,8 @@
     sidecars: Sidecars
     documents: Documents
     placer: Placer
+    estimates: Estimates
+    admission: Admission
     log: EventLog
     randomness: random.Random
     wall_s: Callable[[], float] = time.time
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/drivers.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/drivers.py
@@ -72,6 +72,8 @@
         self.calls_scope = anyio.CancelScope()
         self.whole_scope = anyio.CancelScope()
         self.abandoned = False
+        self.work_s = 0.0
+        self.waiting_since: dict[RunId, float] = {}
 
     def cancel(self, ending: Ending) -> None:
         """End the program without an answer; calls in flight get their final word first."""
@@ -155,6 +157,7 @@
 
     async def _run_model(self, ready: ReadyCall) -> None:
         run = self.program.runs[ready.slot.run_id]
+        self._note_pause(run)
         if run.run_id == ROOT_RUN:
             plan = self.planner.model_plan(run, FeedSink(self.feed), self.feed.begin_attempt)
         else:
@@ -163,6 +166,12 @@
         if outcome is not None:
             self._take_turn(plan, run, outcome)
 
+    def _note_pause(self, run: Run) -> None:
+        """Learn how long the engine kept the run's cache over its tool calls."""
+        since = self.waiting_since.pop(run.run_id, None)
+        if since is not None:
+            self.context.estimates.paused(run.agent, anyio.current_time() - since)
+
     async def _run_tool(self, ready: ReadyCall) -> None:
         assert ready.request is not None
         name = ready.request.name
@@ -208,6 +217,7 @@
             code = outcome.error or ErrorCode.UPSTREAM_FAILED
             self._fail(Ending(code, outcome.detail, outcome.retry_after_s))
             return
+        self._note_work(plan, outcome)
         usage = _bounded(outcome.usage, plan.need)
         spec = self.planner.document.models[self._spec(run.run_id).model]
         cost = min(model_amount(spec, usage).cost_micros, plan.need.cost_micros)
@@ -218,6 +228,16 @@
         self.attempts.reservations.notify()
         self._wake()
 
+    def _note_work(self, plan: CallPlan, outcome: Outcome) -> None:
+        """Tell admission what the turn took, and placement what its engine caches now."""
+        self.work_s += outcome.timing.run_s
+        self.context.admission.progressed(self.program.program_id, outcome.timing.run_s)
+        self.waiting_since[plan.slot.run_id] = anyio.current_time()
+        intent = self.program.intents.get(plan.slot)
+        if intent is not None:
+            tokens = outcome.usage.prompt_tokens + outcome.usage.output_tokens
+            self.context.sidecars.beliefs.finished(intent.upstream, plan.request, tokens)
+
     def finish(self, plan: CallPlan, outcome: Outcome) -> None:
         """Record the final word of a tool or service call."""
         cost = 0 if outcome.word is FinalWord.NOT_RUN else plan.need.cost_micros
@@ -248,6 +268,7 @@
         self.feed.end()
         self.context.sidecars.release(self.program.program_id, self.fence)
         self.context.placer.forget(self.program.program_id)
+        self.context.estimates.ended(self.program, self.work_s)
         self.context.log.emit(
             EventKind.PROGRAM_ENDED,
             self.program.program_id,
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry.py
@@ -20,6 +20,7 @@
 from skylarkferry_daemon.documents import TableDocuments
 from skylarkferry_daemon.edge import Edge
 from skylarkferry_daemon.entry_service import EntryService
+from skylarkferry_daemon.estimates import Estimates
 from skylarkferry_daemon.forwarding import SystemPrograms
 from skylarkferry_daemon.http_server import serve_http
 from skylarkferry_daemon.links import SidecarLinks
@@ -82,12 +83,7 @@
         self.directory = ProgramDirectory(
             context=self.context,
             ownership=self.ownership,
-            admitter=Admitter(
-                self.context,
-                ADMISSIONS[DEFAULT_ADMISSION](),
-                self.ownership,
-                settings.limits.programs_under_way,
-            ),
+            admitter=Admitter(self.context, self.ownership, settings.limits.programs_under_way),
             partitions=settings.lease.partitions,
             ended_kept=settings.limits.ended_programs_kept,
             tasks=tasks,
@@ -104,18 +100,22 @@
 
     def _context(self) -> EntryContext:
         randomness = random.Random(self.incarnation)
+        estimates = Estimates()
         placer = Placer(
-            PLACEMENTS[DEFAULT_PLACEMENT](randomness),
-            self.links,
-            self.documents,
-            self.settings.site,
-            self.settings.failure_domain,
+            placement=PLACEMENTS[DEFAULT_PLACEMENT](randomness),
+            sidecars=self.links,
+            documents=self.documents,
+            estimates=estimates,
+            site=self.settings.site,
+            failure_domain=self.settings.failure_domain,
         )
         return EntryContext(
             journal=self.ownership.journal,
             sidecars=self.links,
             documents=self.documents,
             placer=placer,
+            estimates=estimates,
+            admission=ADMISSIONS[DEFAULT_ADMISSION](),
             log=self.log,
             randomness=randomness,
         )
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/estimates.py
@@ -0,0 +1,91 @@
+"""What an entry learns from outcomes: speeds, pauses, failing upstreams, typical programs."""
+
+import anyio
+import msgspec
+
+from skylarkferry_core.breakers import Breaker
+from skylarkferry_core.document import AgentSpec
+from skylarkferry_core.errors import ErrorCode
+from skylarkferry_core.ids import AgentName, ToolName, UpstreamId
+from skylarkferry_core.messages import Outcome
+from skylarkferry_core.programs import Program
+from skylarkferry_core.retention import PauseEstimates, Retention
+from skylarkferry_core.speeds import SpeedEstimates
+from skylarkferry_core.states import FinalWord
+
+WEIGHT_OF_NEWEST = 0.1
+_CALLERS_DOING = frozenset({ErrorCode.CANCELLED, ErrorCode.DEADLINE_PASSED, ErrorCode.STALE_EPOCH})
+
+
+class TypicalProgram(msgspec.Struct):
+    """Moving averages over an agent's programs: tokens spent and seconds of slots used."""
+
+    tokens: float
+    work_s: float
+
+
+class Estimates:
+    """Learned values of one entry; they start from the document and are lost with the process."""
+
+    def __init__(self) -> None:
+        self.speeds = SpeedEstimates()
+        self.pauses = PauseEstimates()
+        self.retention = Retention()
+        self.breakers: dict[UpstreamId, Breaker] = {}
+        self.typical: dict[AgentName, TypicalProgram] = {}
+
+    def breaker(self, upstream: UpstreamId) -> Breaker:
+        """Return the breaker of an upstream."""
+        return self.breakers.setdefault(upstream, Breaker())
+
+    def allows(self, upstream: UpstreamId) -> bool:
+        """Tell whether an upstream's breaker lets calls through."""
+        known = self.breakers.get(upstream)
+        return known is None or known.allows(anyio.current_time())
+
+    def begin(self, upstream: UpstreamId) -> None:
+        """Note that a call is sent."""
+        self.breaker(upstream).begin(anyio.current_time())
+
+    def failed(self, upstream: UpstreamId) -> None:
+        """Note a call that was lost or gave up on."""
+        self.breaker(upstream).failed(anyio.current_time())
+
+    def observe(self, upstream: UpstreamId, outcome: Outcome) -> None:
+        """Learn from a call's outcome; one that did not run says nothing of the upstream."""
+        if outcome.word is FinalWord.NOT_RUN or outcome.error in _CALLERS_DOING:
+            self.breaker(upstream).interrupted()
+        elif outcome.word is FinalWord.UNKNOWN or outcome.error is not None:
+            self.failed(upstream)
+        else:
+            self.breaker(upstream).succeeded()
+            self._observe_speed(upstream, outcome)
+
+    def _observe_speed(self, upstream: UpstreamId, outcome: Outcome) -> None:
+        usage = outcome.usage
+        if outcome.message is None or not outcome.timing.first_output_s:
+            return
+        self.speeds.observe(
+            upstream,
+            usage.prompt_tokens - usage.cached_tokens,
+            outcome.timing.first_output_s,
+            usage.output_tokens,
+            outcome.timing.rest_s,
+        )
+
+    def paused(self, agent: AgentName, pause_s: float) -> None:
+        """Learn how long an agent's run waits for tools between two turns."""
+        self.pauses.observe(ToolName(agent), pause_s)
+
+    def typical_of(self, agent: AgentName, spec: AgentSpec) -> TypicalProgram:
+        """Return what programs of an agent use; a new agent is judged by the document."""
+        known = self.typical.get(agent)
+        return known or TypicalProgram(float(spec.max_output_tokens), spec.expected_s)
+
+    def ended(self, program: Program, work_s: float) -> None:
+        """Learn from a program that ended."""
+        agent = program.request.agent
+        spent = float(program.budget.spent.tokens)
+        known = self.typical.setdefault(agent, TypicalProgram(spent, work_s))
+        known.tokens += WEIGHT_OF_NEWEST * (spent - known.tokens)
+        known.work_s += WEIGHT_OF_NEWEST * (work_s - known.work_s)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/interfaces.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/interfaces.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Sequence
 from typing import Protocol
 
+from skylarkferry_core.cache_beliefs import CacheBeliefs
 from skylarkferry_core.document import Document
 from skylarkferry_core.ids import (
     CallId,
@@ -48,6 +49,9 @@
 class Sidecars(Protocol):
     """An entry's streams to the sidecars."""
 
+    beliefs: CacheBeliefs
+    """What this entry believes is cached at the engines."""
+
     def candidates(self, pool: PoolName) -> list[Candidate]:
         """Return the upstreams of a pool, whatever their state."""
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/placing.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/placing.py
@@ -14,8 +14,10 @@
     UpstreamId,
 )
 from skylarkferry_core.interfaces import Candidate, Placement, PlacementRequest
+from skylarkferry_core.messages import LoadReport
 from skylarkferry_core.placements import wait_s
 from skylarkferry_core.states import UpstreamState
+from skylarkferry_daemon.estimates import Estimates
 from skylarkferry_daemon.interfaces import Documents, Sidecars
 
 _USABLE = (UpstreamState.LIVE, UpstreamState.SUSPECT)
@@ -38,45 +40,67 @@
 
     def __init__(
         self,
+        *,
         placement: Placement,
         sidecars: Sidecars,
         documents: Documents,
+        estimates: Estimates,
         site: SiteName,
         failure_domain: FailureDomain,
     ) -> None:
         self.placement = placement
         self.sidecars = sidecars
         self.documents = documents
+        self.estimates = estimates
         self.site = site
         self.failure_domain = failure_domain
         self.last: dict[ProgramId, UpstreamId] = {}
 
     def place(
-        self,
-        target: Target,
-        program_id: ProgramId,
-        prompt_tokens: int,
-        output_tokens: int,
-        avoid: Collection[UpstreamId],
+        self, target: Target, request: PlacementRequest, avoid: Collection[UpstreamId]
     ) -> UpstreamId | None:
         """Return the upstream for a call, or ``None`` when none may take it.
 
         Upstreams in ``avoid`` are used only when no other is left.
         """
-        candidates = self._candidates(target)
-        fresh = [candidate for candidate in candidates if candidate.upstream not in avoid]
-        request = PlacementRequest(
-            program_id=program_id,
-            prompt_tokens=prompt_tokens,
-            output_tokens=output_tokens,
-            failure_domain=self.failure_domain,
-            last_upstream=self.last.get(program_id, UpstreamId("")),
+        last = self.last.get(request.program_id, UpstreamId(""))
+        request = msgspec.structs.replace(
+            request, failure_domain=self.failure_domain, last_upstream=last
         )
+        candidates = [self._informed(item, request) for item in self._candidates(target)]
+        fresh = [candidate for candidate in candidates if candidate.upstream not in avoid]
         chosen = self.placement.place(request, fresh or candidates, self._site())
         if chosen is not None and target.model is not None:
-            self.last[program_id] = chosen
+            self.last[request.program_id] = chosen
+            self.sidecars.beliefs.placed(chosen, request)
         return chosen
 
+    def _informed(self, candidate: Candidate, request: PlacementRequest) -> Candidate:
+        """Add what this entry learned of an upstream; a failing one is a last resort."""
+        belief = self.sidecars.beliefs.belief(candidate.upstream, request)
+        state = candidate.state
+        if not self.estimates.allows(candidate.upstream):
+            state = UpstreamState.SUSPECT
+        return msgspec.structs.replace(
+            candidate,
+            state=state,
+            speed=self.estimates.speeds.speed(candidate.upstream),
+            cached_tokens=belief.tokens,
+            cache_trust=belief.trust,
+        )
+
+    def load(self, upstream: UpstreamId, target: Target) -> LoadReport:
+        """Return an upstream's load as last reported."""
+        for candidate in self._candidates(target):
+            if candidate.upstream == upstream:
+                return candidate.load
+        return LoadReport()
+
+    def slots(self, model: ModelName) -> int:
+        """Return the slots of all live upstreams of a model."""
+        candidates = self._candidates(Target(model=model))
+        return sum(item.load.slots for item in candidates if item.state is UpstreamState.LIVE)
+
     def shortest_wait_s(self, model: ModelName) -> float:
         """Return the wait, in seconds, at the upstream of a model that has the shortest queue."""
         candidates = self._candidates(Target(model=model))
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/plans.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/plans.py
@@ -6,40 +6,69 @@
 
 from skylarkferry_core.budgets import Amount
 from skylarkferry_core.document import Document, ToolSpec
-from skylarkferry_core.ids import CallId, Incarnation, PoolName, fingerprint_of
+from skylarkferry_core.ids import (
+    AgentName,
+    FailureDomain,
+    PoolName,
+    ProgramId,
+    ToolName,
+    UpstreamId,
+    fingerprint_of,
+)
+from skylarkferry_core.interfaces import PlacementRequest
 from skylarkferry_core.messages import Fence, Order, ServiceWork, ToolRequest, Work
 from skylarkferry_core.programs import Program
-from skylarkferry_core.records import SlotKey
+from skylarkferry_core.records import CallIntended, SlotKey
 from skylarkferry_core.runs import Run
 from skylarkferry_core.states import PoolKind, Priority
-from skylarkferry_core.turns import model_work, tool_work, worst_case
+from skylarkferry_core.turns import expected_turn, model_work, tool_work, worst_case
 from skylarkferry_daemon.context import EntryContext
 from skylarkferry_daemon.interfaces import ChunkSink
 from skylarkferry_daemon.placing import Target
 
 MODEL_TIMEOUT_S = 600.0
 SERVICE_TIMEOUT_S = 60.0
-KEEP_KV_S = 30.0
 
-OrderBuilder = Callable[[CallId, Incarnation], Order]
+OrderBuilder = Callable[[CallIntended], Order]
 
 
 class CallPlan(msgspec.Struct):
-    """What is fixed about a call over all its attempts; token counts are upper bounds.
+    """What is fixed about a call over all its attempts.
 
-    ``begin`` is called at the start of each attempt.
+    ``need`` is the worst case, ``request`` what placement expects; ``begin`` is called at the
+    start of each attempt.
     """
 
     slot: SlotKey
     name: str
     target: Target
+    request: PlacementRequest
     repeatable: bool
     need: Amount
     order: OrderBuilder
     sink: ChunkSink
     begin: Callable[[], None]
-    prompt_tokens: int = 0
-    output_tokens: int = 0
+
+
+class Keeping:
+    """How long an engine keeps a run's KV cache after a turn."""
+
+    def __init__(
+        self, context: EntryContext, agent: AgentName, target: Target, request: PlacementRequest
+    ) -> None:
+        self.context = context
+        self.agent = agent
+        self.target = target
+        self.request = request
+
+    def keep_s(self, upstream: UpstreamId) -> float:
+        """Return the seconds that the cache is worth its memory, by the agent's usual pause."""
+        estimates = self.context.estimates
+        spec = self.context.documents.current.agents.get(self.agent)
+        pause = estimates.pauses.pause(ToolName(self.agent), spec.expected_s if spec else 0.0)
+        tokens = self.request.prompt_tokens + self.request.output_tokens
+        load = self.context.placer.load(upstream, self.target)
+        return estimates.retention.keep_s(pause, tokens, estimates.speeds.speed(upstream), load)
 
 
 class Planner:
@@ -59,17 +88,18 @@
         """Plan the next turn of a run."""
         need = worst_case(self.document, run, self.program.budget.uncommitted)
         work = model_work(self.document, run, need.output_tokens)
+        request = expected_turn(self.document, self.program.program_id, run)
+        keep = Keeping(self.context, run.agent, Target(model=work.model), request)
         return CallPlan(
             slot=run.model_slot(),
             name=run.agent,
             target=Target(model=work.model),
+            request=request,
             repeatable=True,
             need=need.amount,
-            order=self._orders(work, True, MODEL_TIMEOUT_S),
+            order=self._orders(work, True, MODEL_TIMEOUT_S, keep),
             sink=sink,
             begin=begin,
-            prompt_tokens=need.prompt_tokens,
-            output_tokens=need.output_tokens,
         )
 
     def tool_plan(
@@ -80,6 +110,7 @@
             slot=slot,
             name=request.name,
             target=Target(pool=spec.pool),
+            request=tool_request(self.program.program_id),
             repeatable=spec.repeatable,
             need=Amount(0, spec.cost_micros),
             order=self._orders(tool_work(spec, request), spec.repeatable, spec.timeout_s),
@@ -93,6 +124,7 @@
             slot=slot,
             name=work.service,
             target=Target(pool=pool_of_service(self.document, work.service)),
+            request=tool_request(self.program.program_id),
             repeatable=False,
             need=Amount(),
             order=self._orders(work, False, SERVICE_TIMEOUT_S),
@@ -100,14 +132,16 @@
             begin=_nothing,
         )
 
-    def _orders(self, work: Work, repeatable: bool, timeout_s: float) -> OrderBuilder:
+    def _orders(
+        self, work: Work, repeatable: bool, timeout_s: float, keep: Keeping | None = None
+    ) -> OrderBuilder:
         """Return what builds the order of each attempt."""
         fingerprint = fingerprint_of(msgspec.msgpack.encode(work))
 
-        def build(call_id: CallId, incarnation: Incarnation) -> Order:
+        def build(intent: CallIntended) -> Order:
             remaining_s = max(self.program.deadline - self.context.wall_s(), 0.0)
             return Order(
-                call_id=call_id,
+                call_id=intent.call_id,
                 program_id=self.program.program_id,
                 customer=self.program.request.customer,
                 fence=self.fence,
@@ -118,8 +152,10 @@
                 timeout_s=min(timeout_s, remaining_s),
                 fingerprint=fingerprint,
                 work=work,
-                keep_kv_s=KEEP_KV_S,
-                incarnation=incarnation,
+                keep_kv_s=keep.keep_s(intent.upstream) if keep is not None else 0.0,
+                incarnation=intent.incarnation,
+                prefill_tokens=keep.request.prompt_tokens if keep is not None else 0,
+                output_tokens=keep.request.output_tokens if keep is not None else 0,
             )
 
         return build
@@ -146,3 +182,8 @@
         if pool.kind is PoolKind.SERVICE and service in pool.services:
             return name
     return None
+
+
+def tool_request(program_id: ProgramId) -> PlacementRequest:
+    """Return what placement expects of a tool or service call: no tokens."""
+    return PlacementRequest(program_id, 0, 0, FailureDomain(""))
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/relays.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/relays.py
@@ -32,7 +32,7 @@
 from skylarkferry_core.states import FinalWord, Priority
 from skylarkferry_daemon.context import EntryContext
 from skylarkferry_daemon.placing import Target
-from skylarkferry_daemon.plans import pool_of_service
+from skylarkferry_daemon.plans import pool_of_service, tool_request
 
 UNFENCED = Fence(PartitionNumber(-1), Epoch(0))
 _SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -62,7 +62,7 @@
         self, request: ServiceRequest, target: Target, safe: bool, tried: list[UpstreamId]
     ) -> Outcome:
         order = self._order(request, safe)
-        upstream = self.context.placer.place(target, order.program_id, 0, 0, tried)
+        upstream = self.context.placer.place(target, tool_request(order.program_id), tried)
         if upstream is None:
             raise NoUpstreamError("no upstream serves it now", retry_after_s=1.0)
         tried.append(upstream)
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/stopwatches.py
@@ -0,0 +1,26 @@
+"""Time a call at its upstream."""
+
+from skylarkferry_core.messages import Timing
+from skylarkferry_daemon.timers import TimerService
+
+
+class Stopwatch:
+    """Runs from its creation."""
+
+    def __init__(self, timers: TimerService) -> None:
+        self.timers = timers
+        self.started_at = timers.now()
+        self.first_output_at: float | None = None
+
+    def note_output(self) -> None:
+        """Note output; the first one counts."""
+        if self.first_output_at is None:
+            self.first_output_at = self.timers.now()
+
+    def timing(self) -> Timing:
+        """Return the times so far; a call without output has none of it."""
+        run_s = self.timers.now() - self.started_at
+        if self.first_output_at is None:
+            return Timing(run_s=run_s)
+        first_s = self.first_output_at - self.started_at
+        return Timing(first_s, run_s - first_s, run_s)
