Let a stopping entry see the next owners of its partitions

Cause: a planned stop cut open streams after 15 s: the entry hands its partitions over at once and then no longer read the rows, so its open streams never found their programs' new owners. Ruled out: the HTTP server, which waited for the streams; the new owners, which ended the programs. Before: test_a_planned_stop_of_an_entry_cuts_no_open_stream failed, no ended event in the stream. After: 3 passed (planned stop under 12 open streams, stop of all processes one after another, cancel).

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/ownership.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/ownership.py
@@ -113,6 +113,8 @@
 
     async def _look(self, listener: PartitionListener, tasks: TaskGroup) -> None:
         if self.stopping:
+            # Open streams follow their programs to the next owners.
+            await self.cluster.read_all()
             return None
         if not self.lease.registered:
             await self._register()
--- /dev/null
+++ b/tests/processes/test_stops.py
@@ -0,0 +1,90 @@
+"""Planned stops under load, and callers whose entry goes away."""
+
+import threading
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from processes.programs import answer, start
+from processes.test_kills import assert_whole_and_once, other_entry
+from skylarkferry_standins.deployment import OPERATOR_TOKEN
+
+PROGRAMS = 12
+
+
+class StreamReader:
+    """A caller that follows one program's events to the end, in a thread of its own."""
+
+    def __init__(self, entry, program_id):
+        self.client = entry.client()
+        self.program_id = program_id
+        self.lines = []
+        self.opened = threading.Event()
+        self.thread = threading.Thread(target=self.read)
+        self.thread.start()
+
+    def read(self):
+        path = f"/v1/programs/{self.program_id}/events"
+        with self.client, self.client.stream("GET", path) as response:
+            for line in response.iter_lines():
+                self.lines.append(line)
+                self.opened.set()
+
+    def result(self):
+        self.thread.join()
+        return self.lines
+
+
+def read_programs(entry, prefix):
+    """Start programs at an entry and follow each on an open stream."""
+    with entry.client() as client:
+        ids = [start(client, f"{prefix}-{number}") for number in range(PROGRAMS)]
+    readers = {program_id: StreamReader(entry, program_id) for program_id in ids}
+    for reader in readers.values():
+        reader.opened.wait()
+    return readers
+
+
+def assert_all_whole(deployment, entry, readers):
+    """Check that every open stream came to its end, and every effect happened once."""
+    with entry.client() as client:
+        for program_id, reader in readers.items():
+            lines = reader.result()
+            numbers = [line for line in lines if line.startswith("id: ")]
+            wanted = [f"id: {number}" for number in range(1, len(numbers) + 1)]
+            assert_that(numbers, Equals(wanted))
+            assert_that("event: ended" in lines, Equals(True))
+            assert_whole_and_once(deployment, client, program_id)
+
+
+def test_a_planned_stop_of_an_entry_cuts_no_open_stream(arusha):
+    stopping = arusha.entries["entry-1"]
+    readers = read_programs(stopping, "stopped")
+    stopping.process.terminate()
+    for reader in readers.values():
+        reader.thread.join()
+    assert_that(stopping.process.wait_ended(), Equals(0))
+    assert_all_whole(arusha, other_entry(arusha, "entry-1"), readers)
+
+
+def test_every_process_stopped_one_after_another_cuts_nothing(arusha):
+    readers = read_programs(arusha.entries["entry-2"], "rolling")
+    for upstream in list(arusha.upstreams.values())[:2]:
+        upstream.sidecar.terminate()
+        assert_that(upstream.sidecar.wait_ended(), Equals(0))
+        upstream.sidecar.restart()
+    arusha.entries["entry-1"].process.terminate()
+    assert_that(arusha.entries["entry-1"].process.wait_ended(), Equals(0))
+    arusha.entries["entry-1"].process.restart()
+    assert_all_whole(arusha, arusha.entries["entry-2"], readers)
+
+
+def test_a_cancelled_program_leaves_no_kv_cache_and_a_final_word(arusha):
+    entry = arusha.entries["entry-1"]
+    with entry.client() as client, entry.client(OPERATOR_TOKEN) as operator:
+        program_id = start(client, "cancelled")
+        client.delete(f"/v1/programs/{program_id}").raise_for_status()
+        view = answer(client, program_id)
+        listed = operator.get("/v1/programs").json()["programs"]
+    assert_that(view["error"], Equals("cancelled"))
+    assert_that([view["program_id"] for view in listed], Equals([]))
