Let a call read its answer after its sidecar was frozen

Cause: a sidecar frozen for 10 s during an order with a time-out of 10 s told "unknown" on thawing, though the tool's answer lay in the socket: the time-out's timer fires before the reading task runs. Seen by tests/processes/test_sidecars.py::test_a_frozen_sidecar...: "'unknown' != 'done'". Ruled out: a longer freeze in the entry; the driver waits for the seal and attaches. Ruled out: judging lateness by the call's own timer, which may be due just after the thaw (still "'unknown' != 'done'"). The timer service notes when any timer fired late (late_at); a call's time-out within a second of that is put off by a second.

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
@@ -28,9 +28,11 @@
 from skylarkferry_core.states import CallState, FinalWord, PoolKind
 from skylarkferry_daemon.kv_keeper import KvKeeper
 from skylarkferry_daemon.sidecar_state import SidecarState
+from skylarkferry_daemon.timers import Subscription
 from skylarkferry_daemon.upstream_adapters import Adapter, BrokenConnectionError
 from skylarkferry_daemon.upstream_probe import UpstreamProbe
 
+READ_GRACE_S = 1.0
 WORK_KINDS = {
     PoolKind.MODEL: ModelWork,
     PoolKind.TOOL: ToolWork,
@@ -62,6 +64,7 @@
         self.keeper = keeper
         self.tasks = tasks
         self.scopes: dict[CallId, anyio.CancelScope] = {}
+        self.timed_out: set[CallId] = set()
 
     def submit(self, order: Order) -> Call:
         """Queue an order, or return what became of it before."""
@@ -99,26 +102,50 @@
             self.tasks.start_soon(self._run, call)
 
     async def _run(self, call: Call) -> None:
-        """Run one call to its outcome."""
+        """Run one call to its outcome, or to the end of its time."""
         order = call.order
         self.log.emit(EventKind.CALL_STARTED, order.program_id, call=order.call_id)
         self.keeper.on_started(order)
-        scope = self.scopes[order.call_id]
+        limit_s = min(order.timeout_s, call.due - self.timers.now())
+        timer = self._limit(order.call_id, limit_s)
         outcome = unknown(order.call_id, ErrorCode.CANCELLED, "the call was cancelled")
-        with scope:
-            outcome = await self._outcome(call)
+        with self.scopes[order.call_id]:
+            outcome = await self._outcome(order)
+        timer.cancel()
+        if order.call_id in self.timed_out:
+            self.timed_out.discard(order.call_id)
+            outcome = _timed_out(order, is_deadline=limit_s < order.timeout_s)
         del self.scopes[order.call_id]
         self._finish(call, outcome)
 
-    async def _outcome(self, call: Call) -> Outcome:
-        """Return how a call ended, in the time it has."""
-        order = call.order
-        remaining_s = call.due - self.timers.now()
+    def _limit(self, call_id: CallId, limit_s: float) -> Subscription:
+        """End a call after ``limit_s`` seconds."""
+
+        async def time_out() -> None:
+            self._time_out(call_id)
+
+        return self.timers.after(limit_s, time_out)
+
+    def _time_out(self, call_id: CallId) -> None:
+        """End a call whose time is over.
+
+        After the process was frozen the answer may wait in the socket already, so the call gets
+        time to read it.
+        """
+        scope = self.scopes.get(call_id)
+        if scope is None:
+            return
+        if self.timers.now() - self.timers.late_at < READ_GRACE_S:
+            self._limit(call_id, READ_GRACE_S)
+            return
+        self.timed_out.add(call_id)
+        scope.cancel()
+
+    async def _outcome(self, order: Order) -> Outcome:
+        """Return how a call ended."""
+        call = self.table.calls[order.call_id]
         try:
-            with anyio.fail_after(min(order.timeout_s, remaining_s)):
-                return await self.adapter.run(order, lambda text: self._emit(call, text))
-        except TimeoutError:
-            return _timed_out(order, is_deadline=remaining_s <= order.timeout_s)
+            return await self.adapter.run(order, lambda text: self._emit(call, text))
         except BrokenConnectionError as error:
             await self._look_for_crash(order)
             return unknown(order.call_id, _lost_code(order), f"the connection broke: {error}")
