--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
@@ -1,6 +1,7 @@
 """Run queued calls on the upstream, as many at once as it has slots."""
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
 from skylarkferry_core.calls import Call
@@ -28,6 +29,7 @@
 from skylarkferry_core.states import CallState, FinalWord, PoolKind
 from skylarkferry_daemon.kv_keeper import KvKeeper
 from skylarkferry_daemon.sidecar_state import SidecarState
+from skylarkferry_daemon.stopwatches import Stopwatch
 from skylarkferry_daemon.timers import Subscription
 from skylarkferry_daemon.upstream_adapters import Adapter, BrokenConnectionError
 from skylarkferry_daemon.upstream_probe import UpstreamProbe
@@ -109,13 +111,15 @@
         limit_s = min(order.timeout_s, call.due - self.timers.now())
         timer = self._limit(order.call_id, limit_s)
         outcome = unknown(order.call_id, ErrorCode.CANCELLED, "the call was cancelled")
+        watch = Stopwatch(self.timers)
         with self.scopes[order.call_id]:
-            outcome = await self._outcome(order)
+            outcome = await self._outcome(order, watch)
         timer.cancel()
         if order.call_id in self.timed_out:
             self.timed_out.discard(order.call_id)
             outcome = _timed_out(order, is_deadline=limit_s < order.timeout_s)
         del self.scopes[order.call_id]
+        outcome = msgspec.structs.replace(outcome, timing=watch.timing())
         self._finish(call, outcome)
 
     def _limit(self, call_id: CallId, limit_s: float) -> Subscription:
@@ -141,11 +145,11 @@
         self.timed_out.add(call_id)
         scope.cancel()
 
-    async def _outcome(self, order: Order) -> Outcome:
+    async def _outcome(self, order: Order, watch: Stopwatch) -> Outcome:
         """Return how a call ended."""
         call = self.table.calls[order.call_id]
         try:
-            return await self.adapter.run(order, lambda text: self._emit(call, text))
+            return await self.adapter.run(order, lambda text: self._emit(call, text, watch))
         except BrokenConnectionError as error:
             await self._look_for_crash(order)
             return unknown(order.call_id, _lost_code(order), f"the connection broke: {error}")
@@ -153,7 +157,8 @@
             self.log.emit(EventKind.TASK_FAILED, order.program_id, error=repr(error))
             return unknown(order.call_id, _lost_code(order), "the sidecar failed")
 
-    def _emit(self, call: Call, text: str) -> None:
+    def _emit(self, call: Call, text: str, watch: Stopwatch) -> None:
+        watch.note_output()
         self.table.append(call.order.call_id, text)
         self.hub.mark(call)
 
