--- a/packages/skylarkferry-bench/src/skylarkferry_bench/__main__.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/__main__.py
@@ -6,6 +6,7 @@
 import fire
 
 from skylarkferry_bench import reports
+from skylarkferry_bench.drains import drain
 from skylarkferry_bench.faults import FAULTS
 from skylarkferry_bench.overhead import overhead
 from skylarkferry_bench.plans import (
@@ -51,7 +52,7 @@
     sys.stdout.write(f"### {title}\n\n{text}\n")
 
 
-COMMANDS = {"run": run, "slopes": slopes, "overhead": overhead}
+COMMANDS = {"run": run, "slopes": slopes, "overhead": overhead, "drain": drain}
 
 if __name__ == "__main__":
     fire.Fire(COMMANDS)
