Count a crash of an upstream that restarted unnoticed as a new one

Cause: a crash got its name when the upstream went from reachable to unreachable; an upstream that was started again before the next probe, and crashed by the same request, had one crash counted for both, and a third could follow. A call that started after the last crash now opens a new one. The watching of crashes moved from call_runner into crash_watch. Command: pytest tests/daemon/test_call_runner.py: 6 passed. Broken variants: - named by reachability as before: the third order is not refused, the test waits; no verdict in 15 s - calls of one crash each name a crash: "len({.../1, .../2}) != 1"; 1 failed - broken connection always a crash: 1 failed; suspect never cleared: "['f']"; 1 failed - suspects beside others: "[1, 2, 3] != [1, 1, 1]"; 1 failed - cancel of a call that may not be repeated: 1 failed; of a stale owner: 1 failed Not covered: an upstream that is back within 50 ms looks like a broken connection.

--- a/packages/skylarkferry-core/src/skylarkferry_core/calls.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/calls.py
@@ -34,6 +34,7 @@
     due: float
     text: str = ""
     outcome: Outcome | None = None
+    started_at: float = 0.0
     ended_at: float = 0.0
 
 
@@ -148,6 +149,7 @@
         del self.queue[index]
         call = self.calls[order.call_id]
         call.state = CallState.RUNNING
+        call.started_at = now
         self.running[order.call_id] = call
         return call
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
@@ -5,7 +5,6 @@
 from anyio.abc import TaskGroup
 
 from skylarkferry_core.calls import Call
-from skylarkferry_core.crashes import Suspicion
 from skylarkferry_core.errors import (
     BadRequestError,
     CallCancelledError,
@@ -14,25 +13,23 @@
     SkylarkferryError,
 )
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.ids import CallId, CrashId
+from skylarkferry_core.ids import CallId
 from skylarkferry_core.messages import (
     Cancel,
-    CrashNotice,
     ModelWork,
     Order,
     Outcome,
     ServiceWork,
-    StateNotice,
     ToolWork,
 )
 from skylarkferry_core.outcomes import unknown
 from skylarkferry_core.states import CallState, FinalWord, PoolKind
+from skylarkferry_daemon.crash_watch import CrashWatch
 from skylarkferry_daemon.kv_keeper import KvKeeper
 from skylarkferry_daemon.sidecar_state import SidecarState
 from skylarkferry_daemon.stopwatches import Stopwatch
 from skylarkferry_daemon.timers import Subscription
 from skylarkferry_daemon.upstream_adapters import Adapter, BrokenConnectionError
-from skylarkferry_daemon.upstream_probe import UpstreamProbe
 
 READ_GRACE_S = 1.0
 WORK_KINDS = {
@@ -49,7 +46,7 @@
         self,
         state: SidecarState,
         adapter: Adapter,
-        probe: UpstreamProbe,
+        crash_watch: CrashWatch,
         keeper: KvKeeper,
         tasks: TaskGroup,
     ) -> None:
@@ -62,7 +59,7 @@
         self.timers = state.timers
         self.log = state.log
         self.adapter = adapter
-        self.probe = probe
+        self.crash_watch = crash_watch
         self.keeper = keeper
         self.tasks = tasks
         self.scopes: dict[CallId, anyio.CancelScope] = {}
@@ -151,7 +148,7 @@
         try:
             return await self.adapter.run(order, lambda text: self._emit(call, text, watch))
         except BrokenConnectionError as error:
-            await self._look_for_crash(order)
+            await self.crash_watch.on_broken(call)
             return unknown(order.call_id, _lost_code(order), f"the connection broke: {error}")
         except Exception as error:
             self.log.emit(EventKind.TASK_FAILED, order.program_id, error=repr(error))
@@ -169,7 +166,7 @@
         if outcome.word is FinalWord.DONE and self.crashes.on_done(order.fingerprint):
             self.log.emit(EventKind.REQUEST_CLEARED, order.program_id, call=order.call_id)
         if outcome.error is ErrorCode.NO_UPSTREAM:
-            self._set_reachable(False)
+            self.crash_watch.set_reachable(False)
         self.log.emit(
             EventKind.CALL_FINISHED,
             order.program_id,
@@ -181,44 +178,6 @@
         self.state.note_progress()
         self.start_calls()
 
-    async def _look_for_crash(self, order: Order) -> None:
-        """Tell the entries when the upstream is down and this request was on it."""
-        if await self.probe.accepts_connections():
-            return
-        if self.drain.reachable:
-            self.log.emit(EventKind.UPSTREAM_CRASHED, running=len(self.table.running))
-        self._set_reachable(False)
-        if not order.fingerprint:
-            return
-        alone = order.alone or order.fingerprint in self.crashes.suspects()
-        crash = self._crash_id()
-        verdict = self.crashes.on_crash(order.fingerprint, crash)
-        kind = EventKind.REQUEST_SUSPECTED
-        if verdict is Suspicion.QUARANTINED:
-            kind = EventKind.REQUEST_QUARANTINED
-        self.log.emit(kind, order.program_id, fingerprint=order.fingerprint, alone=alone)
-        self.hub.broadcast(CrashNotice(order.fingerprint, alone, crash))
-
-    def _crash_id(self) -> CrashId:
-        """Return the name of the crash after which the upstream is unreachable now."""
-        state = self.state
-        return CrashId(f"{state.settings.upstream}/{state.incarnation}/{state.losses}")
-
-    def _set_reachable(self, reachable: bool) -> None:
-        """Announce that the upstream was lost or came back."""
-        if self.drain.reachable is reachable:
-            return
-        self.drain.reachable = reachable
-        self.state.losses += not reachable
-        kind = EventKind.UPSTREAM_REACHABLE if reachable else EventKind.UPSTREAM_UNREACHABLE
-        self.log.emit(kind)
-        self.hub.broadcast(StateNotice(self.drain.announced()))
-
-    async def check_reachable(self) -> None:
-        """Look whether a lost upstream is back."""
-        if not self.drain.reachable and await self.probe.accepts_connections():
-            self._set_reachable(True)
-
     async def refuse_overdue(self) -> None:
         """Refuse waiting calls whose remaining time is used up."""
         for call_id in self.table.overdue(self.timers.now()):
--- /dev/null
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/crash_watch.py
@@ -0,0 +1,63 @@
+"""Notice crashes of the upstream and the requests that ran on it."""
+
+import math
+
+from skylarkferry_core.calls import Call
+from skylarkferry_core.crashes import Suspicion
+from skylarkferry_core.events import EventKind
+from skylarkferry_core.ids import CrashId
+from skylarkferry_core.messages import CrashNotice, StateNotice
+from skylarkferry_daemon.sidecar_state import SidecarState
+from skylarkferry_daemon.upstream_probe import UpstreamProbe
+
+
+class CrashWatch:
+    """Tells crashes from broken connections, names them and announces them to all entries."""
+
+    def __init__(self, state: SidecarState, probe: UpstreamProbe) -> None:
+        self.state = state
+        self.probe = probe
+        self.lost_at = -math.inf
+
+    async def on_broken(self, call: Call) -> None:
+        """Look whether the upstream is down after a call's connection broke."""
+        if await self.probe.accepts_connections():
+            return
+        if call.started_at > self.lost_at:
+            self._note_crash()
+        self.set_reachable(False)
+        if call.order.fingerprint:
+            self._suspect(call)
+
+    def _note_crash(self) -> None:
+        """Name a new crash: calls that started before it are of the same one."""
+        self.lost_at = self.state.timers.now()
+        self.state.losses += 1
+        self.state.log.emit(EventKind.UPSTREAM_CRASHED, running=len(self.state.table.running))
+
+    def _suspect(self, call: Call) -> None:
+        order = call.order
+        state = self.state
+        crash = CrashId(f"{state.settings.upstream}/{state.incarnation}/{state.losses}")
+        alone = order.alone or order.fingerprint in state.crashes.suspects()
+        verdict = state.crashes.on_crash(order.fingerprint, crash)
+        kind = EventKind.REQUEST_SUSPECTED
+        if verdict is Suspicion.QUARANTINED:
+            kind = EventKind.REQUEST_QUARANTINED
+        state.log.emit(kind, order.program_id, fingerprint=order.fingerprint, alone=alone)
+        state.hub.broadcast(CrashNotice(order.fingerprint, alone, crash))
+
+    def set_reachable(self, reachable: bool) -> None:
+        """Announce that the upstream was lost or came back."""
+        drain = self.state.drain
+        if drain.reachable is reachable:
+            return
+        drain.reachable = reachable
+        kind = EventKind.UPSTREAM_REACHABLE if reachable else EventKind.UPSTREAM_UNREACHABLE
+        self.state.log.emit(kind)
+        self.state.hub.broadcast(StateNotice(drain.announced()))
+
+    async def check_reachable(self) -> None:
+        """Look whether a lost upstream is back."""
+        if not self.state.drain.reachable and await self.probe.accepts_connections():
+            self.set_reachable(True)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
@@ -12,6 +12,7 @@
 from skylarkferry_core.messages import SidecarHeartbeat, StateNotice
 from skylarkferry_core.states import PoolKind
 from skylarkferry_daemon.call_runner import CallRunner
+from skylarkferry_daemon.crash_watch import CrashWatch
 from skylarkferry_daemon.engine_reports import EngineReports
 from skylarkferry_daemon.kv_keeper import KvKeeper
 from skylarkferry_daemon.settings import SidecarSettings
@@ -63,8 +64,8 @@
         holds = KvHolds(self.settings.kv_unclaimed_s)
         keeper = KvKeeper(client, holds, state)
         adapter = adapter_for(self.settings.kind, client)
-        probe = UpstreamProbe(self.settings.upstream_url)
-        runner = CallRunner(state, adapter, probe, keeper, tasks)
+        crash_watch = CrashWatch(state, UpstreamProbe(self.settings.upstream_url))
+        runner = CallRunner(state, adapter, crash_watch, keeper, tasks)
         tasks.start_soon(state.timers.run, tasks)
         self._subscribe(runner, keeper, EngineReports(client, state))
         app = metrics_app(SidecarCollector(state))
@@ -76,7 +77,7 @@
         """Set the periodic work up."""
         timers = self.state.timers
         timers.every(self.settings.heartbeat_s, self._beat)
-        timers.every(self.settings.heartbeat_s, runner.check_reachable)
+        timers.every(self.settings.heartbeat_s, runner.crash_watch.check_reachable)
         timers.every(EXPIRE_INTERVAL_S, self._expire)
         if self.settings.kind is PoolKind.MODEL:
             timers.every(ENGINE_POLL_S, reports.poll)
--- /dev/null
+++ b/tests/daemon/test_call_runner.py
@@ -0,0 +1,167 @@
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength, Is
+
+from sidecar_fakes import DOMAIN, POOL, UPSTREAM, fence, tool_order, wait_until
+from skylarkferry_core.calls import TableLimits
+from skylarkferry_core.errors import ErrorCode
+from skylarkferry_core.kv_holds import KvHolds
+from skylarkferry_core.messages import Cancel, CrashNotice, Hello, Outcome
+from skylarkferry_core.states import FinalWord, PoolKind, UpstreamState
+from skylarkferry_daemon.call_runner import CallRunner
+from skylarkferry_daemon.crash_watch import CrashWatch
+from skylarkferry_daemon.entry_streams import EntryStream
+from skylarkferry_daemon.kv_keeper import KvKeeper
+from skylarkferry_daemon.settings import SidecarSettings
+from skylarkferry_daemon.sidecar_state import SidecarState
+from skylarkferry_daemon.upstream_adapters import BrokenConnectionError
+
+pytestmark = pytest.mark.anyio
+
+
+class FakeAdapter:
+    """Breaks the connection of the calls in ``breaking``; the others wait for ``gate``."""
+
+    def __init__(self):
+        self.gate = anyio.Event()
+        self.breaking = set()
+        self.together = []
+        self.running = 0
+
+    async def run(self, order, emit):
+        self.running += 1
+        self.together.append(self.running)
+        try:
+            if order.call_id in self.breaking:
+                raise BrokenConnectionError("reset")
+            await self.gate.wait()
+        finally:
+            self.running -= 1
+        return Outcome(order.call_id, FinalWord.DONE)
+
+
+class FakeProbe:
+    def __init__(self):
+        self.up = True
+
+    async def accepts_connections(self):
+        return self.up
+
+
+class Bench:
+    """A call runner over fakes, and a stream that shows what entries are told."""
+
+    def __init__(self, tasks):
+        settings = SidecarSettings(
+            upstream=UPSTREAM,
+            pool=POOL,
+            kind=PoolKind.TOOL,
+            failure_domain=DOMAIN,
+            rpc_listen="127.0.0.1:1",
+            metrics_listen="127.0.0.1:2",
+            upstream_url="http://127.0.0.1:3",
+        )
+        self.state = SidecarState(settings)
+        self.adapter = FakeAdapter()
+        self.probe = FakeProbe()
+        self.stream = EntryStream()
+        self.stream.hello = Hello("entry-1", "life")
+        self.state.hub.streams.add(self.stream)
+        self.runner = CallRunner(
+            self.state,
+            self.adapter,
+            CrashWatch(self.state, self.probe),
+            KvKeeper(None, KvHolds(), self.state),
+            tasks,
+        )
+
+    async def outcome_of(self, order):
+        call = self.runner.submit(order)
+        await wait_until(lambda: call.outcome is not None)
+        return call.outcome
+
+    async def crash(self, order):
+        """Run an order that crashes the upstream, which then starts again unnoticed."""
+        self.adapter.breaking.add(order.call_id)
+        self.probe.up = False
+        outcome = await self.outcome_of(order)
+        self.probe.up = True
+        return outcome
+
+    def notices(self):
+        return [frame for frame in self.stream.frames if isinstance(frame, CrashNotice)]
+
+
+@pytest.fixture
+async def bench():
+    async with anyio.create_task_group() as tasks:
+        yield Bench(tasks)
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_request_that_crashes_a_restarted_upstream_again_is_quarantined(bench):
+    poison = {"fingerprint": "poison", "repeatable": True}
+    first = await bench.crash(tool_order("a", **poison))
+    assert_that((first.word, first.error), Equals((FinalWord.UNKNOWN, ErrorCode.UPSTREAM_FAILED)))
+    assert_that(bench.state.drain.announced(), Is(UpstreamState.SUSPECT))
+    await bench.crash(tool_order("b", **poison))
+    third = await bench.outcome_of(tool_order("c", **poison))
+    assert_that((third.word, third.error), Equals((FinalWord.NOT_RUN, ErrorCode.QUARANTINED)))
+    crashes = [notice.crash for notice in bench.notices()]
+    assert_that(set(crashes), HasLength(2))
+
+
+async def test_neighbours_of_one_crash_share_its_name_and_are_only_suspects(bench):
+    orders = [tool_order(name, repeatable=True) for name in "ab"]
+    bench.adapter.breaking = {order.call_id for order in orders}
+    bench.probe.up = False
+    calls = [bench.runner.submit(order) for order in orders]
+    await wait_until(lambda: all(call.outcome for call in calls))
+    assert_that({notice.crash for notice in bench.notices()}, HasLength(1))
+    assert_that(bench.state.crashes.suspects(), Equals({"f-a", "f-b"}))
+
+
+async def test_a_broken_connection_of_a_living_upstream_is_no_crash(bench):
+    order = tool_order("a")
+    bench.adapter.breaking.add(order.call_id)
+    outcome = await bench.outcome_of(order)
+    assert_that(outcome.word, Is(FinalWord.UNKNOWN))
+    assert_that(outcome.error, Is(ErrorCode.OUTCOME_UNKNOWN))
+    assert_that(bench.notices(), HasLength(0))
+    assert_that(bench.state.drain.announced(), Is(UpstreamState.LIVE))
+
+
+async def test_a_suspect_that_ends_alone_is_cleared(bench):
+    await bench.crash(tool_order("a", fingerprint="f", repeatable=True))
+    bench.adapter.gate.set()
+    orders = [tool_order("b"), tool_order("c", fingerprint="f", repeatable=True), tool_order("d")]
+    bench.adapter.together.clear()
+    calls = [bench.runner.submit(order) for order in orders]
+    await wait_until(lambda: all(call.outcome for call in calls))
+    assert_that(bench.adapter.together, Equals([1, 1, 1]))
+    assert_that(bench.state.crashes.suspects(), Equals(set()))
+
+
+async def test_a_cancel_stops_what_may_be_repeated_and_what_waits(bench):
+    bench.state.table.limits = TableLimits(slots=2, queue_limit=10, outcomes_kept=10)
+    repeatable, single, waiting = tool_order("a", repeatable=True), tool_order("b"), tool_order("c")
+    calls = [bench.runner.submit(order) for order in (repeatable, single, waiting)]
+    for order in (repeatable, single, waiting):
+        bench.runner.cancel(Cancel(order.call_id, fence()))
+    await wait_until(lambda: calls[0].outcome and calls[2].outcome)
+    assert_that(calls[0].outcome.word, Is(FinalWord.UNKNOWN))
+    assert_that(calls[2].outcome.word, Is(FinalWord.NOT_RUN))
+    assert_that(calls[1].outcome, Is(None))
+    bench.adapter.gate.set()
+    await wait_until(lambda: calls[1].outcome)
+    assert_that(calls[1].outcome.word, Is(FinalWord.DONE))
+
+
+async def test_a_stale_owners_cancel_stops_nothing(bench):
+    order = tool_order("a", repeatable=True, epoch=2)
+    call = bench.runner.submit(order)
+    bench.runner.cancel(Cancel(order.call_id, fence(1)))
+    bench.adapter.gate.set()
+    await wait_until(lambda: call.outcome)
+    assert_that(call.outcome.word, Is(FinalWord.DONE))
