--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
@@ -5,7 +5,6 @@
 from anyio.abc import TaskGroup
 
 from skylarkferry_core.calls import Call
-from skylarkferry_core.crashes import Suspicion
 from skylarkferry_core.errors import (
     BadRequestError,
     CallCancelledError,
@@ -14,25 +13,25 @@
     SkylarkferryError,
 )
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.ids import CallId, CrashId
+from skylarkferry_core.ids import CallId
 from skylarkferry_core.messages import (
     Cancel,
-    CrashNotice,
     ModelWork,
     Order,
     Outcome,
     ServiceWork,
-    StateNotice,
     ToolWork,
 )
 from skylarkferry_core.outcomes import unknown
 from skylarkferry_core.states import CallState, FinalWord, PoolKind
+from skylarkferry_daemon.crash_watch import CrashWatch
 from skylarkferry_daemon.kv_keeper import KvKeeper
 from skylarkferry_daemon.sidecar_state import SidecarState
 from skylarkferry_daemon.stopwatches import Stopwatch
+from skylarkferry_daemon.timers import Subscription
 from skylarkferry_daemon.upstream_adapters import Adapter, BrokenConnectionError
-from skylarkferry_daemon.upstream_probe import UpstreamProbe
 
+READ_GRACE_S = 1.0
 WORK_KINDS = {
     PoolKind.MODEL: ModelWork,
     PoolKind.TOOL: ToolWork,
@@ -47,7 +46,7 @@
         self,
         state: SidecarState,
         adapter: Adapter,
-        probe: UpstreamProbe,
+        crash_watch: CrashWatch,
         keeper: KvKeeper,
         tasks: TaskGroup,
     ) -> None:
@@ -60,10 +59,11 @@
         self.timers = state.timers
         self.log = state.log
         self.adapter = adapter
-        self.probe = probe
+        self.crash_watch = crash_watch
         self.keeper = keeper
         self.tasks = tasks
         self.scopes: dict[CallId, anyio.CancelScope] = {}
+        self.timed_out: set[CallId] = set()
 
     def submit(self, order: Order) -> Call:
         """Queue an order, or return what became of it before."""
@@ -101,30 +101,54 @@
             self.tasks.start_soon(self._run, call)
 
     async def _run(self, call: Call) -> None:
-        """Run one call to its outcome."""
+        """Run one call to its outcome, or to the end of its time."""
         order = call.order
         self.log.emit(EventKind.CALL_STARTED, order.program_id, call=order.call_id)
         self.keeper.on_started(order)
-        scope = self.scopes[order.call_id]
+        limit_s = min(order.timeout_s, call.due - self.timers.now())
+        timer = self._limit(order.call_id, limit_s)
         outcome = unknown(order.call_id, ErrorCode.CANCELLED, "the call was cancelled")
         watch = Stopwatch(self.timers)
-        with scope:
-            outcome = await self._outcome(call, watch)
+        with self.scopes[order.call_id]:
+            outcome = await self._outcome(order, watch)
+        timer.cancel()
+        if order.call_id in self.timed_out:
+            self.timed_out.discard(order.call_id)
+            outcome = _timed_out(order, is_deadline=limit_s < order.timeout_s)
         del self.scopes[order.call_id]
         outcome = msgspec.structs.replace(outcome, timing=watch.timing())
         self._finish(call, outcome)
 
-    async def _outcome(self, call: Call, watch: Stopwatch) -> Outcome:
-        """Return how a call ended, in the time it has."""
-        order = call.order
-        remaining_s = call.due - self.timers.now()
+    def _limit(self, call_id: CallId, limit_s: float) -> Subscription:
+        """End a call after ``limit_s`` seconds."""
+
+        async def time_out() -> None:
+            self._time_out(call_id)
+
+        return self.timers.after(limit_s, time_out)
+
+    def _time_out(self, call_id: CallId) -> None:
+        """End a call whose time is over.
+
+        After the process was frozen the answer may wait in the socket already, so the call gets
+        time to read it.
+        """
+        scope = self.scopes.get(call_id)
+        if scope is None:
+            return
+        if self.timers.now() - self.timers.late_at < READ_GRACE_S:
+            self._limit(call_id, READ_GRACE_S)
+            return
+        self.timed_out.add(call_id)
+        scope.cancel()
+
+    async def _outcome(self, order: Order, watch: Stopwatch) -> Outcome:
+        """Return how a call ended."""
+        call = self.table.calls[order.call_id]
         try:
-            with anyio.fail_after(min(order.timeout_s, remaining_s)):
-                return await self.adapter.run(order, lambda text: self._emit(call, text, watch))
-        except TimeoutError:
-            return _timed_out(order, is_deadline=remaining_s <= order.timeout_s)
+            return await self.adapter.run(order, lambda text: self._emit(call, text, watch))
         except BrokenConnectionError as error:
-            await self._look_for_crash(order)
+            await self.crash_watch.on_broken(call)
             return unknown(order.call_id, _lost_code(order), f"the connection broke: {error}")
         except Exception as error:
             self.log.emit(EventKind.TASK_FAILED, order.program_id, error=repr(error))
@@ -142,7 +166,7 @@
         if outcome.word is FinalWord.DONE and self.crashes.on_done(order.fingerprint):
             self.log.emit(EventKind.REQUEST_CLEARED, order.program_id, call=order.call_id)
         if outcome.error is ErrorCode.NO_UPSTREAM:
-            self._set_reachable(False)
+            self.crash_watch.set_reachable(False)
         self.log.emit(
             EventKind.CALL_FINISHED,
             order.program_id,
@@ -154,44 +178,6 @@
         self.state.note_progress()
         self.start_calls()
 
-    async def _look_for_crash(self, order: Order) -> None:
-        """Tell the entries when the upstream is down and this request was on it."""
-        if await self.probe.accepts_connections():
-            return
-        if self.drain.reachable:
-            self.log.emit(EventKind.UPSTREAM_CRASHED, running=len(self.table.running))
-        self._set_reachable(False)
-        if not order.fingerprint:
-            return
-        alone = order.alone or order.fingerprint in self.crashes.suspects()
-        crash = self._crash_id()
-        verdict = self.crashes.on_crash(order.fingerprint, crash)
-        kind = EventKind.REQUEST_SUSPECTED
-        if verdict is Suspicion.QUARANTINED:
-            kind = EventKind.REQUEST_QUARANTINED
-        self.log.emit(kind, order.program_id, fingerprint=order.fingerprint, alone=alone)
-        self.hub.broadcast(CrashNotice(order.fingerprint, alone, crash))
-
-    def _crash_id(self) -> CrashId:
-        """Return the name of the crash after which the upstream is unreachable now."""
-        state = self.state
-        return CrashId(f"{state.settings.upstream}/{state.incarnation}/{state.losses}")
-
-    def _set_reachable(self, reachable: bool) -> None:
-        """Announce that the upstream was lost or came back."""
-        if self.drain.reachable is reachable:
-            return
-        self.drain.reachable = reachable
-        self.state.losses += not reachable
-        kind = EventKind.UPSTREAM_REACHABLE if reachable else EventKind.UPSTREAM_UNREACHABLE
-        self.log.emit(kind)
-        self.hub.broadcast(StateNotice(self.drain.announced()))
-
-    async def check_reachable(self) -> None:
-        """Look whether a lost upstream is back."""
-        if not self.drain.reachable and await self.probe.accepts_connections():
-            self._set_reachable(True)
-
     async def refuse_overdue(self) -> None:
         """Refuse waiting calls whose remaining time is used up."""
         for call_id in self.table.overdue(self.timers.now()):
