--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/document_edits.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/document_edits.py
@@ -71,12 +71,17 @@
 
 
 class _Attempt:
-    """One edit on its way; ``uncertain`` while a write's answer is lost."""
+    """One edit on its way.
+
+    ``uncertain`` once a write's answer was lost; that write can only land while the version row is
+    at ``sent_at``, so only a later one proves that it did not.
+    """
 
     def __init__(self, editor: Editor, edit: Edit) -> None:
         self.editor = editor
         self.edit = edit
         self.uncertain = False
+        self.sent_at = 0
 
     async def run(self) -> EditOutcome:
         for attempt in range(ATTEMPTS):
@@ -96,6 +101,9 @@
                 raise
             await self._back_off(attempt)
             return None
+        if before.row_version < self.sent_at:
+            await self._back_off(attempt)
+            return None
         earlier = accepted_version(before, self.edit)
         if earlier:
             return self._resolved(earlier)
@@ -104,6 +112,7 @@
 
     async def _write(self, before: Snapshot, attempt: int) -> EditOutcome | None:
         texts = {change.section: change.text for change in self.edit.changes}
+        self.sent_at = before.row_version
         conditions, writes = transaction(before, self.edit.team, self.edit.edit_id, texts)
         try:
             await self.editor.table.transact(conditions, writes)
