--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/bodies.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/bodies.py
@@ -1,11 +1,12 @@
 """Request bodies: read within bounds of size and time, parsed into typed structs."""
 
+from contextlib import suppress
 from typing import Annotated, TypeVar
 
 import anyio
 import msgspec
 from msgspec import Meta
-from starlette.requests import Request
+from starlette.requests import ClientDisconnect, Request
 
 from skylarkferry_core.errors import BadRequestError, BodyTimeoutError, BodyTooLargeError
 from skylarkferry_core.ids import AgentName, CustomerId, RequestKey
@@ -14,6 +15,8 @@
 from skylarkferry_daemon.settings import LimitSettings
 
 KEY_CHARACTERS = 200
+DISCARD_FACTOR = 4
+DISCARD_S = 2.0
 DEADLINE_LIMIT_S = 30 * 24 * 3600.0
 
 Body = TypeVar("Body")
@@ -87,6 +90,19 @@
         raise BadRequestError(f"body: {error}") from error
 
 
+async def discard_body(request: Request, limits: LimitSettings) -> None:
+    """Read what is left of a refused body, within bounds.
+
+    Closing a connection with unread input resets it, and the caller would lose the refusal.
+    """
+    left = DISCARD_FACTOR * limits.body_bytes
+    with anyio.move_on_after(DISCARD_S), suppress(ClientDisconnect, RuntimeError):
+        async for chunk in request.stream():
+            left -= len(chunk)
+            if left < 0:
+                return
+
+
 async def _read_within(request: Request, limits: LimitSettings) -> bytes:
     body = bytearray()
     async for chunk in request.stream():
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/edge.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/edge.py
@@ -11,11 +11,12 @@
 from starlette.routing import Route
 
 from skylarkferry_core.document import Document
-from skylarkferry_core.errors import MethodNotAllowedError, SkylarkferryError
+from skylarkferry_core.errors import ErrorCode, MethodNotAllowedError, SkylarkferryError
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.http_messages import EditOutcome
 from skylarkferry_core.ids import UpstreamId
 from skylarkferry_core.messages import EventView, HostView, TimelineRequest
+from skylarkferry_daemon.bodies import discard_body
 from skylarkferry_daemon.document_edits import Edit
 from skylarkferry_daemon.document_rows import Snapshot
 from skylarkferry_daemon.interfaces import Programs
@@ -116,6 +117,8 @@
             raise MethodNotAllowedError(f"the path takes no {request.method}")
         return await handler(edge, request)
     except SkylarkferryError as error:
+        if error.code is not ErrorCode.BODY_TIMEOUT:
+            await discard_body(request, edge.limits)
         return refuse(edge, request, error)
     except ClientDisconnect:
         edge.log.emit(EventKind.CALLER_LEFT, path=request.url.path, caller=_peer(request))
--- a/tests/daemon/test_callers.py
+++ b/tests/daemon/test_callers.py
@@ -5,16 +5,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, MatchesDict, StartsWith
 
-from edge_fakes import FISH, MODELS_TEAM, running_edge
+from edge_fakes import FISH, MODELS_TEAM, SIZING, running_edge
 
 HANG_S = 30
-SIZING = {
-    "request_key": "k-1",
-    "customer": "gears",
-    "agent": "sizing",
-    "input": "spur, 20 teeth",
-    "deadline_s": 60,
-}
 
 
 async def start(client, **changes):
