--- a/packages/skylarkferry-bench/src/skylarkferry_bench/entries.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/entries.py
@@ -14,6 +14,7 @@
 from skylarkferry_bench.views import Views
 from skylarkferry_bench.workloads import ProgramSpec, RunSpec, TurnSpec, Workload
 from skylarkferry_core.admissions import ADMISSIONS, AdmissionRequest
+from skylarkferry_core.capacities import CapacityEstimate
 from skylarkferry_core.ids import (
     CallId,
     Epoch,
@@ -24,7 +25,7 @@
     ToolName,
     UpstreamId,
 )
-from skylarkferry_core.interfaces import PlacementRequest
+from skylarkferry_core.interfaces import Candidate, PlacementRequest
 from skylarkferry_core.messages import Fence, ModelWork, Order
 from skylarkferry_core.placements import PLACEMENTS, usable, wait_s
 from skylarkferry_core.retention import PauseEstimates, Retention
@@ -50,6 +51,8 @@
         self.prompt_tokens = spec.prefix_tokens + spec.input_tokens
         self.last_upstream = UpstreamId("")
         self.attempts = 0
+        self.kv_token_s = 0.0
+        self.held_s = 0.0
 
 
 class Program:
@@ -59,8 +62,10 @@
         self.spec = spec
         self.accepted_at = accepted_at
         self.work_s = 0.0
+        self.slot_s = 0.0
         self.calls = 0
         self.runs = 0
+        self.closed = False
         self.upstreams: set[UpstreamId] = set()
 
     def remaining_s(self, now: float) -> float:
@@ -74,7 +79,8 @@
 class Entry:
     """One entry process: admits programs, places their calls and follows them.
 
-    ``on_lost`` hears of programs that were refused or failed, with the time to come back.
+    ``on_lost`` hears of programs that were refused or failed, with the time to come back;
+    ``nodes`` entries share the upstreams.
     """
 
     def __init__(
@@ -87,6 +93,7 @@
         recorder: Recorder,
         random: Random,
         on_lost: OnLost,
+        nodes: int,
     ) -> None:
         self.clock = clock
         self.workload = workload
@@ -94,8 +101,10 @@
         self.views = views
         self.recorder = recorder
         self.on_lost = on_lost
+        self.nodes = nodes
         self.placement = PLACEMENTS[policy.placement](random)
         self.admission = ADMISSIONS[policy.admission]()
+        self.capacity = CapacityEstimate()
         self.retention = Retention()
         self.pauses = PauseEstimates()
         self.estimates = ProgramEstimates()
@@ -109,6 +118,8 @@
             self.on_lost(spec, refusal.retry_after_s)
             return
         program = Program(spec, self.clock.now)
+        if self.policy.cuts:
+            self.clock.after(spec.deadline_s, lambda: self._cut(program))
         self._turn(program, Run(spec.root, RunId("0"), None))
 
     def _admission_request(self, spec: ProgramSpec) -> AdmissionRequest:
@@ -122,8 +133,16 @@
             expected_s=self.estimates.work_s.get(spec.kind),
             wait_s=min((wait_s(item) for item in found), default=spec.deadline_s),
             expected_calls=self.estimates.calls.get(spec.kind),
+            program_id=spec.program_id,
+            work_s=self.estimates.slot_s.get(spec.kind),
+            capacity=self._capacity(found),
         )
 
+    def _capacity(self, found: list[Candidate]) -> float:
+        nominal = sum(item.load.slots for item in found) / self.nodes
+        waiting = sum(item.load.queued > 0 for item in found)
+        return self.capacity.update(nominal, waiting >= len(found) / 2, self.clock.now)
+
     def _placement_request(
         self, spec: ProgramSpec, run: Run, prompt_tokens: int
     ) -> PlacementRequest:
@@ -138,7 +157,14 @@
             prefix_tokens=run.spec.prefix_tokens,
         )
 
+    def _cut(self, program: Program) -> None:
+        """End a program whose deadline passed; its call still runs to the end."""
+        if not program.closed:
+            self._fail(program)
+
     def _turn(self, program: Program, run: Run) -> None:
+        if program.closed:
+            return
         now = self.clock.now
         request = self._placement_request(program.spec, run, run.prompt_tokens)
         candidates = self.views.candidates(request, now)
@@ -154,11 +180,19 @@
         order = self._order(program, run, request, prefill)
         call = self._call(program, run, request, order)
         self.views.sent(name, request, prefill, now)
+        self._leave(program, run, name)
         run.last_upstream = name
         program.upstreams.add(name)
         upstream = self.views.views[name].upstream
         self.clock.after(HOP_S, lambda: upstream.enqueue(order, call))
 
+    def _leave(self, program: Program, run: Run, name: UpstreamId) -> None:
+        """Free a run's memory where it was before, when its next call goes elsewhere."""
+        if self.policy.releases and run.last_upstream not in ("", name):
+            old = self.views.views[run.last_upstream].upstream
+            program_id = program.spec.program_id
+            self.clock.after(HOP_S, lambda: old.release(program_id, run.run_id))
+
     def _order(self, program: Program, run: Run, request: PlacementRequest, prefill: int) -> Order:
         spec = program.spec
         now = self.clock.now
@@ -179,6 +213,8 @@
             keep_kv_s=self._keep_s(run, request),
             prefill_tokens=prefill,
             output_tokens=request.output_tokens,
+            cached_tokens=max(request.prompt_tokens - prefill - request.prefix_tokens, 0),
+            typical_tokens=int(self.estimates.typical_tokens.get(run.spec.agent)),
         )
 
     def _keep_s(self, run: Run, request: PlacementRequest) -> float:
@@ -243,6 +279,8 @@
         return _PLAIN_BACKOFF_S * float(2**run.attempts)
 
     def _fail(self, program: Program) -> None:
+        if program.closed:
+            return
         self.recorder.failed(program.spec)
         self._close(program)
         self.on_lost(program.spec, None)
@@ -264,6 +302,14 @@
         )
         self.estimates.output_tokens.observe(run.spec.agent, call.output_tokens)
         program.work_s += prefill_s + decode_s
+        turn = run.spec.turns[run.turn]
+        held_tokens = tokens - run.spec.prefix_tokens
+        kv_token_s = held_tokens * (prefill_s + decode_s + turn.pause_s)
+        program.slot_s += prefill_s + decode_s
+        run.kv_token_s += kv_token_s
+        run.held_s += prefill_s + decode_s + turn.pause_s
+        self.admission.progressed(program.spec.program_id, prefill_s + decode_s)
+        self.capacity.progressed(prefill_s + decode_s)
         program.calls += 1
         run.attempts = 0
         run.prompt_tokens = tokens
@@ -271,8 +317,13 @@
 
     def _follow(self, program: Program, run: Run) -> None:
         """Go on after a turn: a pause, a sub-agent, or the end of the run."""
+        if program.closed:
+            self._free(program)
+            return
         turn = run.spec.turns[run.turn]
         run.turn += 1
+        if run.turn == len(run.spec.turns):
+            self.estimates.typical_tokens.observe(run.spec.agent, run.kv_token_s / run.held_s)
         if run.parent is None and program.spec.abandon_turn == run.turn - 1:
             self.recorder.abandoned(program.spec)
             self._close(program)
@@ -303,15 +354,23 @@
         spec = program.spec
         self.recorder.ended(spec, self.clock.now)
         self.estimates.work_s.observe(spec.kind, program.work_s)
+        self.estimates.slot_s.observe(spec.kind, program.slot_s)
         self.estimates.calls.observe(spec.kind, program.calls)
         self._close(program)
 
     def _close(self, program: Program) -> None:
         """Mark the program's memory as held in vain, and free it if the policy does."""
+        program.closed = True
+        program_id = program.spec.program_id
+        in_time = program.remaining_s(self.clock.now) > 0
+        self.admission.ended(program_id, in_time)
+        self._free(program)
+        self.views.beliefs.released(program_id)
+
+    def _free(self, program: Program) -> None:
         program_id = program.spec.program_id
         for name in program.upstreams:
             upstream: Upstream = self.views.views[name].upstream
             upstream.engine.cache.end(program_id, self.clock.now)
             if self.policy.releases:
                 self.clock.after(HOP_S, partial(upstream.release, program_id))
-        self.views.beliefs.released(program_id)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/admitting.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/admitting.py
@@ -2,20 +2,23 @@
 
 from collections import Counter
 
-from skylarkferry_core.admissions import Admission, AdmissionRequest
+from skylarkferry_core.admissions import AdmissionRequest
 from skylarkferry_core.document import AgentSpec, CustomerSpec
 from skylarkferry_core.errors import (
     BudgetExhaustedError,
     CustomerLimitError,
+    ErrorCode,
     OverloadedError,
     PlatformUnavailableError,
     UnknownAgentError,
     UnknownServiceError,
     error_for,
 )
-from skylarkferry_core.ids import CustomerId
+from skylarkferry_core.ids import CustomerId, ProgramId
 from skylarkferry_core.messages import ProgramRequest
+from skylarkferry_core.programs import Program
 from skylarkferry_daemon.context import EntryContext
+from skylarkferry_daemon.interfaces import Ownership
 from skylarkferry_daemon.plans import pool_of_service
 
 RETRY_AFTER_S = 2.0
@@ -23,16 +26,23 @@
 STALLED_JOURNAL_S = 1.0
 
 
+_REASONS = {
+    ErrorCode.DEADLINE_UNREACHABLE: "the program could not end by its deadline",
+    ErrorCode.CUSTOMER_LIMIT: "the customer's tokens of this minute are used up",
+}
+
+
 class Admitter:
     """Decide on programs that ask to start at this node."""
 
-    def __init__(self, context: EntryContext, admission: Admission, capacity: int) -> None:
+    def __init__(self, context: EntryContext, ownership: Ownership, capacity: int) -> None:
         self.context = context
-        self.admission = admission
+        self.ownership = ownership
         self.capacity = capacity
         self.under_way: Counter[CustomerId] = Counter()
+        self.charges: dict[ProgramId, int] = {}
 
-    def admit(self, request: ProgramRequest, now: float) -> None:
+    def admit(self, program_id: ProgramId, request: ProgramRequest, now: float) -> None:
         """Count a program in, or raise the typed refusal; nothing of a refused one ever runs."""
         self._check_platform()
         if self.under_way.total() >= self.capacity:
@@ -40,16 +50,22 @@
         if request.service is not None:
             self._check_service(request)
         else:
-            self._check_agent(request, now)
+            self.charges[program_id] = self._check_agent(program_id, request, now)
         self.under_way[request.customer] += 1
 
     def resumed(self, request: ProgramRequest) -> None:
         """Count a program in that another node admitted."""
         self.under_way[request.customer] += 1
 
-    def ended(self, request: ProgramRequest) -> None:
-        """Count a program out."""
-        self.under_way[request.customer] -= 1
+    def ended(self, program: Program) -> None:
+        """Count a program out and settle its customer's slice with what it spent."""
+        customer = program.request.customer
+        self.under_way[customer] -= 1
+        charged = self.charges.pop(program.program_id, None)
+        if charged is None:
+            return
+        self.context.admission.settle(customer, charged - program.budget.spent.tokens)
+        self.context.admission.ended(program.program_id)
 
     def _check_platform(self) -> None:
         if self.context.journal.stalled_s() > STALLED_JOURNAL_S:
@@ -63,7 +79,8 @@
         if pool_of_service(self.context.documents.current, service) is None:
             raise UnknownServiceError(f"no service {service}")
 
-    def _check_agent(self, request: ProgramRequest, now: float) -> None:
+    def _check_agent(self, program_id: ProgramId, request: ProgramRequest, now: float) -> int:
+        """Return the tokens charged to the customer's slice."""
         document = self.context.documents.current
         spec = document.agents.get(request.agent)
         if spec is None:
@@ -71,9 +88,12 @@
         customer = document.budgets.get(request.customer)
         if customer is not None:
             self._check_limits(request, customer)
-        refusal = self.admission.admit(self._question(request, spec, customer), now)
+        question = self._question(program_id, request, spec, customer)
+        self.context.admission.share_with(len(self.ownership.node_addresses()) + 1)
+        refusal = self.context.admission.admit(question, now)
         if refusal is not None:
-            raise error_for(refusal.code, "refused at admission", refusal.retry_after_s)
+            raise error_for(refusal.code, _REASONS[refusal.code], refusal.retry_after_s)
+        return question.tokens
 
     def _check_limits(self, request: ProgramRequest, customer: CustomerSpec) -> None:
         if self.under_way[request.customer] >= customer.programs_under_way:
@@ -86,14 +106,22 @@
             raise BudgetExhaustedError("the turns exceed the customer's for one program")
 
     def _question(
-        self, request: ProgramRequest, spec: AgentSpec, customer: CustomerSpec | None
+        self,
+        program_id: ProgramId,
+        request: ProgramRequest,
+        spec: AgentSpec,
+        customer: CustomerSpec | None,
     ) -> AdmissionRequest:
+        typical = self.context.estimates.typical_of(request.agent, spec)
+        nodes = len(self.ownership.node_addresses()) + 1
         return AdmissionRequest(
             customer=request.customer,
             deadline_s=request.deadline_s,
-            expected_s=spec.expected_s,
+            expected_s=typical.work_s,
             wait_s=self.context.placer.shortest_wait_s(spec.model),
-            expected_calls=float(max(len(spec.tools) + 1, 1)),
-            tokens=request.budget.tokens,
+            tokens=min(int(typical.tokens), request.budget.tokens),
             tokens_per_minute=customer.tokens_per_minute if customer else 0,
+            program_id=program_id,
+            work_s=typical.work_s,
+            capacity=self.context.placer.slots(spec.model) / nodes,
         )
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
@@ -1,6 +1,7 @@
 """Run queued calls on the upstream, as many at once as it has slots."""
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
 from skylarkferry_core.calls import Call
@@ -28,6 +29,7 @@
 from skylarkferry_core.states import CallState, FinalWord, PoolKind
 from skylarkferry_daemon.kv_keeper import KvKeeper
 from skylarkferry_daemon.sidecar_state import SidecarState
+from skylarkferry_daemon.stopwatches import Stopwatch
 from skylarkferry_daemon.upstream_adapters import Adapter, BrokenConnectionError
 from skylarkferry_daemon.upstream_probe import UpstreamProbe
 
@@ -61,7 +63,6 @@
         self.probe = probe
         self.keeper = keeper
         self.tasks = tasks
-        self.losses = 0
         self.scopes: dict[CallId, anyio.CancelScope] = {}
 
     def submit(self, order: Order) -> Call:
@@ -106,18 +107,20 @@
         self.keeper.on_started(order)
         scope = self.scopes[order.call_id]
         outcome = unknown(order.call_id, ErrorCode.CANCELLED, "the call was cancelled")
+        watch = Stopwatch(self.timers)
         with scope:
-            outcome = await self._outcome(call)
+            outcome = await self._outcome(call, watch)
         del self.scopes[order.call_id]
+        outcome = msgspec.structs.replace(outcome, timing=watch.timing())
         self._finish(call, outcome)
 
-    async def _outcome(self, call: Call) -> Outcome:
+    async def _outcome(self, call: Call, watch: Stopwatch) -> Outcome:
         """Return how a call ended, in the time it has."""
         order = call.order
         remaining_s = call.due - self.timers.now()
         try:
             with anyio.fail_after(min(order.timeout_s, remaining_s)):
-                return await self.adapter.run(order, lambda text: self._emit(call, text))
+                return await self.adapter.run(order, lambda text: self._emit(call, text, watch))
         except TimeoutError:
             return _timed_out(order, is_deadline=remaining_s <= order.timeout_s)
         except BrokenConnectionError as error:
@@ -127,7 +130,8 @@
             self.log.emit(EventKind.TASK_FAILED, order.program_id, error=repr(error))
             return unknown(order.call_id, _lost_code(order), "the sidecar failed")
 
-    def _emit(self, call: Call, text: str) -> None:
+    def _emit(self, call: Call, text: str, watch: Stopwatch) -> None:
+        watch.note_output()
         self.table.append(call.order.call_id, text)
         self.hub.mark(call)
 
@@ -170,14 +174,15 @@
 
     def _crash_id(self) -> CrashId:
         """Return the name of the crash after which the upstream is unreachable now."""
-        return CrashId(f"{self.state.settings.upstream}/{self.state.incarnation}/{self.losses}")
+        state = self.state
+        return CrashId(f"{state.settings.upstream}/{state.incarnation}/{state.losses}")
 
     def _set_reachable(self, reachable: bool) -> None:
         """Announce that the upstream was lost or came back."""
         if self.drain.reachable is reachable:
             return
         self.drain.reachable = reachable
-        self.losses += not reachable
+        self.state.losses += not reachable
         kind = EventKind.UPSTREAM_REACHABLE if reachable else EventKind.UPSTREAM_UNREACHABLE
         self.log.emit(kind)
         self.hub.broadcast(StateNotice(self.drain.announced()))
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/interfaces.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/interfaces.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Sequence
 from typing import Protocol
 
+from skylarkferry_core.cache_beliefs import CacheBeliefs
 from skylarkferry_core.document import Document
 from skylarkferry_core.ids import (
     CallId,
@@ -48,6 +49,9 @@
 class Sidecars(Protocol):
     """An entry's streams to the sidecars."""
 
+    beliefs: CacheBeliefs
+    """What this entry believes is cached at the engines."""
+
     def candidates(self, pool: PoolName) -> list[Candidate]:
         """Return the upstreams of a pool, whatever their state."""
 
@@ -78,6 +82,9 @@
     def release(self, program_id: ProgramId, fence: Fence) -> None:
         """Tell every sidecar that may hold the program's KV cache to free it."""
 
+    def detach(self, program_id: ProgramId) -> None:
+        """Let a program's calls go on when they are cancelled here: its next owner follows them."""
+
     def hosts(self) -> Sequence[HostView]:
         """Return all upstreams as this process sees them."""
 
@@ -93,7 +100,7 @@
         """
 
     def stalled_s(self) -> float:
-        """Return for how many seconds the oldest record waits to become durable."""
+        """Return for how many seconds the platform has not answered; 0 while it does."""
 
 
 class PartitionListener(Protocol):
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
@@ -1,11 +1,13 @@
 """An entry's stream to one sidecar, over reconnections and restarts."""
 
+import asyncio
 from contextlib import AsyncExitStack
 
 import anyio
 import grpc
 from anyio.abc import TaskGroup
 
+from skylarkferry_core.cache_beliefs import CacheBeliefs
 from skylarkferry_core.errors import ErrorCode, UpstreamLostError
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import CallId, Incarnation, NodeId, UpstreamId
@@ -37,6 +39,7 @@
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_daemon.quarantine import Quarantine
 from skylarkferry_daemon.timers import TimerService
+from skylarkferry_wire.cancellation import awaited
 from skylarkferry_wire.clients import call, open_channel, open_stream
 from skylarkferry_wire.methods import SIDECAR_SEAL, SIDECAR_STREAM
 
@@ -49,6 +52,13 @@
 RELIABLE_FRAMES_KEPT = 100_000
 
 ReliableFrame = Acknowledge | ReleaseProgram
+# A write on a call that ended raises InvalidStateError, which is no gRPC error.
+STREAM_ENDED = (
+    grpc.aio.AioRpcError,
+    grpc.aio.UsageError,
+    asyncio.InvalidStateError,
+    UpstreamLostError,
+)
 
 
 class Link:
@@ -62,6 +72,7 @@
         incarnation: Incarnation,
         heartbeat_s: float,
         quarantine: Quarantine,
+        beliefs: CacheBeliefs,
         timers: TimerService,
         log: EventLog,
     ) -> None:
@@ -69,6 +80,7 @@
         self.node = node
         self.own_incarnation = incarnation
         self.quarantine = quarantine
+        self.beliefs = beliefs
         self.timers = timers
         self.log = log
         self.member = Member(heartbeat_s)
@@ -108,7 +120,7 @@
             try:
                 with anyio.fail_after(CONNECT_TIMEOUT_S):
                     await self._open(stream)
-            except (grpc.aio.AioRpcError, TimeoutError, UpstreamLostError):
+            except (*STREAM_ENDED, TimeoutError):
                 return False
             async with anyio.create_task_group() as tasks:
                 self.stream_scope = tasks.cancel_scope
@@ -119,8 +131,8 @@
         """Greet the sidecar and take its welcome."""
         self.streams += 1
         hello = Hello(self.node, self.own_incarnation, self.streams)
-        await stream.write(EntryBatch((hello, self._heartbeat())))
-        batch = await stream.read()
+        await awaited(stream.write(EntryBatch((hello, self._heartbeat()))))
+        batch = await awaited(stream.read())
         if not isinstance(batch, SidecarBatch):
             raise UpstreamLostError("the stream ended before its welcome")
         for frame in batch.frames:
@@ -130,11 +142,11 @@
         """Send and receive until the stream ends or is cancelled."""
         tasks.start_soon(self._write, stream)
         try:
-            while isinstance(batch := await stream.read(), SidecarBatch):
+            while isinstance(batch := await awaited(stream.read()), SidecarBatch):
                 self.member.on_frame(self.timers.now())
                 for frame in batch.frames:
                     self.take(frame)
-        except (grpc.aio.AioRpcError, grpc.aio.UsageError):
+        except STREAM_ENDED:
             pass
         tasks.cancel_scope.cancel()
 
@@ -146,8 +158,8 @@
             self.has_frames = anyio.Event()
             self._note_sent(frames)
             try:
-                await stream.write(EntryBatch(tuple(frames)))
-            except (grpc.aio.AioRpcError, grpc.aio.UsageError):
+                await awaited(stream.write(EntryBatch(tuple(frames))))
+            except STREAM_ENDED:
                 return
 
     def _note_sent(self, frames: list[EntryFrame]) -> None:
@@ -178,16 +190,22 @@
                 if followed := self.calls.get(frame.outcome.call_id):
                     followed.finish(frame.outcome)
             case SidecarHeartbeat():
-                self.member.on_state(frame.state, now)
-                self.member.on_load(frame.load, now)
-                self.sent_tokens = 0
-                self.sent_calls = 0
-                self.reliable = [item for item in self.reliable if item[0] > frame.echo]
+                self._on_heartbeat(frame, now)
             case StateNotice():
                 self.member.on_state(frame.state, now)
             case CrashNotice():
                 self.quarantine.on_crash(frame)
 
+    def _on_heartbeat(self, frame: SidecarHeartbeat, now: float) -> None:
+        """Take state, load and cache events; forget reliable frames that arrived."""
+        self.member.on_state(frame.state, now)
+        self.member.on_load(frame.load, now)
+        self.sent_tokens = 0
+        self.sent_calls = 0
+        self.reliable = [item for item in self.reliable if item[0] > frame.echo]
+        for event in frame.cache_events:
+            self.beliefs.observe(self.upstream, event)
+
     def _on_welcome(self, frame: Welcome, now: float) -> None:
         """Go on with everything that the sidecar may have missed."""
         if self.member.incarnation not in ("", frame.incarnation):
@@ -251,7 +269,8 @@
         try:
             return await followed.wait()
         except anyio.get_cancelled_exc_class():
-            self._push(Cancel(followed.call_id, followed.fence))
+            if not followed.detached:
+                self._push(Cancel(followed.call_id, followed.fence))
             raise
         finally:
             if self.calls.get(followed.call_id) is followed:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/links.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/links.py
@@ -6,7 +6,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from skylarkferry_core.calls import prompt_tokens
+from skylarkferry_core.cache_beliefs import CacheBeliefs
 from skylarkferry_core.errors import ErrorCode, PlatformUnavailableError, UpstreamLostError
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import (
@@ -17,8 +17,10 @@
     PoolName,
     ProgramId,
     UpstreamId,
+    program_of,
 )
 from skylarkferry_core.interfaces import Candidate, Host, HostList
+from skylarkferry_core.loads import prompt_tokens
 from skylarkferry_core.messages import (
     Acknowledge,
     Fence,
@@ -70,6 +72,7 @@
         self.heartbeat_s = heartbeat_s
         self.links: dict[UpstreamId, Link] = {}
         self.scopes: dict[UpstreamId, anyio.CancelScope] = {}
+        self.beliefs = CacheBeliefs()
         self.engines: dict[ProgramId, set[UpstreamId]] = {}
 
     async def run(self) -> None:
@@ -117,6 +120,7 @@
             incarnation=self.own_incarnation,
             heartbeat_s=self.heartbeat_s,
             quarantine=self.quarantine,
+            beliefs=self.beliefs,
             timers=self.timers,
             log=self.log,
         )
@@ -139,6 +143,7 @@
     def _remove(self, upstream: UpstreamId) -> None:
         """Close a stream; its calls are lost."""
         link = self.links.pop(upstream)
+        self.beliefs.lost(upstream)
         self.scopes.pop(upstream).cancel()
         for followed in list(link.calls.values()):
             followed.lose("the upstream moved")
@@ -236,12 +241,20 @@
     def release(self, program_id: ProgramId, fence: Fence) -> None:
         """Free a program's KV cache where this process used it, or else everywhere."""
         used = self.engines.pop(program_id, None)
+        self.beliefs.released(program_id)
         for upstream, link in self.links.items():
             if self._kind(link) is not PoolKind.MODEL:
                 continue
             if used is None or upstream in used:
                 link.send_reliably(ReleaseProgram(program_id, fence))
 
+    def detach(self, program_id: ProgramId) -> None:
+        """Let a program's calls go on at their sidecars when they are not followed any longer."""
+        for link in self.links.values():
+            for followed in link.calls.values():
+                if program_of(followed.call_id) == program_id:
+                    followed.detached = True
+
     def hosts(self) -> Sequence[HostView]:
         """Return all upstreams as this process sees them."""
         return [self._view(link) for link in self.links.values()]
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_service.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_service.py
@@ -63,11 +63,12 @@
                 tasks.cancel_scope.cancel()
         finally:
             self.hub.remove(stream)
+            self.state.note_progress()
 
     async def _end_on_order(self, stream: EntryStream, scope: anyio.CancelScope) -> None:
-        """End a stream that a newer one replaced, or whose entry went silent."""
+        """End a stream that a newer one replaced, that went silent, or at a planned stop."""
         await stream.ended.wait()
-        self.log.emit(EventKind.STREAM_REPLACED, peer=_peer(stream))
+        self.log.emit(EventKind.STREAM_ENDED, peer=_peer(stream))
         scope.cancel()
 
     async def _read(self, stream: EntryStream, context: grpc.aio.ServicerContext) -> None:
@@ -123,7 +124,7 @@
             state.settings.upstream,
             state.incarnation,
             state.drain.announced(),
-            state.table.load(),
+            state.load(),
         )
         if self.hub.greet(stream, hello, welcome):
             self.log.emit(EventKind.STREAM_OPENED, peer=_peer(stream))
@@ -133,7 +134,11 @@
 
     def _attach(self, stream: EntryStream, frame: Attach) -> None:
         call = self.table.calls.get(frame.call_id)
-        if call is None or self.table.fences.is_stale(frame.fence):
+        if self.table.fences.is_stale(frame.fence):
+            detail = f"epoch {frame.fence.epoch} is stale"
+            stream.push(Finished(unknown(frame.call_id, ErrorCode.STALE_EPOCH, detail)))
+            return
+        if call is None:
             detail = "the sidecar does not know the call"
             stream.push(Finished(unknown(frame.call_id, ErrorCode.OUTCOME_UNKNOWN, detail)))
             return
--- /dev/null
+++ b/tests/processes/programs.py
@@ -0,0 +1,66 @@
+"""Requests of callers to entries under test."""
+
+from typing import Any
+
+import httpx
+
+ANSWER_WAIT_S = 30
+DRIVER_EVENTS = (201, 204)
+
+
+def sizing_body(key: str, **changes: Any) -> dict[str, Any]:
+    """Return the body that starts a sizing program."""
+    body = {
+        "request_key": key,
+        "customer": "gearworks",
+        "agent": "gear-sizer",
+        "input": "size a helical pair for 22 kW",
+        "deadline_s": 60,
+    }
+    return body | changes
+
+
+def start(client: httpx.Client, key: str, **changes: Any) -> str:
+    """Start a sizing program and return its id."""
+    response = client.post("/v1/programs", json=sizing_body(key, **changes))
+    assert response.is_success, response.text
+    return response.json()["program_id"]
+
+
+def answer(client: httpx.Client, program_id: str) -> dict[str, Any]:
+    """Wait for a program's end and return its view."""
+    while True:
+        response = client.get(f"/v1/programs/{program_id}/answer?wait_s={ANSWER_WAIT_S}")
+        if response.status_code != httpx.codes.ACCEPTED:
+            assert response.is_success, response.text
+            return response.json()
+
+
+def event_stream(client: httpx.Client, program_id: str, after: int = 0) -> str:
+    """Return the program's events after number ``after``, without deltas and comments."""
+    headers = {"Last-Event-ID": str(after)}
+    text = client.get(f"/v1/programs/{program_id}/events", headers=headers).text
+    blocks = [block.removeprefix(": heartbeat\n") for block in text.split("\n\n")]
+    return "\n\n".join(block for block in blocks if block.startswith("id: "))
+
+
+def wait_for_step(client: httpx.Client, program_id: str, number: int) -> None:
+    """Follow a program's events until step ``number``."""
+    with client.stream("GET", f"/v1/programs/{program_id}/events") as response:
+        for line in response.iter_lines():
+            if line == f"id: {number}":
+                return
+
+
+def driver_of(client: httpx.Client, program_id: str) -> str:
+    """Return the entry that drives a program, from the time line; the client is an operator's."""
+    events = client.get("/v1/timeline", params={"program": program_id}).json()["events"]
+    drivers = [event["node"] for event in events if event["number"] in DRIVER_EVENTS]
+    return drivers[-1]
+
+
+def effects_of(effects: list[dict[str, str]], program_id: str) -> list[str]:
+    """Return the paths that a program's calls executed, in order."""
+    return [
+        effect["path"] for effect in effects if effect["idempotency_key"].startswith(program_id)
+    ]
