--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/settings.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/settings.py
@@ -1,7 +1,10 @@
 """Settings of the daemon: JSON with comments, checked against these types."""
 
+import ipaddress
+import re
 from pathlib import Path
 from typing import Annotated
+from urllib.parse import urlsplit
 
 import msgspec
 import pyjson5
@@ -11,13 +14,52 @@
 from skylarkferry_core.ids import FailureDomain, NodeId, PoolName, SiteName, UpstreamId
 from skylarkferry_core.states import PoolKind
 
-Address = Annotated[str, Meta(pattern=r"^\d+\.\d+\.\d+\.\d+:\d{1,5}$")]
+MONTH_S = 30 * 24 * 3600
+HIGHEST_PORT = 65_535
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+EXPECTED = {
+    "role": "expected 'entry' or 'sidecar'",
+    "kind": "expected 'model', 'tool' or 'service'",
+}
+
+Address = str
 """IP number and port, as ``127.0.0.1:7100``."""
-Url = Annotated[str, Meta(pattern=r"^https?://")]
-Seconds = Annotated[float, Meta(gt=0)]
+Url = str
+"""Address of an HTTP service, as ``http://127.0.0.1:7400``."""
+Seconds = Annotated[float, Meta(gt=0, le=MONTH_S)]
 Count = Annotated[int, Meta(gt=0)]
 
 
+def check_address(key: str, value: str) -> None:
+    """Raise ``ValueError`` unless ``value`` is an IP number and a port."""
+    host, separator, port = value.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        correct = bool(separator) and 0 < int(port) <= HIGHEST_PORT and port.isascii()
+    except ValueError:
+        correct = False
+    if not correct:
+        expected = f"expected an IP number and a port from 1 to {HIGHEST_PORT}"
+        raise ValueError(f"{key}: {expected}, as 127.0.0.1:7100, found '{value}'")
+
+
+def check_url(key: str, value: str) -> None:
+    """Raise ``ValueError`` unless ``value`` is the address of an HTTP service."""
+    try:
+        parts = urlsplit(value)
+        correct = parts.scheme in ("http", "https") and bool(parts.hostname) and parts.port != 0
+    except ValueError:
+        correct = False
+    if not correct:
+        raise ValueError(f"{key}: expected a URL as http://127.0.0.1:7400, found '{value}'")
+
+
+def check_log_level(value: str) -> None:
+    """Raise ``ValueError`` unless ``value`` is a level of the log."""
+    if value not in LOG_LEVELS:
+        raise ValueError(f"log_level: expected one of {', '.join(LOG_LEVELS)}, found '{value}'")
+
+
 class PlatformSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where the platform's services are and what share of them the system may use."""
 
@@ -28,6 +70,12 @@
     writes_per_s: Count = 300
     hosts_poll_s: Seconds = 1.0
 
+    def __post_init__(self) -> None:
+        """Check the addresses."""
+        check_url("table_url", self.table_url)
+        check_url("object_url", self.object_url)
+        check_url("hosts_url", self.hosts_url)
+
 
 class LeaseSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Times of partition ownership."""
@@ -36,6 +84,11 @@
     lease_s: Seconds = 3.0
     renew_s: Seconds = 1.0
 
+    def __post_init__(self) -> None:
+        """Check that a lease is renewed before it lapses."""
+        if self.renew_s >= self.lease_s:
+            raise ValueError(f"renew_s: expected less than lease_s ({self.lease_s:g})")
+
 
 class LimitSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Bounds on what callers may send and on what a node keeps in memory."""
@@ -66,9 +119,17 @@
     limits: LimitSettings = LimitSettings()
     document_poll_s: Seconds = 1.0
     stop_grace_s: Seconds = 600.0
-    bootstrap_token_hash: Annotated[str, Meta(pattern=r"^([0-9a-f]{64})?$")] = ""
+    bootstrap_token_hash: str = ""
     log_level: str = "INFO"
 
+    def __post_init__(self) -> None:
+        """Check addresses, the token hash and the log level."""
+        check_address("http_listen", self.http_listen)
+        check_address("rpc_listen", self.rpc_listen)
+        check_log_level(self.log_level)
+        if not re.fullmatch("([0-9a-f]{64})?", self.bootstrap_token_hash):
+            raise ValueError("bootstrap_token_hash: expected 64 hexadecimal digits in lower case")
+
 
 class SidecarSettings(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="role", tag="sidecar"
@@ -93,6 +154,13 @@
     ring_events: Count = 10_000
     log_level: str = "INFO"
 
+    def __post_init__(self) -> None:
+        """Check addresses and the log level."""
+        check_address("rpc_listen", self.rpc_listen)
+        check_address("metrics_listen", self.metrics_listen)
+        check_url("upstream_url", self.upstream_url)
+        check_log_level(self.log_level)
+
 
 Settings = EntrySettings | SidecarSettings
 
@@ -106,7 +174,14 @@
     try:
         return msgspec.convert(plain, Settings)
     except msgspec.ValidationError as error:
-        raise SettingsInvalidError(f"{source}: {error}") from error
+        raise SettingsInvalidError(f"{source}: {_explain(str(error))}") from error
+
+
+def _explain(message: str) -> str:
+    """Return a message such as ``Expected `int` - at `$.key``` with the key first."""
+    expected, _, path = message.partition(" - at `$")
+    key = path.strip("`").lstrip(".")
+    return f"{key}: {EXPECTED.get(key, expected)}" if key else expected
 
 
 def load(path: str) -> Settings:
@@ -115,4 +190,6 @@
         text = Path(path).read_text(encoding="utf-8")
     except OSError as error:
         raise SettingsInvalidError(f"{path}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise SettingsInvalidError(f"{path}: expected text in UTF-8") from error
     return parse(text, path)
--- a/tests/edge_fakes.py
+++ b/tests/edge_fakes.py
@@ -39,6 +39,13 @@
 MODELS_TEAM = "models-team-token"
 SITES_TEAM = "sites-team-token"
 BOOTSTRAP = "bootstrap-token"
+SIZING = {
+    "request_key": "k-1",
+    "customer": "gears",
+    "agent": "sizing",
+    "input": "spur, 20 teeth",
+    "deadline_s": 60,
+}
 
 
 def customer(token):
@@ -114,6 +121,7 @@
         self.requests = []
         self.watchers = 0
         self.watched = anyio.Event()
+        self.unwatched = anyio.Event()
         self.failure = None
 
     async def start(self, request):
@@ -153,6 +161,7 @@
             yield WatchItem(step=Step(2, "ended", '{"answer": "module 4"}'))
         finally:
             self.watchers -= 1
+            self.unwatched.set()
 
     async def service(self, request):
         self.requests.append(request)
