--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/compaction.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/compaction.py
@@ -1,5 +1,7 @@
 """Copies the records that a partition still needs, so that older segments can go."""
 
+import contextlib
+
 import msgspec
 
 from skylarkferry_core.errors import NotOwnerError, WriteConflictError
@@ -8,23 +10,65 @@
 from skylarkferry_core.interfaces import Condition, Row, Table, Write
 from skylarkferry_core.messages import Fence
 from skylarkferry_core.partitions import JournalReference, PartitionRow, partition_key
-from skylarkferry_core.records import PartitionRecord, Record
-from skylarkferry_core.replays import compact
+from skylarkferry_core.records import PartitionRecord, Record, Segment
+from skylarkferry_core.replays import compact, replay
 from skylarkferry_daemon.journal import TableJournal
 from skylarkferry_daemon.log import EventLog
+from skylarkferry_daemon.segment_reader import SegmentReader
+from skylarkferry_daemon.settings import LimitSettings
+
+GROWTH = 3
 
 
 class Compactor:
     """Give partitions a new base in the own journal."""
 
     def __init__(
-        self, table: Table, journal: TableJournal, events: EventLog, ended_kept: int
+        self,
+        table: Table,
+        journal: TableJournal,
+        reader: SegmentReader,
+        events: EventLog,
+        limits: LimitSettings,
     ) -> None:
         self.table = table
         self.journal = journal
+        self.reader = reader
         self.events = events
-        self.ended_kept = ended_kept
+        self.ended_kept = limits.ended_programs_kept
+        self.compact_bytes = limits.journal_compact_bytes
         self.rounds: dict[PartitionNumber, int] = {}
+        self.active: set[PartitionNumber] = set()
+        self.live_bytes = 0
+
+    def due(self) -> bool:
+        """Tell whether most of the own journal is probably needed no longer."""
+        return self.journal.written_bytes > max(self.compact_bytes, GROWTH * self.live_bytes)
+
+    async def compact_journal(self) -> None:
+        """Give all held partitions a new base after the segments written so far."""
+        async with self.journal.lock:
+            base_sequence = self.journal.queue.sequence
+            self.journal.written_bytes = 0
+        own = self.journal.lease.incarnation
+        segments = await self.journal.patience.until_answered(lambda: self.reader.read([own]))
+        written = [segment for segment in segments if segment.sequence < base_sequence]
+        for partition, holding in list(self.journal.holdings.held.items()):
+            with contextlib.suppress(NotOwnerError):
+                fence = Fence(partition, holding.epoch)
+                await self._compact_partition(fence, written, base_sequence)
+        self.live_bytes = self.journal.written_bytes
+
+    async def _compact_partition(
+        self, fence: Fence, written: list[Segment], base_sequence: int
+    ) -> None:
+        """Rebase a partition that needs the own journal only."""
+        row = await self._read(fence)
+        seen = msgspec.msgpack.decode(row.value, type=PartitionRow)
+        holding = self.journal.holdings.find(fence)
+        if len(seen.journals) > 1 or holding is None or not holding.ready:
+            return
+        await self.rebase(fence, replay(fence.partition, seen, written), base_sequence)
 
     async def rebase(self, fence: Fence, records: list[Record], base_sequence: int = 0) -> None:
         """Copy ``records``, which stand for all before segment ``base_sequence`` of this epoch.
@@ -32,6 +76,15 @@
         The old journals leave the partition's row only after the copies are durable.  Raise
         ``NotOwnerError`` when the epoch moved.
         """
+        if fence.partition in self.active:
+            return
+        self.active.add(fence.partition)
+        try:
+            await self._rebase(fence, records, base_sequence)
+        finally:
+            self.active.discard(fence.partition)
+
+    async def _rebase(self, fence: Fence, records: list[Record], base_sequence: int) -> None:
         row = await self._read(fence)
         seen = msgspec.msgpack.decode(row.value, type=PartitionRow)
         base_round = max(seen.base_round, self.rounds.get(fence.partition, 0)) + 1
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/journal.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/journal.py
@@ -109,6 +109,8 @@
     def restart(self, incarnation: Incarnation) -> None:
         """Begin the journal of a new incarnation; the lock must be held."""
         self.queue = SegmentQueue(incarnation, SEGMENT_BYTES)
+        self.writes.object_keys.clear()
+        self.written_bytes = 0
         self._make_room()
 
     def share_rate(self, live_nodes: int) -> None:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/ownership.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/ownership.py
@@ -19,6 +19,7 @@
 from skylarkferry_core.takeovers import ClusterView, SeenNode, TakeoverPlanner
 from skylarkferry_daemon.adoption import Adopter
 from skylarkferry_daemon.cluster import ClusterReader
+from skylarkferry_daemon.collection import Collector
 from skylarkferry_daemon.compaction import Compactor
 from skylarkferry_daemon.interfaces import PartitionListener
 from skylarkferry_daemon.journal import TableJournal
@@ -32,6 +33,9 @@
 SCAN_ROWS_PER_S = 20.0
 LEAST_SCAN_S = 2.0
 LONGEST_WATCH_S = 1.0
+COMPACT_CHECK_S = 5.0
+COLLECT_ROWS_PER_S = 2.0
+LEAST_COLLECT_S = 15.0
 
 
 class PartitionOwnership:
@@ -55,9 +59,9 @@
         self.cluster = ClusterReader(services.table, services.host_list, settings.lease.partitions)
         self.planner = TakeoverPlanner(settings.node, settings.lease.lease_s)
         reader = SegmentReader(services.table, services.objects)
-        ended_kept = settings.limits.ended_programs_kept
-        compactor = Compactor(services.table, self.journal, events, ended_kept)
-        self.adopter = Adopter(services.table, self.journal, reader, compactor, events)
+        self.compactor = Compactor(services.table, self.journal, reader, events, settings.limits)
+        self.adopter = Adopter(services.table, self.journal, reader, self.compactor, events)
+        self.collector = Collector(services, self.journal, events)
         self.scanned_at = -math.inf
         self.stopping = False
 
@@ -95,9 +99,19 @@
                 await self._watch(listener, tasks)
 
             self.timers.every(self.settings.renew_s, self.journal.renew)
+            self.timers.every(COMPACT_CHECK_S, self._compact)
+            self.timers.every(self._collect_interval_s(), self.collector.collect)
             self.timers.every(min(LONGEST_WATCH_S, self.settings.renew_s), watch)
             await watch()
 
+    async def _compact(self) -> None:
+        if self.compactor.due():
+            await self.compactor.compact_journal()
+
+    def _collect_interval_s(self) -> float:
+        """Return how often unneeded segments are looked for."""
+        return max(LEAST_COLLECT_S, self.settings.partitions / COLLECT_ROWS_PER_S)
+
     async def _tell_losses(self, listener: PartitionListener) -> None:
         while True:
             changed = self.journal.changed
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/segment_writes.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/segment_writes.py
@@ -63,6 +63,7 @@
         self.holdings = holdings
         self.patience = patience
         self.rotation = 0
+        self.object_keys: dict[int, str] = {}
 
     async def prepare(self, segment: Segment | None) -> SegmentWrite:
         """Build the transaction of a segment and store its object if it is large."""
@@ -86,8 +87,14 @@
         digest = xxhash.xxh3_128_hexdigest(body)
         key = f"{segment_key(segment.incarnation, segment.sequence)}-{digest}"
         await self.patience.until_answered(lambda: self.objects.put(key, body))
+        self.object_keys[segment.sequence] = key
         return msgspec.msgpack.encode(StoredSegment(object_key=key))
 
+    def take_objects(self, sequence: int) -> list[str]:
+        """Return and forget the objects of the segments before ``sequence``."""
+        old = [number for number in self.object_keys if number < sequence]
+        return [self.object_keys.pop(number) for number in old]
+
     def _conditional_partitions(self, segment: Segment | None) -> dict[PartitionNumber, Epoch]:
         """Return the segment's partitions and, in rotation, other held ones."""
         records = segment.records if segment is not None else ()
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/settings.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/settings.py
@@ -44,6 +44,7 @@
     body_s: Seconds = 10.0
     programs_under_way: Count = 20_000
     journal_backlog_bytes: Count = 33_554_432
+    journal_compact_bytes: Count = 8_388_608
     ended_programs_kept: Count = 10_000
     ring_events: Count = 10_000
 
--- a/tests/daemon/test_ownership_generated.py
+++ b/tests/daemon/test_ownership_generated.py
@@ -25,6 +25,7 @@
 
 NAMES = ("a", "b", "c")
 HEAL_S = 30.0
+START_S = 12.0
 
 
 class Kind(Enum):
@@ -104,7 +105,7 @@
         self.number = 0
 
     async def start(self, name):
-        node = Node(name, self.cluster, self.rates[name])
+        node = Node(name, self.cluster, self.rates[name], journal_compact_bytes=300)
         self.nodes[name] = node
         self.scopes[name] = await self.tasks.start(node.run)
 
@@ -112,7 +113,7 @@
         async with anyio.create_task_group() as self.tasks:
             for name in NAMES:
                 await self.start(name)
-            await anyio.sleep(3)
+            await anyio.sleep(START_S)
             for step in steps:
                 await self.take(step)
             await self.heal()
