--- a/packages/skylarkferry-core/src/skylarkferry_core/partitions.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/partitions.py
@@ -1,6 +1,8 @@
 """Rows of nodes and partitions, and which node is to hold which partition."""
 
-from collections.abc import Iterable, Sequence
+from bisect import bisect_right
+from collections.abc import Iterable, Iterator
+from itertools import islice
 
 import msgspec
 import xxhash
@@ -98,24 +100,38 @@
     return xxhash.xxh64_intdigest(f"{subject}\x00{node}".encode())
 
 
-def target_of(subject: str, nodes: Iterable[NodeId]) -> NodeId | None:
-    """Return the node with the highest rendezvous weight, or ``None`` without nodes."""
-    return max(nodes, key=lambda node: weight(subject, node), default=None)
+def is_target(subject: str, node: NodeId, nodes: Iterable[NodeId]) -> bool:
+    """Tell whether ``node`` has the highest rendezvous weight of ``nodes``, which hold it."""
+    own = weight(subject, node)
+    return all(weight(subject, other) <= own for other in nodes)
 
 
-def watchers_of(subject: Peer, peers: Sequence[Peer], count: int) -> list[NodeId]:
-    """Return the nodes that watch a node's lease, those of other failure domains first."""
-    others = [peer for peer in peers if peer.node != subject.node]
-    ranked = sorted(
-        others,
-        key=lambda peer: (
-            peer.failure_domain == subject.failure_domain,
-            -weight(node_key(subject.node), peer.node),
-        ),
-    )
-    return [peer.node for peer in ranked[:count]]
+class WatchRing:
+    """Nodes on a ring by hash; each is watched by the next ones, of other failure domains first.
 
+    Found in linear time, as every node asks for it each second.
+    """
 
-def watched_by(node: NodeId, peers: Sequence[Peer], count: int) -> list[NodeId]:
-    """Return the nodes whose leases a node watches."""
-    return [peer.node for peer in peers if node in watchers_of(peer, peers, count)]
+    def __init__(self, peers: Iterable[Peer]) -> None:
+        self.ring = sorted(peers, key=lambda peer: weight(NODE_PREFIX, peer.node))
+
+    def watchers(self, subject: Peer, count: int) -> list[NodeId]:
+        """Return the watchers of a node, which need not be on the ring any more."""
+        others = self._others(subject)
+        apart = (peer for peer in others if peer.failure_domain != subject.failure_domain)
+        chosen = [peer.node for peer in islice(apart, count)]
+        near = (peer.node for peer in self._others(subject) if peer.node not in chosen)
+        return [*chosen, *islice(near, count - len(chosen))]
+
+    def _others(self, subject: Peer) -> Iterator[Peer]:
+        """Iterate the other nodes, clockwise from a node's place."""
+        own = weight(NODE_PREFIX, subject.node)
+        start = bisect_right(self.ring, own, key=lambda peer: weight(NODE_PREFIX, peer.node))
+        for step in range(len(self.ring)):
+            peer = self.ring[(start + step) % len(self.ring)]
+            if peer.node != subject.node:
+                yield peer
+
+    def watched_by(self, node: NodeId, count: int) -> list[NodeId]:
+        """Return the nodes that a node watches."""
+        return [peer.node for peer in self.ring if node in self.watchers(peer, count)]
--- a/packages/skylarkferry-core/src/skylarkferry_core/takeovers.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/takeovers.py
@@ -11,12 +11,11 @@
     NodeRow,
     PartitionRow,
     Peer,
+    WatchRing,
+    is_target,
     node_key,
     node_of,
     partition_key,
-    target_of,
-    watched_by,
-    watchers_of,
 )
 
 WATCHERS = 2
@@ -104,7 +103,8 @@
 
     def watched(self, view: ClusterView) -> list[NodeId]:
         """Return the nodes whose rows this node reads each time: neighbours and suspects."""
-        neighbours = watched_by(self.node, view.peers(), _watchers(len(view.nodes)))
+        ring = WatchRing(view.peers())
+        neighbours = ring.watched_by(self.node, _watchers(len(view.nodes)))
         suspects = self.suspects.intersection(view.nodes) - {self.node}
         return sorted({*neighbours, *suspects})
 
@@ -133,7 +133,8 @@
 
     def _takes(self, seen: SeenPartition, view: ClusterView) -> bool:
         key = partition_key(seen.partition)
-        if target_of(key, self._heirs(seen.row.owner, view)) == self.node:
+        heirs = self._heirs(seen.row.owner, view)
+        if self.node in heirs and is_target(key, self.node, heirs):
             return True
         return self.orphans.lapsed(key, seen.version)
 
@@ -142,7 +143,7 @@
         if owner == NOBODY:
             return sorted({*view.staying(), *(view.listed - view.leaving)})
         dead = Peer(node_of(owner), self.domains.get(node_of(owner), FailureDomain("")))
-        watchers = watchers_of(dead, view.peers(), _watchers(len(view.nodes)))
+        watchers = WatchRing(view.peers()).watchers(dead, _watchers(len(view.nodes)))
         heirs = {*watchers, dead.node}
         return [node for node in view.staying() if node in heirs]
 
@@ -151,14 +152,14 @@
         staying = view.staying()
         incarnations = view.incarnations()
         own = view.nodes.get(self.node)
-        if own is None:
+        if own is None or self.node in view.leaving:
             return []
         return [
             seen
             for seen in view.partitions.values()
             if seen.row.owner in incarnations
             and seen.row.owner != own.row.incarnation
-            and target_of(partition_key(seen.partition), staying) == self.node
+            and is_target(partition_key(seen.partition), self.node, staying)
         ]
 
     def _moves(self, view: ClusterView) -> list[SeenPartition]:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/collection.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/collection.py
@@ -14,10 +14,10 @@
     PARTITION_PREFIX,
     NodeRow,
     PartitionRow,
+    is_target,
     journal_index_key,
     segment_key,
     segment_prefix,
-    target_of,
 )
 from skylarkferry_core.segments import StoredSegment
 from skylarkferry_daemon.journal import TableJournal
@@ -59,7 +59,7 @@
         for row in index:
             incarnation = Incarnation(row.key.removeprefix(JOURNAL_INDEX_PREFIX))
             over = incarnation not in needed and incarnation not in nodes.values()
-            if over and target_of(row.key, nodes) == self.journal.lease.node:
+            if over and is_target(row.key, self.journal.lease.node, nodes):
                 await self._collect_journal(incarnation)
 
     async def _collect_own(self, own: Incarnation, first_needed: int) -> None:
