--- /dev/null
+++ b/tests/processes/test_outages.py
@@ -0,0 +1,49 @@
+"""Outages of the platform while programs run."""
+
+import time
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from processes.programs import sizing_body, start
+from processes.test_kills import assert_whole_and_once
+
+PROGRAMS = 6
+OUTAGE_S = 8.0
+IN_DOUBT = ("outcome_unknown", "platform_unavailable")
+
+
+@pytest.mark.parametrize("outage", ["refusing", "silent"])
+def test_programs_survive_an_outage_in_which_their_driver_dies(arusha, outage):
+    first, second = arusha.entries.values()
+    with first.client() as client:
+        ids = [start(client, f"{outage}-{number}") for number in range(PROGRAMS)]
+        arusha.set_platform_faults(outage=outage)
+        response = client.post("/v1/programs", json=sizing_body(f"{outage}-new", deadline_s=5))
+        assert_that(response.is_success, Equals(False))
+    time.sleep(OUTAGE_S)
+    first.process.kill()
+    arusha.set_platform_faults()
+    with second.client() as client:
+        for program_id in ids:
+            assert_whole_and_once(arusha, client, program_id)
+
+
+def start_again(client, key):
+    """Start a program and, as its caller is told to, send the same request again in doubt."""
+    while True:
+        response = client.post("/v1/programs", json=sizing_body(key))
+        if response.is_success:
+            return response.json()["program_id"]
+        assert_that(response.json()["code"] in IN_DOUBT, Equals(True))
+
+
+@pytest.mark.parametrize("loss", ["close", "gateway_timeout"])
+def test_lost_answers_of_the_platform_double_nothing(arusha, loss):
+    with arusha.entries["entry-1"].client() as client:
+        for number in range(PROGRAMS):
+            arusha.set_platform_faults(lose_answers=1, loss=loss)
+            program_id = start_again(client, f"{loss}-{number}")
+            arusha.set_platform_faults(lose_answers=1, loss=loss)
+            assert_whole_and_once(arusha, client, program_id)
