--- /dev/null
+++ b/tests/core/test_cache_beliefs.py
@@ -0,0 +1,61 @@
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, LessThan
+
+from policy import request
+from skylarkferry_core.cache_beliefs import CacheBeliefs
+from skylarkferry_core.ids import Fingerprint, ProgramId, UpstreamId
+from skylarkferry_core.messages import CacheEvent
+
+ENGINE = UpstreamId("u0")
+programs = st.sampled_from(["0000-a", "0000-b", "0000-c"])
+steps = st.one_of(
+    st.tuples(st.just("event"), programs, st.integers(0, 2_000)),
+    st.tuples(st.just("placed"), programs, st.integers(1, 2_000)),
+    st.tuples(st.just("released"), programs, st.just(0)),
+    st.tuples(st.just("lost"), programs, st.just(0)),
+)
+
+
+def apply(beliefs, kind, program, tokens, sequence):
+    if kind == "event":
+        beliefs.observe(ENGINE, CacheEvent(sequence, ProgramId(program), tokens))
+    elif kind == "placed":
+        beliefs.placed(ENGINE, request(program, prompt=tokens))
+    elif kind == "released":
+        beliefs.released(ProgramId(program))
+    else:
+        beliefs.lost(ENGINE)
+
+
+@given(st.lists(steps, max_size=20))
+def test_beliefs_agree_with_a_plain_mapping(script):
+    beliefs, naive = CacheBeliefs(), {}
+    for sequence, (kind, program, tokens) in enumerate(script, 1):
+        apply(beliefs, kind, program, tokens, sequence)
+        if kind == "lost":
+            naive.clear()
+        naive[program] = tokens
+    for program in ("0000-a", "0000-b", "0000-c"):
+        belief = beliefs.belief(ENGINE, request(program))
+        assert_that(belief.tokens, Equals(naive.get(program, 0)))
+
+
+def test_a_gap_lowers_trust_and_order_restores_it():
+    beliefs = CacheBeliefs()
+    for sequence in (1, 2, 5):
+        beliefs.observe(ENGINE, CacheEvent(sequence, ProgramId("0000-a"), 100))
+    assert_that(beliefs.belief(ENGINE, request()).trust, Equals(0.5))
+    for sequence in range(6, 31):
+        beliefs.observe(ENGINE, CacheEvent(sequence, ProgramId("0000-a"), 100))
+    assert_that(1.0 - beliefs.belief(ENGINE, request()).trust, LessThan(1e-9))
+
+
+def test_a_shared_prefix_counts_for_every_program():
+    beliefs = CacheBeliefs()
+    event = CacheEvent(1, ProgramId(""), 700, prefix=Fingerprint("instructions"))
+    beliefs.observe(ENGINE, event)
+    other = request("0000-new", prefix="instructions")
+    assert_that(beliefs.belief(ENGINE, other).tokens, Equals(700))
+    assert_that(beliefs.belief(ENGINE, request("0000-new")).tokens, Equals(0))
