Wait through an outage of all upstreams instead of giving calls up

Cause: in the fault where all engines are gone for 15 s, 17% of the programs in Arusha and 9% in Lisboa failed after they were accepted: the retry budget and six attempts were spent within three seconds. They are there to spare upstreams, and there was none to spare.

`RetryPolicy.outage_delay_s` gives jittered tries up to the deadline while no upstream is live.

Broken variants on which the test fails: a constant delay (0.5 instead of up to 4 s), and one that ignores the deadline (a delay is not None).

--- a/packages/skylarkferry-bench/src/skylarkferry_bench/entries.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/entries.py
@@ -51,6 +51,7 @@
         self.prompt_tokens = spec.prefix_tokens + spec.input_tokens
         self.last_upstream = UpstreamId("")
         self.attempts = 0
+        self.outage_tries = 0
         self.kv_token_s = 0.0
         self.held_s = 0.0
 
@@ -273,6 +274,10 @@
     def _retry_delay_s(self, program: Program, run: Run) -> float | None:
         if self.policy.jitters:
             remaining_s = program.remaining_s(self.clock.now)
+            if not self.views.any_live(self.clock.now):
+                run.outage_tries += 1
+                run.attempts = 1
+                return self.retries.outage_delay_s(run.outage_tries, remaining_s)
             return self.retries.delay_s(RetryRequest(run.attempts, remaining_s))
         if run.attempts >= _PLAIN_ATTEMPTS:
             return None
@@ -312,6 +317,7 @@
         self.capacity.progressed(prefill_s + decode_s)
         program.calls += 1
         run.attempts = 0
+        run.outage_tries = 0
         run.prompt_tokens = tokens
         self._follow(program, run)
 
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/views.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/views.py
@@ -65,6 +65,10 @@
         shares = self.shares(now)
         return [self._candidate(view, request, now, shares) for view in self.views.values()]
 
+    def any_live(self, now: float) -> bool:
+        """Return whether some upstream is live."""
+        return any(view.state(now) is UpstreamState.LIVE for view in self.views.values())
+
     def sent(self, name: UpstreamId, request: PlacementRequest, prefill: int, now: float) -> None:
         """Note an order on its way."""
         self.views[name].sent.append((now, prefill))
--- a/packages/skylarkferry-core/src/skylarkferry_core/retries.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/retries.py
@@ -10,6 +10,7 @@
 _BUDGET_RESERVE = 10.0
 _BUDGET_CAPACITY = 100.0
 _MAX_ATTEMPTS = 6
+_MAX_DOUBLINGS = 16
 
 
 class RetryBudget:
@@ -74,8 +75,20 @@
         """Return the seconds to wait before the next attempt, or ``None`` to give up at once."""
         if request.attempts >= self.max_attempts:
             return None
-        ceiling_s = min(self.base_s * 2 ** (request.attempts - 1), self.max_s)
-        delay_s = request.retry_after_s + self.random.uniform(0.0, ceiling_s)
+        delay_s = request.retry_after_s + self._jitter_s(request.attempts)
         if delay_s + request.expected_s > request.remaining_s:
             return None
         return delay_s if self.budget.withdraw() else None
+
+    def outage_delay_s(self, tries: int, remaining_s: float) -> float | None:
+        """Return the seconds to the next try while no upstream is live, or ``None`` past the end.
+
+        Nothing is sent to an upstream that could be overloaded by it, so neither the attempts nor
+        the budget bound these tries; the deadline does.
+        """
+        delay_s = self._jitter_s(tries)
+        return delay_s if delay_s < remaining_s else None
+
+    def _jitter_s(self, attempts: int) -> float:
+        ceiling_s = min(self.base_s * 2 ** min(attempts - 1, _MAX_DOUBLINGS), self.max_s)
+        return self.random.uniform(0.0, ceiling_s)
--- a/tests/core/test_admissions.py
+++ b/tests/core/test_admissions.py
@@ -104,6 +104,15 @@
         assert_that(delay_s, LessThan(remaining - 1.0 + 1e-9))
 
 
+def test_an_outage_spends_no_budget_and_ends_at_the_deadline():
+    policy = RetryPolicy(Random(1), RetryBudget(reserve=0.0), base_s=0.5, max_s=4.0)
+    delays = [policy.outage_delay_s(tries, remaining_s=100.0) for tries in range(1, 200)]
+    assert_that(max(delays), LessThan(4.0))
+    assert_that(3.0, LessThan(max(delays)))
+    assert_that(max(delays[:1]), LessThan(0.5))
+    assert_that(policy.outage_delay_s(9, remaining_s=0.0), Is(None))
+
+
 def test_capacity_follows_the_measured_rate_only_while_calls_wait():
     estimate = CapacityEstimate(time_constant_s=10.0)
     assert_that(estimate.update(8.0, True, 0.0), Equals(8.0))
