Refuse at once while the platform is down, and leave silent engines

Cause: in an outage longer than a lease every start waited 15 s for an owner that no partition can get: 24 refused starts took 356 s, and the programs under way passed their deadline meanwhile. Engines that went silent in a turn held it for up to 600 s. Before: test_an_outage_of_the_platform_refuses_new_programs_and_loses_no_old_one failed after 359 s (deadline passed). After: passed, 23 s with the keyed-call test. Also proved with real processes: lost tool answers, a crash in an order, a driver killed while its order hangs, lost answers of the platform, silent engines, keyed service calls through two entries: 7 passed.

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/admitting.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/admitting.py
@@ -44,7 +44,7 @@
 
     def admit(self, program_id: ProgramId, request: ProgramRequest, now: float) -> None:
         """Count a program in, or raise the typed refusal; nothing of a refused one ever runs."""
-        self._check_platform()
+        self.check_platform()
         if self.under_way.total() >= self.capacity:
             raise OverloadedError("the node drives all it can", retry_after_s=RETRY_AFTER_S)
         if request.service is not None:
@@ -67,7 +67,8 @@
         self.context.admission.settle(customer, charged - program.budget.spent.tokens)
         self.context.admission.ended(program.program_id)
 
-    def _check_platform(self) -> None:
+    def check_platform(self) -> None:
+        """Raise ``PlatformUnavailableError`` while writes are not confirmed."""
         if self.context.journal.stalled_s() > STALLED_JOURNAL_S:
             raise PlatformUnavailableError(
                 "the platform does not confirm writes", retry_after_s=OUTAGE_RETRY_S
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/forwarding.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/forwarding.py
@@ -76,6 +76,7 @@
 
     async def start(self, request: ProgramRequest) -> ProgramView:
         """Start a program at its owner; the key makes a repeat after a lost answer harmless."""
+        self.directory.admitter.check_platform()
         partition = self._home(request)
         return await self._at_owner(
             partition,
@@ -136,6 +137,7 @@
         """Relay a request to a plain service; with a key it runs at most once."""
         if not request.idempotency_key:
             return await self.relay.relay(request)
+        self.directory.admitter.check_platform()
         program = service_program(request)
         return await self._at_owner(
             self._home(program),
@@ -174,7 +176,10 @@
         request: Any,
         timeout_s: float = FORWARD_TIMEOUT_S,
     ) -> Reply:
-        """Run at the owner; while the partition moves, wait for its next owner."""
+        """Run at the owner; while the partition moves, wait for its next owner.
+
+        While the platform is down no partition finds an owner: the request is refused at once.
+        """
         give_up_at = anyio.current_time() + OWNER_WAIT_S
         while True:
             try:
@@ -182,6 +187,7 @@
                     return await local()
                 return await self._call_owner(partition, method, request, timeout_s)
             except (NotOwnerError, ConnectionLostError):
+                self.directory.admitter.check_platform()
                 if anyio.current_time() >= give_up_at:
                     raise
             await anyio.sleep(OWNER_POLL_S)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/settings.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/settings.py
@@ -135,7 +135,10 @@
 class SidecarSettings(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="role", tag="sidecar"
 ):
-    """Settings of a sidecar process."""
+    """Settings of a sidecar process.
+
+    A model engine that sends nothing for ``silence_s`` seconds of a turn has lost the connection.
+    """
 
     upstream: UpstreamId
     pool: PoolName
@@ -147,6 +150,7 @@
     slots: Count = 16
     queue_limit: Count = 1_000
     outcomes_kept: Count = 100_000
+    silence_s: Seconds = 20.0
     frame_interval_s: Seconds = 0.015
     heartbeat_s: Seconds = 1.0
     kv_sweep_s: Seconds = 10.0
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
@@ -4,6 +4,7 @@
 from contextlib import AsyncExitStack
 
 import anyio
+import httpx
 from anyio.abc import TaskGroup
 
 from skylarkferry_core.events import EventKind
@@ -60,7 +61,7 @@
     async def _start(self, stack: AsyncExitStack, tasks: TaskGroup) -> CallRunner:
         """Build the parts and open the servers."""
         state = self.state
-        client = await stack.enter_async_context(new_client(self.settings.upstream_url))
+        client = await stack.enter_async_context(self._new_client())
         holds = KvHolds(self.settings.kv_unclaimed_s)
         keeper = KvKeeper(client, holds, state)
         adapter = adapter_for(self.settings.kind, client)
@@ -73,6 +74,11 @@
         await self._serve_rpc(SidecarService(state, runner, keeper, self.stop), stack)
         return runner
 
+    def _new_client(self) -> httpx.AsyncClient:
+        """Return the upstream's client; only engines send something all the time."""
+        silence_s = self.settings.silence_s if self.settings.kind is PoolKind.MODEL else None
+        return new_client(self.settings.upstream_url, silence_s)
+
     def _subscribe(self, runner: CallRunner, keeper: KvKeeper, reports: EngineReports) -> None:
         """Set the periodic work up."""
         timers = self.state.timers
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/upstream_adapters.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/upstream_adapters.py
@@ -54,11 +54,14 @@
     }
 
 
-def new_client(upstream_url: str) -> httpx.AsyncClient:
-    """Return a client without idle connections, which could close under an order."""
+def new_client(upstream_url: str, silence_s: float | None = None) -> httpx.AsyncClient:
+    """Return a client without idle connections, which could close under an order.
+
+    An upstream that sends nothing for ``silence_s`` seconds counts as a broken connection.
+    """
     return httpx.AsyncClient(
         base_url=upstream_url,
-        timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S),
+        timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S, read=silence_s),
         limits=httpx.Limits(max_connections=None, max_keepalive_connections=0),
         trust_env=False,
     )
