--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
@@ -4,6 +4,7 @@
 from contextlib import AsyncExitStack
 
 import anyio
+import httpx
 from anyio.abc import TaskGroup
 
 from skylarkferry_core.events import EventKind
@@ -12,6 +13,7 @@
 from skylarkferry_core.messages import SidecarHeartbeat, StateNotice
 from skylarkferry_core.states import PoolKind
 from skylarkferry_daemon.call_runner import CallRunner
+from skylarkferry_daemon.crash_watch import CrashWatch
 from skylarkferry_daemon.engine_reports import EngineReports
 from skylarkferry_daemon.kv_keeper import KvKeeper
 from skylarkferry_daemon.settings import SidecarSettings
@@ -59,12 +61,12 @@
     async def _start(self, stack: AsyncExitStack, tasks: TaskGroup) -> CallRunner:
         """Build the parts and open the servers."""
         state = self.state
-        client = await stack.enter_async_context(new_client(self.settings.upstream_url))
+        client = await stack.enter_async_context(self._new_client())
         holds = KvHolds(self.settings.kv_unclaimed_s)
         keeper = KvKeeper(client, holds, state)
         adapter = adapter_for(self.settings.kind, client)
-        probe = UpstreamProbe(self.settings.upstream_url)
-        runner = CallRunner(state, adapter, probe, keeper, tasks)
+        crash_watch = CrashWatch(state, UpstreamProbe(self.settings.upstream_url))
+        runner = CallRunner(state, adapter, crash_watch, keeper, tasks)
         tasks.start_soon(state.timers.run, tasks)
         self._subscribe(runner, keeper, EngineReports(client, state))
         app = metrics_app(SidecarCollector(state))
@@ -72,11 +74,16 @@
         await self._serve_rpc(SidecarService(state, runner, keeper, self.stop), stack)
         return runner
 
+    def _new_client(self) -> httpx.AsyncClient:
+        """Return the upstream's client; only engines send something all the time."""
+        silence_s = self.settings.silence_s if self.settings.kind is PoolKind.MODEL else None
+        return new_client(self.settings.upstream_url, silence_s)
+
     def _subscribe(self, runner: CallRunner, keeper: KvKeeper, reports: EngineReports) -> None:
         """Set the periodic work up."""
         timers = self.state.timers
         timers.every(self.settings.heartbeat_s, self._beat)
-        timers.every(self.settings.heartbeat_s, runner.check_reachable)
+        timers.every(self.settings.heartbeat_s, runner.crash_watch.check_reachable)
         timers.every(EXPIRE_INTERVAL_S, self._expire)
         if self.settings.kind is PoolKind.MODEL:
             timers.every(ENGINE_POLL_S, reports.poll)
