Keep "never ran" over an acknowledgement, and mark the generated tests for make soak

Cause: with 10,000 examples test_lost_repeated_and_reordered_frames... failed: a call that was refused while it waited, then acknowledged, was answered "unknown" by a later seal ("UNKNOWN is SEALED"). Never wrong, but less than what is certain. The acknowledged id of a call that never ran is kept with the seals now. 200 examples had not found it.

--- a/packages/skylarkferry-core/src/skylarkferry_core/calls.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/calls.py
@@ -234,8 +234,7 @@
         for call_id in call_ids:
             call = self.calls.get(call_id)
             if call is not None and call.state is CallState.ENDED:
-                self._drop(call_id)
-                self._remember_acknowledged(call)
+                self._forget_acknowledged(call)
             if call_id in self.expired:
                 del self.expired[call_id]
                 self.unsettled -= 1
@@ -243,9 +242,16 @@
         while len(self.acknowledged) > self.limits.outcomes_kept:
             del self.acknowledged[next(iter(self.acknowledged))]
 
-    def _remember_acknowledged(self, call: Call) -> None:
-        if not call.order.repeatable:
-            self.acknowledged[call.order.call_id] = None
+    def _forget_acknowledged(self, call: Call) -> None:
+        """Keep the id alone; of a call that never ran, also that it never will."""
+        call_id = call.order.call_id
+        self._drop(call_id)
+        if call.order.repeatable:
+            return
+        if _never_ran(call) and len(self.sealed) < self.limits.outcomes_kept:
+            self.sealed[call_id] = call.ended_at
+        else:
+            self.acknowledged[call_id] = None
 
     def expire(self, now: float) -> None:
         """Drop outcomes older than the retention; ids of unrepeatable calls stay."""
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
@@ -26,8 +26,6 @@
     Hello,
     Outcome,
     ReleaseProgram,
-    SealReply,
-    SealRequest,
     SidecarBatch,
     SidecarFrame,
     SidecarHeartbeat,
@@ -40,15 +38,13 @@
 from skylarkferry_daemon.quarantine import Quarantine
 from skylarkferry_daemon.timers import TimerService
 from skylarkferry_wire.cancellation import awaited
-from skylarkferry_wire.clients import call, open_channel, open_stream
-from skylarkferry_wire.methods import SIDECAR_SEAL, SIDECAR_STREAM
+from skylarkferry_wire.clients import open_channel, open_stream
+from skylarkferry_wire.methods import SIDECAR_STREAM
 
 CONNECT_TIMEOUT_S = 2.0
 RECONNECT_S = 0.1
 MAX_RECONNECT_S = 1.0
 LOST_AFTER_S = 3.0
-SEAL_TIMEOUT_S = 2.0
-SEAL_TRIES = 3
 RELIABLE_FRAMES_KEPT = 100_000
 
 ReliableFrame = Acknowledge | ReleaseProgram
@@ -281,22 +277,3 @@
         self.reliable.append((self.beats + 1, frame))
         del self.reliable[:-RELIABLE_FRAMES_KEPT]
         self._push(frame)
-
-    async def seal(self, request: SealRequest) -> SealReply:
-        """Settle whether a call ran; each try opens a new channel."""
-        for attempt in range(SEAL_TRIES):
-            try:
-                return await self._seal_once(request)
-            except UpstreamLostError:
-                if attempt == SEAL_TRIES - 1:
-                    raise
-            await anyio.sleep(RECONNECT_S)
-        raise AssertionError
-
-    async def _seal_once(self, request: SealRequest) -> SealReply:
-        async with AsyncExitStack() as stack:
-            channel = open_channel(self.host.address)
-            stack.push_async_callback(channel.close)
-            reply = await call(channel, SIDECAR_SEAL, request, SEAL_TIMEOUT_S)
-        assert isinstance(reply, SealReply)
-        return reply
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/links.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/links.py
@@ -39,6 +39,7 @@
 from skylarkferry_daemon.link import Link
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_daemon.quarantine import Quarantine
+from skylarkferry_daemon.seal_requests import seal_at
 from skylarkferry_daemon.timers import TimerService
 
 HEARTBEAT_S = 1.0
@@ -222,7 +223,7 @@
 
     async def seal(self, upstream: UpstreamId, request: SealRequest) -> SealReply:
         """Settle whether a call ran; raise ``UpstreamLostError`` when nobody answers."""
-        return await self._link(upstream).seal(request)
+        return await seal_at(self._link(upstream).host.address, request)
 
     def _link(self, upstream: UpstreamId) -> Link:
         link = self.links.get(upstream)
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools.assertions import assert_that
@@ -135,6 +136,7 @@
 )
 
 
+@pytest.mark.soak
 @given(sessions_by_life)
 def test_lost_repeated_and_reordered_frames_never_run_a_call_twice(sessions):
     naive = NaiveSystem()
@@ -148,6 +150,7 @@
 bound_steps = st.tuples(st.sampled_from("ab"), st.sampled_from(["dispatch", "run", "ack"]))
 
 
+@pytest.mark.soak
 @given(st.lists(bound_steps, max_size=40))
 def test_at_the_bound_no_unacknowledged_outcome_is_forgotten(session):
     table = new_table(outcomes_kept=1, slots=1)
--- a/tests/core/test_kv_holds.py
+++ b/tests/core/test_kv_holds.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools.assertions import assert_that
@@ -49,6 +50,7 @@
 )
 
 
+@pytest.mark.soak
 @given(st.lists(steps, max_size=30))
 def test_after_the_last_step_everything_is_freed_in_bounded_time(session):
     holds, now, running = KvHolds(UNCLAIMED_S), 0, []
