--- a/packages/skylarkferry-client/src/skylarkferry_client/main.py
+++ b/packages/skylarkferry-client/src/skylarkferry_client/main.py
@@ -1,6 +1,7 @@
 """Entry point of ``skylarkferry``."""
 
 import sys
+from collections.abc import Sequence
 
 import fire
 
@@ -8,10 +9,10 @@
 from skylarkferry_client.failures import CommandError
 
 
-def main() -> None:
+def main(arguments: Sequence[str] | None = None) -> None:
     """Dispatch the command line; a failure prints one message and sets the exit code."""
     try:
-        fire.Fire(Commands, name="skylarkferry")
+        fire.Fire(Commands, command=arguments, name="skylarkferry")
     except CommandError as error:
         print(f"skylarkferry: {error}", file=sys.stderr)
         sys.exit(int(error.exit_code))
--- a/packages/skylarkferry-client/src/skylarkferry_client/tables.py
+++ b/packages/skylarkferry-client/src/skylarkferry_client/tables.py
@@ -13,15 +13,19 @@
 from skylarkferry_core.clocks import wall_of
 from skylarkferry_core.messages import CallView, EventView, HostView, ProgramView
 
+TABLE_CHARACTERS = 1_000
 _MICROS_PER_UNIT = 1_000_000
 
 
 class Printer:
-    """Writes replies to standard output, and progress and failures to standard error."""
+    """Writes replies to standard output and progress to standard error.
+
+    Tables are as wide as their content, since a shortened id is of no use.
+    """
 
     def __init__(self, as_json: bool) -> None:
         self.as_json = as_json
-        self.out = Console(file=sys.stdout, highlight=False, soft_wrap=True)
+        self.out = Console(file=sys.stdout, highlight=False, width=TABLE_CHARACTERS)
         self.err = Console(file=sys.stderr, highlight=False, soft_wrap=True)
 
     def reply(self, reply: Any, *tables: Table) -> None:
@@ -116,4 +120,4 @@
 
 
 def _units(micros: int) -> str:
-    return f"{micros / _MICROS_PER_UNIT:g}"
+    return f"{micros / _MICROS_PER_UNIT:.6f}".rstrip("0").rstrip(".")
