--- a/packages/skylarkferry-bench/src/skylarkferry_bench/__main__.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/__main__.py
@@ -18,6 +18,7 @@
 )
 from skylarkferry_bench.policies import FULL
 from skylarkferry_bench.slopes import slopes
+from skylarkferry_bench.takeover_times import takeovers
 from skylarkferry_bench.workloads import WORKLOADS
 
 _SEEDS = 10
@@ -51,7 +52,7 @@
     sys.stdout.write(f"### {title}\n\n{text}\n")
 
 
-COMMANDS = {"run": run, "slopes": slopes, "overhead": overhead}
+COMMANDS = {"run": run, "slopes": slopes, "overhead": overhead, "takeovers": takeovers}
 
 if __name__ == "__main__":
     fire.Fire(COMMANDS)
