--- a/packages/skylarkferry-bench/src/skylarkferry_bench/entries.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/entries.py
@@ -5,73 +5,26 @@
 from random import Random
 
 from skylarkferry_bench.caches import CacheKey
+from skylarkferry_bench.call_plans import CallPlans
 from skylarkferry_bench.clocks import VirtualClock
 from skylarkferry_bench.engines import EngineCall
-from skylarkferry_bench.estimates import ProgramEstimates
 from skylarkferry_bench.measures import Recorder
 from skylarkferry_bench.policies import Policy
+from skylarkferry_bench.programs import Program, Run
 from skylarkferry_bench.upstreams import Upstream
 from skylarkferry_bench.views import Views
-from skylarkferry_bench.workloads import ProgramSpec, RunSpec, TurnSpec, Workload
-from skylarkferry_core.admissions import ADMISSIONS, AdmissionRequest
-from skylarkferry_core.capacities import CapacityEstimate
-from skylarkferry_core.ids import (
-    CallId,
-    Epoch,
-    Fingerprint,
-    ModelName,
-    PartitionNumber,
-    RunId,
-    ToolName,
-    UpstreamId,
-)
-from skylarkferry_core.interfaces import Candidate, PlacementRequest
-from skylarkferry_core.messages import Fence, ModelWork, Order
-from skylarkferry_core.placements import PLACEMENTS, usable, wait_s
-from skylarkferry_core.retention import PauseEstimates, Retention
+from skylarkferry_bench.workloads import ProgramSpec, TurnSpec, Workload
+from skylarkferry_core.admissions import ADMISSIONS
+from skylarkferry_core.ids import RunId, ToolName, UpstreamId
+from skylarkferry_core.interfaces import PlacementRequest
+from skylarkferry_core.messages import Order
+from skylarkferry_core.placements import PLACEMENTS
 from skylarkferry_core.retries import RetryBudget, RetryPolicy, RetryRequest
 from skylarkferry_core.states import Priority
 
 HOP_S = 0.001
 _PLAIN_BACKOFF_S = 0.1
 _PLAIN_ATTEMPTS = 6
-_EXPECTED_PAUSE_S = 2.0
-_NO_WORK = ModelWork(ModelName("model"), (), (), 0)
-_FENCE = Fence(PartitionNumber(0), Epoch(1))
-
-
-class Run:
-    """A conversation under way."""
-
-    def __init__(self, spec: RunSpec, run_id: RunId, parent: "Run | None") -> None:
-        self.spec = spec
-        self.run_id = run_id
-        self.parent = parent
-        self.turn = 0
-        self.prompt_tokens = spec.prefix_tokens + spec.input_tokens
-        self.last_upstream = UpstreamId("")
-        self.attempts = 0
-        self.outage_tries = 0
-        self.kv_token_s = 0.0
-        self.held_s = 0.0
-
-
-class Program:
-    """A program under way; ``work_s`` is the time its calls and pauses took without waiting."""
-
-    def __init__(self, spec: ProgramSpec, accepted_at: float) -> None:
-        self.spec = spec
-        self.accepted_at = accepted_at
-        self.work_s = 0.0
-        self.slot_s = 0.0
-        self.calls = 0
-        self.runs = 0
-        self.closed = False
-        self.upstreams: set[UpstreamId] = set()
-
-    def remaining_s(self, now: float) -> float:
-        """Return the seconds to the deadline."""
-        return self.accepted_at + self.spec.deadline_s - now
 
 
 OnLost = Callable[[ProgramSpec, float | None], None]
@@ -102,18 +55,14 @@
         self.views = views
         self.recorder = recorder
         self.on_lost = on_lost
-        self.nodes = nodes
         self.placement = PLACEMENTS[policy.placement](random)
         self.admission = ADMISSIONS[policy.admission]()
-        self.capacity = CapacityEstimate()
-        self.retention = Retention()
-        self.pauses = PauseEstimates()
-        self.estimates = ProgramEstimates()
+        self.plans = CallPlans(workload, policy, views, nodes)
         self.retries = RetryPolicy(random, RetryBudget())
 
     def start(self, spec: ProgramSpec) -> None:
         """Admit or refuse a program."""
-        refusal = self.admission.admit(self._admission_request(spec), self.clock.now)
+        refusal = self.admission.admit(self.plans.admission(spec, self.clock.now), self.clock.now)
         if refusal is not None:
             self.recorder.refused(spec, self.clock.now)
             self.on_lost(spec, refusal.retry_after_s)
@@ -123,41 +72,6 @@
             self.clock.after(spec.deadline_s, lambda: self._cut(program))
         self._turn(program, Run(spec.root, RunId("0"), None))
 
-    def _admission_request(self, spec: ProgramSpec) -> AdmissionRequest:
-        root = spec.root
-        tokens = root.prefix_tokens + root.input_tokens
-        request = self._placement_request(spec, Run(root, RunId("0"), None), tokens)
-        found = usable(request, self.views.candidates(request, self.clock.now))
-        return AdmissionRequest(
-            customer=spec.customer,
-            deadline_s=spec.deadline_s,
-            expected_s=self.estimates.work_s.get(spec.kind),
-            wait_s=min((wait_s(item) for item in found), default=spec.deadline_s),
-            expected_calls=self.estimates.calls.get(spec.kind),
-            program_id=spec.program_id,
-            work_s=self.estimates.slot_s.get(spec.kind),
-            capacity=self._capacity(found),
-        )
-
-    def _capacity(self, found: list[Candidate]) -> float:
-        nominal = sum(item.load.slots for item in found) / self.nodes
-        waiting = sum(item.load.queued > 0 for item in found)
-        return self.capacity.update(nominal, waiting >= len(found) / 2, self.clock.now)
-
-    def _placement_request(
-        self, spec: ProgramSpec, run: Run, prompt_tokens: int
-    ) -> PlacementRequest:
-        return PlacementRequest(
-            program_id=spec.program_id,
-            prompt_tokens=prompt_tokens,
-            output_tokens=int(self.estimates.output_tokens.get(run.spec.agent)),
-            failure_domain=self.workload.site.failure_domains[0],
-            last_upstream=run.last_upstream,
-            run_id=run.run_id,
-            prefix=run.spec.prefix,
-            prefix_tokens=run.spec.prefix_tokens,
-        )
-
     def _cut(self, program: Program) -> None:
         """End a program whose deadline passed; its call still runs to the end."""
         if not program.closed:
@@ -167,7 +81,7 @@
         if program.closed:
             return
         now = self.clock.now
-        request = self._placement_request(program.spec, run, run.prompt_tokens)
+        request = self.plans.placement(program.spec, run)
         candidates = self.views.candidates(request, now)
         name = self.placement.place(request, candidates, self.workload.site)
         run.attempts += 1
@@ -178,7 +92,7 @@
             return
         chosen = next(item for item in candidates if item.upstream == name)
         prefill = request.prompt_tokens - int(chosen.cached_tokens * chosen.cache_trust)
-        order = self._order(program, run, request, prefill)
+        order = self.plans.order(program, run, request, prefill, now)
         call = self._call(program, run, request, order)
         self.views.sent(name, request, prefill, now)
         self._leave(program, run, name)
@@ -194,40 +108,6 @@
             program_id = program.spec.program_id
             self.clock.after(HOP_S, lambda: old.release(program_id, run.run_id))
 
-    def _order(self, program: Program, run: Run, request: PlacementRequest, prefill: int) -> Order:
-        spec = program.spec
-        now = self.clock.now
-        left_s = max(self.estimates.work_s.get(spec.kind) - program.work_s, 0.0)
-        remaining_s = program.remaining_s(now)
-        return Order(
-            call_id=CallId(f"{spec.program_id}/{run.run_id}/{run.turn}.0.{run.attempts}"),
-            program_id=spec.program_id,
-            customer=spec.customer,
-            fence=_FENCE,
-            priority=spec.priority,
-            repeatable=True,
-            remaining_s=remaining_s,
-            slack_s=remaining_s - left_s,
-            timeout_s=remaining_s,
-            fingerprint=Fingerprint(""),
-            work=_NO_WORK,
-            keep_kv_s=self._keep_s(run, request),
-            prefill_tokens=prefill,
-            output_tokens=request.output_tokens,
-            cached_tokens=max(request.prompt_tokens - prefill - request.prefix_tokens, 0),
-            typical_tokens=int(self.estimates.typical_tokens.get(run.spec.agent)),
-        )
-
-    def _keep_s(self, run: Run, request: PlacementRequest) -> float:
-        if not self.policy.retains:
-            return 0.0
-        pause = self.pauses.pause(ToolName(run.spec.agent), _EXPECTED_PAUSE_S)
-        name = run.last_upstream
-        tokens = request.prompt_tokens + request.output_tokens - request.prefix_tokens
-        speed = self.views.speeds.speed(name)
-        view = next(iter(self.views.views.values())) if not name else self.views.views[name]
-        return self.retention.keep_s(pause, tokens, speed, view.load)
-
     def _call(
         self, program: Program, run: Run, request: PlacementRequest, order: Order
     ) -> EngineCall:
@@ -293,32 +173,8 @@
     def _ended(
         self, program: Program, run: Run, request: PlacementRequest, call: EngineCall
     ) -> None:
-        now = self.clock.now
-        tokens = call.prompt_tokens + call.output_tokens
-        decode_s = now - call.first_token_at
-        prefill_s = call.first_token_at - call.started_at
-        self.views.beliefs.finished(run.last_upstream, request, tokens)
-        self.views.speeds.observe(
-            run.last_upstream,
-            call.prompt_tokens - call.cached_tokens,
-            prefill_s,
-            call.output_tokens,
-            decode_s,
-        )
-        self.estimates.output_tokens.observe(run.spec.agent, call.output_tokens)
-        program.work_s += prefill_s + decode_s
-        turn = run.spec.turns[run.turn]
-        held_tokens = tokens - run.spec.prefix_tokens
-        kv_token_s = held_tokens * (prefill_s + decode_s + turn.pause_s)
-        program.slot_s += prefill_s + decode_s
-        run.kv_token_s += kv_token_s
-        run.held_s += prefill_s + decode_s + turn.pause_s
-        self.admission.progressed(program.spec.program_id, prefill_s + decode_s)
-        self.capacity.progressed(prefill_s + decode_s)
-        program.calls += 1
-        run.attempts = 0
-        run.outage_tries = 0
-        run.prompt_tokens = tokens
+        slot_s = self.plans.learn_call(program, run, request, call, self.clock.now)
+        self.admission.progressed(program.spec.program_id, slot_s)
         self._follow(program, run)
 
     def _follow(self, program: Program, run: Run) -> None:
@@ -329,7 +185,7 @@
         turn = run.spec.turns[run.turn]
         run.turn += 1
         if run.turn == len(run.spec.turns):
-            self.estimates.typical_tokens.observe(run.spec.agent, run.kv_token_s / run.held_s)
+            self.plans.learn_run(run)
         if run.parent is None and program.spec.abandon_turn == run.turn - 1:
             self.recorder.abandoned(program.spec)
             self._close(program)
@@ -352,16 +208,13 @@
         self._turn(program, parent)
 
     def _resume(self, program: Program, run: Run, turn: TurnSpec) -> None:
-        self.pauses.observe(ToolName(run.spec.agent), turn.pause_s)
+        self.plans.pauses.observe(ToolName(run.spec.agent), turn.pause_s)
         run.prompt_tokens += turn.result_tokens
         self._turn(program, run)
 
     def _end(self, program: Program) -> None:
-        spec = program.spec
-        self.recorder.ended(spec, self.clock.now)
-        self.estimates.work_s.observe(spec.kind, program.work_s)
-        self.estimates.slot_s.observe(spec.kind, program.slot_s)
-        self.estimates.calls.observe(spec.kind, program.calls)
+        self.recorder.ended(program.spec, self.clock.now)
+        self.plans.learn_program(program)
         self._close(program)
 
     def _close(self, program: Program) -> None:
