Allot the first budget with the acceptance, and order the time line by cause

Cause: a program's first call waited for a table write of its allotment although its acceptance had just been durable; events of processes were stamped by wall clocks alone, so an effect could sort before its cause; event 206 was in the catalogue and never emitted. The acceptance now carries the first eighth of the budget, and batches of streams carry a hybrid logical time.

--- a/packages/skylarkferry-core/src/skylarkferry_core/budgets.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/budgets.py
@@ -59,13 +59,14 @@
 class BudgetLedger:
     """Account of one program and its sub-agents.
 
+    The first allotment comes with the program's acceptance, which is durable before any call.
     Invariant: spent + reserved <= allotted <= budget, in tokens and in cost.
     """
 
     def __init__(self, budget: Budget) -> None:
         self.limit = Amount(budget.tokens, budget.cost_micros)
         self.max_turns = budget.turns
-        self.allotted = Amount()
+        self.allotted = self._part()
         self.spent = Amount()
         self.turns = 0
         self.reservations: dict[CallId, Amount] = {}
@@ -93,11 +94,14 @@
             raise BudgetExhaustedError("the budget does not cover the next call")
         if self.allotted.covers(wanted):
             return None
-        part = Amount(
+        return wanted.at_least(self.allotted.plus(self._part())).at_most(self.limit)
+
+    def _part(self) -> Amount:
+        """Return what one allotment adds at least."""
+        return Amount(
             self.limit.tokens // ALLOTMENT_PARTS,
             self.limit.cost_micros // ALLOTMENT_PARTS,
         )
-        return wanted.at_least(self.allotted.plus(part)).at_most(self.limit)
 
     def allot(self, total: Amount) -> None:
         """Take a journaled allotment."""
--- a/packages/skylarkferry-core/src/skylarkferry_core/messages.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/messages.py
@@ -264,9 +264,10 @@
 
 
 class EntryBatch(msgspec.Struct, frozen=True):
-    """What an entry sends at once."""
+    """What an entry sends at once, at a hybrid logical time."""
 
     frames: tuple[EntryFrame, ...]
+    time: int = 0
 
 
 # Frames from a sidecar to an entry.
@@ -327,9 +328,10 @@
 
 
 class SidecarBatch(msgspec.Struct, frozen=True):
-    """What a sidecar sends at once."""
+    """What a sidecar sends at once, at a hybrid logical time."""
 
     frames: tuple[SidecarFrame, ...]
+    time: int = 0
 
 
 # Unary requests to a sidecar.
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/attempts.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/attempts.py
@@ -105,6 +105,7 @@
         durable = self.scribe.take(intent)
         if not plan.repeatable:
             await self._wait_durable(plan, intent, durable)
+            self.context.log_intended(self.program.program_id, intent)
         return await self._dispatch(plan, intent)
 
     def _place(self, plan: CallPlan, tried: list[UpstreamId]) -> UpstreamId | None:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/context.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/context.py
@@ -50,6 +50,10 @@
             EventKind.CALL_PLACED, program_id, call=intent.call_id, upstream=intent.upstream
         )
 
+    def log_intended(self, program_id: ProgramId, intent: CallIntended) -> None:
+        """Log that a call that may not be repeated is about to be ordered."""
+        self.log.emit(EventKind.CALL_INTENDED, program_id, call=intent.call_id)
+
     def log_sealed(self, program_id: ProgramId, outcome: Outcome) -> None:
         """Log what a seal found."""
         self.log.emit(
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry_streams.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry_streams.py
@@ -63,15 +63,15 @@
         """Tell whether a batch would not be empty."""
         return bool(self.frames or self.changed)
 
-    def batch(self, table: CallTable) -> SidecarBatch:
-        """Take everything that is to be sent."""
+    def batch(self, table: CallTable, time: int) -> SidecarBatch:
+        """Take everything that is to be sent at a hybrid logical time."""
         frames, self.frames = self.frames, []
         changed, self.changed = self.changed, {}
         self.news = anyio.Event()
         self.urgent = anyio.Event()
         for call_id in changed:
             frames.extend(self._frames_of(table.calls.get(call_id), call_id))
-        return SidecarBatch(tuple(frames))
+        return SidecarBatch(tuple(frames), time)
 
     def _frames_of(self, call: Call | None, call_id: CallId) -> Iterable[SidecarFrame]:
         """Yield a call's new output, then its outcome."""
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
@@ -127,7 +127,7 @@
         """Greet the sidecar and take its welcome."""
         self.streams += 1
         hello = Hello(self.node, self.own_incarnation, self.streams)
-        await awaited(stream.write(EntryBatch((hello, self._heartbeat()))))
+        await awaited(stream.write(EntryBatch((hello, self._heartbeat()), self.log.stamp())))
         batch = await awaited(stream.read())
         if not isinstance(batch, SidecarBatch):
             raise UpstreamLostError("the stream ended before its welcome")
@@ -140,6 +140,7 @@
         try:
             while isinstance(batch := await awaited(stream.read()), SidecarBatch):
                 self.member.on_frame(self.timers.now())
+                self.log.clock.observe(batch.time)
                 for frame in batch.frames:
                     self.take(frame)
         except STREAM_ENDED:
@@ -154,7 +155,7 @@
             self.has_frames = anyio.Event()
             self._note_sent(frames)
             try:
-                await awaited(stream.write(EntryBatch(tuple(frames))))
+                await awaited(stream.write(EntryBatch(tuple(frames), self.log.stamp())))
             except STREAM_ENDED:
                 return
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/log.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/log.py
@@ -32,11 +32,14 @@
     def emit(self, kind: EventKind, program_id: ProgramId = NO_PROGRAM, **fields: object) -> None:
         """Log an event and add it to the ring."""
         values = {name: str(value) for name, value in fields.items()}
-        stamp = self.clock.stamp(time.time())
-        view = EventView(stamp, self.node, kind.number, kind.name, program_id, values)
+        view = EventView(self.stamp(), self.node, kind.number, kind.name, program_id, values)
         self.ring.append(view)
         logger.log(kind.level.value, "{}", _line(view))
 
+    def stamp(self) -> int:
+        """Return a hybrid logical time above all that this process saw."""
+        return self.clock.stamp(time.time())
+
     def timeline(self, request: TimelineRequest) -> TimelineReply:
         """Return the ring's events that match the request, oldest first."""
         chosen = (event for event in self.ring if _matches(event, request))
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_service.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_service.py
@@ -76,6 +76,7 @@
         while (batch := await context.read()) is not grpc.aio.EOF:
             assert isinstance(batch, EntryBatch)
             stream.last_frame_at = self.timers.now()
+            self.log.clock.observe(batch.time)
             for frame in batch.frames:
                 if stream.ended.is_set():
                     return
@@ -88,7 +89,7 @@
             await stream.news.wait()
             with anyio.move_on_after(due - self.timers.now()):
                 await stream.urgent.wait()
-            batch = stream.batch(self.table)
+            batch = stream.batch(self.table, self.log.stamp())
             if batch.frames:
                 due = self.timers.now() + self.state.settings.frame_interval_s
                 await context.write(batch)
