--- a/packages/skylarkferry-bench/src/skylarkferry_bench/callers.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/callers.py
@@ -17,10 +17,11 @@
 
 
 class Arrivals(msgspec.Struct):
-    """When a request was sent and when each of its tokens came, in seconds."""
+    """When a request was sent and accepted, and when each of its tokens came, in seconds."""
 
     sent_at: float
     tokens: list[float]
+    accepted_at: float = 0.0
 
     @property
     def first_token_s(self) -> float:
@@ -64,6 +65,7 @@
     """Run a program and note when its output comes."""
     arrivals = Arrivals(time.perf_counter(), [])
     program_id = await start_program(client, agent, key)
+    arrivals.accepted_at = time.perf_counter()
     path = f"/v1/programs/{program_id}/events"
     async with httpx_sse.aconnect_sse(client, "GET", path) as source:
         async for event in source.aiter_sse():
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/overhead.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/overhead.py
@@ -99,6 +99,11 @@
         found = anyio.run(_pairs, deployment, FIRST_TOKEN_PAIRS, 1, 4)
     times = [arrivals.first_token_s for arrivals in found]
     yield from _compare("first token", times[:FIRST_TOKEN_PAIRS], times[FIRST_TOKEN_PAIRS:])
+    through = found[FIRST_TOKEN_PAIRS:]
+    accepted = [arrivals.accepted_at - arrivals.sent_at for arrivals in through]
+    for share in PERCENTILES:
+        value = percentile(accepted, share) * MS_PER_S
+        yield Slope(f"acceptance, percentile {share}", value, "ms", f"{len(accepted)} programs")
 
 
 def token_gaps() -> Iterator[Slope]:
