--- a/packages/skylarkferry-bench/src/skylarkferry_bench/callers.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/callers.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+import anyio
 import httpx
 import httpx_sse
 import msgspec
@@ -61,6 +62,25 @@
             return view
 
 
+async def run_for(url: str, seconds: float, callers: int) -> int:
+    """Run sizing programs by some callers at once; return how many were done."""
+    done = 0
+    async with open_caller(url) as client, anyio.create_task_group() as tasks:
+        end = anyio.current_time() + seconds
+
+        async def call(caller: int) -> None:
+            nonlocal done
+            number = 0
+            while anyio.current_time() < end:
+                number += 1
+                view = await run_program(client, "gear-sizer", f"load-{caller}-{number}")
+                done += view["word"] == "done"
+
+        for caller in range(callers):
+            tasks.start_soon(call, caller)
+    return done
+
+
 async def stream_program(client: httpx.AsyncClient, agent: str, key: str) -> Arrivals:
     """Run a program and note when its output comes."""
     arrivals = Arrivals(time.perf_counter(), [])
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/node_slopes.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/node_slopes.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from skylarkferry_bench.callers import open_caller, run_program
+from skylarkferry_bench.callers import run_for
 from skylarkferry_bench.resources import MIB, Slope, cpu_s, resident_bytes
 from skylarkferry_bench.testbeds import testbed
 from skylarkferry_standins.deployment import Deployment
@@ -77,29 +77,10 @@
         yield Slope(f"platform {name} a second and entry at rest", value, "", f"{IDLE_S} s")
 
 
-async def _run_for(url: str, seconds: float) -> int:
-    """Run programs by some callers at once; return how many ended."""
-    ended = 0
-    async with open_caller(url) as client, anyio.create_task_group() as tasks:
-        end = anyio.current_time() + seconds
-
-        async def call(worker: int) -> None:
-            nonlocal ended
-            number = 0
-            while anyio.current_time() < end:
-                number += 1
-                view = await run_program(client, "gear-sizer", f"load-{worker}-{number}")
-                ended += view["word"] == "done"
-
-        for worker in range(WORKERS):
-            tasks.start_soon(call, worker)
-    return ended
-
-
 def _load(deployment: Deployment) -> Iterator[Slope]:
     """Load the first entry; programs of the other's partitions are forwarded to it."""
     period = Period(deployment)
-    programs = anyio.run(_run_for, deployment.entries["entry-1"].url, LOAD_S)
+    programs = anyio.run(run_for, deployment.entries["entry-1"].url, LOAD_S, WORKERS)
     elapsed_s, used_s, requests = period.elapsed_s(), period.used_s(), period.requests()
     basis = f"{programs} programs"
     yield Slope("programs a second under load, two entries", programs / elapsed_s, "", basis)
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/overhead.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/overhead.py
@@ -8,6 +8,7 @@
 from skylarkferry_bench.callers import (
     Arrivals,
     open_caller,
+    run_for,
     run_program,
     start_program,
     stream_engine,
@@ -136,22 +137,7 @@
 
 
 async def _saturated(url: str) -> int:
-    """Run programs by many callers at once; return how many were done."""
-    done = 0
-    async with open_caller(url) as client, anyio.create_task_group() as tasks:
-        end = anyio.current_time() + SATURATED_S
-
-        async def call(worker: int) -> None:
-            nonlocal done
-            number = 0
-            while anyio.current_time() < end:
-                number += 1
-                view = await run_program(client, "gear-sizer", f"full-{worker}-{number}")
-                done += view["word"] == "done"
-
-        for worker in range(WORKERS):
-            tasks.start_soon(call, worker)
-    return done
+    return await run_for(url, SATURATED_S, WORKERS)
 
 
 def turns() -> Iterator[Slope]:
