--- a/packages/skylarkferry-bench/src/skylarkferry_bench/slopes.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/slopes.py
@@ -6,6 +6,7 @@
 from skylarkferry_bench.adoption_slopes import adoption_slopes
 from skylarkferry_bench.cluster_slopes import cluster_slopes
 from skylarkferry_bench.codec_slopes import codec_slopes
+from skylarkferry_bench.document_slopes import document_slopes
 from skylarkferry_bench.node_slopes import node_slopes
 from skylarkferry_bench.resources import Slope
 from skylarkferry_bench.state_slopes import state_slopes
@@ -18,6 +19,7 @@
     "cluster": cluster_slopes,
     "nodes": node_slopes,
     "adoption": adoption_slopes,
+    "document": document_slopes,
 }
 TABLE_HEAD = "| slope | value | unit | over |\n| --- | --- | --- | --- |\n"
 
