Stop waiting for an answer when its caller left

A caller that closed the connection kept its watch for up to the 300 s it had asked for. Broken variant, no look at the connection: test_a_caller_that_leaves_while_waiting_ends_its_watch did not end within 25 s. With it 25 passed (pytest tests/daemon/test_bad_input.py).

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/callers.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/callers.py
@@ -26,11 +26,12 @@
     ProgramView,
     ServiceRequest,
     ServiceWork,
+    WatchItem,
 )
 from skylarkferry_core.states import FinalWord, Priority, ProgramState
 from skylarkferry_daemon.bodies import KEY_CHARACTERS, ProgramBody, read_as, read_body
 from skylarkferry_daemon.edge import Edge, json_response, route
-from skylarkferry_daemon.streams import ProgramStream, last_event_id
+from skylarkferry_daemon.streams import ProgramStream, cancel_when_left, last_event_id
 from skylarkferry_daemon.tokens import Principal
 
 WAIT_LIMIT_S = 300.0
@@ -92,8 +93,7 @@
     wait_s = _seconds(request.query_params.get("wait_s", "0"), "wait_s", WAIT_LIMIT_S)
     view = await edge.programs.show(selector)
     if not _ended(view) and wait_s > 0:
-        with anyio.move_on_after(wait_s):
-            await _until_ended(edge, selector)
+        await _wait_for_end(edge, request, selector, wait_s)
         view = await edge.programs.show(selector)
     return json_response(view, HTTPStatus.OK if _ended(view) else HTTPStatus.ACCEPTED)
 
@@ -163,9 +163,19 @@
     return view.state == ProgramState.ENDED.value
 
 
-async def _until_ended(edge: Edge, selector: ProgramSelector) -> None:
-    """Return when a program ended."""
-    items: AsyncIterator = edge.programs.watch(selector, 0)
+async def _wait_for_end(
+    edge: Edge, request: Request, selector: ProgramSelector, wait_s: float
+) -> None:
+    """Return when a program ended, after ``wait_s`` seconds, or when the caller left."""
+    with anyio.move_on_after(wait_s):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(cancel_when_left, request.receive, tasks.cancel_scope)
+            await _until_ended(edge.programs.watch(selector, 0))
+            tasks.cancel_scope.cancel()
+
+
+async def _until_ended(items: AsyncIterator[WatchItem]) -> None:
+    """Return after the last item of a watched program."""
     async for _ in items:
         pass
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/streams.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/streams.py
@@ -77,7 +77,7 @@
         with STREAMS_OPEN.track_inprogress():
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._beat, send)
-                tasks.start_soon(_cancel_when_left, receive, tasks.cancel_scope)
+                tasks.start_soon(cancel_when_left, receive, tasks.cancel_scope)
                 await self._pump(send)
                 tasks.cancel_scope.cancel()
         await send({"type": "http.response.body", "body": b"", "more_body": False})
@@ -99,7 +99,7 @@
             await send({"type": "http.response.body", "body": body, "more_body": True})
 
 
-async def _cancel_when_left(receive: Receive, scope: anyio.CancelScope) -> None:
+async def cancel_when_left(receive: Receive, scope: anyio.CancelScope) -> None:
     """Cancel a scope when the caller closes the connection."""
     while True:
         message = await receive()
--- a/tests/daemon/test_bad_input.py
+++ b/tests/daemon/test_bad_input.py
@@ -142,6 +142,20 @@
     assert_that(edge.programs.watchers, Equals(0))
 
 
+@pytest.mark.anyio
+async def test_a_caller_that_leaves_while_waiting_ends_its_watch():
+    async with running_edge() as edge:
+        async with edge.client() as client:
+            started = await client.post("/v1/programs", json=SIZING)
+        path = f"/v1/programs/{started.json()['program_id']}/answer?wait_s=300"
+        async with connection(edge) as stream:
+            await stream.send(head(0, path).replace(b"POST", b"GET"))
+            await edge.programs.watched.wait()
+        with anyio.fail_after(HANG_S):
+            await edge.programs.unwatched.wait()
+        await assert_serves(edge)
+
+
 @pytest.mark.anyio
 async def test_a_caller_without_a_valid_token_gets_nothing():
     paths = ("/v1/programs", "/v1/config", "/v1/hosts", "/v1/timeline", "/v1/services/catalogue/x")
