--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -15,12 +15,13 @@
 from skylarkferry_core.partitions import PartitionRow, partition_key
 from skylarkferry_core.records import AllotmentTaken
 from skylarkferry_core.replays import replay
-from skylarkferry_daemon.log import EventLog
+from skylarkferry_daemon.log import NO_PROGRAM, EventLog
 from skylarkferry_daemon.ownership import PartitionOwnership
 from skylarkferry_daemon.platform import PlatformServices
 from skylarkferry_daemon.segment_reader import SegmentReader
 
 PARTITIONS = 4
+START_S = 1_000.0
 
 
 class Listener:
@@ -38,6 +39,19 @@
         self.fences.pop(partition)
 
 
+class StoryLog(EventLog):
+    """Adds each event to the story that all nodes tell together."""
+
+    def __init__(self, node, story):
+        super().__init__(node, ring_events=10)
+        self.story = story
+
+    def emit(self, kind, program_id=NO_PROGRAM, **fields):
+        told = " ".join(f"{name}={value}" for name, value in fields.items())
+        at_s = anyio.current_time() - START_S
+        self.story.append(f"{at_s:5.1f} s  {self.node}  {kind.name.lower()} {told}".rstrip())
+
+
 class Node:
     """An entry's ownership with its own clock and its own way to the table."""
 
@@ -46,7 +60,7 @@
         self.timers = RateTimers(rate)
         self.table = FaultyTable(cluster.table)
         services = PlatformServices(self.table, cluster.objects, cluster.hosts)
-        events = EventLog(name, 1_000)
+        events = StoryLog(name, cluster.story)
         settings = entry_settings(name, partitions=PARTITIONS, **limits)
         self.ownership = PartitionOwnership(settings, services, self.timers, events)
         self.listener = Listener()
@@ -67,6 +81,7 @@
 
 class Cluster:
     def __init__(self, names):
+        self.story = []
         self.table = FakeTable()
         self.objects = FakeObjectStore()
         self.hosts = FakeHostList(names)
