--- a/packages/skylarkferry-core/src/skylarkferry_core/partitions.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/partitions.py
@@ -1,4 +1,7 @@
-"""Rows of nodes and partitions, and which node is to hold which partition."""
+"""Rows of nodes and partitions, and which node is to hold which partition.
+
+Rows are encoded without field names: new fields go last, with a default.
+"""
 
 from bisect import bisect_right
 from collections.abc import Iterable, Iterator
@@ -16,7 +19,7 @@
 NOBODY = Incarnation("")
 
 
-class NodeRow(msgspec.Struct, frozen=True):
+class NodeRow(msgspec.Struct, frozen=True, array_like=True):
     """A node's registration; ``renewals`` grows with each renewal of its lease."""
 
     node: NodeId
@@ -26,14 +29,14 @@
     failure_domain: FailureDomain
 
 
-class JournalReference(msgspec.Struct, frozen=True):
+class JournalReference(msgspec.Struct, frozen=True, array_like=True):
     """A journal that a partition needs, from segment ``first_sequence`` on."""
 
     incarnation: Incarnation
     first_sequence: int
 
 
-class PartitionRow(msgspec.Struct, frozen=True):
+class PartitionRow(msgspec.Struct, frozen=True, array_like=True):
     """A partition's owner, epoch and journals.
 
     Records that were copied in round ``base_round`` replace all originals before
--- a/packages/skylarkferry-core/src/skylarkferry_core/records.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/records.py
@@ -111,7 +111,7 @@
 )
 
 
-class PartitionRecord(msgspec.Struct, frozen=True):
+class PartitionRecord(msgspec.Struct, frozen=True, array_like=True):
     """A record with the partition and epoch it was written under.
 
     ``copy_round`` is 0 for an original and the number of the round for a copy that replaces
@@ -124,7 +124,7 @@
     copy_round: int = 0
 
 
-class Segment(msgspec.Struct, frozen=True):
+class Segment(msgspec.Struct, frozen=True, array_like=True):
     """One conditional write of a journal: records of several partitions, in order."""
 
     incarnation: Incarnation
--- a/packages/skylarkferry-core/src/skylarkferry_core/segments.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/segments.py
@@ -118,7 +118,7 @@
     return item.record.partition == partition and item.record.epoch <= epoch
 
 
-class StoredSegment(msgspec.Struct, frozen=True):
+class StoredSegment(msgspec.Struct, frozen=True, array_like=True):
     """Value of a segment row: the encoded segment, or the key of the object that holds it."""
 
     body: bytes = b""
