Let the later of two processes under one name stay, and bound the hand-over

Cause: two processes under one name would take the node's row from each other for ever, and a planned stop during an outage would wait for the platform without end.

A process that finds another life in its row after it had registered stays passive and logs 304. Ruled out: never overwriting a row that is there, since a restart must. The hand-over gives up after 10 s; others then wait for the lease to lapse.

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/ownership.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/ownership.py
@@ -11,11 +11,11 @@
 
 from skylarkferry_core.errors import PlatformUnavailableError, WriteConflictError
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.ids import NodeId, PartitionNumber
-from skylarkferry_core.interfaces import Condition, Write
+from skylarkferry_core.ids import Incarnation, NodeId, PartitionNumber
+from skylarkferry_core.interfaces import Condition, Row, Write
 from skylarkferry_core.leases import NodeLease
 from skylarkferry_core.messages import Fence
-from skylarkferry_core.partitions import incarnation_of, journal_index_key, node_key
+from skylarkferry_core.partitions import NodeRow, incarnation_of, journal_index_key, node_key
 from skylarkferry_core.takeovers import ClusterView, SeenNode, TakeoverPlanner
 from skylarkferry_daemon.adoption import Adopter
 from skylarkferry_daemon.cluster import ClusterReader
@@ -36,6 +36,7 @@
 COMPACT_CHECK_S = 5.0
 COLLECT_ROWS_PER_S = 2.0
 LEAST_COLLECT_S = 15.0
+HAND_OVER_S = 10.0
 
 
 class PartitionOwnership:
@@ -64,6 +65,8 @@
         self.collector = Collector(services, self.journal, events)
         self.scanned_at = -math.inf
         self.stopping = False
+        self.superseded = False
+        self.lives: set[Incarnation] = set()
 
     @property
     def view(self) -> ClusterView:
@@ -126,7 +129,7 @@
             self.journal.patience.lost(error)
 
     async def _look(self, listener: PartitionListener, tasks: TaskGroup) -> None:
-        if self.stopping:
+        if self.stopping or self.superseded:
             # Open streams follow their programs to the next owners.
             await self.cluster.read_all()
             return None
@@ -208,24 +211,48 @@
 
     async def _register(self) -> None:
         """Write the node's row under a new incarnation."""
-        incarnation = incarnation_of(self.lease.node, secrets.token_hex(6))
         key = node_key(self.lease.node)
-        value = msgspec.msgpack.encode(self.lease.row(incarnation, 0))
-        writes = [Write(key, value), Write(journal_index_key(incarnation), b"")]
         async with self.journal.lock:
             row = await self.table.read(key)
-            sent_at = self.timers.now()
-            try:
-                version = await self.table.transact([Condition(key, row.version)], writes)
-            except WriteConflictError:
+            if self._superseded_by(row):
+                self.superseded = True
+                self.events.emit(EventKind.NODE_SUPERSEDED)
                 return
-            self.journal.restart(incarnation)
-            self.lease.register(incarnation, version, sent_at)
+            if self.lives:
+                self.events.emit(EventKind.NODE_LEASE_LOST, incarnation=self.lease.incarnation)
+            await self._write_registration(Condition(key, row.version))
+
+    def _superseded_by(self, row: Row) -> bool:
+        """Tell whether a row that appeared after this process registered is another's."""
+        if not row.version or not self.lives:
+            return False
+        return msgspec.msgpack.decode(row.value, type=NodeRow).incarnation not in self.lives
+
+    async def _write_registration(self, condition: Condition) -> None:
+        incarnation = incarnation_of(self.lease.node, secrets.token_hex(6))
+        self.lives.add(incarnation)
+        value = msgspec.msgpack.encode(self.lease.row(incarnation, 0))
+        writes = [Write(condition.key, value), Write(journal_index_key(incarnation), b"")]
+        sent_at = self.timers.now()
+        try:
+            version = await self.table.transact([condition], writes)
+        except WriteConflictError:
+            return
+        self.journal.restart(incarnation)
+        self.lease.register(incarnation, version, sent_at)
         self.events.emit(EventKind.NODE_REGISTERED, incarnation=incarnation)
 
     async def hand_over(self) -> None:
-        """Give the lease up, for a planned stop; others adopt the partitions at once."""
+        """Give the lease up, for a planned stop; others adopt the partitions at once.
+
+        In an outage keep it after a while; others then wait for it to lapse.
+        """
         self.stopping = True
+        with anyio.move_on_after(HAND_OVER_S):
+            await self._hand_over()
+
+    async def _hand_over(self) -> None:
+        """Write out what is queued, delete the node's row and hold nothing."""
         await self.journal.flush()
         async with self.journal.lock:
             conditions = [self.lease.condition()]
--- a/tests/daemon/test_ownership.py
+++ b/tests/daemon/test_ownership.py
@@ -27,3 +27,40 @@
     records = run_virtual(session)
     assert_that(records[1], Equals([record(1, 1), record(1, 5), record(1, 9)]))
     assert_that(records[2], HasLength(2))
+
+
+def test_of_two_processes_under_one_name_the_later_one_stays():
+    async def session():
+        cluster = Cluster(["a"])
+        first, second = Node("a", cluster), Node("a", cluster)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(first.run)
+            await anyio.sleep(5)
+            await tasks.start(second.run)
+            await anyio.sleep(20)
+            assert_that(second.held(), Equals({0, 1, 2, 3}))
+            assert_that(first.held(), Equals(set()))
+            assert_that(first.ownership.superseded, Equals(True))
+            assert_that(second.ownership.superseded, Equals(False))
+            tasks.cancel_scope.cancel()
+
+    run_virtual(session)
+
+
+def test_planned_stop_hands_over_long_before_the_lease_lapses():
+    async def session():
+        cluster = Cluster(["a", "b"])
+        first, second = Node("a", cluster), Node("b", cluster)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(first.run)
+            await tasks.start(second.run)
+            await anyio.sleep(5)
+            await first.append(first.listener.fences[0], record(0, 1), durable=False)
+            await first.ownership.hand_over()
+            await anyio.sleep(1.2)
+            assert_that(second.held(), Equals({0, 1, 2, 3}))
+            assert_that(second.listener.records[0], Equals([record(0, 1)]))
+            assert_that(first.listener.fences, Equals({}))
+            tasks.cancel_scope.cancel()
+
+    run_virtual(session)
