Count KV claims as a sidecar can: from orders and outcomes

`KvClaims` counts claims of running calls and paused runs; `Order.prefix` and `prefix_tokens` are new, with defaults, for the memory of shared prompts.

--- a/packages/skylarkferry-bench/src/skylarkferry_bench/call_plans.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/call_plans.py
@@ -96,6 +96,8 @@
             prefill_tokens=prefill,
             output_tokens=request.output_tokens,
             cached_tokens=max(request.prompt_tokens - prefill - request.prefix_tokens, 0),
+            prefix=request.prefix,
+            prefix_tokens=request.prefix_tokens,
             typical_tokens=int(self.estimates.typical_tokens.get(run.spec.agent)),
         )
 
--- /dev/null
+++ b/packages/skylarkferry-core/src/skylarkferry_core/kv_claims.py
@@ -0,0 +1,72 @@
+"""KV memory that the programs before one engine claim, as its sidecar can know it."""
+
+import msgspec
+
+from skylarkferry_core.ids import CallId, Fingerprint, ProgramId, RunId
+from skylarkferry_core.messages import Order
+
+
+class KvClaim(msgspec.Struct):
+    """One run's claim: tokens beyond its shared prefix, and until when they are kept.
+
+    ``calls`` of the run are under way; ``typical_tokens`` is what such runs hold on average.
+    """
+
+    program_id: ProgramId
+    tokens: int
+    typical_tokens: int
+    prefix: Fingerprint
+    prefix_tokens: int
+    keep_until: float = 0.0
+    calls: int = 0
+
+
+class KvClaims:
+    """Claims of running calls and of paused runs, from orders and outcomes alone."""
+
+    def __init__(self) -> None:
+        self.claims: dict[str, KvClaim] = {}
+
+    def started(self, order: Order) -> None:
+        """Claim what a call that starts will hold at its end."""
+        claim = self.claims.get(_run_of(order.call_id))
+        tokens = order.cached_tokens + order.prefill_tokens + order.output_tokens
+        calls = claim.calls if claim else 0
+        self.claims[_run_of(order.call_id)] = KvClaim(
+            program_id=order.program_id,
+            tokens=tokens,
+            typical_tokens=order.typical_tokens,
+            prefix=order.prefix,
+            prefix_tokens=order.prefix_tokens,
+            calls=calls + 1,
+        )
+
+    def ended(self, order: Order, tokens: int, now: float) -> None:
+        """Keep ``tokens`` of prompt and output for the order's time, or what was claimed if 0."""
+        claim = self.claims.get(_run_of(order.call_id))
+        if claim is None:
+            return
+        claim.calls -= 1
+        claim.keep_until = now + order.keep_kv_s
+        claim.tokens = max(tokens - claim.prefix_tokens, 0) if tokens else claim.tokens
+
+    def released(self, program_id: ProgramId, run_id: RunId | None = None) -> None:
+        """Drop what a program, or one run of it, kept; running calls stay."""
+        only = None if run_id is None else f"{program_id}/{run_id}"
+        for run, claim in list(self.claims.items()):
+            if claim.program_id == program_id and only in (None, run) and claim.calls <= 0:
+                del self.claims[run]
+
+    def totals(self, now: float) -> tuple[int, int]:
+        """Return the tokens held, and the same counted at their typical size where larger."""
+        for run, claim in list(self.claims.items()):
+            if claim.calls <= 0 and claim.keep_until <= now:
+                del self.claims[run]
+        claims = self.claims.values()
+        shared = sum({claim.prefix: claim.prefix_tokens for claim in claims}.values())
+        held = shared + sum(claim.tokens for claim in claims)
+        return held, shared + sum(max(item.tokens, item.typical_tokens) for item in claims)
+
+
+def _run_of(call_id: CallId) -> str:
+    return call_id.rpartition("/")[0]
--- a/packages/skylarkferry-core/src/skylarkferry_core/messages.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/messages.py
@@ -114,7 +114,8 @@
     ``alone`` asks for an upstream without other calls: the request was running at a crash.
     ``prefill_tokens`` and ``output_tokens`` are the entry's estimates of what the call computes,
     ``cached_tokens`` what the run itself has in the upstream's cache, without shared prefixes, and
-    ``typical_tokens`` what runs of its kind hold there on average over their life.
+    ``typical_tokens`` what runs of its kind hold there on average over their life; ``prefix``
+    identifies the first ``prefix_tokens`` of the prompt, which other programs share.
     """
 
     call_id: CallId
@@ -135,6 +136,8 @@
     output_tokens: int = 0
     cached_tokens: int = 0
     typical_tokens: int = 0
+    prefix: Fingerprint = Fingerprint("")
+    prefix_tokens: int = 0
 
 
 class ServiceReply(msgspec.Struct, frozen=True):
