Kill the driver only once its order took effect

Cause: the test passed with settling switched off, since the driver could die before its intent was durable; it has to bring about the case that it is named for.

--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -6,6 +6,7 @@
 
 from processes.programs import answer, effects_of, sizing_body, start, wait_for_step
 from processes.test_kills import assert_whole_and_once, other_entry, owner_of
+from skylarkferry_standins.running import wait_until
 
 ORDER = "/order_blank_stock"
 STEP_BEFORE_ORDER = 10
@@ -52,7 +53,7 @@
     with survivor.client() as client:
         wait_for_step(client, program_id, STEP_BEFORE_ORDER - 1)
         tools.set_faults(hang_after_effect=1)
-        wait_for_step(client, program_id, STEP_BEFORE_ORDER)
+        wait_until(lambda: orders_of(arusha, program_id) == 1, "the order to take effect")
         arusha.entries[owner].process.kill()
         view = answer(client, program_id)
     assert_that(words_of(view)["order_blank_stock"], Equals("unknown"))
