--- a/tests/processes/programs.py
+++ b/tests/processes/programs.py
@@ -6,6 +6,8 @@
 
 import httpx
 
+from skylarkferry_standins.running import wait_until
+
 ANSWER_WAIT_S = 30
 DRIVER_EVENTS = (201, 204)
 
@@ -65,8 +67,14 @@
 
 def driver_of(client: httpx.Client, program_id: str) -> str:
     """Return the entry that drives a program, from the time line; the client is an operator's."""
-    events = client.get("/v1/timeline", params={"program": program_id}).json()["events"]
-    drivers = [event["node"] for event in events if event["number"] in DRIVER_EVENTS]
+    drivers: list[str] = []
+
+    def found() -> bool:
+        events = client.get("/v1/timeline", params={"program": program_id}).json()["events"]
+        drivers.extend(event["node"] for event in events if event["number"] in DRIVER_EVENTS)
+        return bool(drivers)
+
+    wait_until(found, "a driver of the program")
     return drivers[-1]
 
 
