Give out no address twice in one run of tests

Cause: addresses are drawn at random and nothing listens on one until its process is up, so a deployment of some 19 addresses out of 12,000 ports meets itself about once in 70 times (19 x 18 / 2 / 12,000). Between runs side by side the chance stays, but only while both start.

Shown to fail (`pytest tests/standins/test_running.py`) with the memory of given ports off.

--- a/packages/skylarkferry-standins/src/skylarkferry_standins/running.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/running.py
@@ -19,18 +19,22 @@
 REQUEST_TIMEOUT_S = 5.0
 LOG_TAIL_CHARACTERS = 4_000
 
-_ports = random.SystemRandom()
+_random = random.SystemRandom()
+_given: set[int] = set()
 
 
 def free_address() -> str:
-    """Return a loopback address on which nothing listens."""
+    """Return a loopback address on which nothing listens and that was not given out before."""
     while True:
-        port = _ports.choice(PORTS)
+        port = _random.choice(PORTS)
+        if port in _given:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((LOOPBACK, port))
             except OSError:
                 continue
+        _given.add(port)
         return f"{LOOPBACK}:{port}"
 
 
