Poll the engine every 2 s over one kept connection, and free KV when it is due

Cause: docs/CAPACITY.md has an engine's sidecar at 26.9 ms/s at rest against 19; it asked the engine for load and events twice a second, each on a new connection, and looked for releases four times a second. engine_poll_s is a setting of 2 s now; reads and releases share one idle connection, orders still have none; a release is ordered when it is due, with a look each second for retries. The slopes in docs/CAPACITY.md are older than this; `make slopes` gives the new ones.

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/kv_keeper.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/kv_keeper.py
@@ -38,6 +38,7 @@
         self.memory = state.memory
         self.timers = state.timers
         self.log = state.log
+        self.freeing = False
 
     def on_started(self, order: Order) -> None:
         """Note that a call runs."""
@@ -46,6 +47,8 @@
     def on_ended(self, order: Order) -> None:
         """Note that a call ended."""
         self.holds.on_ended(order.program_id, order.keep_kv_s, self.timers.now())
+        if order.keep_kv_s > 0:
+            self.timers.after(order.keep_kv_s, self.free_due)
 
     def release(self, frame: ReleaseProgram) -> None:
         """Free a program's cache soon; a stale owner's word counts for nothing."""
@@ -53,11 +56,19 @@
             self.log.emit(EventKind.ORDER_STALE, frame.program_id, order="release")
             return
         self.holds.on_release(frame.program_id, frame.fence, self.timers.now())
+        self.timers.after(0.0, self.free_due)
 
     async def free_due(self) -> None:
-        """Order the releases that are due."""
-        for program_id, fence in self.holds.due(self.timers.now()):
-            await self._free(program_id, fence)
+        """Order the releases that are due; what comes meanwhile is next."""
+        if self.freeing:
+            return
+        self.freeing = True
+        try:
+            while due := self.holds.due(self.timers.now()):
+                for program_id, fence in due:
+                    await self._free(program_id, fence)
+        finally:
+            self.freeing = False
 
     async def _free(self, program_id: ProgramId, fence: Fence | None) -> None:
         try:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/settings.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/settings.py
@@ -149,6 +149,7 @@
     outcomes_kept: Count = 100_000
     frame_interval_s: Seconds = 0.015
     heartbeat_s: Seconds = 1.0
+    engine_poll_s: Seconds = 2.0
     kv_sweep_s: Seconds = 10.0
     kv_unclaimed_s: Seconds = 60.0
     stop_grace_s: Seconds = 600.0
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
@@ -32,8 +32,8 @@
 RPC_GRACE_S = 1.0
 DELIVERY_WAIT_S = 5.0
 EXPIRE_INTERVAL_S = 30.0
-KV_FREE_INTERVAL_S = 0.25
-ENGINE_POLL_S = 0.5
+KV_FREE_INTERVAL_S = 1.0
+REPORT_CONNECTIONS = 1
 
 
 class Sidecar:
@@ -60,14 +60,16 @@
     async def _start(self, stack: AsyncExitStack, tasks: TaskGroup) -> CallRunner:
         """Build the parts and open the servers."""
         state = self.state
-        client = await stack.enter_async_context(new_client(self.settings.upstream_url))
+        url = self.settings.upstream_url
+        client = await stack.enter_async_context(new_client(url))
+        reporter = await stack.enter_async_context(new_client(url, REPORT_CONNECTIONS))
         holds = KvHolds(self.settings.kv_unclaimed_s)
-        keeper = KvKeeper(client, holds, state)
+        keeper = KvKeeper(reporter, holds, state)
         adapter = adapter_for(self.settings.kind, client)
-        crash_watch = CrashWatch(state, UpstreamProbe(self.settings.upstream_url))
+        crash_watch = CrashWatch(state, UpstreamProbe(url))
         runner = CallRunner(state, adapter, crash_watch, keeper, tasks)
         tasks.start_soon(state.timers.run, tasks)
-        self._subscribe(runner, keeper, EngineReports(client, state))
+        self._subscribe(runner, keeper, EngineReports(reporter, state))
         app = metrics_app(SidecarCollector(state))
         serve_metrics(app, self.settings.metrics_listen, stack, tasks)
         await self._serve_rpc(SidecarService(state, runner, keeper, self.stop), stack)
@@ -80,7 +82,7 @@
         timers.every(self.settings.heartbeat_s, runner.crash_watch.check_reachable)
         timers.every(EXPIRE_INTERVAL_S, self._expire)
         if self.settings.kind is PoolKind.MODEL:
-            timers.every(ENGINE_POLL_S, reports.poll)
+            timers.every(self.settings.engine_poll_s, reports.poll)
             timers.every(KV_FREE_INTERVAL_S, keeper.free_due)
             timers.every(self.settings.kv_sweep_s, keeper.sweep)
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/upstream_adapters.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/upstream_adapters.py
@@ -54,12 +54,12 @@
     }
 
 
-def new_client(upstream_url: str) -> httpx.AsyncClient:
-    """Return a client without idle connections, which could close under an order."""
+def new_client(upstream_url: str, idle_connections: int = 0) -> httpx.AsyncClient:
+    """Return a client; an idle connection could close under an order, so orders have none."""
     return httpx.AsyncClient(
         base_url=upstream_url,
         timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S),
-        limits=httpx.Limits(max_connections=None, max_keepalive_connections=0),
+        limits=httpx.Limits(max_connections=None, max_keepalive_connections=idle_connections),
         trust_env=False,
     )
 
