--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
@@ -4,6 +4,7 @@
 from contextlib import AsyncExitStack
 
 import anyio
+import httpx
 from anyio.abc import TaskGroup
 
 from skylarkferry_core.events import EventKind
@@ -61,8 +62,9 @@
         """Build the parts and open the servers."""
         state = self.state
         url = self.settings.upstream_url
-        client = await stack.enter_async_context(new_client(url))
-        reporter = await stack.enter_async_context(new_client(url, REPORT_CONNECTIONS))
+        client = await stack.enter_async_context(self._new_client())
+        reporter = new_client(url, idle_connections=REPORT_CONNECTIONS)
+        await stack.enter_async_context(reporter)
         holds = KvHolds(self.settings.kv_unclaimed_s)
         keeper = KvKeeper(reporter, holds, state)
         adapter = adapter_for(self.settings.kind, client)
@@ -75,6 +77,11 @@
         await self._serve_rpc(SidecarService(state, runner, keeper, self.stop), stack)
         return runner
 
+    def _new_client(self) -> httpx.AsyncClient:
+        """Return the upstream's client; only engines send something all the time."""
+        silence_s = self.settings.silence_s if self.settings.kind is PoolKind.MODEL else None
+        return new_client(self.settings.upstream_url, silence_s=silence_s)
+
     def _subscribe(self, runner: CallRunner, keeper: KvKeeper, reports: EngineReports) -> None:
         """Set the periodic work up."""
         timers = self.state.timers
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/upstream_adapters.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/upstream_adapters.py
@@ -54,11 +54,16 @@
     }
 
 
-def new_client(upstream_url: str, idle_connections: int = 0) -> httpx.AsyncClient:
-    """Return a client; an idle connection could close under an order, so orders have none."""
+def new_client(
+    upstream_url: str, *, silence_s: float | None = None, idle_connections: int = 0
+) -> httpx.AsyncClient:
+    """Return a client; an idle connection could close under an order, so orders have none.
+
+    An upstream that sends nothing for ``silence_s`` seconds counts as a broken connection.
+    """
     return httpx.AsyncClient(
         base_url=upstream_url,
-        timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S),
+        timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S, read=silence_s),
         limits=httpx.Limits(max_connections=None, max_keepalive_connections=idle_connections),
         trust_env=False,
     )
