--- a/packages/skylarkferry-core/src/skylarkferry_core/placements.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/placements.py
@@ -170,12 +170,6 @@
     return candidate.load.queued + candidate.load.running + candidate.calls_since
 
 
-def open_slots(candidate: Candidate) -> int:
-    """Return the calls an upstream runs at once: its slots, or fewer while its memory is full."""
-    load = candidate.load
-    return min(load.slots, load.running) if load.queued else load.slots
-
-
 def cached_at(request: PlacementRequest, candidate: Candidate) -> float:
     """Return the prompt tokens expected in the upstream's cache."""
     return min(candidate.cached_tokens, request.prompt_tokens) * candidate.cache_trust
