Keep refusals honest over retries, and a failing driver to its own program

Cause: found on reading the entry as a newcomer. A start that one owner may have taken before its partition moved could be told not_run by a later try; a repeated body met 409 after the document's default budget changed; an unforeseen exception in one driver ended the whole entry, and would have ended each adopter in turn. Shown to fail: without the doubt over tries NOT_RUN instead of UNKNOWN; without the guard, without waiting for the intent, with retries of unknown orders and without settling a cancelled order the tests of the directory fail one each.

--- a/packages/skylarkferry-core/src/skylarkferry_core/errors.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/errors.py
@@ -207,7 +207,7 @@
 class ConnectionLostError(UpstreamLostError):
     """The connection to another process was lost; the request may or may not have run there."""
 
-    word = None
+    word = FinalWord.UNKNOWN
 
 
 class StaleEpochError(SkylarkferryError):
--- a/packages/skylarkferry-core/src/skylarkferry_core/messages.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/messages.py
@@ -380,6 +380,8 @@
     """What a caller asks for; ``deadline_s`` is the time it allows, from acceptance.
 
     With ``service`` set, the program is one call of a plain service that may not be repeated.
+    ``fingerprint`` is that of the body as the caller sent it: the defaults that the document adds
+    may differ when the same body comes again.
     """
 
     request_key: RequestKey
@@ -390,6 +392,13 @@
     budget: Budget
     priority: Priority = Priority.NORMAL
     service: ServiceWork | None = None
+    fingerprint: Fingerprint = Fingerprint("")
+
+    def same_as(self, other: "ProgramRequest") -> bool:
+        """Tell whether a caller sent the same body again."""
+        if self.fingerprint and other.fingerprint:
+            return self.fingerprint == other.fingerprint
+        return self == other
 
 
 class ProgramView(msgspec.Struct, frozen=True):
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/callers.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/callers.py
@@ -18,7 +18,14 @@
     UnknownAgentError,
     UnknownServiceError,
 )
-from skylarkferry_core.ids import CustomerId, ProgramId, RequestKey, ServiceName, partition_of
+from skylarkferry_core.ids import (
+    CustomerId,
+    ProgramId,
+    RequestKey,
+    ServiceName,
+    fingerprint_of,
+    partition_of,
+)
 from skylarkferry_core.messages import (
     ListReply,
     ProgramRequest,
@@ -136,6 +143,7 @@
         deadline_s=body.deadline_s,
         budget=body.budget_within(document.budgets[customer].program_budget),
         priority=_priority(body, agent),
+        fingerprint=fingerprint_of(msgspec.json.encode(body)),
     )
 
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
@@ -25,9 +25,10 @@
     WatchItem,
 )
 from skylarkferry_core.programs import SERVICE_SLOT, Program, replay
-from skylarkferry_core.records import ProgramAccepted, Record
+from skylarkferry_core.records import ProgramAccepted, ProgramEnded, Record
 from skylarkferry_daemon.admitting import Admitter
 from skylarkferry_daemon.context import EntryContext
+from skylarkferry_daemon.doubts import in_doubt
 from skylarkferry_daemon.drivers import Driver, Ending
 from skylarkferry_daemon.feeds import ProgramFeed
 from skylarkferry_daemon.interfaces import Ownership
@@ -82,7 +83,7 @@
         if entry is None:
             self.admitter.admit(program_id, request, anyio.current_time())
             entry = self._accept(program_id, request, fence)
-        elif entry.program.request != request:
+        elif not entry.program.request.same_as(request):
             raise RequestKeyReusedError("the request key stands for a different body")
         await self._wait_accepted(entry)
         return entry.program.view()
@@ -100,7 +101,7 @@
         with anyio.move_on_after(ACCEPT_TIMEOUT_S):
             await entry.accepted.wait()
         if entry.program.program_id not in self.entries:
-            raise NotOwnerError("the partition moved", retry_after_s=NOT_OWNER_RETRY_S)
+            raise in_doubt(NotOwnerError("the partition moved", retry_after_s=NOT_OWNER_RETRY_S))
         if not entry.accepted.is_set():
             raise OutcomeUnknownError(
                 "the platform did not confirm in time; send the same request again",
@@ -126,11 +127,31 @@
             await entry.driver.run()
         except* NotOwnerError:
             entry.driver.abandoned = True
+        except* Exception as group:
+            await self._end_failed(entry, repr(group.exceptions[0]))
         if entry.driver.abandoned:
             self._drop(entry)
         else:
             self._retire(entry)
 
+    async def _end_failed(self, entry: Entry, detail: str) -> None:
+        """End a program that its driver failed on; the other programs go on."""
+        program = entry.program
+        self.context.log.emit(EventKind.TASK_FAILED, program.program_id, error=detail)
+        assert entry.driver is not None
+        record = ProgramEnded(
+            program.program_id, program.word_on_failure(), "", ErrorCode.INTERNAL, detail
+        )
+        try:
+            await self.context.journal.append(entry.driver.fence, record, durable=True)
+        except NotOwnerError:
+            entry.driver.abandoned = True
+            return
+        step = program.apply(record)
+        if step is not None:
+            entry.feed.publish(step)
+        entry.feed.end()
+
     def _drop(self, entry: Entry) -> None:
         """Forget a program that another node drives; watchers look for its owner."""
         found = self.entries.get(entry.program.program_id)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/forwarding.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/forwarding.py
@@ -10,6 +10,7 @@
     ConnectionLostError,
     NotFoundError,
     NotOwnerError,
+    PlatformUnavailableError,
     SkylarkferryError,
 )
 from skylarkferry_core.ids import (
@@ -33,6 +34,7 @@
     WatchRequest,
 )
 from skylarkferry_daemon.directory import ProgramDirectory
+from skylarkferry_daemon.doubts import Doubt
 from skylarkferry_daemon.interfaces import Ownership
 from skylarkferry_daemon.peer_streams import Answer, follow
 from skylarkferry_daemon.peers import Peers
@@ -181,17 +183,26 @@
         While the platform is down no partition finds an owner: the request is refused at once.
         """
         give_up_at = anyio.current_time() + OWNER_WAIT_S
+        doubt = Doubt()
         while True:
             try:
                 if self.ownership.fence(partition) is not None:
                     return await local()
                 return await self._call_owner(partition, method, request, timeout_s)
-            except (NotOwnerError, ConnectionLostError):
-                self.directory.admitter.check_platform()
+            except (NotOwnerError, ConnectionLostError) as error:
+                doubt.note(error)
+                self._check_platform(doubt)
                 if anyio.current_time() >= give_up_at:
-                    raise
+                    raise doubt.told(error) from error
             await anyio.sleep(OWNER_POLL_S)
 
+    def _check_platform(self, doubt: Doubt) -> None:
+        """Raise ``PlatformUnavailableError`` in an outage, with what is known of the request."""
+        try:
+            self.directory.admitter.check_platform()
+        except PlatformUnavailableError as error:
+            raise doubt.told(error) from error
+
     async def _call_owner(
         self, partition: PartitionNumber, method: Method, request: Any, timeout_s: float
     ) -> Any:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/peer_streams.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/peer_streams.py
@@ -8,6 +8,7 @@
 from anyio.streams.memory import MemoryObjectSendStream
 
 from skylarkferry_core.errors import NotOwnerError, SkylarkferryError
+from skylarkferry_daemon.doubts import in_doubt
 
 CHECK_INTERVAL_S = 0.1
 ITEMS_AHEAD = 64
@@ -18,7 +19,9 @@
 
     def __init__(self) -> None:
         self.reply: Any = None
-        self.error: SkylarkferryError | None = NotOwnerError("the partition moved meanwhile")
+        # The owner may have carried the request out before the partition moved.
+        moved = in_doubt(NotOwnerError("the partition moved meanwhile"))
+        self.error: SkylarkferryError | None = moved
 
     async def take(self, call: Awaitable[Any]) -> None:
         """Wait for the call and keep what it gives."""
--- /dev/null
+++ b/tests/daemon/test_directory.py
@@ -0,0 +1,124 @@
+import anyio
+import anyio.lowlevel
+import msgspec
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals
+
+from core.scripts import accepted
+from entry_fakes import running_entry, tool_done
+from skylarkferry_core.errors import (
+    ErrorCode,
+    NotOwnerError,
+    RequestKeyReusedError,
+    UpstreamLostError,
+)
+from skylarkferry_core.ids import Fingerprint
+from skylarkferry_core.messages import Outcome, SealReply
+from skylarkferry_core.states import FinalWord, SealVerdict
+from skylarkferry_daemon.drivers import Ending
+
+
+def with_fingerprint(request, fingerprint, **changes):
+    return msgspec.structs.replace(request, fingerprint=Fingerprint(fingerprint), **changes)
+
+
+@pytest.mark.anyio
+async def test_a_driver_that_fails_ends_its_own_program_only():
+    async def on_tool(order):
+        if "broken" in order.program_id or order.program_id == broken_id:
+            raise RuntimeError("a fault of the entry")
+        return await tool_done(order)
+
+    broken_id = accepted("broken").program_id
+    async with running_entry(on_tool) as entry:
+        broken = await entry.run("broken")
+        whole = await entry.run("whole")
+    assert_that((broken.word, broken.error), Equals((FinalWord.UNKNOWN, ErrorCode.INTERNAL)))
+    assert_that((whole.word, whole.answer), Equals((FinalWord.DONE, "done")))
+    assert_that([event.number for event in entry.log.ring], Contains(104))
+
+
+@pytest.mark.anyio
+async def test_the_intent_is_durable_before_the_order():
+    async def on_tool(order):
+        seen.extend(entry.journal.kinds())
+        return await tool_done(order)
+
+    seen = []
+    async with running_entry(on_tool) as entry:
+        await entry.run("sizing")
+    assert_that(seen[-1], Equals("CallIntended"))
+
+
+@pytest.mark.anyio
+async def test_the_same_body_is_the_same_program_and_another_body_is_refused():
+    request = accepted("sizing").request
+    async with running_entry() as entry:
+        first = await entry.directory.start(with_fingerprint(request, "a"))
+        again = await entry.directory.start(with_fingerprint(request, "a", deadline_s=30.0))
+        with pytest.raises(RequestKeyReusedError):
+            await entry.directory.start(with_fingerprint(request, "b"))
+    assert_that(again.program_id, Equals(first.program_id))
+
+
+@pytest.mark.anyio
+async def test_an_order_lost_on_its_way_is_ordered_again_only_when_sealed():
+    async def on_tool(order):
+        if len(entry.sidecars.ordered) == 1:
+            raise UpstreamLostError("lost")
+        return await tool_done(order)
+
+    counts = {}
+    for verdict in (SealVerdict.SEALED, SealVerdict.UNKNOWN, SealVerdict.EXECUTED):
+        async with running_entry(on_tool) as entry:
+            outcome = Outcome("call", FinalWord.DONE, result="{}")
+            entry.sidecars.verdict = SealReply(verdict, outcome)
+            view = await entry.run("sizing")
+            counts[verdict] = (len(entry.sidecars.ordered), view.calls[0].word)
+    wanted = {
+        SealVerdict.SEALED: (2, FinalWord.DONE),
+        SealVerdict.UNKNOWN: (1, FinalWord.UNKNOWN),
+        SealVerdict.EXECUTED: (1, FinalWord.DONE),
+    }
+    assert_that(counts, Equals(wanted))
+
+
+@pytest.mark.anyio
+async def test_a_cancelled_program_settles_its_order_before_its_final_word():
+    async def on_tool(order):
+        ordered.set()
+        await anyio.sleep_forever()
+
+    words = {}
+    for verdict in (SealVerdict.SEALED, SealVerdict.UNKNOWN):
+        ordered = anyio.Event()
+        async with running_entry(on_tool) as entry:
+            entry.sidecars.verdict = SealReply(verdict)
+            view = await entry.directory.start(accepted("sizing").request)
+            await ordered.wait()
+            driver = entry.directory.entries[view.program_id].driver
+            driver.cancel(Ending(ErrorCode.CANCELLED, "cancelled"))
+            words[verdict] = (await entry.run("sizing")).word
+            released = entry.sidecars.released
+        assert_that(released, Equals([view.program_id]))
+    wanted = {SealVerdict.SEALED: FinalWord.NOT_RUN, SealVerdict.UNKNOWN: FinalWord.UNKNOWN}
+    assert_that(words, Equals(wanted))
+
+
+@pytest.mark.anyio
+async def test_a_program_whose_partition_moved_is_dropped_and_its_caller_sent_on():
+    async with running_entry() as entry:
+        entry.journal.open = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+
+            async def start():
+                with pytest.raises(NotOwnerError) as caught:
+                    await entry.directory.start(accepted("sizing").request)
+                assert_that(caught.value.word, Equals(FinalWord.UNKNOWN))
+
+            tasks.start_soon(start)
+            await anyio.lowlevel.checkpoint()
+            entry.journal.moved = True
+            entry.journal.open.set()
+        assert_that(entry.directory.entries, Equals({}))
