Create events only while a task waits for them

Cause: a waiting program held seven events with a queue each, created before anyone waited, and two cancel scopes beside those of its task groups. Ruled out: the program's own state, 2.7 KB (slopes state). Also one copy of not_run and unknown outcomes. Verified: tests of the directory and of sessions, 8 passed.

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/attempts.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/attempts.py
@@ -7,6 +7,7 @@
 from skylarkferry_core.errors import ErrorCode, NotOwnerError, UpstreamLostError
 from skylarkferry_core.ids import CallId, UpstreamId
 from skylarkferry_core.messages import Fence, Order, Outcome
+from skylarkferry_core.outcomes import not_run, unknown
 from skylarkferry_core.programs import Program
 from skylarkferry_core.records import CallIntended
 from skylarkferry_core.retries import RetryPolicy, RetryRequest
@@ -15,7 +16,7 @@
 from skylarkferry_daemon.plans import CallPlan
 from skylarkferry_daemon.reservations import Reservations
 from skylarkferry_daemon.scribes import Scribe
-from skylarkferry_daemon.settling import not_run, settle, unknown
+from skylarkferry_daemon.settling import settle
 
 SETTLE_GRACE_S = 3.0
 WAIT_FOR_UPSTREAM_S = 0.1
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
@@ -32,6 +32,7 @@
 from skylarkferry_daemon.drivers import Driver, Ending
 from skylarkferry_daemon.feeds import ProgramFeed
 from skylarkferry_daemon.interfaces import Ownership
+from skylarkferry_daemon.signals import Signal
 
 ACCEPT_TIMEOUT_S = 5.0
 ACCEPT_RETRY_S = 2.0
@@ -46,7 +47,13 @@
         self.program = program
         self.feed = feed
         self.driver = driver
-        self.accepted = anyio.Event()
+        self.is_accepted = False
+        self.settled = Signal()
+
+    def settle(self, *, accepted: bool) -> None:
+        """Tell callers whether the acceptance is durable or the program has moved."""
+        self.is_accepted = accepted
+        self.settled.notify()
 
 
 class ProgramDirectory:
@@ -98,11 +105,12 @@
         return entry
 
     async def _wait_accepted(self, entry: Entry) -> None:
-        with anyio.move_on_after(ACCEPT_TIMEOUT_S):
-            await entry.accepted.wait()
+        if not entry.is_accepted:
+            with anyio.move_on_after(ACCEPT_TIMEOUT_S):
+                await entry.settled.wait_beyond(0)
         if entry.program.program_id not in self.entries:
             raise in_doubt(NotOwnerError("the partition moved", retry_after_s=NOT_OWNER_RETRY_S))
-        if not entry.accepted.is_set():
+        if not entry.is_accepted:
             raise OutcomeUnknownError(
                 "the platform did not confirm in time; send the same request again",
                 retry_after_s=ACCEPT_RETRY_S,
@@ -115,7 +123,7 @@
             self._drop(entry)
             return
         entry.feed.publish(entry.program.steps[0])
-        entry.accepted.set()
+        entry.settle(accepted=True)
         self.context.log.emit(
             EventKind.PROGRAM_ACCEPTED, record.program_id, agent=record.request.agent
         )
@@ -158,7 +166,7 @@
         if found is entry:
             del self.entries[entry.program.program_id]
         self.admitter.ended(entry.program)
-        entry.accepted.set()
+        entry.settle(accepted=False)
         entry.feed.lose()
 
     def _retire(self, entry: Entry) -> None:
@@ -183,7 +191,7 @@
         program = replay(history)
         feed = ProgramFeed(list(program.steps), program.ended is not None)
         entry = Entry(program, feed, None)
-        entry.accepted.set()
+        entry.settle(accepted=True)
         self.entries[program.program_id] = entry
         if program.ended is not None:
             self._retire(entry)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/drivers.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/drivers.py
@@ -27,6 +27,7 @@
 from skylarkferry_daemon.feeds import ProgramFeed
 from skylarkferry_daemon.plans import CallPlan, Planner
 from skylarkferry_daemon.scribes import Scribe
+from skylarkferry_daemon.signals import Signal
 
 
 class Ending(msgspec.Struct, frozen=True):
@@ -68,9 +69,9 @@
         self.planner = Planner(context, program, fence)
         self.started: set[SlotKey] = set()
         self.ending: Ending | None = None
-        self.woken = anyio.Event()
-        self.calls_scope = anyio.CancelScope()
-        self.whole_scope = anyio.CancelScope()
+        self.woken = Signal()
+        self.calls_scope: anyio.CancelScope | None = None
+        self.whole_scope: anyio.CancelScope | None = None
         self.abandoned = False
         self.work_s = 0.0
         self.waiting_since: dict[RunId, float] = {}
@@ -78,43 +79,47 @@
     def cancel(self, ending: Ending) -> None:
         """End the program without an answer; calls in flight get their final word first."""
         self._fail(ending)
-        self.calls_scope.cancel()
+        if self.calls_scope is not None:
+            self.calls_scope.cancel()
 
     def abandon(self) -> None:
         """Stop at once and write nothing more: another node drives the program."""
         self.abandoned = True
         self.context.sidecars.detach(self.program.program_id)
-        self.whole_scope.cancel()
+        if self.whole_scope is not None:
+            self.whole_scope.cancel()
 
     async def run(self) -> None:
         """Drive until the final answer is durable; raise ``NotOwnerError`` in a group if lost."""
-        with self.whole_scope:
-            async with anyio.create_task_group() as writes:
-                journal = self.context.journal
-                self.scribe = Scribe(self.program, self.fence, journal, self.feed, writes)
-                self.attempts = Attempts(self.context, self.program, self.fence, self.scribe, self)
-                await self._run_calls()
-                await self._end()
+        if self.abandoned:
+            return
+        async with anyio.create_task_group() as writes:
+            self.whole_scope = writes.cancel_scope
+            journal = self.context.journal
+            self.scribe = Scribe(self.program, self.fence, journal, self.feed, writes)
+            self.attempts = Attempts(self.context, self.program, self.fence, self.scribe, self)
+            await self._run_calls()
+            await self._end()
 
     async def _run_calls(self) -> None:
         """Run calls until there is an answer, a reason to end or no time left."""
         left_s = self.program.deadline - self.context.wall_s()
-        self.calls_scope.deadline = anyio.current_time() + left_s
-        with self.calls_scope:
-            async with anyio.create_task_group() as calls:
-                await self._launch_until_done(calls)
-                calls.cancel_scope.cancel()
+        async with anyio.create_task_group() as calls:
+            self.calls_scope = calls.cancel_scope
+            calls.cancel_scope.deadline = anyio.current_time() + left_s
+            await self._launch_until_done(calls)
+            calls.cancel_scope.cancel()
         if not self._done():
             self._fail(Ending(ErrorCode.DEADLINE_PASSED, "the deadline passed"))
 
     async def _launch_until_done(self, calls: TaskGroup) -> None:
         while not self._done():
-            self.woken = anyio.Event()
+            seen = self.woken.count
             await self.scribe.wait_for_room()
             for ready in self.program.ready():
                 self._launch(ready, calls)
             if not self._done():
-                await self.woken.wait()
+                await self.woken.wait_beyond(seen)
 
     def _done(self) -> bool:
         if self.ending is not None:
@@ -259,7 +264,7 @@
         self._wake()
 
     def _wake(self) -> None:
-        self.woken.set()
+        self.woken.notify()
 
     async def _end(self) -> None:
         """Write the final answer and free what the program held."""
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/feeds.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/feeds.py
@@ -2,10 +2,9 @@
 
 from collections.abc import AsyncIterator
 
-import anyio
-
 from skylarkferry_core.errors import NotOwnerError
 from skylarkferry_core.messages import Delta, Step, WatchItem
+from skylarkferry_daemon.signals import Signal
 
 
 class ProgramFeed:
@@ -20,7 +19,7 @@
         self.lost = False
         self.attempt = 0
         self.text = ""
-        self.changed = anyio.Event()
+        self.changed = Signal()
 
     def publish(self, step: Step, *, ends_turn: bool = False) -> None:
         """Add a step whose record is durable; ``ends_turn`` says that it holds the turn's text."""
@@ -28,7 +27,7 @@
         if ends_turn:
             self.text = ""
             self.attempt = 0
-        self._notify()
+        self.changed.notify()
 
     def begin_attempt(self) -> None:
         """Start the text of the turn anew."""
@@ -39,21 +38,17 @@
     def extend(self, text: str) -> None:
         """Add output of the current attempt."""
         self.text += text
-        self._notify()
+        self.changed.notify()
 
     def end(self) -> None:
         """Close the feed; no step follows."""
         self.ended = True
-        self._notify()
+        self.changed.notify()
 
     def lose(self) -> None:
         """End every watch with ``NotOwnerError``: another node drives the program."""
         self.lost = True
-        self._notify()
-
-    def _notify(self) -> None:
-        self.changed.set()
-        self.changed = anyio.Event()
+        self.changed.notify()
 
     async def wait_ended(self) -> None:
         """Return once the program ended; raise ``NotOwnerError`` when it moves."""
@@ -67,15 +62,14 @@
         """
         shown = _Shown(after)
         while True:
-            changed = self.changed
+            seen = self.changed.count
             for item in self._news(shown):
                 yield item
             if self.ended and shown.number >= len(self.steps):
                 return
             if self.lost:
                 raise NotOwnerError("another node drives the program")
-            if changed is self.changed:
-                await changed.wait()
+            await self.changed.wait_beyond(seen)
 
     def _news(self, shown: "_Shown") -> list[WatchItem]:
         """Return what a watcher has not seen and move its position."""
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/reservations.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/reservations.py
@@ -10,6 +10,7 @@
 from skylarkferry_core.records import AllotmentTaken
 from skylarkferry_core.states import FinalWord
 from skylarkferry_daemon.scribes import Scribe
+from skylarkferry_daemon.signals import Signal
 
 
 class Reservations:
@@ -19,7 +20,7 @@
         self.program = program
         self.scribe = scribe
         self.lock = anyio.Lock()
-        self.freed = anyio.Event()
+        self.freed = Signal()
 
     async def reserve(self, call_id: CallId, need: Amount) -> None:
         """Reserve a call's worst case, waiting for calls in flight to settle if that may help.
@@ -27,12 +28,13 @@
         Raise ``BudgetExhaustedError`` when the budget cannot cover it.
         """
         async with self.lock:
+            seen = self.freed.count
             while not await self._try_reserve(call_id, need):
-                await self.freed.wait()
+                await self.freed.wait_beyond(seen)
+                seen = self.freed.count
 
     async def _try_reserve(self, call_id: CallId, need: Amount) -> bool:
         ledger = self.program.budget
-        self.freed = anyio.Event()
         try:
             total = ledger.next_allotment(need)
         except BudgetExhaustedError:
@@ -60,4 +62,4 @@
 
     def notify(self) -> None:
         """Wake a call that waits for budget."""
-        self.freed.set()
+        self.freed.notify()
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/scribes.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/scribes.py
@@ -11,6 +11,7 @@
 from skylarkferry_core.runs import ROOT_RUN
 from skylarkferry_daemon.feeds import ProgramFeed
 from skylarkferry_daemon.interfaces import Journal
+from skylarkferry_daemon.signals import Signal
 
 UNWRITTEN_RECORDS = 16
 
@@ -31,7 +32,7 @@
         self.feed = feed
         self.tasks = tasks
         self.unwritten = 0
-        self.drained = anyio.Event()
+        self.drained = Signal()
 
     def take(self, record: Record, then: Callable[[], None] | None = None) -> anyio.Event:
         """Apply a record and write it in the background.
@@ -52,8 +53,7 @@
     async def wait_for_room(self) -> None:
         """Return when few records wait to be written; an outage stops the program here."""
         while self.unwritten >= UNWRITTEN_RECORDS:
-            self.drained = anyio.Event()
-            await self.drained.wait()
+            await self.drained.wait_beyond(self.drained.count)
 
     async def _write(
         self,
@@ -64,7 +64,7 @@
     ) -> None:
         await self.journal.append(self.fence, record, durable=True)
         self.unwritten -= 1
-        self.drained.set()
+        self.drained.notify()
         if step is not None:
             self.feed.publish(step, ends_turn=_ends_own_turn(record))
         if then is not None:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/settling.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/settling.py
@@ -3,10 +3,11 @@
 import anyio
 
 from skylarkferry_core.errors import ErrorCode, UpstreamLostError
-from skylarkferry_core.ids import CallId, UpstreamId
+from skylarkferry_core.ids import UpstreamId
 from skylarkferry_core.messages import Fence, Outcome, SealRequest
+from skylarkferry_core.outcomes import not_run, unknown
 from skylarkferry_core.records import CallIntended
-from skylarkferry_core.states import FinalWord, SealVerdict, UpstreamState
+from skylarkferry_core.states import SealVerdict, UpstreamState
 from skylarkferry_daemon.context import EntryContext
 from skylarkferry_daemon.interfaces import ChunkSink
 
@@ -55,13 +56,3 @@
         if host.upstream == upstream:
             return host.state is UpstreamState.GONE
     return True
-
-
-def not_run(call_id: CallId, code: ErrorCode, detail: str) -> Outcome:
-    """Return the outcome of a call that certainly never ran."""
-    return Outcome(call_id, FinalWord.NOT_RUN, error=code, detail=detail)
-
-
-def unknown(call_id: CallId, code: ErrorCode, detail: str) -> Outcome:
-    """Return the outcome of a call that may have run."""
-    return Outcome(call_id, FinalWord.UNKNOWN, error=code, detail=detail)
