--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 bench: $(VENV)/installed
 	$(BIN)/python -m skylarkferry_bench run
+	$(BIN)/python -m skylarkferry_bench overhead
 
 slopes: $(VENV)/installed
 	$(BIN)/python -m skylarkferry_bench slopes
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry.py
@@ -36,7 +36,7 @@
 from skylarkferry_daemon.timers import TimerService
 from skylarkferry_daemon.tokens import TokenIndex
 from skylarkferry_wire.methods import SIDECAR_DRAIN
-from skylarkferry_wire.servers import new_server
+from skylarkferry_wire.servers import listen, new_server
 
 RPC_GRACE_S = 2.0
 DRAIN_TIMEOUT_S = 5.0
@@ -123,7 +123,7 @@
     async def _serve(self, stack: AsyncExitStack, tasks: TaskGroup) -> None:
         server = new_server()
         EntryService(self.directory, self.programs, self.log).register(server)
-        server.add_insecure_port(self.settings.rpc_listen)
+        listen(server, self.settings.rpc_listen)
         await server.start()
         stack.push_async_callback(server.stop, RPC_GRACE_S)
         await self.documents.refresh()
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/http_server.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/http_server.py
@@ -1,5 +1,7 @@
 """The entry's HTTP server: HTTP/1.1 and HTTP/2 without TLS, by hypercorn."""
 
+import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
@@ -39,7 +41,9 @@
     ``bind`` is ``host:port`` or ``fd://number``.  Requests still open ``grace_s`` seconds after
     the stop are cut.
     """
-    await serve(build_app(edge), _config(bind, grace_s), shutdown_trigger=stop)
+    # Hypercorn raises InvalidStateError when it cuts a request after the grace.
+    with contextlib.suppress(asyncio.InvalidStateError):
+        await serve(build_app(edge), _config(bind, grace_s), shutdown_trigger=stop)
 
 
 def _config(bind: str, grace_s: float) -> Config:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/settings.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/settings.py
@@ -150,7 +150,7 @@
     slots: Count = 16
     queue_limit: Count = 1_000
     outcomes_kept: Count = 100_000
-    silence_s: Seconds = 20.0
+    silence_s: Seconds = 60.0
     frame_interval_s: Seconds = 0.015
     heartbeat_s: Seconds = 1.0
     engine_poll_s: Seconds = 2.0
