--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
@@ -101,7 +101,10 @@
         entry = Entry(program, ProgramFeed([], False), None)
         entry.driver = Driver(self.context, program, fence, entry.feed)
         self.entries[program_id] = entry
-        self.tasks.start_soon(self._write_and_drive, entry, fence, record)
+        # The journal gets the acceptance first; the first turn may run before it is durable, since
+        # nothing that may not be repeated is ordered before a later record is.
+        self.tasks.start_soon(self._write_acceptance, entry, fence, record)
+        self.tasks.start_soon(self._drive, entry)
         return entry
 
     async def _wait_accepted(self, entry: Entry) -> None:
@@ -116,18 +119,18 @@
                 retry_after_s=ACCEPT_RETRY_S,
             )
 
-    async def _write_and_drive(self, entry: Entry, fence: Fence, record: ProgramAccepted) -> None:
+    async def _write_acceptance(self, entry: Entry, fence: Fence, record: ProgramAccepted) -> None:
         try:
             await self.context.journal.append(fence, record, durable=True)
         except NotOwnerError:
-            self._drop(entry)
+            assert entry.driver is not None
+            entry.driver.abandon()
             return
         entry.feed.publish(entry.program.steps[0])
         entry.settle(accepted=True)
         self.context.log.emit(
             EventKind.PROGRAM_ACCEPTED, record.program_id, agent=record.request.agent
         )
-        await self._drive(entry)
 
     async def _drive(self, entry: Entry) -> None:
         assert entry.driver is not None
