Count no adopted program that ended among those under way

Cause: an adopter counted each ended program out that it had never counted in, so its customer's limit of programs under way grew with each adoption. Found on reading. Before: the new test gave -1 != 0. After: 7 passed.

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
@@ -173,10 +173,14 @@
         entry.feed.lose()
 
     def _retire(self, entry: Entry) -> None:
-        """Keep an ended program's answer, within the bound, and free the rest."""
+        """Count an ended program out and keep its answer."""
         entry.driver = None
-        entry.program.runs.clear()
         self.admitter.ended(entry.program)
+        self._keep_ended(entry)
+
+    def _keep_ended(self, entry: Entry) -> None:
+        """Keep an ended program's answer, within the bound, and free the rest."""
+        entry.program.runs.clear()
         self.ended[entry.program.program_id] = None
         while len(self.ended) > self.ended_kept:
             oldest, _ = self.ended.popitem(last=False)
@@ -197,7 +201,7 @@
         entry.settle(accepted=True)
         self.entries[program.program_id] = entry
         if program.ended is not None:
-            self._retire(entry)
+            self._keep_ended(entry)
             return
         self.admitter.resumed(program.request)
         entry.driver = Driver(self.context, program, fence, feed)
--- a/tests/daemon/test_directory.py
+++ b/tests/daemon/test_directory.py
@@ -6,14 +6,14 @@
 from testtools.matchers import Contains, Equals
 
 from core.scripts import accepted
-from entry_fakes import running_entry, tool_done
+from entry_fakes import FakeOwnership, running_entry, tool_done
 from skylarkferry_core.errors import (
     ErrorCode,
     NotOwnerError,
     RequestKeyReusedError,
     UpstreamLostError,
 )
-from skylarkferry_core.ids import Fingerprint
+from skylarkferry_core.ids import Fingerprint, partition_of
 from skylarkferry_core.messages import Outcome, SealReply
 from skylarkferry_core.states import FinalWord, SealVerdict
 from skylarkferry_daemon.drivers import Ending
@@ -122,3 +122,17 @@
             entry.journal.moved = True
             entry.journal.open.set()
         assert_that(entry.directory.entries, Equals({}))
+
+
+@pytest.mark.anyio
+async def test_an_adopted_program_that_ended_keeps_its_answer_and_is_not_counted():
+    async with running_entry() as entry:
+        view = await entry.run("sizing")
+        records = entry.journal.records
+    async with running_entry() as adopter:
+        fence = FakeOwnership().fence(partition_of(view.program_id))
+        await adopter.directory.on_adopted(fence, records)
+        again = await adopter.directory.start(accepted("sizing").request)
+        counted = adopter.directory.admitter.under_way[view.customer]
+    assert_that((again.word, again.answer), Equals((FinalWord.DONE, "done")))
+    assert_that(counted, Equals(0))
