--- a/packages/skylarkferry-core/src/skylarkferry_core/messages.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/messages.py
@@ -114,7 +114,8 @@
     ``alone`` asks for an upstream without other calls: the request was running at a crash.
     ``prefill_tokens`` and ``output_tokens`` are the entry's estimates of what the call computes,
     ``cached_tokens`` what the run itself has in the upstream's cache, without shared prefixes, and
-    ``typical_tokens`` what runs of its kind hold there on average over their life.
+    ``typical_tokens`` what runs of its kind hold there on average over their life; ``prefix``
+    identifies the first ``prefix_tokens`` of the prompt, which other programs share.
     """
 
     call_id: CallId
@@ -135,6 +136,8 @@
     output_tokens: int = 0
     cached_tokens: int = 0
     typical_tokens: int = 0
+    prefix: Fingerprint = Fingerprint("")
+    prefix_tokens: int = 0
 
 
 class ServiceReply(msgspec.Struct, frozen=True):
@@ -377,6 +380,8 @@
     """What a caller asks for; ``deadline_s`` is the time it allows, from acceptance.
 
     With ``service`` set, the program is one call of a plain service that may not be repeated.
+    ``fingerprint`` is that of the body as the caller sent it: the defaults that the document adds
+    may differ when the same body comes again.
     """
 
     request_key: RequestKey
@@ -387,6 +392,13 @@
     budget: Budget
     priority: Priority = Priority.NORMAL
     service: ServiceWork | None = None
+    fingerprint: Fingerprint = Fingerprint("")
+
+    def same_as(self, other: "ProgramRequest") -> bool:
+        """Tell whether a caller sent the same body again."""
+        if self.fingerprint and other.fingerprint:
+            return self.fingerprint == other.fingerprint
+        return self == other
 
 
 class ProgramView(msgspec.Struct, frozen=True):
