Let an owner that lost its partition leave its calls to the next one

Cause: found on reading. A driver whose write was refused was cancelled without being told why: it sealed its orders and cancelled its turns at the sidecars, and an adopter that attached to a turn cancelled in this way would have ended the program as cancelled. Ruled out: stale cancels after the adopter's first frame, which the fence refuses. The refused write now abandons the driver, which detaches its calls, and a cancelled call that may run again is tried again.

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/attempts.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/attempts.py
@@ -21,9 +21,7 @@
 SETTLE_GRACE_S = 3.0
 WAIT_FOR_UPSTREAM_S = 0.1
 _NO_FAILURE = frozenset({ErrorCode.NO_UPSTREAM, ErrorCode.OVERLOADED, ErrorCode.UPSTREAM_LEAVING})
-_FINAL = frozenset(
-    {ErrorCode.QUARANTINED, ErrorCode.BAD_REQUEST, ErrorCode.DEADLINE_PASSED, ErrorCode.CANCELLED}
-)
+_FINAL = frozenset({ErrorCode.QUARANTINED, ErrorCode.BAD_REQUEST, ErrorCode.DEADLINE_PASSED})
 
 
 class Ledger(Protocol):
@@ -32,6 +30,9 @@
     abandoned: bool
     """Whether another node drives the program; then nothing is recorded any more."""
 
+    def abandon(self) -> None:
+        """Stop driving the program: another node does."""
+
     def finish(self, plan: CallPlan, outcome: Outcome) -> None:
         """Record the final word of a call."""
 
@@ -135,7 +136,7 @@
         self.context.log_placed(self.program.program_id, intent)
         self.context.estimates.begin(intent.upstream)
         try:
-            outcome = _checked(await self._follow(plan, intent, order))
+            outcome = self._checked(await self._follow(plan, intent, order))
         except anyio.get_cancelled_exc_class():
             self.context.estimates.breaker(intent.upstream).interrupted()
             await self._settle_cancelled(plan, intent)
@@ -165,9 +166,9 @@
     async def _take_over(self, plan: CallPlan, intent: CallIntended) -> Outcome:
         """Settle or follow an attempt of an earlier driver of this program."""
         if plan.repeatable:
-            return _checked(await self._attach(plan, intent))
+            return self._checked(await self._attach(plan, intent))
         try:
-            return _checked(await settle(self.context, intent, self.fence, plan.sink))
+            return self._checked(await settle(self.context, intent, self.fence, plan.sink))
         except anyio.get_cancelled_exc_class():
             await self._settle_cancelled(plan, intent)
             raise
@@ -181,12 +182,12 @@
         except UpstreamLostError as error:
             return unknown(intent.call_id, ErrorCode.UPSTREAM_LOST, error.detail)
 
-
-def _checked(outcome: Outcome) -> Outcome:
-    """Return the outcome, or raise when it says that another node owns the program."""
-    if outcome.error is ErrorCode.STALE_EPOCH:
-        raise NotOwnerError("a sidecar saw a higher epoch")
-    return outcome
+    def _checked(self, outcome: Outcome) -> Outcome:
+        """Return the outcome, or raise when it says that another node owns the program."""
+        if outcome.error is ErrorCode.STALE_EPOCH:
+            self.ledger.abandon()
+            raise NotOwnerError("a sidecar saw a higher epoch")
+        return outcome
 
 
 def _may_retry(plan: CallPlan, outcome: Outcome) -> bool:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/drivers.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/drivers.py
@@ -90,13 +90,22 @@
             self.whole_scope.cancel()
 
     async def run(self) -> None:
-        """Drive until the final answer is durable; raise ``NotOwnerError`` in a group if lost."""
+        """Drive until the final answer is durable or another node owns the program.
+
+        Raise ``NotOwnerError``, in a group, when a sidecar tells of the other owner.
+        """
         if self.abandoned:
             return
         async with anyio.create_task_group() as writes:
             self.whole_scope = writes.cancel_scope
-            journal = self.context.journal
-            self.scribe = Scribe(self.program, self.fence, journal, self.feed, writes)
+            self.scribe = Scribe(
+                self.program,
+                self.fence,
+                self.context.journal,
+                feed=self.feed,
+                tasks=writes,
+                on_lost=self.abandon,
+            )
             self.attempts = Attempts(self.context, self.program, self.fence, self.scribe, self)
             await self._run_calls()
             await self._end()
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/scribes.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/scribes.py
@@ -5,6 +5,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from skylarkferry_core.errors import NotOwnerError
 from skylarkferry_core.messages import Fence, Step
 from skylarkferry_core.programs import Program
 from skylarkferry_core.records import Record, TurnCompleted
@@ -19,18 +20,25 @@
 class Scribe:
     """Apply records to a program and write them, all in one order.
 
-    A write that the partition's next owner refused raises ``NotOwnerError`` in ``tasks``, which
-    ends the program's driver.
+    ``on_lost`` is called when a write is refused because the partition has another owner.
     """
 
     def __init__(
-        self, program: Program, fence: Fence, journal: Journal, feed: ProgramFeed, tasks: TaskGroup
+        self,
+        program: Program,
+        fence: Fence,
+        journal: Journal,
+        *,
+        feed: ProgramFeed,
+        tasks: TaskGroup,
+        on_lost: Callable[[], None],
     ) -> None:
         self.program = program
         self.fence = fence
         self.journal = journal
         self.feed = feed
         self.tasks = tasks
+        self.on_lost = on_lost
         self.unwritten = 0
         self.drained = Signal()
 
@@ -62,7 +70,11 @@
         durable: anyio.Event,
         then: Callable[[], None] | None,
     ) -> None:
-        await self.journal.append(self.fence, record, durable=True)
+        try:
+            await self.journal.append(self.fence, record, durable=True)
+        except NotOwnerError:
+            self.on_lost()
+            return
         self.unwritten -= 1
         self.drained.notify()
         if step is not None:
--- a/tests/daemon/test_directory.py
+++ b/tests/daemon/test_directory.py
@@ -15,6 +15,7 @@
 )
 from skylarkferry_core.ids import Fingerprint, partition_of
 from skylarkferry_core.messages import Outcome, SealReply
+from skylarkferry_core.records import AllotmentTaken
 from skylarkferry_core.states import FinalWord, SealVerdict
 from skylarkferry_daemon.drivers import Ending
 
@@ -124,6 +125,38 @@
         assert_that(entry.directory.entries, Equals({}))
 
 
+@pytest.mark.anyio
+async def test_an_owner_that_lost_its_partition_leaves_its_order_to_the_next():
+    async def on_tool(order):
+        ordered.set()
+        await anyio.sleep_forever()
+
+    ordered = anyio.Event()
+    async with running_entry(on_tool) as entry:
+        view = await entry.directory.start(accepted("sizing").request)
+        await ordered.wait()
+        entry.journal.moved = True
+        driver = entry.directory.entries[view.program_id].driver
+        driver.scribe.take(AllotmentTaken(view.program_id, 1, 1))
+        with pytest.raises(NotOwnerError):
+            await entry.directory.entries[view.program_id].feed.wait_ended()
+        sidecars = entry.sidecars
+        assert_that(entry.directory.entries, Equals({}))
+    assert_that((sidecars.sealed, sidecars.detached), Equals((0, [view.program_id])))
+
+
+@pytest.mark.anyio
+async def test_a_turn_that_an_earlier_owner_cancelled_runs_again():
+    async def on_tool(order):
+        if len(entry.sidecars.ordered) == 1:
+            return Outcome(order.call_id, FinalWord.NOT_RUN, error=ErrorCode.CANCELLED)
+        return await tool_done(order)
+
+    async with running_entry(on_tool) as entry:
+        view = await entry.run("sizing")
+    assert_that((len(entry.sidecars.ordered), view.word), Equals((2, FinalWord.DONE)))
+
+
 @pytest.mark.anyio
 async def test_an_adopted_program_that_ended_keeps_its_answer_and_is_not_counted():
     async with running_entry() as entry:
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -81,6 +81,8 @@
         self.ordered = []
         self.verdict = SealReply(SealVerdict.SEALED)
         self.released = []
+        self.sealed = 0
+        self.detached = []
 
     def _candidate(self, kind, pool):
         load = LoadReport()
@@ -104,6 +106,7 @@
         return await self.on_tool(order)
 
     async def seal(self, upstream, request):
+        self.sealed += 1
         return self.verdict
 
     def acknowledge(self, upstream, call_id):
@@ -113,7 +116,7 @@
         self.released.append(program_id)
 
     def detach(self, program_id):
-        pass
+        self.detached.append(program_id)
 
     def hosts(self):
         return []
