Count a call that ran over a recovery once

Cause: recovery counts the whole allotment as spent, and the outcome of a call that the adopter attached to was added on top, so a program's spent amount could pass its budget. Found on reading. Before: Amount(1900, 900) instead of Amount(1000, 500) in the new test. After: passed.

--- a/packages/skylarkferry-core/src/skylarkferry_core/budgets.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/budgets.py
@@ -70,6 +70,7 @@
         self.spent = Amount()
         self.turns = 0
         self.reservations: dict[CallId, Amount] = {}
+        self.recovered = False
 
     @property
     def committed(self) -> Amount:
@@ -118,11 +119,15 @@
         self.reservations.pop(call_id, None)
 
     def settle(self, call_id: CallId, used: Amount) -> None:
-        """Turn a reservation into what was used, but never more than was reserved."""
-        reserved = self.reservations.pop(call_id, used)
+        """Turn a reservation into what was used, but never more than was reserved.
+
+        In replay no call has a reservation; after it, one without was counted by the recovery.
+        """
+        reserved = self.reservations.pop(call_id, Amount() if self.recovered else used)
         self.spent = self.spent.plus(used.at_most(reserved))
 
     def recover(self) -> None:
         """Count the whole allotment as spent: calls of a driver that died may have used it."""
         self.reservations.clear()
+        self.recovered = True
         self.spent = self.spent.at_least(self.allotted)
--- a/tests/core/test_budgets.py
+++ b/tests/core/test_budgets.py
@@ -85,6 +85,14 @@
         assert_that(ledger.spent.covers(counter.spent), Equals(True))
 
 
+def test_a_call_that_ran_over_a_recovery_is_not_counted_twice():
+    ledger = BudgetLedger(LIMIT)
+    ledger.allot(Amount(1_000, 500))
+    ledger.recover()
+    ledger.settle(CallId("attached"), Amount(900, 400))
+    assert_that(ledger.spent, Equals(Amount(1_000, 500)))
+
+
 def test_a_settlement_above_its_reservation_counts_as_the_reservation():
     ledger = BudgetLedger(LIMIT)
     ledger.allot(Amount(100, 100))
