--- a/tests/daemon/test_pages.py
+++ b/tests/daemon/test_pages.py
@@ -8,6 +8,7 @@
 from testtools.matchers import Contains
 
 from skylarkferry_core.errors import ErrorCode
+from skylarkferry_core.sections import ITEM_TYPES
 from skylarkferry_daemon import settings
 
 DOCS = Path(__file__).parents[2] / "docs"
@@ -18,11 +19,12 @@
     "## Limits\n": settings.LimitSettings,
     "## Sidecar\n": settings.SidecarSettings,
 }
+TABLES |= {f"### `{name}`\n": kind for name, kind in ITEM_TYPES.items()}
 
 
 @pytest.mark.parametrize("title", TABLES)
 def test_the_page_of_settings_lists_every_key(title):
-    section = (DOCS / "SETTINGS.md").read_text().partition(title)[2].partition("\n## ")[0]
+    section = (DOCS / "SETTINGS.md").read_text().partition(title)[2].partition("\n##")[0]
     for field in msgspec.structs.fields(TABLES[title]):
         assert_that(section, Contains(f"| `{field.name}` |"))
 
