Run the gate, its claims and the delays in an outage in the daemons

The sidecar's call table now asks the gate, orders carry the entry's estimates of cached, shared and typical tokens, and the load tells what is held. Shown to fail on the table before this change: the two tests of waiting newcomers.

--- a/packages/skylarkferry-bench/src/skylarkferry_bench/state_slopes.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/state_slopes.py
@@ -115,7 +115,7 @@
     table = _table()
     for number in range(length):
         table.accept(_tool_order(number), float(number))
-    return cpu_us_each(lambda: table.queue_order.next_index(table.queue, 1.0), 100)
+    return cpu_us_each(lambda: table.gate.order.next_index(table.queue, 1.0), 100)
 
 
 def _history(number: int, turns: int) -> list[Record]:
--- a/packages/skylarkferry-core/src/skylarkferry_core/calls.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/calls.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from skylarkferry_core.engine_gates import EngineGate
 from skylarkferry_core.errors import ErrorCode, SkylarkferryError, error_for
 from skylarkferry_core.fences import FenceGuard
 from skylarkferry_core.ids import CallId, Fingerprint, Incarnation
@@ -55,7 +56,7 @@
     ) -> None:
         self.incarnation = incarnation
         self.limits = limits
-        self.queue_order = queue_order
+        self.gate = EngineGate(queue_order)
         self.fences = fences
         self.calls: dict[CallId, Call] = {}
         self.queue: list[QueuedOrder] = []
@@ -142,7 +143,9 @@
             return None
         if any(_runs_alone(call.order, suspects) for call in self.running.values()):
             return None
-        index = self.queue_order.next_index(self.queue, now)
+        index = self.gate.next_index(self.queue, len(self.running), now)
+        if index is None:
+            return None
         order = self.queue[index].order
         if self.running and _runs_alone(order, suspects):
             return None
@@ -151,6 +154,7 @@
         call.state = CallState.RUNNING
         call.started_at = now
         self.running[order.call_id] = call
+        self.gate.started(order)
         return call
 
     def append(self, call_id: CallId, text: str) -> None:
@@ -164,6 +168,7 @@
         call = self.running.pop(call_id, None)
         if call is None:
             return None
+        self.gate.ended(call.order, outcome, now)
         self._end(call, outcome, now)
         return call
 
--- /dev/null
+++ b/packages/skylarkferry-core/src/skylarkferry_core/engine_gates.py
@@ -0,0 +1,53 @@
+"""Which waiting call of a sidecar starts next, by queue order and the engine's KV memory."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from skylarkferry_core.gates import KvGate
+from skylarkferry_core.ids import ProgramId
+from skylarkferry_core.interfaces import QueuedOrder, QueueOrder
+from skylarkferry_core.kv_claims import KvClaims
+from skylarkferry_core.messages import LoadReport, Order, Outcome
+
+
+class EngineGate:
+    """Hold back calls whose prompt would evict cache that running or paused programs need.
+
+    ``kv_tokens`` is the size of the engine's memory; while it is 0, as for tools and services, only
+    the queue's order decides.
+    """
+
+    def __init__(self, order: QueueOrder) -> None:
+        self.order = order
+        self.gate = KvGate()
+        self.claims = KvClaims()
+        self.kv_tokens = 0
+
+    def next_index(self, queue: Sequence[QueuedOrder], running: int, now: float) -> int | None:
+        """Return the index of the call to start, or ``None`` while none may start."""
+        load = self.with_memory(LoadReport(running=running), now)
+        return self.gate.next_index(queue, load, self.order, now)
+
+    def with_memory(self, load: LoadReport, now: float) -> LoadReport:
+        """Return a load with the memory that programs hold and reserve."""
+        if not self.kv_tokens:
+            return load
+        held, reserved = self.claims.totals(now)
+        return msgspec.structs.replace(
+            load, kv_tokens=self.kv_tokens, held_kv_tokens=held, reserved_kv_tokens=reserved
+        )
+
+    def started(self, order: Order) -> None:
+        """Claim the memory of a call that starts."""
+        if self.kv_tokens:
+            self.claims.started(order)
+
+    def ended(self, order: Order, outcome: Outcome, now: float) -> None:
+        """Keep the memory of a call that ended for the time that its order gives."""
+        usage = outcome.usage
+        self.claims.ended(order, usage.prompt_tokens + usage.output_tokens, now)
+
+    def released(self, program_id: ProgramId) -> None:
+        """Drop the claims of a program that ended."""
+        self.claims.released(program_id)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/admitting.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/admitting.py
@@ -65,7 +65,8 @@
         if charged is None:
             return
         self.context.admission.settle(customer, charged - program.budget.spent.tokens)
-        self.context.admission.ended(program.program_id)
+        late = program.ended is not None and program.ended.error is ErrorCode.DEADLINE_PASSED
+        self.context.admission.ended(program.program_id, in_time=not late)
 
     def check_platform(self) -> None:
         """Raise ``PlatformUnavailableError`` while writes are not confirmed."""
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/attempts.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/attempts.py
@@ -13,13 +13,13 @@
 from skylarkferry_core.retries import RetryPolicy, RetryRequest
 from skylarkferry_core.states import FinalWord
 from skylarkferry_daemon.context import EntryContext
+from skylarkferry_daemon.placing import Placed
 from skylarkferry_daemon.plans import CallPlan
 from skylarkferry_daemon.reservations import Reservations
 from skylarkferry_daemon.scribes import Scribe
 from skylarkferry_daemon.settling import settle
 
 SETTLE_GRACE_S = 3.0
-WAIT_FOR_UPSTREAM_S = 0.1
 _NO_FAILURE = frozenset({ErrorCode.NO_UPSTREAM, ErrorCode.OVERLOADED, ErrorCode.UPSTREAM_LEAVING})
 _FINAL = frozenset({ErrorCode.QUARANTINED, ErrorCode.BAD_REQUEST, ErrorCode.DEADLINE_PASSED})
 
@@ -69,21 +69,25 @@
     async def _run_attempts(self, plan: CallPlan) -> Outcome:
         tried: list[UpstreamId] = []
         failures = 0
+        tries = 0
         retries = self.context.retries(plan.target.name)
         retries.first()
         while True:
             outcome = await self._try_once(plan, tried)
             if not _may_retry(plan, outcome):
                 return outcome
+            tries += 1
             failures += outcome.error not in _NO_FAILURE
-            delay_s = self._delay_s(retries, outcome, failures)
+            delay_s = self._delay_s(retries, outcome, failures, tries)
             if delay_s is None:
                 return outcome
             self.reservations.dispose(outcome)
             self.context.log_retry(self.program.program_id, outcome)
             await anyio.sleep(delay_s)
 
-    def _delay_s(self, retries: RetryPolicy, outcome: Outcome, failures: int) -> float | None:
+    def _delay_s(
+        self, retries: RetryPolicy, outcome: Outcome, failures: int, tries: int
+    ) -> float | None:
         """Return the seconds to the next attempt, or ``None`` to give up at once.
 
         Waiting for an upstream that can take the call is no retry: nothing was sent to any.
@@ -91,26 +95,26 @@
         remaining_s = self.program.deadline - self.context.wall_s()
         retry_after_s = outcome.retry_after_s or 0.0
         if outcome.error in _NO_FAILURE:
-            delay_s = max(retry_after_s, WAIT_FOR_UPSTREAM_S)
-            return delay_s if delay_s < remaining_s else None
+            delay_s = retries.outage_delay_s(tries, remaining_s)
+            return None if delay_s is None else max(delay_s, retry_after_s)
         request = RetryRequest(failures, remaining_s, retry_after_s=retry_after_s)
         return retries.delay_s(request)
 
     async def _try_once(self, plan: CallPlan, tried: list[UpstreamId]) -> Outcome:
         call_id = self.program.call_id(plan.slot)
         await self.reservations.reserve(call_id, plan.need)
-        upstream = self._place(plan, tried)
-        if upstream is None:
+        placed = self._place(plan, tried)
+        if placed is None:
             return not_run(call_id, ErrorCode.NO_UPSTREAM, "no upstream can take the call")
-        tried.append(upstream)
-        intent = self._intent(plan, call_id, upstream)
+        tried.append(placed.upstream)
+        intent = self._intent(plan, call_id, placed.upstream)
         durable = self.scribe.take(intent)
         if not plan.repeatable:
             await self._wait_durable(plan, intent, durable)
             self.context.log_intended(self.program.program_id, intent)
-        return await self._dispatch(plan, intent)
+        return await self._dispatch(plan, intent, placed)
 
-    def _place(self, plan: CallPlan, tried: list[UpstreamId]) -> UpstreamId | None:
+    def _place(self, plan: CallPlan, tried: list[UpstreamId]) -> Placed | None:
         return self.context.placer.place(plan.target, plan.request, tried)
 
     def _intent(self, plan: CallPlan, call_id: CallId, upstream: UpstreamId) -> CallIntended:
@@ -130,9 +134,9 @@
                 self.ledger.finish(plan, not_run(intent.call_id, ErrorCode.CANCELLED, detail))
             raise
 
-    async def _dispatch(self, plan: CallPlan, intent: CallIntended) -> Outcome:
+    async def _dispatch(self, plan: CallPlan, intent: CallIntended, placed: Placed) -> Outcome:
         plan.begin()
-        order = plan.order(intent)
+        order = plan.order(intent, placed)
         self.context.log_placed(self.program.program_id, intent)
         self.context.estimates.begin(intent.upstream)
         try:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
@@ -100,6 +100,10 @@
             self.scopes[call.order.call_id] = anyio.CancelScope()
             self.tasks.start_soon(self._run, call)
 
+    async def look_again(self) -> None:
+        """Start calls that were held back: memory that is kept frees itself by time."""
+        self.start_calls()
+
     async def _run(self, call: Call) -> None:
         """Run one call to its outcome, or to the end of its time."""
         order = call.order
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/drivers.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/drivers.py
@@ -250,6 +250,7 @@
         intent = self.program.intents.get(plan.slot)
         if intent is not None:
             tokens = outcome.usage.prompt_tokens + outcome.usage.output_tokens
+            self.context.estimates.held(AgentName(plan.name), tokens)
             self.context.sidecars.beliefs.finished(intent.upstream, plan.request, tokens)
 
     def finish(self, plan: CallPlan, outcome: Outcome) -> None:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/estimates.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/estimates.py
@@ -33,6 +33,7 @@
         self.retention = Retention()
         self.breakers: dict[UpstreamId, Breaker] = {}
         self.typical: dict[AgentName, TypicalProgram] = {}
+        self.kv_tokens: dict[AgentName, float] = {}
 
     def breaker(self, upstream: UpstreamId) -> Breaker:
         """Return the breaker of an upstream."""
@@ -77,6 +78,15 @@
         """Learn how long an agent's run waits for tools between two turns."""
         self.pauses.observe(ToolName(agent), pause_s)
 
+    def held(self, agent: AgentName, tokens: int) -> None:
+        """Learn what a run of an agent holds in its engine's memory after a turn."""
+        known = self.kv_tokens.setdefault(agent, float(tokens))
+        self.kv_tokens[agent] = known + WEIGHT_OF_NEWEST * (tokens - known)
+
+    def typical_kv_tokens(self, agent: AgentName) -> int:
+        """Return what a run of an agent holds on average, or 0 when none ran yet."""
+        return int(self.kv_tokens.get(agent, 0.0))
+
     def typical_of(self, agent: AgentName, spec: AgentSpec) -> TypicalProgram:
         """Return what programs of an agent use; a new agent is judged by the document."""
         known = self.typical.get(agent)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/kv_keeper.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/kv_keeper.py
@@ -36,6 +36,7 @@
         self.holds = holds
         self.fences = state.fences
         self.memory = state.memory
+        self.gate = state.table.gate
         self.timers = state.timers
         self.log = state.log
         self.freeing = False
@@ -56,6 +57,7 @@
             self.log.emit(EventKind.ORDER_STALE, frame.program_id, order="release")
             return
         self.holds.on_release(frame.program_id, frame.fence, self.timers.now())
+        self.gate.released(frame.program_id)
         self.timers.after(0.0, self.free_due)
 
     async def free_due(self) -> None:
@@ -112,5 +114,6 @@
         except (httpx.HTTPError, msgspec.DecodeError):
             return
         self.memory.tokens = self.memory.free_tokens + sum(listing.programs.values())
+        self.gate.kv_tokens = self.memory.tokens
         for program_id in self.holds.on_listing(set(listing.programs), self.timers.now()):
             self.log.emit(EventKind.KV_ORPHAN_FOUND, program_id)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/placing.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/placing.py
@@ -35,6 +35,13 @@
         return self.model or self.pool or ""
 
 
+class Placed(msgspec.Struct, frozen=True):
+    """The chosen upstream and the prompt tokens believed in its cache."""
+
+    upstream: UpstreamId
+    cached_tokens: int = 0
+
+
 class Placer:
     """Choose upstreams for the calls of an entry."""
 
@@ -58,8 +65,8 @@
 
     def place(
         self, target: Target, request: PlacementRequest, avoid: Collection[UpstreamId]
-    ) -> UpstreamId | None:
-        """Return the upstream for a call, or ``None`` when none may take it.
+    ) -> Placed | None:
+        """Return where a call goes, or ``None`` when no upstream may take it.
 
         Upstreams in ``avoid`` are used only when no other is left.
         """
@@ -70,10 +77,13 @@
         candidates = [self._informed(item, request) for item in self._candidates(target)]
         fresh = [candidate for candidate in candidates if candidate.upstream not in avoid]
         chosen = self.placement.place(request, fresh or candidates, self._site())
-        if chosen is not None and target.model is not None:
+        if chosen is None:
+            return None
+        belief = self.sidecars.beliefs.belief(chosen, request)
+        if target.model is not None:
             self.last[request.program_id] = chosen
             self.sidecars.beliefs.placed(chosen, request)
-        return chosen
+        return Placed(chosen, int(belief.tokens * belief.trust))
 
     def _informed(self, candidate: Candidate, request: PlacementRequest) -> Candidate:
         """Add what this entry learned of an upstream; a failing one is a last resort."""
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/plans.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/plans.py
@@ -24,12 +24,12 @@
 from skylarkferry_core.turns import expected_turn, model_work, tool_work, worst_case
 from skylarkferry_daemon.context import EntryContext
 from skylarkferry_daemon.interfaces import ChunkSink
-from skylarkferry_daemon.placing import Target
+from skylarkferry_daemon.placing import Placed, Target
 
 MODEL_TIMEOUT_S = 600.0
 SERVICE_TIMEOUT_S = 60.0
 
-OrderBuilder = Callable[[CallIntended], Order]
+OrderBuilder = Callable[[CallIntended, Placed], Order]
 
 
 class CallPlan(msgspec.Struct):
@@ -50,8 +50,8 @@
     begin: Callable[[], None]
 
 
-class Keeping:
-    """How long an engine keeps a run's KV cache after a turn."""
+class ExpectedTurn:
+    """What an engine's sidecar is told of a turn: its tokens and how long to keep its KV cache."""
 
     def __init__(
         self, context: EntryContext, agent: AgentName, target: Target, request: PlacementRequest
@@ -61,7 +61,23 @@
         self.target = target
         self.request = request
 
-    def keep_s(self, upstream: UpstreamId) -> float:
+    def with_tokens(self, order: Order, placed: Placed) -> Order:
+        """Return an order with the expected tokens on its upstream."""
+        request = self.request
+        uncached = max(request.prompt_tokens - placed.cached_tokens, 0)
+        own_cached = max(placed.cached_tokens - request.prefix_tokens, 0)
+        return msgspec.structs.replace(
+            order,
+            keep_kv_s=self._keep_s(placed.upstream),
+            prefill_tokens=uncached,
+            output_tokens=request.output_tokens,
+            cached_tokens=own_cached,
+            typical_tokens=self.context.estimates.typical_kv_tokens(self.agent),
+            prefix=request.prefix,
+            prefix_tokens=request.prefix_tokens,
+        )
+
+    def _keep_s(self, upstream: UpstreamId) -> float:
         """Return the seconds that the cache is worth its memory, by the agent's usual pause."""
         estimates = self.context.estimates
         spec = self.context.documents.current.agents.get(self.agent)
@@ -89,7 +105,7 @@
         need = worst_case(self.document, run, self.program.budget.uncommitted)
         work = model_work(self.document, run, need.output_tokens)
         request = expected_turn(self.document, self.program.program_id, run)
-        keep = Keeping(self.context, run.agent, Target(model=work.model), request)
+        turn = ExpectedTurn(self.context, run.agent, Target(model=work.model), request)
         return CallPlan(
             slot=run.model_slot(),
             name=run.agent,
@@ -97,7 +113,7 @@
             request=request,
             repeatable=True,
             need=need.amount,
-            order=self._orders(work, True, MODEL_TIMEOUT_S, keep),
+            order=self._orders(work, True, MODEL_TIMEOUT_S, turn),
             sink=sink,
             begin=begin,
         )
@@ -133,14 +149,14 @@
         )
 
     def _orders(
-        self, work: Work, repeatable: bool, timeout_s: float, keep: Keeping | None = None
+        self, work: Work, repeatable: bool, timeout_s: float, turn: ExpectedTurn | None = None
     ) -> OrderBuilder:
         """Return what builds the order of each attempt."""
         fingerprint = fingerprint_of(msgspec.msgpack.encode(work))
 
-        def build(intent: CallIntended) -> Order:
+        def build(intent: CallIntended, placed: Placed) -> Order:
             remaining_s = max(self.program.deadline - self.context.wall_s(), 0.0)
-            return Order(
+            order = Order(
                 call_id=intent.call_id,
                 program_id=self.program.program_id,
                 customer=self.program.request.customer,
@@ -152,11 +168,9 @@
                 timeout_s=min(timeout_s, remaining_s),
                 fingerprint=fingerprint,
                 work=work,
-                keep_kv_s=keep.keep_s(intent.upstream) if keep is not None else 0.0,
                 incarnation=intent.incarnation,
-                prefill_tokens=keep.request.prompt_tokens if keep is not None else 0,
-                output_tokens=keep.request.output_tokens if keep is not None else 0,
             )
+            return order if turn is None else turn.with_tokens(order, placed)
 
         return build
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/relays.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/relays.py
@@ -62,9 +62,10 @@
         self, request: ServiceRequest, target: Target, safe: bool, tried: list[UpstreamId]
     ) -> Outcome:
         order = self._order(request, safe)
-        upstream = self.context.placer.place(target, tool_request(order.program_id), tried)
-        if upstream is None:
+        placed = self.context.placer.place(target, tool_request(order.program_id), tried)
+        if placed is None:
             raise NoUpstreamError("no upstream serves it now", retry_after_s=1.0)
+        upstream = placed.upstream
         tried.append(upstream)
         try:
             outcome = await self.context.sidecars.dispatch(upstream, order, self)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
@@ -88,6 +88,7 @@
         timers.every(self.settings.heartbeat_s, self._beat)
         timers.every(self.settings.heartbeat_s, runner.crash_watch.check_reachable)
         timers.every(EXPIRE_INTERVAL_S, self._expire)
+        timers.every(self.settings.heartbeat_s, runner.look_again)
         if self.settings.kind is PoolKind.MODEL:
             timers.every(self.settings.engine_poll_s, reports.poll)
             timers.every(KV_FREE_INTERVAL_S, keeper.free_due)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_state.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_state.py
@@ -40,7 +40,7 @@
 
     def load(self) -> LoadReport:
         """Return the load to report now."""
-        return load_of(self.table, self.memory)
+        return self.table.gate.with_memory(load_of(self.table, self.memory), self.timers.now())
 
     def take_cache_events(self) -> tuple[CacheEvent, ...]:
         """Return the events that no heartbeat carried yet."""
