--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
@@ -25,12 +25,14 @@
     WatchItem,
 )
 from skylarkferry_core.programs import SERVICE_SLOT, Program, replay
-from skylarkferry_core.records import ProgramAccepted, Record
+from skylarkferry_core.records import ProgramAccepted, ProgramEnded, Record
 from skylarkferry_daemon.admitting import Admitter
 from skylarkferry_daemon.context import EntryContext
+from skylarkferry_daemon.doubts import in_doubt
 from skylarkferry_daemon.drivers import Driver, Ending
 from skylarkferry_daemon.feeds import ProgramFeed
 from skylarkferry_daemon.interfaces import Ownership
+from skylarkferry_daemon.signals import Signal
 
 ACCEPT_TIMEOUT_S = 5.0
 ACCEPT_RETRY_S = 2.0
@@ -45,7 +47,13 @@
         self.program = program
         self.feed = feed
         self.driver = driver
-        self.accepted = anyio.Event()
+        self.is_accepted = False
+        self.settled = Signal()
+
+    def settle(self, *, accepted: bool) -> None:
+        """Tell callers whether the acceptance is durable or the program has moved."""
+        self.is_accepted = accepted
+        self.settled.notify()
 
 
 class ProgramDirectory:
@@ -82,7 +90,7 @@
         if entry is None:
             self.admitter.admit(program_id, request, anyio.current_time())
             entry = self._accept(program_id, request, fence)
-        elif entry.program.request != request:
+        elif not entry.program.request.same_as(request):
             raise RequestKeyReusedError("the request key stands for a different body")
         await self._wait_accepted(entry)
         return entry.program.view()
@@ -93,32 +101,36 @@
         entry = Entry(program, ProgramFeed([], False), None)
         entry.driver = Driver(self.context, program, fence, entry.feed)
         self.entries[program_id] = entry
-        self.tasks.start_soon(self._write_and_drive, entry, fence, record)
+        # The journal gets the acceptance first; the first turn may run before it is durable, since
+        # nothing that may not be repeated is ordered before a later record is.
+        self.tasks.start_soon(self._write_acceptance, entry, fence, record)
+        self.tasks.start_soon(self._drive, entry)
         return entry
 
     async def _wait_accepted(self, entry: Entry) -> None:
-        with anyio.move_on_after(ACCEPT_TIMEOUT_S):
-            await entry.accepted.wait()
+        if not entry.is_accepted:
+            with anyio.move_on_after(ACCEPT_TIMEOUT_S):
+                await entry.settled.wait_beyond(0)
         if entry.program.program_id not in self.entries:
-            raise NotOwnerError("the partition moved", retry_after_s=NOT_OWNER_RETRY_S)
-        if not entry.accepted.is_set():
+            raise in_doubt(NotOwnerError("the partition moved", retry_after_s=NOT_OWNER_RETRY_S))
+        if not entry.is_accepted:
             raise OutcomeUnknownError(
                 "the platform did not confirm in time; send the same request again",
                 retry_after_s=ACCEPT_RETRY_S,
             )
 
-    async def _write_and_drive(self, entry: Entry, fence: Fence, record: ProgramAccepted) -> None:
+    async def _write_acceptance(self, entry: Entry, fence: Fence, record: ProgramAccepted) -> None:
         try:
             await self.context.journal.append(fence, record, durable=True)
         except NotOwnerError:
-            self._drop(entry)
+            assert entry.driver is not None
+            entry.driver.abandon()
             return
         entry.feed.publish(entry.program.steps[0])
-        entry.accepted.set()
+        entry.settle(accepted=True)
         self.context.log.emit(
             EventKind.PROGRAM_ACCEPTED, record.program_id, agent=record.request.agent
         )
-        await self._drive(entry)
 
     async def _drive(self, entry: Entry) -> None:
         assert entry.driver is not None
@@ -126,25 +138,49 @@
             await entry.driver.run()
         except* NotOwnerError:
             entry.driver.abandoned = True
+        except* Exception as group:
+            await self._end_failed(entry, repr(group.exceptions[0]))
         if entry.driver.abandoned:
             self._drop(entry)
         else:
             self._retire(entry)
 
+    async def _end_failed(self, entry: Entry, detail: str) -> None:
+        """End a program that its driver failed on; the other programs go on."""
+        program = entry.program
+        self.context.log.emit(EventKind.TASK_FAILED, program.program_id, error=detail)
+        assert entry.driver is not None
+        record = ProgramEnded(
+            program.program_id, program.word_on_failure(), "", ErrorCode.INTERNAL, detail
+        )
+        try:
+            await self.context.journal.append(entry.driver.fence, record, durable=True)
+        except NotOwnerError:
+            entry.driver.abandoned = True
+            return
+        step = program.apply(record)
+        if step is not None:
+            entry.feed.publish(step)
+        entry.feed.end()
+
     def _drop(self, entry: Entry) -> None:
         """Forget a program that another node drives; watchers look for its owner."""
         found = self.entries.get(entry.program.program_id)
         if found is entry:
             del self.entries[entry.program.program_id]
         self.admitter.ended(entry.program)
-        entry.accepted.set()
+        entry.settle(accepted=False)
         entry.feed.lose()
 
     def _retire(self, entry: Entry) -> None:
-        """Keep an ended program's answer, within the bound, and free the rest."""
+        """Count an ended program out and keep its answer."""
         entry.driver = None
-        entry.program.runs.clear()
         self.admitter.ended(entry.program)
+        self._keep_ended(entry)
+
+    def _keep_ended(self, entry: Entry) -> None:
+        """Keep an ended program's answer, within the bound, and free the rest."""
+        entry.program.runs.clear()
         self.ended[entry.program.program_id] = None
         while len(self.ended) > self.ended_kept:
             oldest, _ = self.ended.popitem(last=False)
@@ -162,10 +198,10 @@
         program = replay(history)
         feed = ProgramFeed(list(program.steps), program.ended is not None)
         entry = Entry(program, feed, None)
-        entry.accepted.set()
+        entry.settle(accepted=True)
         self.entries[program.program_id] = entry
         if program.ended is not None:
-            self._retire(entry)
+            self._keep_ended(entry)
             return
         self.admitter.resumed(program.request)
         entry.driver = Driver(self.context, program, fence, feed)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/scribes.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/scribes.py
@@ -5,12 +5,14 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from skylarkferry_core.errors import NotOwnerError
 from skylarkferry_core.messages import Fence, Step
 from skylarkferry_core.programs import Program
 from skylarkferry_core.records import Record, TurnCompleted
 from skylarkferry_core.runs import ROOT_RUN
 from skylarkferry_daemon.feeds import ProgramFeed
 from skylarkferry_daemon.interfaces import Journal
+from skylarkferry_daemon.signals import Signal
 
 UNWRITTEN_RECORDS = 16
 
@@ -18,20 +20,27 @@
 class Scribe:
     """Apply records to a program and write them, all in one order.
 
-    A write that the partition's next owner refused raises ``NotOwnerError`` in ``tasks``, which
-    ends the program's driver.
+    ``on_lost`` is called when a write is refused because the partition has another owner.
     """
 
     def __init__(
-        self, program: Program, fence: Fence, journal: Journal, feed: ProgramFeed, tasks: TaskGroup
+        self,
+        program: Program,
+        fence: Fence,
+        journal: Journal,
+        *,
+        feed: ProgramFeed,
+        tasks: TaskGroup,
+        on_lost: Callable[[], None],
     ) -> None:
         self.program = program
         self.fence = fence
         self.journal = journal
         self.feed = feed
         self.tasks = tasks
+        self.on_lost = on_lost
         self.unwritten = 0
-        self.drained = anyio.Event()
+        self.drained = Signal()
 
     def take(self, record: Record, then: Callable[[], None] | None = None) -> anyio.Event:
         """Apply a record and write it in the background.
@@ -52,8 +61,7 @@
     async def wait_for_room(self) -> None:
         """Return when few records wait to be written; an outage stops the program here."""
         while self.unwritten >= UNWRITTEN_RECORDS:
-            self.drained = anyio.Event()
-            await self.drained.wait()
+            await self.drained.wait_beyond(self.drained.count)
 
     async def _write(
         self,
@@ -62,9 +70,13 @@
         durable: anyio.Event,
         then: Callable[[], None] | None,
     ) -> None:
-        await self.journal.append(self.fence, record, durable=True)
+        try:
+            await self.journal.append(self.fence, record, durable=True)
+        except NotOwnerError:
+            self.on_lost()
+            return
         self.unwritten -= 1
-        self.drained.set()
+        self.drained.notify()
         if step is not None:
             self.feed.publish(step, ends_turn=_ends_own_turn(record))
         if then is not None:
