--- a/packages/skylarkferry-bench/src/skylarkferry_bench/codec_slopes.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/codec_slopes.py
@@ -7,7 +7,8 @@
 from skylarkferry_bench import samples
 from skylarkferry_bench.resources import Slope, cpu_us_each
 from skylarkferry_bench.stream_peer import entry_beat, sidecar_beat
-from skylarkferry_core.messages import Dispatch, EntryBatch, Order
+from skylarkferry_core.frames import Dispatch, EntryBatch
+from skylarkferry_core.messages import Order
 from skylarkferry_core.records import PartitionRecord, Record, Segment
 from skylarkferry_wire.codec import decoder, encode
 
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/samples.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/samples.py
@@ -1,5 +1,6 @@
 """Programs, records and orders of the sizes that the slopes are measured on."""
 
+from skylarkferry_core.entry_messages import Budget, ProgramRequest
 from skylarkferry_core.ids import (
     AgentName,
     CallId,
@@ -18,13 +19,11 @@
     program_id_for,
 )
 from skylarkferry_core.messages import (
-    Budget,
     ChatMessage,
     Fence,
     ModelWork,
     Order,
     Outcome,
-    ProgramRequest,
     ToolOffer,
     ToolRequest,
     Usage,
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/stream_peer.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/stream_peer.py
@@ -8,13 +8,8 @@
 import anyio
 import fire
 
-from skylarkferry_core.messages import (
-    EntryBatch,
-    EntryHeartbeat,
-    LoadReport,
-    SidecarBatch,
-    SidecarHeartbeat,
-)
+from skylarkferry_core.frames import EntryBatch, EntryHeartbeat, SidecarBatch, SidecarHeartbeat
+from skylarkferry_core.messages import LoadReport
 from skylarkferry_core.states import UpstreamState
 from skylarkferry_wire.codec import decoder, encode
 from skylarkferry_wire.methods import SIDECAR_STREAM
--- a/packages/skylarkferry-bench/src/skylarkferry_bench/stream_slopes.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/stream_slopes.py
@@ -18,7 +18,7 @@
     resident_bytes,
 )
 from skylarkferry_bench.stream_peer import entry_beat
-from skylarkferry_core.messages import SidecarBatch
+from skylarkferry_core.frames import SidecarBatch
 from skylarkferry_standins.running import RunningProcess, free_address, wait_until
 from skylarkferry_wire.clients import open_channel, open_stream
 from skylarkferry_wire.codec import decoder, encode
--- a/packages/skylarkferry-client/src/skylarkferry_client/commands.py
+++ b/packages/skylarkferry-client/src/skylarkferry_client/commands.py
@@ -14,15 +14,10 @@
 from skylarkferry_client.session import Session
 from skylarkferry_client.tables import call_table, event_lines, host_table, program_table
 from skylarkferry_core.clocks import HybridClock
+from skylarkferry_core.entry_messages import HostsReply, ListReply, ProgramView, TimelineReply
 from skylarkferry_core.events import EventKind, kind_of
+from skylarkferry_core.frames import Accepted
 from skylarkferry_core.http_messages import DrainBody
-from skylarkferry_core.messages import (
-    Accepted,
-    HostsReply,
-    ListReply,
-    ProgramView,
-    TimelineReply,
-)
 from skylarkferry_core.states import FinalWord, ProgramState
 
 WAIT_SLICE_S = 5.0
--- a/packages/skylarkferry-client/src/skylarkferry_client/files.py
+++ b/packages/skylarkferry-client/src/skylarkferry_client/files.py
@@ -9,7 +9,7 @@
 
 from skylarkferry_client.failures import UsageError
 from skylarkferry_core.document import SECTIONS
-from skylarkferry_core.messages import Budget
+from skylarkferry_core.entry_messages import Budget
 from skylarkferry_core.sections import Problem, parse_section
 from skylarkferry_core.states import Priority
 from skylarkferry_core.validation import check_texts
--- a/packages/skylarkferry-client/src/skylarkferry_client/tables.py
+++ b/packages/skylarkferry-client/src/skylarkferry_client/tables.py
@@ -11,7 +11,7 @@
 from rich.table import Table
 
 from skylarkferry_core.clocks import wall_of
-from skylarkferry_core.messages import CallView, EventView, HostView, ProgramView
+from skylarkferry_core.entry_messages import CallView, EventView, HostView, ProgramView
 
 TABLE_CHARACTERS = 1_000
 _MICROS_PER_UNIT = 1_000_000
--- a/packages/skylarkferry-core/src/skylarkferry_core/budgets.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/budgets.py
@@ -3,9 +3,10 @@
 import msgspec
 
 from skylarkferry_core.document import ModelSpec
+from skylarkferry_core.entry_messages import Budget
 from skylarkferry_core.errors import BudgetExhaustedError
 from skylarkferry_core.ids import CallId
-from skylarkferry_core.messages import Budget, Usage
+from skylarkferry_core.messages import Usage
 
 ALLOTMENT_PARTS = 8
 _TOKENS_PER_PRICE = 1_000
--- a/packages/skylarkferry-core/src/skylarkferry_core/calls.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/calls.py
@@ -7,9 +7,10 @@
 from skylarkferry_core.engine_gates import EngineGate
 from skylarkferry_core.errors import ErrorCode, SkylarkferryError, error_for
 from skylarkferry_core.fences import FenceGuard
+from skylarkferry_core.frames import SealReply, SealRequest
 from skylarkferry_core.ids import CallId, Fingerprint, Incarnation
 from skylarkferry_core.interfaces import QueuedOrder, QueueOrder
-from skylarkferry_core.messages import Order, Outcome, SealReply, SealRequest
+from skylarkferry_core.messages import Order, Outcome
 from skylarkferry_core.outcomes import not_run, unknown
 from skylarkferry_core.states import CallState, FinalWord, SealVerdict
 
--- a/packages/skylarkferry-core/src/skylarkferry_core/document.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/document.py
@@ -5,6 +5,7 @@
 import msgspec
 from msgspec import Meta
 
+from skylarkferry_core.entry_messages import Budget
 from skylarkferry_core.ids import (
     AgentName,
     CustomerId,
@@ -16,7 +17,6 @@
     TeamName,
     ToolName,
 )
-from skylarkferry_core.messages import Budget
 from skylarkferry_core.states import PoolKind, Priority
 
 PositiveInt = Annotated[int, Meta(gt=0)]
--- a/packages/skylarkferry-core/src/skylarkferry_core/programs.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/programs.py
@@ -4,15 +4,10 @@
 
 from skylarkferry_core.budgets import Amount, BudgetLedger
 from skylarkferry_core.document import Document
+from skylarkferry_core.entry_messages import CallView, ProgramView, Step
 from skylarkferry_core.errors import ErrorCode
 from skylarkferry_core.ids import CallId, ProgramId, RunId, call_id_for
-from skylarkferry_core.messages import (
-    CallView,
-    Outcome,
-    ProgramView,
-    Step,
-    ToolRequest,
-)
+from skylarkferry_core.messages import Outcome, ToolRequest
 from skylarkferry_core.records import (
     AllotmentTaken,
     CallCompleted,
--- a/packages/skylarkferry-core/src/skylarkferry_core/records.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/records.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from skylarkferry_core.entry_messages import ProgramRequest
 from skylarkferry_core.errors import ErrorCode
 from skylarkferry_core.ids import (
     AgentName,
@@ -16,7 +17,7 @@
     RunId,
     UpstreamId,
 )
-from skylarkferry_core.messages import ChatMessage, Outcome, ProgramRequest, Usage
+from skylarkferry_core.messages import ChatMessage, Outcome, Usage
 from skylarkferry_core.states import FinalWord
 
 
--- a/packages/skylarkferry-core/src/skylarkferry_core/steps.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/steps.py
@@ -2,9 +2,10 @@
 
 import msgspec
 
+from skylarkferry_core.entry_messages import Step
 from skylarkferry_core.errors import ErrorCode
 from skylarkferry_core.ids import AgentName, CallId, ProgramId
-from skylarkferry_core.messages import Step, ToolRequest
+from skylarkferry_core.messages import ToolRequest
 from skylarkferry_core.records import (
     CallCompleted,
     ProgramAccepted,
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/admitting.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/admitting.py
@@ -4,6 +4,7 @@
 
 from skylarkferry_core.admissions import AdmissionRequest
 from skylarkferry_core.document import AgentSpec, CustomerSpec
+from skylarkferry_core.entry_messages import ProgramRequest
 from skylarkferry_core.errors import (
     BudgetExhaustedError,
     CustomerLimitError,
@@ -14,8 +15,7 @@
     UnknownServiceError,
     error_for,
 )
-from skylarkferry_core.ids import CustomerId, ProgramId
-from skylarkferry_core.messages import ProgramRequest
+from skylarkferry_core.ids import CustomerId, ModelName, ProgramId
 from skylarkferry_core.programs import Program
 from skylarkferry_daemon.context import EntryContext
 from skylarkferry_daemon.interfaces import Ownership
@@ -90,7 +90,7 @@
         customer = document.budgets.get(request.customer)
         if customer is not None:
             self._check_limits(request, customer)
-        question = self._question(program_id, request, spec, customer)
+        question = self._question(program_id, request, spec, customer, now)
         self.context.admission.share_with(len(self.ownership.node_addresses()) + 1)
         refusal = self.context.admission.admit(question, now)
         if refusal is not None:
@@ -113,9 +113,9 @@
         request: ProgramRequest,
         spec: AgentSpec,
         customer: CustomerSpec | None,
+        now: float,
     ) -> AdmissionRequest:
         typical = self.context.estimates.typical_of(request.agent, spec)
-        nodes = len(self.ownership.node_addresses()) + 1
         return AdmissionRequest(
             customer=request.customer,
             deadline_s=request.deadline_s,
@@ -125,5 +125,16 @@
             tokens_per_minute=customer.tokens_per_minute if customer else 0,
             program_id=program_id,
             work_s=typical.work_s,
-            capacity=self.context.placer.slots(spec.model) / nodes,
+            capacity=self._capacity(spec.model, now),
         )
+
+    def _capacity(self, model: ModelName, now: float) -> float:
+        """Return the slots that work for this node's programs, as far as learned."""
+        live = self.context.placer.live(model)
+        nodes = len(self.ownership.node_addresses()) + 1
+        nominal = sum(candidate.load.slots for candidate in live) / nodes
+        if not nominal:
+            return 0.0
+        waiting = sum(1 for candidate in live if candidate.load.queued)
+        saturated = waiting >= len(live) / 2
+        return self.context.estimates.capacity(model).update(nominal, saturated, now)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/bodies.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/bodies.py
@@ -8,9 +8,9 @@
 from msgspec import Meta
 from starlette.requests import ClientDisconnect, Request
 
+from skylarkferry_core.entry_messages import Budget
 from skylarkferry_core.errors import BadRequestError, BodyTimeoutError, BodyTooLargeError
 from skylarkferry_core.ids import AgentName, CustomerId, RequestKey
-from skylarkferry_core.messages import Budget
 from skylarkferry_core.states import Priority
 from skylarkferry_daemon.settings import LimitSettings
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/call_runner.py
@@ -13,15 +13,9 @@
     SkylarkferryError,
 )
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.frames import Cancel
 from skylarkferry_core.ids import CallId
-from skylarkferry_core.messages import (
-    Cancel,
-    ModelWork,
-    Order,
-    Outcome,
-    ServiceWork,
-    ToolWork,
-)
+from skylarkferry_core.messages import ModelWork, Order, Outcome, ServiceWork, ToolWork
 from skylarkferry_core.outcomes import unknown
 from skylarkferry_core.states import CallState, FinalWord, PoolKind
 from skylarkferry_daemon.crash_watch import CrashWatch
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/callers.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/callers.py
@@ -10,6 +10,14 @@
 from starlette.routing import Route
 
 from skylarkferry_core.document import AgentSpec
+from skylarkferry_core.entry_messages import (
+    ListReply,
+    ProgramRequest,
+    ProgramSelector,
+    ProgramView,
+    ServiceRequest,
+    WatchItem,
+)
 from skylarkferry_core.errors import (
     BadRequestError,
     ForbiddenError,
@@ -26,15 +34,7 @@
     fingerprint_of,
     partition_of,
 )
-from skylarkferry_core.messages import (
-    ListReply,
-    ProgramRequest,
-    ProgramSelector,
-    ProgramView,
-    ServiceRequest,
-    ServiceWork,
-    WatchItem,
-)
+from skylarkferry_core.messages import ServiceWork
 from skylarkferry_core.states import FinalWord, Priority, ProgramState
 from skylarkferry_daemon.bodies import KEY_CHARACTERS, ProgramBody, read_as, read_body
 from skylarkferry_daemon.edge import Edge, json_response, route
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/crash_watch.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/crash_watch.py
@@ -5,8 +5,8 @@
 from skylarkferry_core.calls import Call
 from skylarkferry_core.crashes import Suspicion
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.frames import CrashNotice, StateNotice
 from skylarkferry_core.ids import CrashId
-from skylarkferry_core.messages import CrashNotice, StateNotice
 from skylarkferry_daemon.sidecar_state import SidecarState
 from skylarkferry_daemon.upstream_probe import UpstreamProbe
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
@@ -6,6 +6,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from skylarkferry_core.entry_messages import ProgramRequest, ProgramSelector, ProgramView, WatchItem
 from skylarkferry_core.errors import (
     ErrorCode,
     ForbiddenError,
@@ -16,14 +17,7 @@
 )
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import PartitionNumber, ProgramId, partition_of, program_id_for
-from skylarkferry_core.messages import (
-    Fence,
-    Outcome,
-    ProgramRequest,
-    ProgramSelector,
-    ProgramView,
-    WatchItem,
-)
+from skylarkferry_core.messages import Fence, Outcome
 from skylarkferry_core.programs import SERVICE_SLOT, Program, replay
 from skylarkferry_core.records import ProgramAccepted, ProgramEnded, Record
 from skylarkferry_daemon.admitting import Admitter
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/drivers.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/drivers.py
@@ -8,8 +8,9 @@
 from skylarkferry_core.document import AgentSpec
 from skylarkferry_core.errors import BudgetExhaustedError, ErrorCode
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.frames import Chunk
 from skylarkferry_core.ids import AgentName, RunId
-from skylarkferry_core.messages import Chunk, Fence, Outcome, Usage
+from skylarkferry_core.messages import Fence, Outcome, Usage
 from skylarkferry_core.programs import Program, ReadyCall
 from skylarkferry_core.records import (
     CallCompleted,
@@ -246,6 +247,8 @@
         """Tell admission what the turn took, and placement what its engine caches now."""
         self.work_s += outcome.timing.run_s
         self.context.admission.progressed(self.program.program_id, outcome.timing.run_s)
+        if plan.target.model is not None:
+            self.context.estimates.capacity(plan.target.model).progressed(outcome.timing.run_s)
         self.waiting_since[plan.slot.run_id] = anyio.current_time()
         intent = self.program.intents.get(plan.slot)
         if intent is not None:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/edge.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/edge.py
@@ -11,11 +11,11 @@
 from starlette.routing import Route
 
 from skylarkferry_core.document import Document
+from skylarkferry_core.entry_messages import EventView, HostView, TimelineRequest
 from skylarkferry_core.errors import ErrorCode, MethodNotAllowedError, SkylarkferryError
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.http_messages import EditOutcome
 from skylarkferry_core.ids import UpstreamId
-from skylarkferry_core.messages import EventView, HostView, TimelineRequest
 from skylarkferry_daemon.bodies import discard_body
 from skylarkferry_daemon.document_edits import Edit
 from skylarkferry_daemon.document_rows import Snapshot
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry.py
@@ -11,8 +11,8 @@
 from skylarkferry_core.admissions import ADMISSIONS, DEFAULT_ADMISSION
 from skylarkferry_core.errors import NotFoundError
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.frames import DrainRequest
 from skylarkferry_core.ids import Incarnation, UpstreamId
-from skylarkferry_core.messages import DrainRequest
 from skylarkferry_core.placements import DEFAULT_PLACEMENT, PLACEMENTS
 from skylarkferry_daemon.admitting import Admitter
 from skylarkferry_daemon.context import EntryContext
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry_service.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry_service.py
@@ -5,13 +5,11 @@
 
 import grpc
 
-from skylarkferry_core.errors import SkylarkferryError
-from skylarkferry_core.messages import (
+from skylarkferry_core.entry_messages import (
     ListReply,
     ListRequest,
     ProgramSelector,
     ProgramView,
-    ServiceReply,
     ServiceRequest,
     StartRequest,
     TimelineReply,
@@ -19,6 +17,8 @@
     WatchItem,
     WatchRequest,
 )
+from skylarkferry_core.errors import SkylarkferryError
+from skylarkferry_core.messages import ServiceReply
 from skylarkferry_daemon.directory import ProgramDirectory
 from skylarkferry_daemon.forwarding import SystemPrograms
 from skylarkferry_daemon.log import EventLog
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry_streams.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry_streams.py
@@ -6,8 +6,7 @@
 import msgspec
 
 from skylarkferry_core.calls import Call, CallTable
-from skylarkferry_core.ids import CallId, Fingerprint, Incarnation, NodeId
-from skylarkferry_core.messages import (
+from skylarkferry_core.frames import (
     Chunk,
     Finished,
     Hello,
@@ -16,6 +15,7 @@
     SidecarHeartbeat,
     Welcome,
 )
+from skylarkferry_core.ids import CallId, Fingerprint, Incarnation, NodeId
 from skylarkferry_core.states import CallState
 
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/estimates.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/estimates.py
@@ -4,9 +4,10 @@
 import msgspec
 
 from skylarkferry_core.breakers import Breaker
+from skylarkferry_core.capacities import CapacityEstimate
 from skylarkferry_core.document import AgentSpec
 from skylarkferry_core.errors import ErrorCode
-from skylarkferry_core.ids import AgentName, ToolName, UpstreamId
+from skylarkferry_core.ids import AgentName, ModelName, ToolName, UpstreamId
 from skylarkferry_core.messages import Outcome
 from skylarkferry_core.programs import Program
 from skylarkferry_core.retention import PauseEstimates, Retention
@@ -34,6 +35,7 @@
         self.breakers: dict[UpstreamId, Breaker] = {}
         self.typical: dict[AgentName, TypicalProgram] = {}
         self.kv_tokens: dict[AgentName, float] = {}
+        self.capacities: dict[ModelName, CapacityEstimate] = {}
 
     def breaker(self, upstream: UpstreamId) -> Breaker:
         """Return the breaker of an upstream."""
@@ -78,6 +80,10 @@
         """Learn how long an agent's run waits for tools between two turns."""
         self.pauses.observe(ToolName(agent), pause_s)
 
+    def capacity(self, model: ModelName) -> CapacityEstimate:
+        """Return the capacity estimate of a model's upstreams."""
+        return self.capacities.setdefault(model, CapacityEstimate())
+
     def held(self, agent: AgentName, tokens: int) -> None:
         """Learn what a run of an agent holds in its engine's memory after a turn."""
         known = self.kv_tokens.setdefault(agent, float(tokens))
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/feeds.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/feeds.py
@@ -2,8 +2,8 @@
 
 from collections.abc import AsyncIterator
 
+from skylarkferry_core.entry_messages import Delta, Step, WatchItem
 from skylarkferry_core.errors import NotOwnerError
-from skylarkferry_core.messages import Delta, Step, WatchItem
 from skylarkferry_daemon.signals import Signal
 
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/followed_calls.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/followed_calls.py
@@ -3,8 +3,9 @@
 import anyio
 
 from skylarkferry_core.errors import SkylarkferryError, UpstreamLostError
+from skylarkferry_core.frames import Attach, Chunk, Dispatch
 from skylarkferry_core.ids import CallId, Incarnation
-from skylarkferry_core.messages import Attach, Chunk, Dispatch, Fence, Order, Outcome
+from skylarkferry_core.messages import Fence, Order, Outcome
 from skylarkferry_daemon.interfaces import ChunkSink
 
 NEVER_SENT = Incarnation("")
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/forwarding.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/forwarding.py
@@ -6,6 +6,17 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from skylarkferry_core.entry_messages import (
+    Budget,
+    ListRequest,
+    ProgramRequest,
+    ProgramSelector,
+    ProgramView,
+    ServiceRequest,
+    StartRequest,
+    WatchItem,
+    WatchRequest,
+)
 from skylarkferry_core.errors import (
     ConnectionLostError,
     NotFoundError,
@@ -21,18 +32,7 @@
     partition_of,
     program_id_for,
 )
-from skylarkferry_core.messages import (
-    Budget,
-    ListRequest,
-    ProgramRequest,
-    ProgramSelector,
-    ProgramView,
-    ServiceReply,
-    ServiceRequest,
-    StartRequest,
-    WatchItem,
-    WatchRequest,
-)
+from skylarkferry_core.messages import ServiceReply
 from skylarkferry_daemon.directory import ProgramDirectory
 from skylarkferry_daemon.doubts import Doubt
 from skylarkferry_daemon.interfaces import Ownership
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/interfaces.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/interfaces.py
@@ -5,6 +5,15 @@
 
 from skylarkferry_core.cache_beliefs import CacheBeliefs
 from skylarkferry_core.document import Document
+from skylarkferry_core.entry_messages import (
+    HostView,
+    ProgramRequest,
+    ProgramSelector,
+    ProgramView,
+    ServiceRequest,
+    WatchItem,
+)
+from skylarkferry_core.frames import Chunk, SealReply, SealRequest
 from skylarkferry_core.ids import (
     CallId,
     Incarnation,
@@ -15,21 +24,7 @@
     UpstreamId,
 )
 from skylarkferry_core.interfaces import Candidate
-from skylarkferry_core.messages import (
-    Chunk,
-    Fence,
-    HostView,
-    Order,
-    Outcome,
-    ProgramRequest,
-    ProgramSelector,
-    ProgramView,
-    SealReply,
-    SealRequest,
-    ServiceReply,
-    ServiceRequest,
-    WatchItem,
-)
+from skylarkferry_core.messages import Fence, Order, Outcome, ServiceReply
 from skylarkferry_core.records import Record
 
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/kv_keeper.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/kv_keeper.py
@@ -7,9 +7,10 @@
 
 from skylarkferry_core.errors import StaleEpochError
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.frames import ReleaseProgram
 from skylarkferry_core.ids import ProgramId, partition_of
 from skylarkferry_core.kv_holds import KvHolds
-from skylarkferry_core.messages import Fence, Order, ReleaseProgram
+from skylarkferry_core.messages import Fence, Order
 from skylarkferry_daemon.sidecar_state import SidecarState
 from skylarkferry_daemon.upstream_adapters import fence_headers
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/link.py
@@ -10,10 +10,7 @@
 from skylarkferry_core.cache_beliefs import CacheBeliefs
 from skylarkferry_core.errors import ErrorCode, UpstreamLostError
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.ids import CallId, Incarnation, NodeId, UpstreamId
-from skylarkferry_core.interfaces import Host
-from skylarkferry_core.members import Member
-from skylarkferry_core.messages import (
+from skylarkferry_core.frames import (
     Acknowledge,
     Cancel,
     Chunk,
@@ -24,7 +21,6 @@
     EntryHeartbeat,
     Finished,
     Hello,
-    Outcome,
     ReleaseProgram,
     SidecarBatch,
     SidecarFrame,
@@ -32,6 +28,10 @@
     StateNotice,
     Welcome,
 )
+from skylarkferry_core.ids import CallId, Incarnation, NodeId, UpstreamId
+from skylarkferry_core.interfaces import Host
+from skylarkferry_core.members import Member
+from skylarkferry_core.messages import Outcome
 from skylarkferry_core.outcomes import not_run
 from skylarkferry_daemon.followed_calls import FollowedCall
 from skylarkferry_daemon.log import EventLog
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/links.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/links.py
@@ -7,8 +7,10 @@
 from anyio.abc import TaskGroup
 
 from skylarkferry_core.cache_beliefs import CacheBeliefs
+from skylarkferry_core.entry_messages import HostView
 from skylarkferry_core.errors import ErrorCode, PlatformUnavailableError, UpstreamLostError
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.frames import Acknowledge, ReleaseProgram, SealReply, SealRequest
 from skylarkferry_core.ids import (
     CallId,
     Incarnation,
@@ -21,17 +23,7 @@
 )
 from skylarkferry_core.interfaces import Candidate, Host, HostList
 from skylarkferry_core.loads import prompt_tokens
-from skylarkferry_core.messages import (
-    Acknowledge,
-    Fence,
-    HostView,
-    ModelWork,
-    Order,
-    Outcome,
-    ReleaseProgram,
-    SealReply,
-    SealRequest,
-)
+from skylarkferry_core.messages import Fence, ModelWork, Order, Outcome
 from skylarkferry_core.outcomes import not_run
 from skylarkferry_core.states import FinalWord, PoolKind, Role, UpstreamState
 from skylarkferry_daemon.followed_calls import FollowedCall
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/log.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/log.py
@@ -7,9 +7,9 @@
 from loguru import logger
 
 from skylarkferry_core.clocks import HybridClock
+from skylarkferry_core.entry_messages import EventView, TimelineReply, TimelineRequest
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import ProgramId
-from skylarkferry_core.messages import EventView, TimelineReply, TimelineRequest
 
 NO_PROGRAM = ProgramId("")
 _FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level:<7} {message}"
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/operators.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/operators.py
@@ -10,8 +10,10 @@
 from starlette.routing import Route
 
 from skylarkferry_core.document import SECTIONS
+from skylarkferry_core.entry_messages import EventView, HostsReply, TimelineReply, TimelineRequest
 from skylarkferry_core.errors import BadRequestError, NotFoundError
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.frames import Accepted
 from skylarkferry_core.http_messages import (
     DocumentView,
     DrainBody,
@@ -22,13 +24,6 @@
     SectionView,
 )
 from skylarkferry_core.ids import ProgramId, TeamName, UpstreamId
-from skylarkferry_core.messages import (
-    Accepted,
-    EventView,
-    HostsReply,
-    TimelineReply,
-    TimelineRequest,
-)
 from skylarkferry_core.sections import EMPTY_TEXT
 from skylarkferry_daemon.bodies import read_as, read_body
 from skylarkferry_daemon.document_edits import NO_TEAM, Edit
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/placing.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/placing.py
@@ -106,10 +106,10 @@
                 return candidate.load
         return LoadReport()
 
-    def slots(self, model: ModelName) -> int:
-        """Return the slots of all live upstreams of a model."""
-        candidates = self._candidates(Target(model=model))
-        return sum(item.load.slots for item in candidates if item.state is UpstreamState.LIVE)
+    def live(self, model: ModelName) -> list[Candidate]:
+        """Return the live upstreams of a model."""
+        found = self._candidates(Target(model=model))
+        return [candidate for candidate in found if candidate.state is UpstreamState.LIVE]
 
     def shortest_wait_s(self, model: ModelName) -> float:
         """Return the wait, in seconds, at the upstream of a model that has the shortest queue."""
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/quarantine.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/quarantine.py
@@ -5,9 +5,9 @@
 from skylarkferry_core.crashes import CrashBook, Suspicion
 from skylarkferry_core.errors import PlatformUnavailableError, SkylarkferryError, WriteConflictError
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.frames import CrashNotice
 from skylarkferry_core.ids import CrashId, Fingerprint
 from skylarkferry_core.interfaces import Condition, Row, Table, Write
-from skylarkferry_core.messages import CrashNotice
 from skylarkferry_daemon.log import EventLog
 
 PREFIX = "quarantine/"
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/relays.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/relays.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from skylarkferry_core.entry_messages import ServiceRequest
 from skylarkferry_core.errors import (
     ErrorCode,
     NoUpstreamError,
@@ -12,6 +13,7 @@
     UpstreamLostError,
     error_for,
 )
+from skylarkferry_core.frames import Chunk
 from skylarkferry_core.ids import (
     CallId,
     Epoch,
@@ -21,14 +23,7 @@
     UpstreamId,
     fingerprint_of,
 )
-from skylarkferry_core.messages import (
-    Chunk,
-    Fence,
-    Order,
-    Outcome,
-    ServiceReply,
-    ServiceRequest,
-)
+from skylarkferry_core.messages import Fence, Order, Outcome, ServiceReply
 from skylarkferry_core.states import FinalWord, Priority
 from skylarkferry_daemon.context import EntryContext
 from skylarkferry_daemon.placing import Target
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/scribes.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/scribes.py
@@ -5,8 +5,9 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from skylarkferry_core.entry_messages import Step
 from skylarkferry_core.errors import NotOwnerError
-from skylarkferry_core.messages import Fence, Step
+from skylarkferry_core.messages import Fence
 from skylarkferry_core.programs import Program
 from skylarkferry_core.records import Record, TurnCompleted
 from skylarkferry_core.runs import ROOT_RUN
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/seal_requests.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/seal_requests.py
@@ -5,7 +5,7 @@
 import anyio
 
 from skylarkferry_core.errors import UpstreamLostError
-from skylarkferry_core.messages import SealReply, SealRequest
+from skylarkferry_core.frames import SealReply, SealRequest
 from skylarkferry_wire.clients import call, open_channel
 from skylarkferry_wire.methods import SIDECAR_SEAL
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/settling.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/settling.py
@@ -3,8 +3,9 @@
 import anyio
 
 from skylarkferry_core.errors import ErrorCode, UpstreamLostError
+from skylarkferry_core.frames import SealRequest
 from skylarkferry_core.ids import UpstreamId
-from skylarkferry_core.messages import Fence, Outcome, SealRequest
+from skylarkferry_core.messages import Fence, Outcome
 from skylarkferry_core.outcomes import not_run, unknown
 from skylarkferry_core.records import CallIntended
 from skylarkferry_core.states import SealVerdict, UpstreamState
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
@@ -8,9 +8,9 @@
 from anyio.abc import TaskGroup
 
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.frames import SidecarHeartbeat, StateNotice
 from skylarkferry_core.kv_holds import KvHolds
 from skylarkferry_core.members import SILENT_HEARTBEATS
-from skylarkferry_core.messages import SidecarHeartbeat, StateNotice
 from skylarkferry_core.states import PoolKind
 from skylarkferry_daemon.call_runner import CallRunner
 from skylarkferry_daemon.crash_watch import CrashWatch
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_service.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar_service.py
@@ -6,10 +6,10 @@
 import grpc
 
 from skylarkferry_core.calls import Call
+from skylarkferry_core.entry_messages import TimelineReply, TimelineRequest
 from skylarkferry_core.errors import ErrorCode
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.ids import program_of
-from skylarkferry_core.messages import (
+from skylarkferry_core.frames import (
     Accepted,
     Acknowledge,
     Attach,
@@ -24,10 +24,9 @@
     ReleaseProgram,
     SealReply,
     SealRequest,
-    TimelineReply,
-    TimelineRequest,
     Welcome,
 )
+from skylarkferry_core.ids import program_of
 from skylarkferry_core.outcomes import unknown
 from skylarkferry_daemon.call_runner import CallRunner
 from skylarkferry_daemon.entry_streams import EntryStream
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/streams.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/streams.py
@@ -7,8 +7,8 @@
 from starlette.responses import Response
 from starlette.types import Receive, Scope, Send
 
+from skylarkferry_core.entry_messages import Delta, Step, WatchItem
 from skylarkferry_core.errors import BadRequestError, SkylarkferryError
-from skylarkferry_core.messages import Delta, Step, WatchItem
 from skylarkferry_daemon.problems import details_of
 from skylarkferry_daemon.request_metrics import STREAMS_OPEN
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/timelines.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/timelines.py
@@ -4,8 +4,8 @@
 
 import anyio
 
+from skylarkferry_core.entry_messages import EventView, TimelineReply, TimelineRequest
 from skylarkferry_core.errors import SkylarkferryError
-from skylarkferry_core.messages import EventView, TimelineReply, TimelineRequest
 from skylarkferry_daemon.interfaces import Ownership, Sidecars
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_daemon.peers import Peers
--- a/packages/skylarkferry-wire/src/skylarkferry_wire/errors.py
+++ b/packages/skylarkferry-wire/src/skylarkferry_wire/errors.py
@@ -6,8 +6,8 @@
 import grpc
 import msgspec
 
+from skylarkferry_core.entry_messages import Failure, error_of, failure_of
 from skylarkferry_core.errors import ConnectionLostError, SkylarkferryError
-from skylarkferry_core.messages import Failure, error_of, failure_of
 
 
 async def abort_with(context: grpc.aio.ServicerContext, error: SkylarkferryError) -> NoReturn:
--- a/packages/skylarkferry-wire/src/skylarkferry_wire/methods.py
+++ b/packages/skylarkferry-wire/src/skylarkferry_wire/methods.py
@@ -4,26 +4,28 @@
 
 import msgspec
 
-from skylarkferry_core.messages import (
-    Accepted,
-    DrainRequest,
-    EntryBatch,
+from skylarkferry_core.entry_messages import (
     HostsReply,
     ListReply,
     ListRequest,
     ProgramSelector,
     ProgramView,
-    SealReply,
-    SealRequest,
-    ServiceReply,
     ServiceRequest,
-    SidecarBatch,
     StartRequest,
     TimelineReply,
     TimelineRequest,
     WatchItem,
     WatchRequest,
 )
+from skylarkferry_core.frames import (
+    Accepted,
+    DrainRequest,
+    EntryBatch,
+    SealReply,
+    SealRequest,
+    SidecarBatch,
+)
+from skylarkferry_core.messages import ServiceReply
 
 
 class Shape(Enum):
--- a/tests/core/scripts.py
+++ b/tests/core/scripts.py
@@ -3,6 +3,7 @@
 import msgspec
 from hypothesis import strategies as st
 
+from skylarkferry_core.entry_messages import Budget, ProgramRequest
 from skylarkferry_core.ids import (
     AgentName,
     CustomerId,
@@ -13,14 +14,7 @@
     UpstreamId,
     program_id_for,
 )
-from skylarkferry_core.messages import (
-    Budget,
-    ChatMessage,
-    Outcome,
-    ProgramRequest,
-    ToolRequest,
-    Usage,
-)
+from skylarkferry_core.messages import ChatMessage, Outcome, ToolRequest, Usage
 from skylarkferry_core.programs import Program, ReadyCall
 from skylarkferry_core.records import (
     CallCompleted,
--- a/tests/core/test_budgets.py
+++ b/tests/core/test_budgets.py
@@ -6,9 +6,9 @@
 from testtools.matchers import Equals
 
 from skylarkferry_core.budgets import Amount, BudgetLedger
+from skylarkferry_core.entry_messages import Budget
 from skylarkferry_core.errors import BudgetExhaustedError
 from skylarkferry_core.ids import CallId
-from skylarkferry_core.messages import Budget
 
 LIMIT = Budget(tokens=1_000, cost_micros=500, turns=10)
 
--- a/tests/core/test_call_sessions.py
+++ b/tests/core/test_call_sessions.py
@@ -7,8 +7,9 @@
 from skylarkferry_core.calls import CallTable, TableLimits
 from skylarkferry_core.errors import StaleEpochError, UpstreamLeavingError
 from skylarkferry_core.fences import FenceGuard
+from skylarkferry_core.frames import SealRequest
 from skylarkferry_core.ids import Incarnation
-from skylarkferry_core.messages import Outcome, SealRequest
+from skylarkferry_core.messages import Outcome
 from skylarkferry_core.queues import FifoOrder
 from skylarkferry_core.states import FinalWord
 
--- a/tests/core/test_programs.py
+++ b/tests/core/test_programs.py
@@ -6,9 +6,10 @@
 
 from core.scripts import Script, ScriptedWorld, accepted, interpret, scripts
 from skylarkferry_core.document import AgentSpec, Document, ModelSpec
+from skylarkferry_core.entry_messages import Budget
 from skylarkferry_core.errors import ErrorCode
 from skylarkferry_core.ids import AgentName, Incarnation, ModelName, RunId, UpstreamId
-from skylarkferry_core.messages import Budget, ChatMessage, Outcome, ToolRequest, Usage
+from skylarkferry_core.messages import ChatMessage, Outcome, ToolRequest, Usage
 from skylarkferry_core.programs import Program, replay
 from skylarkferry_core.records import CallCompleted, CallIntended, ProgramEnded, TurnCompleted
 from skylarkferry_core.runs import ROOT_RUN
--- a/tests/daemon/test_call_runner.py
+++ b/tests/daemon/test_call_runner.py
@@ -6,8 +6,9 @@
 from sidecar_fakes import DOMAIN, POOL, UPSTREAM, fence, tool_order, wait_until
 from skylarkferry_core.calls import TableLimits
 from skylarkferry_core.errors import ErrorCode
+from skylarkferry_core.frames import Cancel, CrashNotice, Hello
 from skylarkferry_core.kv_holds import KvHolds
-from skylarkferry_core.messages import Cancel, CrashNotice, Hello, Outcome
+from skylarkferry_core.messages import Outcome
 from skylarkferry_core.states import FinalWord, PoolKind, UpstreamState
 from skylarkferry_daemon.call_runner import CallRunner
 from skylarkferry_daemon.crash_watch import CrashWatch
--- a/tests/daemon/test_directory.py
+++ b/tests/daemon/test_directory.py
@@ -13,8 +13,9 @@
     RequestKeyReusedError,
     UpstreamLostError,
 )
+from skylarkferry_core.frames import SealReply
 from skylarkferry_core.ids import Fingerprint, partition_of
-from skylarkferry_core.messages import Outcome, SealReply
+from skylarkferry_core.messages import Outcome
 from skylarkferry_core.records import AllotmentTaken
 from skylarkferry_core.states import FinalWord, SealVerdict
 from skylarkferry_daemon.drivers import Ending
--- a/tests/daemon/test_entry_streams.py
+++ b/tests/daemon/test_entry_streams.py
@@ -5,8 +5,9 @@
 from sidecar_fakes import RecordingSink, fence, open_pair, tool_order, wait_until
 from skylarkferry_core.calls import CallTable, TableLimits
 from skylarkferry_core.fences import FenceGuard
+from skylarkferry_core.frames import Chunk, Dispatch, EntryBatch, Finished, Hello
 from skylarkferry_core.ids import Incarnation, NodeId
-from skylarkferry_core.messages import Chunk, Dispatch, EntryBatch, Finished, Hello, Outcome
+from skylarkferry_core.messages import Outcome
 from skylarkferry_core.queues import FifoOrder
 from skylarkferry_core.states import FinalWord
 from skylarkferry_daemon.entry_streams import EntryStream
--- a/tests/daemon/test_frame_pace.py
+++ b/tests/daemon/test_frame_pace.py
@@ -4,8 +4,8 @@
 from testtools.matchers import Equals
 
 from skylarkferry_bench.samples import order_of
+from skylarkferry_core.frames import Chunk, StateNotice
 from skylarkferry_core.ids import FailureDomain, PoolName, UpstreamId
-from skylarkferry_core.messages import Chunk, StateNotice
 from skylarkferry_core.states import PoolKind, UpstreamState
 from skylarkferry_daemon.entry_streams import EntryStream
 from skylarkferry_daemon.settings import SidecarSettings
--- a/tests/daemon/test_links.py
+++ b/tests/daemon/test_links.py
@@ -27,9 +27,9 @@
     StaleEpochError,
     UpstreamLostError,
 )
+from skylarkferry_core.frames import SealRequest
 from skylarkferry_core.ids import Incarnation
 from skylarkferry_core.interfaces import Host
-from skylarkferry_core.messages import SealRequest
 from skylarkferry_core.states import FinalWord, PoolKind, SealVerdict, UpstreamState
 
 pytestmark = pytest.mark.anyio
--- a/tests/daemon/test_quarantine.py
+++ b/tests/daemon/test_quarantine.py
@@ -4,8 +4,8 @@
 
 from sidecar_fakes import FakeTable
 from skylarkferry_core.errors import PlatformUnavailableError
+from skylarkferry_core.frames import CrashNotice
 from skylarkferry_core.ids import CrashId, Fingerprint
-from skylarkferry_core.messages import CrashNotice
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_daemon.quarantine import PREFIX, Quarantine
 
--- a/tests/edge_fakes.py
+++ b/tests/edge_fakes.py
@@ -7,6 +7,7 @@
 import anyio
 import httpx
 
+from skylarkferry_core.entry_messages import Budget, Delta, HostView, ProgramView, Step, WatchItem
 from skylarkferry_core.errors import (
     NotFoundError,
     PlatformUnavailableError,
@@ -15,16 +16,7 @@
 from skylarkferry_core.http_messages import SectionChange
 from skylarkferry_core.ids import FailureDomain, ProgramId, UpstreamId, program_id_for
 from skylarkferry_core.interfaces import Row
-from skylarkferry_core.messages import (
-    Budget,
-    Delta,
-    HostView,
-    LoadReport,
-    ProgramView,
-    ServiceReply,
-    Step,
-    WatchItem,
-)
+from skylarkferry_core.messages import LoadReport, ServiceReply
 from skylarkferry_core.states import FinalWord, PoolKind, ProgramState, UpstreamState
 from skylarkferry_daemon.document_edits import Edit
 from skylarkferry_daemon.documents import TableDocuments
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -10,6 +10,7 @@
 from skylarkferry_core.cache_beliefs import CacheBeliefs
 from skylarkferry_core.document import AgentSpec, Document, ModelSpec, ToolSpec
 from skylarkferry_core.errors import NotOwnerError
+from skylarkferry_core.frames import SealReply
 from skylarkferry_core.interfaces import Candidate
 from skylarkferry_core.messages import (
     ChatMessage,
@@ -17,7 +18,6 @@
     LoadReport,
     ModelWork,
     Outcome,
-    SealReply,
     ToolRequest,
     Usage,
 )
--- a/tests/wire/test_errors.py
+++ b/tests/wire/test_errors.py
@@ -3,8 +3,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
+from skylarkferry_core.entry_messages import ListReply, ListRequest
 from skylarkferry_core.errors import ErrorCode, OverloadedError, SkylarkferryError
-from skylarkferry_core.messages import ListReply, ListRequest
 from skylarkferry_wire.clients import call, open_channel
 from skylarkferry_wire.methods import ENTRY_LIST
 from skylarkferry_wire.servers import add_handlers, new_server
