Call a program in the directory a held program, and its attempts' owner its driver

Entry meant both the role and a row of the directory, and Ledger both a budget's account and the driver. Verified: make check, 11 tests of directory and forwarding.

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/attempts.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/attempts.py
@@ -24,7 +24,7 @@
 _FINAL = frozenset({ErrorCode.QUARANTINED, ErrorCode.BAD_REQUEST, ErrorCode.DEADLINE_PASSED})
 
 
-class Ledger(Protocol):
+class ProgramDriver(Protocol):
     """Where the outcomes of calls are recorded that were in flight when their program ended."""
 
     abandoned: bool
@@ -46,13 +46,13 @@
         program: Program,
         fence: Fence,
         scribe: Scribe,
-        ledger: Ledger,
+        driver: ProgramDriver,
     ) -> None:
         self.context = context
         self.program = program
         self.fence = fence
         self.scribe = scribe
-        self.ledger = ledger
+        self.driver = driver
         self.reservations = Reservations(program, scribe)
 
     async def run(self, plan: CallPlan, intent: CallIntended | None) -> Outcome:
@@ -129,9 +129,9 @@
         try:
             await durable.wait()
         except anyio.get_cancelled_exc_class():
-            if not self.ledger.abandoned:
+            if not self.driver.abandoned:
                 detail = "the program ended before the call was ordered"
-                self.ledger.finish(plan, not_run(intent.call_id, ErrorCode.CANCELLED, detail))
+                self.driver.finish(plan, not_run(intent.call_id, ErrorCode.CANCELLED, detail))
             raise
 
     async def _dispatch(self, plan: CallPlan, intent: CallIntended, placed: Placed) -> Outcome:
@@ -158,14 +158,14 @@
 
     async def _settle_cancelled(self, plan: CallPlan, intent: CallIntended) -> None:
         """Find the final word of a call whose program ends while it runs."""
-        if plan.repeatable or self.ledger.abandoned:
+        if plan.repeatable or self.driver.abandoned:
             return
         detail = "the program ended while the call ran"
         outcome = unknown(intent.call_id, ErrorCode.OUTCOME_UNKNOWN, detail)
         with anyio.CancelScope(shield=True):
             with anyio.move_on_after(SETTLE_GRACE_S):
                 outcome = await settle(self.context, intent, self.fence, plan.sink)
-            self.ledger.finish(plan, outcome)
+            self.driver.finish(plan, outcome)
 
     async def _take_over(self, plan: CallPlan, intent: CallIntended) -> Outcome:
         """Settle or follow an attempt of an earlier driver of this program."""
@@ -189,7 +189,7 @@
     def _checked(self, outcome: Outcome) -> Outcome:
         """Return the outcome, or raise when it says that another node owns the program."""
         if outcome.error is ErrorCode.STALE_EPOCH:
-            self.ledger.abandon()
+            self.driver.abandon()
             raise NotOwnerError("a sidecar saw a higher epoch")
         return outcome
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/directory.py
@@ -34,7 +34,7 @@
 CANCEL_WAIT_S = 5.0
 
 
-class Entry:
+class HeldProgram:
     """One program in the directory; ``driver`` is ``None`` once it ended."""
 
     def __init__(self, program: Program, feed: ProgramFeed, driver: Driver | None) -> None:
@@ -69,7 +69,7 @@
         self.partitions = partitions
         self.ended_kept = ended_kept
         self.tasks = tasks
-        self.entries: dict[ProgramId, Entry] = {}
+        self.programs: dict[ProgramId, HeldProgram] = {}
         self.ended: OrderedDict[ProgramId, None] = OrderedDict()
 
     async def start(self, request: ProgramRequest) -> ProgramView:
@@ -80,105 +80,107 @@
         """
         program_id = program_id_for(request.customer, request.request_key, self.partitions)
         fence = self._fence_of(program_id)
-        entry = self.entries.get(program_id)
-        if entry is None:
+        held = self.programs.get(program_id)
+        if held is None:
             self.admitter.admit(program_id, request, anyio.current_time())
-            entry = self._accept(program_id, request, fence)
-        elif not entry.program.request.same_as(request):
+            held = self._accept(program_id, request, fence)
+        elif not held.program.request.same_as(request):
             raise RequestKeyReusedError("the request key stands for a different body")
-        await self._wait_accepted(entry)
-        return entry.program.view()
+        await self._wait_accepted(held)
+        return held.program.view()
 
-    def _accept(self, program_id: ProgramId, request: ProgramRequest, fence: Fence) -> Entry:
+    def _accept(self, program_id: ProgramId, request: ProgramRequest, fence: Fence) -> HeldProgram:
         record = ProgramAccepted(program_id, request, self.context.wall_s())
         program = Program(record)
-        entry = Entry(program, ProgramFeed([], False), None)
-        entry.driver = Driver(self.context, program, fence, entry.feed)
-        self.entries[program_id] = entry
+        held = HeldProgram(program, ProgramFeed([], False), None)
+        held.driver = Driver(self.context, program, fence, held.feed)
+        self.programs[program_id] = held
         # The journal gets the acceptance first; the first turn may run before it is durable, since
         # nothing that may not be repeated is ordered before a later record is.
-        self.tasks.start_soon(self._write_acceptance, entry, fence, record)
-        self.tasks.start_soon(self._drive, entry)
-        return entry
+        self.tasks.start_soon(self._write_acceptance, held, fence, record)
+        self.tasks.start_soon(self._drive, held)
+        return held
 
-    async def _wait_accepted(self, entry: Entry) -> None:
-        if not entry.is_accepted:
+    async def _wait_accepted(self, held: HeldProgram) -> None:
+        if not held.is_accepted:
             with anyio.move_on_after(ACCEPT_TIMEOUT_S):
-                await entry.settled.wait_beyond(0)
-        if entry.program.program_id not in self.entries:
+                await held.settled.wait_beyond(0)
+        if held.program.program_id not in self.programs:
             raise in_doubt(NotOwnerError("the partition moved", retry_after_s=NOT_OWNER_RETRY_S))
-        if not entry.is_accepted:
+        if not held.is_accepted:
             raise OutcomeUnknownError(
                 "the platform did not confirm in time; send the same request again",
                 retry_after_s=ACCEPT_RETRY_S,
             )
 
-    async def _write_acceptance(self, entry: Entry, fence: Fence, record: ProgramAccepted) -> None:
+    async def _write_acceptance(
+        self, held: HeldProgram, fence: Fence, record: ProgramAccepted
+    ) -> None:
         try:
             await self.context.journal.append(fence, record, durable=True)
         except NotOwnerError:
-            assert entry.driver is not None
-            entry.driver.abandon()
+            assert held.driver is not None
+            held.driver.abandon()
             return
-        entry.feed.publish(entry.program.steps[0])
-        entry.settle(accepted=True)
+        held.feed.publish(held.program.steps[0])
+        held.settle(accepted=True)
         self.context.log.emit(
             EventKind.PROGRAM_ACCEPTED, record.program_id, agent=record.request.agent
         )
 
-    async def _drive(self, entry: Entry) -> None:
-        assert entry.driver is not None
+    async def _drive(self, held: HeldProgram) -> None:
+        assert held.driver is not None
         try:
-            await entry.driver.run()
+            await held.driver.run()
         except* NotOwnerError:
-            entry.driver.abandoned = True
+            held.driver.abandoned = True
         except* Exception as group:
-            await self._end_failed(entry, repr(group.exceptions[0]))
-        if entry.driver.abandoned:
-            self._drop(entry)
+            await self._end_failed(held, repr(group.exceptions[0]))
+        if held.driver.abandoned:
+            self._drop(held)
         else:
-            self._retire(entry)
+            self._retire(held)
 
-    async def _end_failed(self, entry: Entry, detail: str) -> None:
+    async def _end_failed(self, held: HeldProgram, detail: str) -> None:
         """End a program that its driver failed on; the other programs go on."""
-        program = entry.program
+        program = held.program
         self.context.log.emit(EventKind.TASK_FAILED, program.program_id, error=detail)
-        assert entry.driver is not None
+        assert held.driver is not None
         record = ProgramEnded(
             program.program_id, program.word_on_failure(), "", ErrorCode.INTERNAL, detail
         )
         try:
-            await self.context.journal.append(entry.driver.fence, record, durable=True)
+            await self.context.journal.append(held.driver.fence, record, durable=True)
         except NotOwnerError:
-            entry.driver.abandoned = True
+            held.driver.abandoned = True
             return
         step = program.apply(record)
         if step is not None:
-            entry.feed.publish(step)
-        entry.feed.end()
+            held.feed.publish(step)
+        held.feed.end()
 
-    def _drop(self, entry: Entry) -> None:
+    def _drop(self, held: HeldProgram) -> None:
         """Forget a program that another node drives; watchers look for its owner."""
-        found = self.entries.get(entry.program.program_id)
-        if found is entry:
-            del self.entries[entry.program.program_id]
-        self.admitter.ended(entry.program)
-        entry.settle(accepted=False)
-        entry.feed.lose()
-
-    def _retire(self, entry: Entry) -> None:
+        found = self.programs.get(held.program.program_id)
+        if found is held:
+            del self.programs[held.program.program_id]
+        self.admitter.ended(held.program)
+        held.settle(accepted=False)
+        held.feed.lose()
+
+    def _retire(self, held: HeldProgram) -> None:
         """Count an ended program out and keep its answer."""
-        entry.driver = None
-        self.admitter.ended(entry.program)
-        self._keep_ended(entry)
+        held.driver = None
+        self.admitter.ended(held.program)
+        self._keep_ended(held)
 
-    def _keep_ended(self, entry: Entry) -> None:
+    def _keep_ended(self, held: HeldProgram) -> None:
         """Keep an ended program's answer, within the bound, and free the rest."""
-        entry.program.runs.clear()
-        self.ended[entry.program.program_id] = None
+        held.program.runs.clear()
+        self.ended[held.program.program_id] = None
         while len(self.ended) > self.ended_kept:
             oldest, _ = self.ended.popitem(last=False)
-            self.entries.pop(oldest, None)
+            self.programs.pop(oldest, None)
 
     async def on_adopted(self, fence: Fence, records: Sequence[Record]) -> None:
         """Replay the partition's programs and drive on those that have not ended."""
@@ -191,36 +193,36 @@
     def _resume(self, fence: Fence, history: list[Record]) -> None:
         program = replay(history)
         feed = ProgramFeed(list(program.steps), program.ended is not None)
-        entry = Entry(program, feed, None)
-        entry.settle(accepted=True)
-        self.entries[program.program_id] = entry
+        held = HeldProgram(program, feed, None)
+        held.settle(accepted=True)
+        self.programs[program.program_id] = held
         if program.ended is not None:
-            self._keep_ended(entry)
+            self._keep_ended(held)
             return
         self.admitter.resumed(program.request)
-        entry.driver = Driver(self.context, program, fence, feed)
+        held.driver = Driver(self.context, program, fence, feed)
         self.context.log.emit(
             EventKind.PROGRAM_RESUMED,
             program.program_id,
             epoch=fence.epoch,
             turns=program.budget.turns,
         )
-        self.tasks.start_soon(self._drive, entry)
+        self.tasks.start_soon(self._drive, held)
 
     async def on_lost(self, partition: PartitionNumber) -> None:
         """Stop driving the programs of a partition."""
-        for program_id in [key for key in self.entries if partition_of(key) == partition]:
-            entry = self.entries[program_id]
-            if entry.driver is not None:
-                entry.driver.abandon()
+        for program_id in [key for key in self.programs if partition_of(key) == partition]:
+            held = self.programs[program_id]
+            if held.driver is not None:
+                held.driver.abandon()
             else:
-                self._forget_ended(entry)
+                self._forget_ended(held)
 
-    def _forget_ended(self, entry: Entry) -> None:
-        program_id = entry.program.program_id
-        self.entries.pop(program_id, None)
+    def _forget_ended(self, held: HeldProgram) -> None:
+        program_id = held.program.program_id
+        self.programs.pop(program_id, None)
         self.ended.pop(program_id, None)
-        entry.feed.lose()
+        held.feed.lose()
 
     def show(self, selector: ProgramSelector) -> ProgramView:
         """Return a program; raise ``NotFoundError`` or ``NotOwnerError``."""
@@ -228,12 +230,12 @@
 
     async def cancel(self, selector: ProgramSelector) -> ProgramView:
         """Cancel a program and return it once its end is durable, or as it stands by then."""
-        entry = self._find(selector)
-        if entry.driver is not None:
-            entry.driver.cancel(Ending(ErrorCode.CANCELLED, "cancelled by the caller"))
+        held = self._find(selector)
+        if held.driver is not None:
+            held.driver.cancel(Ending(ErrorCode.CANCELLED, "cancelled by the caller"))
             with anyio.move_on_after(CANCEL_WAIT_S):
-                await entry.feed.wait_ended()
-        return entry.program.view()
+                await held.feed.wait_ended()
+        return held.program.view()
 
     def watch(self, selector: ProgramSelector, after: int) -> AsyncIterator[WatchItem]:
         """Iterate a program's steps and output; raise ``NotOwnerError`` when it moves."""
@@ -241,27 +243,27 @@
 
     async def outcome(self, program_id: ProgramId) -> Outcome:
         """Return the outcome of a program that stands for one service call, once it ended."""
-        entry = self._find(ProgramSelector(program_id))
-        await entry.feed.wait_ended()
-        ended = entry.program.ended
+        held = self._find(ProgramSelector(program_id))
+        await held.feed.wait_ended()
+        ended = held.program.ended
         assert ended is not None
-        for outcome in entry.program.outcomes.values():
+        for outcome in held.program.outcomes.values():
             return outcome
-        call_id = entry.program.call_id(SERVICE_SLOT)
+        call_id = held.program.call_id(SERVICE_SLOT)
         return Outcome(call_id, ended.word, error=ended.error, detail=ended.detail)
 
     def list(self) -> list[ProgramView]:
         """Return the programs under way on this node."""
-        return [entry.program.view() for entry in self.entries.values() if entry.driver]
+        return [held.program.view() for held in self.programs.values() if held.driver]
 
-    def _find(self, selector: ProgramSelector) -> Entry:
+    def _find(self, selector: ProgramSelector) -> HeldProgram:
         self._fence_of(selector.program_id)
-        entry = self.entries.get(selector.program_id)
-        if entry is None:
+        held = self.programs.get(selector.program_id)
+        if held is None:
             raise NotFoundError("no such program")
-        if selector.customer and entry.program.request.customer != selector.customer:
+        if selector.customer and held.program.request.customer != selector.customer:
             raise ForbiddenError("the program belongs to another customer")
-        return entry
+        return held
 
     def _fence_of(self, program_id: ProgramId) -> Fence:
         try:
--- a/tests/daemon/test_directory.py
+++ b/tests/daemon/test_directory.py
@@ -99,7 +99,7 @@
             entry.sidecars.verdict = SealReply(verdict)
             view = await entry.directory.start(accepted("sizing").request)
             await ordered.wait()
-            driver = entry.directory.entries[view.program_id].driver
+            driver = entry.directory.programs[view.program_id].driver
             driver.cancel(Ending(ErrorCode.CANCELLED, "cancelled"))
             words[verdict] = (await entry.run("sizing")).word
             released = entry.sidecars.released
@@ -123,7 +123,7 @@
             await anyio.lowlevel.checkpoint()
             entry.journal.moved = True
             entry.journal.open.set()
-        assert_that(entry.directory.entries, Equals({}))
+        assert_that(entry.directory.programs, Equals({}))
 
 
 @pytest.mark.anyio
@@ -137,12 +137,12 @@
         view = await entry.directory.start(accepted("sizing").request)
         await ordered.wait()
         entry.journal.moved = True
-        driver = entry.directory.entries[view.program_id].driver
+        driver = entry.directory.programs[view.program_id].driver
         driver.scribe.take(AllotmentTaken(view.program_id, 1, 1))
         with pytest.raises(NotOwnerError):
-            await entry.directory.entries[view.program_id].feed.wait_ended()
+            await entry.directory.programs[view.program_id].feed.wait_ended()
         sidecars = entry.sidecars
-        assert_that(entry.directory.entries, Equals({}))
+        assert_that(entry.directory.programs, Equals({}))
     assert_that((sidecars.sealed, sidecars.detached), Equals((0, [view.program_id])))
 
 
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -171,7 +171,7 @@
     async def run(self, key):
         """Start a program, wait for its end and return its view."""
         view = await self.directory.start(accepted(key).request)
-        entry = self.directory.entries[view.program_id]
+        entry = self.directory.programs[view.program_id]
         await entry.feed.wait_ended()
         return entry.program.view()
 
