Pin decisions of admission, queue, gate, retry and shift in golden sessions

Cause: only placement, breaker, retention and speeds had golden files. Each line was read against what the class is documented to do before it was kept.

--- a/tests/core/test_policy_sessions.py
+++ b/tests/core/test_policy_sessions.py
@@ -3,18 +3,26 @@
 from pathlib import Path
 from random import Random
 
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
 from policy import SITE, candidate, request
+from sidecar_fakes import model_order
+from skylarkferry_core.admissions import AdmissionRequest, DeadlineAdmission
 from skylarkferry_core.breakers import Breaker
-from skylarkferry_core.ids import ToolName
-from skylarkferry_core.interfaces import Speed
+from skylarkferry_core.gates import KvGate
+from skylarkferry_core.ids import CustomerId, PoolName, ProgramId, ToolName
+from skylarkferry_core.interfaces import QueuedOrder, Speed
 from skylarkferry_core.messages import LoadReport
 from skylarkferry_core.placements import PLACEMENTS
+from skylarkferry_core.queues import FifoOrder, SlackOrder
 from skylarkferry_core.retention import PauseEstimates, Retention
+from skylarkferry_core.retries import RetryBudget, RetryPolicy, RetryRequest
+from skylarkferry_core.shifts import KvCost, pool_of_running
 from skylarkferry_core.speeds import SpeedEstimates
+from skylarkferry_core.states import Priority
 
 GOLDEN = Path(__file__).parents[1] / "golden"
 
@@ -83,7 +91,105 @@
         return f"{known.prefill_tokens_per_s:.0f} {other.decode_tokens_per_s:.1f}"
 
 
+class AdmissionSession:
+    """Steps ``<seconds> ask <deadline> <work> <tokens>`` and ``<seconds> end <program> late|ok``.
+
+    Two slots are open, and the customer may spend 600 tokens a minute.
+    """
+
+    def __init__(self):
+        self.admission = DeadlineAdmission()
+        self.asked = 0
+
+    def step(self, words):
+        now = float(words[0])
+        if words[1] == "end":
+            self.admission.ended(ProgramId(words[2]), in_time=words[3] == "ok")
+            return "ended"
+        self.asked += 1
+        deadline_s, work_s, tokens = float(words[2]), float(words[3]), int(words[4])
+        question = AdmissionRequest(
+            customer=CustomerId("gearworks"),
+            deadline_s=deadline_s,
+            expected_s=work_s,
+            tokens=tokens,
+            tokens_per_minute=600,
+            program_id=ProgramId(f"p{self.asked}"),
+            work_s=work_s,
+            capacity=2.0,
+        )
+        refusal = self.admission.admit(question, now)
+        return f"{refusal.code.value} {refusal.retry_after_s:.1f}" if refusal else "admitted"
+
+
+class QueueSession:
+    """Steps ``<seconds> <name>:<priority>:<slack>:<queued at>…``; the answer is the name."""
+
+    def step(self, words):
+        names = [text.split(":")[0] for text in words[1:]]
+        queue = [queued(text) for text in words[1:]]
+        return names[SlackOrder().next_index(queue, float(words[0]))]
+
+
+class GateSession:
+    """Steps ``held=<tokens> running=<calls> <name>:<cached>:<prefill>:<typical>…``."""
+
+    def step(self, words):
+        held, running = (int(text.partition("=")[2]) for text in words[:2])
+        names = [text.split(":")[0] for text in words[2:]]
+        queue = [waiting_turn(text) for text in words[2:]]
+        load = LoadReport(
+            running=running, kv_tokens=1_000, held_kv_tokens=held, reserved_kv_tokens=held
+        )
+        index = KvGate().next_index(queue, load, FifoOrder(), 1.0)
+        return "hold" if index is None else names[index]
+
+
+class RetrySession:
+    """Steps ``<attempts> <seconds left>``; the first ten retries pass the budget."""
+
+    def __init__(self):
+        self.policy = RetryPolicy(Random(7), RetryBudget())
+
+    def step(self, words):
+        delay_s = self.policy.delay_s(RetryRequest(int(words[0]), float(words[1])))
+        return "give up" if delay_s is None else f"{delay_s:.3f}"
+
+
+class ShiftSession:
+    """Steps ``<program> <current pool> <share of old> <share of new> <prefill> <left>``."""
+
+    def step(self, words):
+        shares = {PoolName("old"): float(words[2]), PoolName("new"): float(words[3])}
+        cost = KvCost(prefill_s=float(words[4]), remaining_s=float(words[5]))
+        return pool_of_running(ProgramId(words[0]), PoolName(words[1]), shares, cost).pool
+
+
+def queued(text):
+    """Return a waiting order from ``<name>:<priority>:<slack>:<queued at>``."""
+    name, priority, slack_s, queued_at = text.split(":")
+    fields = {"priority": Priority(int(priority)), "slack_s": float(slack_s)}
+    return QueuedOrder(model_order(name, **fields), float(queued_at))
+
+
+def waiting_turn(text):
+    """Return a waiting order from ``<name>:<cached>:<prefill>:<typical>``."""
+    name, cached, prefill, typical = text.split(":")
+    order = msgspec.structs.replace(
+        model_order(name),
+        cached_tokens=int(cached),
+        prefill_tokens=int(prefill),
+        typical_tokens=int(typical),
+    )
+    return QueuedOrder(order, 0.0)
+
+
 SESSIONS = {
+    "admission": AdmissionSession,
+    "queue": QueueSession,
+    "gate": GateSession,
+    "retry": RetrySession,
+    "shift": ShiftSession,
     "breaker": BreakerSession,
     "retention": RetentionSession,
     "placement": PlacementSession,
