Remove what nobody calls, and let the kill tests share their way to a step

Cause: read once more as a newcomer. DrainState.is_finished and the method ENTRY_HOSTS had no caller; the tests of killed and frozen drivers held the same lines twice. Verified: make check; 136 tests of core, wire, links, pages and call runner; 2 kill tests in 88 s.

--- a/packages/skylarkferry-core/src/skylarkferry_core/drains.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/drains.py
@@ -1,7 +1,6 @@
 """Draining of a sidecar: announced once, never taken back."""
 
 from skylarkferry_core.errors import SkylarkferryError, UpstreamLeavingError
-from skylarkferry_core.messages import LoadReport
 from skylarkferry_core.states import UpstreamState
 
 RETRY_AFTER_S = 1.0
@@ -31,7 +30,3 @@
         if self.leaving:
             return UpstreamState.LEAVING
         return UpstreamState.LIVE if self.reachable else UpstreamState.SUSPECT
-
-    def is_finished(self, load: LoadReport, undelivered: int) -> bool:
-        """Tell whether nothing runs and every outcome reached its entry."""
-        return self.leaving and load.queued + load.running + undelivered == 0
--- a/packages/skylarkferry-wire/src/skylarkferry_wire/methods.py
+++ b/packages/skylarkferry-wire/src/skylarkferry_wire/methods.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from skylarkferry_core.entry_messages import (
-    HostsReply,
     ListReply,
     ListRequest,
     ProgramSelector,
@@ -65,6 +64,5 @@
 ENTRY_WATCH = Method(ENTRY, "Watch", Shape.SERVER_STREAM, WatchRequest, WatchItem)
 ENTRY_SERVICE = Method(ENTRY, "Service", Shape.UNARY, ServiceRequest, ServiceReply)
 ENTRY_LIST = Method(ENTRY, "List", Shape.UNARY, ListRequest, ListReply)
-ENTRY_HOSTS = Method(ENTRY, "Hosts", Shape.UNARY, Accepted, HostsReply)
 
 PROCESS_TIMELINE = Method(PROCESS, "Timeline", Shape.UNARY, TimelineRequest, TimelineReply)
--- a/tests/processes/test_kills.py
+++ b/tests/processes/test_kills.py
@@ -1,6 +1,7 @@
 """Entries killed and frozen while they drive programs."""
 
 from collections import Counter
+from contextlib import contextmanager
 
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
@@ -30,31 +31,31 @@
     assert_that([paths[path] for path in NOT_REPEATABLE], Equals([1, 1]))
 
 
+@contextmanager
+def driven_to(deployment, key, step):
+    """Yield a program at a step: its id, its driver and a client of the other entry."""
+    first = deployment.entries["entry-1"]
+    with first.client() as client:
+        program_id = start(client, key)
+    owner = owner_of(deployment, first, program_id)
+    with other_entry(deployment, owner).client() as client:
+        wait_for_step(client, program_id, step)
+        yield program_id, deployment.entries[owner], client
+
+
 def test_a_program_survives_its_driver_killed_after_every_step(arusha):
     for step in range(1, STEPS + 1):
-        first = arusha.entries["entry-1"]
-        with first.client() as client:
-            program_id = start(client, f"killed-at-{step}")
-        owner = owner_of(arusha, first, program_id)
-        survivor = other_entry(arusha, owner)
-        with survivor.client() as client:
-            wait_for_step(client, program_id, step)
-            arusha.entries[owner].process.kill()
+        with driven_to(arusha, f"killed-at-{step}", step) as (program_id, driver, client):
+            driver.process.kill()
             assert_whole_and_once(arusha, client, program_id)
-        arusha.entries[owner].process.restart()
+        driver.process.restart()
 
 
 def test_a_driver_frozen_past_its_lease_and_thawed_repeats_nothing(arusha):
     for step in (1, 6, 10):
-        first = arusha.entries["entry-1"]
-        with first.client() as client:
-            program_id = start(client, f"frozen-at-{step}")
-        owner = owner_of(arusha, first, program_id)
-        survivor = other_entry(arusha, owner)
-        with survivor.client() as client:
-            wait_for_step(client, program_id, step)
-            arusha.entries[owner].process.pause()
+        with driven_to(arusha, f"frozen-at-{step}", step) as (program_id, driver, client):
+            driver.process.pause()
             assert_whole_and_once(arusha, client, program_id)
-            arusha.entries[owner].process.resume()
-        with arusha.entries[owner].client() as thawed:
+            driver.process.resume()
+        with driver.client() as thawed:
             assert_whole_and_once(arusha, thawed, program_id)
