Grant a program's tokens in smaller parts

Cause: 402 for design sessions: a program visits 2.5 entries on average, up to 7, and each held a third of the budget. Ruled out: spent budgets (the log showed used=0, granted=17199 of 17200). Conclusion: a grant is at most a quarter of the budget and three turns.

--- a/packages/skylarkferry-core/src/skylarkferry_core/allotments.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/allotments.py
@@ -12,8 +12,9 @@
 from skylarkferry_core.errors import BudgetExhaustedError
 from skylarkferry_core.ids import Incarnation, TurnId
 
-GRANT_PARTS = 3
-"""A first grant is one third of the budget: a process that dies costs its program no more."""
+GRANT_PARTS = 4
+GRANT_TURNS = 3
+"""A grant is at most a quarter of the budget and three turns: several processes hold one each."""
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True):
@@ -83,7 +84,8 @@
         wanted = self.committed() + need
         if wanted > free:
             raise BudgetExhaustedError("the budget does not cover the next turn")
-        tokens = min(max(wanted, limit // GRANT_PARTS), free)
+        ahead = min(limit // GRANT_PARTS, GRANT_TURNS * need)
+        tokens = min(max(wanted, ahead), free)
         return self._change(others, used, tokens)
 
     def release(self, row: BudgetRow) -> RowChange:
