--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
@@ -72,6 +72,7 @@
         self.arrived = anyio.Event()
         self.drained = anyio.Event()
         self.has_left = False
+        self.requests = 0
         self.answer = AnswerState.NONE
         self.scope: anyio.CancelScope | None = None
         self.idle_scope: anyio.CancelScope | None = None
@@ -135,6 +136,7 @@
             return False
         if head is None:
             return False
+        self.requests += 1
         self.answer = AnswerState.NONE
         with anyio.CancelScope() as self.scope:
             await self.handler(head, self)
@@ -169,7 +171,7 @@
         started = anyio.current_time()
         while not self.has_left:
             left_s = started + self.limits().idle_s - anyio.current_time()
-            if left_s <= 0 or self.is_stopping():
+            if left_s <= 0 or (self.is_stopping() and self.requests > 0):
                 return False
             with anyio.move_on_after(left_s) as self.idle_scope:
                 self.arrived = anyio.Event()
@@ -180,8 +182,8 @@
         return False
 
     def close_if_idle(self) -> None:
-        """End the wait for a request, so that an idle connection sees the planned stop."""
-        if self.idle_scope is not None:
+        """End the wait for a further request; a new connection still gets to send its first."""
+        if self.idle_scope is not None and self.requests > 0:
             self.idle_scope.cancel()
 
     async def _read_body(self, request: h11.Request, limits: ClientLimits) -> bytes:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/interfaces.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/interfaces.py
@@ -23,9 +23,19 @@
     version: int
 
 
+class Snapshot(msgspec.Struct, frozen=True):
+    """A row, and the newest version of the store when it was read."""
+
+    row: Row
+    version: int
+
+
 class Store(Table, Protocol):
     """The platform's table service with its feed of changes; keys are ``table/part/key``."""
 
+    async def snapshot(self, key: str) -> Snapshot:
+        """Return a row and the version to follow changes from."""
+
     async def changes(self, table: str, after: int, wait_s: float) -> Changes:
         """Return the changes after a version, waiting for the first one at most ``wait_s``.
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -5,7 +5,7 @@
 from contextlib import AsyncExitStack
 
 import anyio
-from anyio.abc import SocketStream, TaskGroup
+from anyio.abc import Listener, SocketStream, TaskGroup
 
 from skylarkferry_core.errors import ErrorCode
 from skylarkferry_core.events import EventKind
@@ -96,17 +96,19 @@
             local_host=host, local_port=int(port), backlog=_BACKLOG
         )
         await stack.enter_async_context(listener)
-        tasks.start_soon(self._accept, listener, serve)
+        tasks.start_soon(self._accept, listener, serve, tasks)
 
     async def _accept(
         self,
-        listener: anyio.abc.Listener[SocketStream],
+        listener: Listener[SocketStream],
         serve: Callable[[SocketStream], Awaitable[None]],
+        tasks: TaskGroup,
     ) -> None:
+        """Accept until the listener is closed; connections go on after that."""
         try:
-            await listener.serve(self._guarded(serve))
-        except anyio.ClosedResourceError:
-            return
+            await listener.serve(self._guarded(serve), task_group=tasks)
+        except* anyio.ClosedResourceError:
+            pass
 
     def _guarded(
         self, serve: Callable[[SocketStream], Awaitable[None]]
