Account for budgets at the owner of a program's partition

Now one process accounts for a program, hands out a first third without a write, and a lost owner's third counts as used.

--- /dev/null
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -0,0 +1,211 @@
+"""Accounts of the programs whose partitions this process owns."""
+
+from collections.abc import Sequence
+
+import anyio
+import msgspec
+
+from skylarkferry_core.accounts import Account, AccountRow, budget_partition
+from skylarkferry_core.errors import (
+    BudgetExhaustedError,
+    NotOwnerError,
+    PlatformUnavailableError,
+    TokensSpentError,
+    WriteConflictError,
+)
+from skylarkferry_core.events import EventKind
+from skylarkferry_core.ids import PartitionNumber, ProgramId, TurnId
+from skylarkferry_core.interfaces import Condition, Row, Write
+from skylarkferry_daemon.log import EventLog
+from skylarkferry_gateway import defaults
+from skylarkferry_gateway.interfaces import Store
+from skylarkferry_gateway.messages import Reservation
+from skylarkferry_gateway.ownership import OwnedPartition, OwnerTable, account_key, owner_key
+from skylarkferry_gateway.store_calls import retried
+
+_ROWS_A_CALL = 90
+"""Rows in one call when a partition is handed over; the store takes 100 entries."""
+
+
+class OwnedAccount:
+    """One program's account with its row's key and a lock for changes of its allowance."""
+
+    def __init__(self, account: Account, key: str, now: float) -> None:
+        self.account = account
+        self.key = key
+        self.lock = anyio.Lock()
+        self.used_at = now
+
+
+class OwnedAccounts:
+    """One owned partition: its programs, and the rows that earlier owners wrote."""
+
+    def __init__(self, partition: OwnedPartition, rows: Sequence[Row]) -> None:
+        self.partition = partition
+        self.rows = {row.key: row for row in rows}
+        self.programs: dict[ProgramId, OwnedAccount] = {}
+
+    def account(self, wanted: Reservation, now: float) -> OwnedAccount:
+        """Return a program's account, opened on the first turn that comes here."""
+        found = self.programs.get(wanted.program_id)
+        if found is None:
+            key = account_key(self.partition.number, wanted.program_id)
+            row = self.rows.pop(key, None)
+            written = msgspec.msgpack.decode(row.value, type=AccountRow) if row else None
+            losses = self.partition.ownership.losses
+            version = row.version if row else 0
+            account = Account(wanted.limit, wanted.tokens, losses, written, version)
+            found = self.programs[wanted.program_id] = OwnedAccount(account, key, now)
+        found.used_at = now
+        return found
+
+    def final_writes(self) -> list[Write]:
+        """Return the rows to hand over: programs whose use no row covers, or covers too widely."""
+        return [
+            Write(item.key, msgspec.msgpack.encode(item.account.final_row()))
+            for item in self.programs.values()
+        ]
+
+
+class AccountBook:
+    """Reserve and settle tokens of the programs that this process accounts for."""
+
+    def __init__(self, store: Store, table: OwnerTable, log: EventLog) -> None:
+        self.store = store
+        self.table = table
+        self.log = log
+        self.partitions: dict[PartitionNumber, OwnedAccounts] = {}
+        self.claim_locks: dict[PartitionNumber, anyio.Lock] = {}
+        self.is_closed = False
+
+    def owns(self, number: PartitionNumber) -> bool:
+        """Tell whether this process owns a partition, as far as it knows."""
+        return number in self.partitions
+
+    async def claim(self, number: PartitionNumber, by: float) -> None:
+        """Try to become a partition's owner; others may be first."""
+        lock = self.claim_locks.setdefault(number, anyio.Lock())
+        async with lock:
+            if self.owns(number) or self.is_closed:
+                return
+            claimed = await self.table.claim(number, by)
+            if claimed is not None:
+                self.partitions[number] = OwnedAccounts(*claimed)
+
+    async def reserve(self, wanted: Reservation, by: float) -> None:
+        """Reserve a turn's most.
+
+        Raise ``TokensSpentError``, ``NotOwnerError`` when the partition is another's by now, and
+        ``PlatformUnavailableError``.
+        """
+        number = budget_partition(wanted.program_id)
+        owned = self.partitions.get(number)
+        if owned is None:
+            raise NotOwnerError(f"partition {number} is not owned here")
+        item = owned.account(wanted, anyio.current_time())
+        async with item.lock:
+            while not item.account.fits(wanted.tokens):
+                await self._grow(owned, item, wanted, by)
+            item.account.reserve(wanted.turn, wanted.tokens)
+
+    def settle(self, program_id: ProgramId, turn: TurnId, used: int) -> None:
+        """Count what a turn handed out."""
+        owned = self.partitions.get(budget_partition(program_id))
+        item = owned.programs.get(program_id) if owned is not None else None
+        if item is not None:
+            item.account.settle(turn, used)
+
+    async def _grow(
+        self, owned: OwnedAccounts, item: OwnedAccount, wanted: Reservation, by: float
+    ) -> None:
+        account = item.account
+        try:
+            allowance = account.grown(wanted.tokens)
+        except BudgetExhaustedError as error:
+            self._log_spent(wanted, account)
+            raise TokensSpentError(error.detail) from error
+        if self.store.lost_s() > defaults.STORE_LOST_S:
+            raise PlatformUnavailableError("the store does not answer; no allowance can grow")
+        conditions = [owned.partition.fence(), Condition(item.key, account.version)]
+        row = msgspec.msgpack.encode(account.row_for(allowance))
+        try:
+            with anyio.fail_after(max(by - anyio.current_time(), 0)):
+                version = await self.store.transact(conditions, [Write(item.key, row)])
+        except WriteConflictError:
+            await self._settle_conflict(owned, item, by)
+            return
+        except TimeoutError as error:
+            raise PlatformUnavailableError("the store did not answer in time") from error
+        except PlatformUnavailableError:
+            if anyio.current_time() + defaults.STORE_RETRY_S >= by:
+                raise
+            await anyio.sleep(defaults.STORE_RETRY_S)
+            return
+        account.version, account.allowance = version, allowance
+        self._log_granted(wanted, account)
+
+    async def _settle_conflict(self, owned: OwnedAccounts, item: OwnedAccount, by: float) -> None:
+        """Find out whether the partition was lost or an earlier write without an answer counts."""
+        number = owned.partition.number
+        fence = await retried(lambda: self.store.read(owner_key(number)), by)
+        if fence.version != owned.partition.version:
+            self._lost(number)
+            raise NotOwnerError(f"partition {number} was claimed by another process")
+        row = await retried(lambda: self.store.read(item.key), by)
+        account = item.account
+        if row.version != account.version:
+            written = msgspec.msgpack.decode(row.value, type=AccountRow)
+            account.version = row.version
+            account.allowance = written.counted - account.base
+
+    def _lost(self, number: PartitionNumber) -> None:
+        if self.partitions.pop(number, None) is not None:
+            self.log.emit(EventKind.BUDGET_PARTITION_LOST, partition=number)
+
+    def _log_granted(self, wanted: Reservation, account: Account) -> None:
+        self.log.emit(
+            EventKind.GATEWAY_GRANTED,
+            wanted.program_id,
+            request=wanted.turn,
+            limit=wanted.limit,
+            base=account.base,
+            allowance=account.allowance,
+            version=account.version,
+        )
+
+    def _log_spent(self, wanted: Reservation, account: Account) -> None:
+        self.log.emit(
+            EventKind.GATEWAY_BUDGET_SPENT,
+            wanted.program_id,
+            request=wanted.turn,
+            limit=wanted.limit,
+            need=wanted.tokens,
+            base=account.base,
+            used=account.used,
+            committed=account.committed(),
+            version=account.version,
+        )
+
+    async def hand_over(self, by: float) -> None:
+        """Hand all partitions over before the process ends; those that fail count as lost."""
+        self.is_closed = True
+        owned, self.partitions = list(self.partitions.values()), {}
+        async with anyio.create_task_group() as tasks:
+            for item in owned:
+                tasks.start_soon(self._hand_over, item, by)
+
+    async def _hand_over(self, owned: OwnedAccounts, by: float) -> None:
+        writes = owned.final_writes()
+        fence = owned.partition.fence()
+        try:
+            with anyio.fail_after(max(by - anyio.current_time(), 0)):
+                while len(writes) > _ROWS_A_CALL:
+                    await self.store.transact([fence], writes[:_ROWS_A_CALL])
+                    writes = writes[_ROWS_A_CALL:]
+                await self.table.release(owned.partition, writes)
+        except (PlatformUnavailableError, WriteConflictError, TimeoutError) as error:
+            self.log.emit(
+                EventKind.BUDGET_PARTITION_LOST,
+                partition=owned.partition.number,
+                detail=repr(error),
+            )
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
@@ -1,176 +1,151 @@
-"""Token budgets of programs over all processes, through one row a program in the store."""
+"""Token budgets of programs: each reservation goes to the owner of the program's partition."""
 
 import anyio
-import msgspec
-import xxhash
+from anyio.abc import TaskGroup
 
-from skylarkferry_core.allotments import Allotment, BudgetRow, RowChange
+from skylarkferry_core.accounts import NOBODY, budget_partition
 from skylarkferry_core.errors import (
-    BudgetExhaustedError,
+    NotOwnerError,
     PlatformUnavailableError,
+    SkylarkferryError,
     TokensSpentError,
-    WriteConflictError,
 )
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.ids import Incarnation, ProgramId, TurnId
-from skylarkferry_core.interfaces import Condition, Row, Write
+from skylarkferry_core.ids import Incarnation, PartitionNumber, ProgramId, TurnId
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
-from skylarkferry_gateway.interfaces import Store
-from skylarkferry_gateway.store_calls import key_of, retried
-
-TABLE = "budgets"
-_ROW = "budget"
-_MAX_PART = 120
-"""Longest program id used as a part; the store takes 200 bytes."""
-
-
-class ProgramBudget:
-    """One program as this process knows it: its own part and the row as last seen."""
+from skylarkferry_gateway.accounts import AccountBook
+from skylarkferry_gateway.messages import Reservation
+from skylarkferry_gateway.ownership import OwnerTable
+from skylarkferry_gateway.peers import (
+    PeerClient,
+    PeerDownError,
+    PeerSilentError,
+    Settlement,
+    Verdict,
+)
 
-    def __init__(self, key: str, holder: Incarnation, now: float) -> None:
-        self.key = key
-        self.allotment = Allotment(holder)
-        self.row = BudgetRow()
-        self.version = 0
-        self.lock = anyio.Lock()
-        self.used_at = now
+_LOCAL = ""
+_SETTLE_TRIES = 3
 
 
 class ProgramBudgets:
-    """Reserve a turn's most before it runs, and settle what it used when it ended."""
+    """Reserve a turn's most before it runs, and settle what it handed out when it ended."""
 
-    def __init__(self, store: Store, holder: Incarnation, log: EventLog) -> None:
-        self.store = store
-        self.holder = holder
+    def __init__(
+        self, table: OwnerTable, book: AccountBook, peers: PeerClient, log: EventLog
+    ) -> None:
+        self.table = table
+        self.book = book
+        self.peers = peers
         self.log = log
-        self.programs: dict[ProgramId, ProgramBudget] = {}
+        self.owners_of_turns: dict[TurnId, str] = {}
+        self.silent: dict[Incarnation, float] = {}
+        self.tasks: TaskGroup | None = None
 
-    async def reserve(self, program_id: ProgramId, limit: int, turn: TurnId, need: int) -> None:
-        """Reserve ``need`` tokens for a turn.
+    async def reserve(self, wanted: Reservation) -> None:
+        """Reserve tokens for a turn.
 
         Raise ``TokensSpentError`` when the budget does not cover them and
-        ``PlatformUnavailableError`` when the store is needed and does not answer.
+        ``PlatformUnavailableError`` when nobody can tell.
         """
+        by = anyio.current_time() + defaults.BUDGET_WAIT_S
+        number = budget_partition(wanted.program_id)
+        while anyio.current_time() < by:
+            if self.book.owns(number):
+                if await self._reserve_here(wanted, by):
+                    return
+            elif not self._may_ask(number):
+                await self._claim(number, by)
+            elif await self._ask(number, wanted, by):
+                return
+        raise PlatformUnavailableError("no owner of the program's budget answered in time")
+
+    async def _reserve_here(self, wanted: Reservation, by: float) -> bool:
+        try:
+            await self.book.reserve(wanted, by)
+        except NotOwnerError:
+            return False
+        self.owners_of_turns[wanted.turn] = _LOCAL
+        return True
+
+    def _may_ask(self, number: PartitionNumber) -> bool:
+        """Tell whether another process owns the partition and has answered of late."""
+        owner = self.table.owners.get(number)
+        if owner is None or owner.owner in (NOBODY, self.table.incarnation):
+            return False
+        return self.silent.get(owner.owner, 0.0) <= anyio.current_time()
+
+    async def _claim(self, number: PartitionNumber, by: float) -> None:
+        if self.table.store.lost_s() > defaults.STORE_LOST_S:
+            raise PlatformUnavailableError("the store does not answer; no owner can be found")
+        if self.table.read_at is None:
+            await self.table.refresh(anyio.current_time(), by)
+            return
+        if self._is_alone():
+            raise PlatformUnavailableError("most other gateways are silent; not claiming theirs")
+        await self.book.claim(number, by)
+
+    def _is_alone(self) -> bool:
+        """Tell whether this process is rather the one that is cut off."""
+        now = anyio.current_time()
+        others = {owner.owner for owner in self.table.owners.values()}
+        others -= {NOBODY, self.table.incarnation}
+        silent = [owner for owner in others if self.silent.get(owner, 0.0) > now]
+        return len(silent) >= 2 and len(silent) * 2 > len(others)
+
+    async def _ask(self, number: PartitionNumber, wanted: Reservation, by: float) -> bool:
+        """Ask the owner; return whether it granted, after noting why it did not."""
+        owner = self.table.owners[number]
+        asked_at = anyio.current_time()
+        try:
+            reply = await self.peers.reserve(owner.address, wanted)
+        except PeerSilentError as error:
+            self._on_silent(owner.owner, asked_at, error)
+            return False
+        except PeerDownError as error:
+            self._log_owner(number, owner.owner, error.detail)
+            await self._claim(number, by)
+            return False
+        if reply.verdict is Verdict.GRANTED:
+            self.owners_of_turns[wanted.turn] = owner.address
+            return True
+        if reply.verdict is Verdict.SPENT:
+            raise TokensSpentError(reply.detail)
+        self._log_owner(number, owner.owner, reply.detail)
+        await self._claim(number, by)
+        return False
+
+    def _on_silent(self, owner: Incarnation, asked_at: float, error: SkylarkferryError) -> None:
+        """Take an owner as lost, unless this process itself stood still meanwhile."""
         now = anyio.current_time()
-        program = self.programs.get(program_id)
-        if program is None:
-            key = key_of(TABLE, part_of(program_id), _ROW)
-            program = self.programs[program_id] = ProgramBudget(key, self.holder, now)
-        program.used_at = now
-        async with program.lock:
-            if not program.allotment.fits(need):
-                await self._grow(program_id, program, limit, turn, need)
-            program.allotment.reserve(turn, need)
+        if now - asked_at < 2 * defaults.PEER_CALL_S:
+            self.silent[owner] = now + defaults.PEER_SILENT_S
+        self.log.emit(EventKind.BUDGET_OWNER_SILENT, owner=owner, detail=error.detail)
 
-    def settle(self, program_id: ProgramId, turn: TurnId, used: int) -> None:
-        """Count what a turn handed out; nothing happens for one without a reservation."""
-        program = self.programs.get(program_id)
-        if program is not None:
-            program.allotment.settle(turn, used)
+    def _log_owner(self, number: PartitionNumber, owner: Incarnation, detail: str) -> None:
+        self.log.emit(EventKind.BUDGET_OWNER_SILENT, owner=owner, partition=number, detail=detail)
 
-    async def _grow(
-        self, program_id: ProgramId, program: ProgramBudget, limit: int, turn: TurnId, need: int
-    ) -> None:
-        """Get a grant that covers the turn; several tries may be needed beside other processes."""
-        by = anyio.current_time() + defaults.BUDGET_WAIT_S
-        if self.store.lost_s() > defaults.STORE_LOST_S:
-            raise PlatformUnavailableError("the store does not answer; no grant of tokens")
-        is_read = False
-        while not program.allotment.fits(need):
-            try:
-                change = program.allotment.grow(program.row, limit, need)
-            except BudgetExhaustedError as error:
-                if is_read:
-                    self._log_spent(program_id, turn, program, limit, need)
-                    raise TokensSpentError(error.detail) from error
-                await self._refresh(program, by)
-                is_read = True
-                continue
-            is_read = await self._write(program, change, by)
-        self.log.emit(
-            EventKind.GATEWAY_GRANTED,
-            program_id,
-            request=turn,
-            tokens=program.allotment.granted,
-            used=program.row.used,
-            limit=limit,
-            version=program.version,
-        )
-
-    async def _refresh(self, program: ProgramBudget, by: float) -> None:
-        """Read the row; a newer version settles which change without an answer took effect."""
-        row = await retried(lambda: self.store.read(program.key), by)
-        if row.version != program.version:
-            program.row, program.version = _decoded(row), row.version
-            program.allotment.observe(program.row)
-
-    async def _write(self, program: ProgramBudget, change: RowChange, by: float) -> bool:
-        """Write a change; return ``True`` when the row was read instead: another was before."""
-        write = Write(program.key, msgspec.msgpack.encode(change.row))
-        condition = Condition(program.key, program.version)
-        while True:
+    def settle(self, program_id: ProgramId, turn: TurnId, used: int) -> None:
+        """Count what a turn handed out; the owner hears of it in the background."""
+        address = self.owners_of_turns.pop(turn, None)
+        if address is None:
+            return
+        if address == _LOCAL:
+            self.book.settle(program_id, turn, used)
+        elif self.tasks is not None:
+            self.tasks.start_soon(self._settle, address, Settlement(program_id, turn, used))
+
+    async def _settle(self, address: str, settled: Settlement) -> None:
+        """Tell the owner; when it does not hear of it the turn counts with its most."""
+        for _ in range(_SETTLE_TRIES):
             try:
-                with anyio.fail_after(max(by - anyio.current_time(), 0)):
-                    program.version = await self.store.transact([condition], [write])
-            except WriteConflictError:
-                await self._refresh(program, by)
-                return True
-            except TimeoutError as error:
-                raise PlatformUnavailableError("the store did not answer in time") from error
-            except PlatformUnavailableError:
-                if anyio.current_time() + defaults.STORE_RETRY_S >= by:
-                    raise
+                await self.peers.settle(address, settled)
+            except (PeerSilentError, PeerDownError) as error:
+                detail = error.detail
                 await anyio.sleep(defaults.STORE_RETRY_S)
-                continue
-            program.row = change.row
-            program.allotment.wrote(change)
-            return False
-
-    def _log_spent(
-        self, program_id: ProgramId, turn: TurnId, program: ProgramBudget, limit: int, need: int
-    ) -> None:
-        row = program.row
+            else:
+                return
         self.log.emit(
-            EventKind.GATEWAY_BUDGET_SPENT,
-            program_id,
-            request=turn,
-            limit=limit,
-            need=need,
-            used=row.used + program.allotment.used,
-            granted=row.granted(),
-            version=program.version,
+            EventKind.BUDGET_OWNER_SILENT, settled.program_id, request=settled.turn, detail=detail
         )
-
-    async def release_all(self, by: float) -> None:
-        """Give back what this process was granted and did not use, before it ends."""
-        async with anyio.create_task_group() as tasks:
-            for program in self.programs.values():
-                if program.allotment.granted > program.allotment.committed():
-                    tasks.start_soon(self._release, program, by)
-
-    async def _release(self, program: ProgramBudget, by: float) -> None:
-        try:
-            async with program.lock:
-                change = program.allotment.release(program.row)
-                if await self._write(program, change, by):
-                    await self._write(program, program.allotment.release(program.row), by)
-        except PlatformUnavailableError as error:
-            self.log.emit(EventKind.GATEWAY_STORE_RETRY, call="release", detail=error.detail)
-
-    def forget_idle(self, now: float, idle_s: float) -> None:
-        """Forget programs without turns under way that were not used for ``idle_s`` seconds."""
-        for program_id, program in list(self.programs.items()):
-            if now - program.used_at > idle_s and not program.allotment.reserved:
-                del self.programs[program_id]
-
-
-def part_of(text: str) -> str:
-    """Return a text from a client as part of a row's key: as it is where that is safe."""
-    if len(text) <= _MAX_PART and text.isascii() and text.replace("-", "").isalnum():
-        return text
-    return "x" + xxhash.xxh128_hexdigest(text.encode("utf-8", "surrogateescape"))
-
-
-def _decoded(row: Row) -> BudgetRow:
-    return msgspec.msgpack.decode(row.value, type=BudgetRow) if row.version else BudgetRow()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -73,3 +73,12 @@
 LOG_LINES_KEPT = 4_000
 LOG_LINES_PER_S = 400
 """Lines buffered for output and lines written a second; more are dropped and counted."""
+
+PEER_CALL_S = 0.4
+"""Timeout of a call to another gateway: a store write and two round trips fit on a slow host."""
+PEER_IDLE_S = 10.0
+"""Idle limit of connections between gateways; a silent one costs a call's timeout."""
+PEER_SILENT_S = 2.0
+"""Time for which a gateway that did not answer is not asked; the shortest disturbance is longer."""
+OWNERS_READ_S = 5.0
+"""Interval of reads of the list of owners; one that was deposed may go on safely meanwhile."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
@@ -68,6 +68,15 @@
     last_event_id: int | None = None
 
 
+class Reservation(msgspec.Struct, frozen=True):
+    """Tokens that a turn needs at most, of its program's budget of ``limit`` tokens."""
+
+    program_id: ProgramId
+    limit: int
+    turn: TurnId
+    tokens: int
+
+
 class LoadAnswer(msgspec.Struct, frozen=True):
     """Load that an upstream reports in an answer."""
 
--- /dev/null
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
@@ -0,0 +1,139 @@
+"""Owners of the budget partitions: who they are, and how a process becomes one."""
+
+from collections.abc import Sequence
+
+import anyio
+import msgspec
+
+from skylarkferry_core.accounts import NOBODY, Ownership
+from skylarkferry_core.errors import PlatformUnavailableError, WriteConflictError
+from skylarkferry_core.events import EventKind
+from skylarkferry_core.ids import Incarnation, PartitionNumber, ProgramId
+from skylarkferry_core.interfaces import Condition, Row, Write
+from skylarkferry_daemon.log import EventLog
+from skylarkferry_gateway.interfaces import Store
+from skylarkferry_gateway.store_calls import key_of, part_of, retried
+
+ACCOUNTS = "accounts"
+_LIST = "account-owners"
+_OWNER = "owner"
+_PROGRAM = "program."
+"""Names of a partition's own row and, before their ids, of its programs' rows."""
+
+
+class OwnedPartition:
+    """A partition that this process owns: the version of its row fences all other rows."""
+
+    def __init__(self, number: PartitionNumber, ownership: Ownership, version: int) -> None:
+        self.number = number
+        self.ownership = ownership
+        self.version = version
+
+    def fence(self) -> Condition:
+        """Return the condition under which this process still owns the partition."""
+        return Condition(owner_key(self.number), self.version)
+
+
+class OwnerTable:
+    """Owners as last read from the store, and claims of partitions."""
+
+    def __init__(self, store: Store, incarnation: Incarnation, address: str, log: EventLog) -> None:
+        self.store = store
+        self.incarnation = incarnation
+        self.address = address
+        self.log = log
+        self.owners: dict[PartitionNumber, Ownership] = {}
+        self.read_at: float | None = None
+        self.lock = anyio.Lock()
+
+    async def refresh(self, asked_at: float, by: float) -> None:
+        """Read the list of owners, unless it was read since ``asked_at``."""
+        async with self.lock:
+            if self.read_at is not None and self.read_at >= asked_at:
+                return
+            began = anyio.current_time()
+            rows = await retried(lambda: self.store.scan(key_of(_LIST, "", "")), by)
+            for row in rows:
+                number = PartitionNumber(int(row.key.rpartition("/")[2]))
+                self.owners[number] = msgspec.msgpack.decode(row.value, type=Ownership)
+            self.read_at = began
+
+    async def claim(
+        self, number: PartitionNumber, by: float
+    ) -> tuple[OwnedPartition, Sequence[Row]] | None:
+        """Become a partition's owner and return it with the rows of its programs.
+
+        Return ``None`` when another process owns it by now; raise ``PlatformUnavailableError``.
+        """
+        row = await retried(lambda: self.store.read(owner_key(number)), by)
+        before = _decoded(row)
+        listed = self.owners.get(number, Ownership())
+        self.owners[number] = before
+        if before.generation > listed.generation and before.owner not in (NOBODY, self.incarnation):
+            return None
+        claimed = before.claimed(self.incarnation, self.address)
+        version = await self._write_claim(row, number, claimed, by)
+        if version is None:
+            return None
+        self.owners[number] = claimed
+        rows: Sequence[Row] = []
+        if before.generation:
+            rows = await retried(lambda: self.store.scan(key_of(ACCOUNTS, str(number), "")), by)
+        programs = [item for item in rows if item.key != owner_key(number)]
+        self.log.emit(
+            EventKind.BUDGET_PARTITION_CLAIMED,
+            partition=number,
+            generation=claimed.generation,
+            losses=claimed.losses,
+            before=before.owner or "nobody",
+            programs=len(programs),
+        )
+        return OwnedPartition(number, claimed, version), programs
+
+    async def _write_claim(
+        self, row: Row, number: PartitionNumber, claimed: Ownership, by: float
+    ) -> int | None:
+        """Write a claim and return its version, or ``None`` when another one was before."""
+        value = msgspec.msgpack.encode(claimed)
+        writes = [Write(row.key, value), Write(list_key(number), value)]
+        try:
+            with anyio.fail_after(max(by - anyio.current_time(), 0)):
+                return await self.store.transact([Condition(row.key, row.version)], writes)
+        except WriteConflictError:
+            return None
+        except TimeoutError as error:
+            raise PlatformUnavailableError("the store did not answer in time") from error
+
+    async def release(self, partition: OwnedPartition, rows: Sequence[Write]) -> None:
+        """Write the last rows of a partition's programs and hand it over.
+
+        Raise ``WriteConflictError`` when it was claimed before, ``PlatformUnavailableError``.
+        """
+        released = msgspec.msgpack.encode(partition.ownership.released())
+        writes = [
+            *rows,
+            Write(owner_key(partition.number), released),
+            Write(list_key(partition.number), released),
+        ]
+        await self.store.transact([partition.fence()], writes)
+
+
+def owner_key(number: PartitionNumber) -> str:
+    """Return the key of a partition's own row, beside those of its programs."""
+    return key_of(ACCOUNTS, str(number), _OWNER)
+
+
+def account_key(number: PartitionNumber, program_id: ProgramId) -> str:
+    """Return the key of a program's row."""
+    return key_of(ACCOUNTS, str(number), _PROGRAM + part_of(program_id))
+
+
+def list_key(number: PartitionNumber) -> str:
+    """Return the key of a partition's row in the list that all processes read."""
+    return key_of(_LIST, "", f"{number:04d}")
+
+
+def _decoded(row: Row) -> Ownership:
+    if row.version == 0:
+        return Ownership()
+    return msgspec.msgpack.decode(row.value, type=Ownership)
--- /dev/null
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -0,0 +1,132 @@
+"""Calls between gateways: reserve and settle tokens at the owner of a program's partition."""
+
+from enum import Enum
+
+import anyio
+import msgspec
+
+from skylarkferry_core.errors import (
+    NotOwnerError,
+    PlatformUnavailableError,
+    SkylarkferryError,
+    TokensSpentError,
+)
+from skylarkferry_core.ids import ProgramId, TurnId
+from skylarkferry_gateway import defaults
+from skylarkferry_gateway.accounts import AccountBook
+from skylarkferry_gateway.http_client import HttpConnection, connect
+from skylarkferry_gateway.http_server import ClientConnection, RequestHead
+from skylarkferry_gateway.messages import Reservation
+
+_RESERVE = b"/reserve"
+_SETTLE = b"/settle"
+_REPLY_BYTES = 4_096
+
+
+class Verdict(Enum):
+    """An owner's answer to a reservation."""
+
+    GRANTED = "granted"
+    SPENT = "spent"
+    NOT_OWNER = "not_owner"
+    NO_STORE = "no_store"
+
+
+class ReserveReply(msgspec.Struct, frozen=True):
+    """Answer to a reservation."""
+
+    verdict: Verdict
+    detail: str = ""
+
+
+class Settlement(msgspec.Struct, frozen=True):
+    """What a turn handed out."""
+
+    program_id: ProgramId
+    turn: TurnId
+    tokens: int
+
+
+class PeerSilentError(SkylarkferryError):
+    """A peer did not answer in time; it may have done what was asked."""
+
+
+class PeerDownError(SkylarkferryError):
+    """No process listens at a peer's address, or it ended while it was asked."""
+
+
+class PeerServer:
+    """Answer other gateways' calls."""
+
+    def __init__(self, book: AccountBook) -> None:
+        self.book = book
+
+    async def handle(self, head: RequestHead, client: ClientConnection) -> None:
+        """Answer one call."""
+        if head.target == _SETTLE:
+            settled = msgspec.json.decode(head.body, type=Settlement)
+            self.book.settle(settled.program_id, settled.turn, settled.tokens)
+            await client.respond(200, [], b"{}")
+            return
+        reply = await self._reserve(msgspec.json.decode(head.body, type=Reservation))
+        await client.respond(200, [], msgspec.json.encode(reply))
+
+    async def _reserve(self, wanted: Reservation) -> ReserveReply:
+        by = anyio.current_time() + defaults.PEER_CALL_S
+        try:
+            await self.book.reserve(wanted, by)
+        except TokensSpentError as error:
+            return ReserveReply(Verdict.SPENT, error.detail)
+        except NotOwnerError as error:
+            return ReserveReply(Verdict.NOT_OWNER, error.detail)
+        except PlatformUnavailableError as error:
+            return ReserveReply(Verdict.NO_STORE, error.detail)
+        return ReserveReply(Verdict.GRANTED)
+
+
+class PeerClient:
+    """Call other gateways over kept connections."""
+
+    def __init__(self) -> None:
+        self.idle: dict[str, list[HttpConnection]] = {}
+
+    async def reserve(self, address: str, wanted: Reservation) -> ReserveReply:
+        """Ask an owner; raise ``PeerSilentError`` or ``PeerDownError``."""
+        body = await self._call(address, _RESERVE, msgspec.json.encode(wanted))
+        return msgspec.json.decode(body, type=ReserveReply)
+
+    async def settle(self, address: str, settled: Settlement) -> None:
+        """Tell an owner; raise ``PeerSilentError`` or ``PeerDownError``."""
+        await self._call(address, _SETTLE, msgspec.json.encode(settled))
+
+    async def _call(self, address: str, target: bytes, body: bytes) -> bytes:
+        with anyio.move_on_after(defaults.PEER_CALL_S):
+            try:
+                return await self._exchange(address, target, body)
+            except SkylarkferryError as error:
+                raise PeerDownError(f"{address}: {error.detail}") from error
+        raise PeerSilentError(f"{address} did not answer in {defaults.PEER_CALL_S:g} s")
+
+    async def _exchange(self, address: str, target: bytes, body: bytes) -> bytes:
+        connection = await self._connection(address)
+        is_kept = False
+        try:
+            await connection.send(b"POST", target, [(b"host", address.encode())], body)
+            await connection.head()
+            data = await connection.body(_REPLY_BYTES)
+            is_kept = connection.finish(None)
+            if is_kept:
+                self.idle.setdefault(address, []).append(connection)
+            return data
+        finally:
+            if not is_kept:
+                await connection.abort()
+
+    async def _connection(self, address: str) -> HttpConnection:
+        kept = self.idle.get(address, [])
+        while kept:
+            connection = kept.pop()
+            if connection.is_fresh(anyio.current_time(), defaults.PEER_IDLE_S):
+                return connection
+            await connection.abort()
+        return await connect(address)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -7,18 +7,21 @@
 import anyio
 from anyio.abc import Listener, SocketStream, TaskGroup
 
-from skylarkferry_core.errors import ErrorCode
+from skylarkferry_core.errors import ErrorCode, PlatformUnavailableError
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.histories import TurnCache
 from skylarkferry_core.routes import ClientLimits
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_daemon.timers import TimerService
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.accounts import AccountBook
 from skylarkferry_gateway.budgets import ProgramBudgets
 from skylarkferry_gateway.gateway import Gateway
 from skylarkferry_gateway.http_server import ClientConnection, Handler, RequestHead
 from skylarkferry_gateway.interfaces import Platform
 from skylarkferry_gateway.metrics import GatewayMetrics
+from skylarkferry_gateway.ownership import OwnerTable
+from skylarkferry_gateway.peers import PeerClient, PeerServer
 from skylarkferry_gateway.placing import Placer
 from skylarkferry_gateway.relaying import RelayContext
 from skylarkferry_gateway.settings import GatewaySettings
@@ -28,8 +31,6 @@
 
 _LOCAL_LIMITS = ClientLimits(idle_s=30.0)
 _BACKLOG = 1_024
-_FORGET_IDLE_S = 120.0
-"""Time after which a program without turns is forgotten; its grant stays counted as used."""
 
 
 class GatewayRole:
@@ -47,7 +48,9 @@
         seed = random.Random(settings.incarnation)
         placer = Placer(self.upstreams, settings.failure_domain, seed)
         cache = TurnCache(int(settings.memory_bytes * defaults.TURN_CACHE_SHARE))
-        self.budgets = ProgramBudgets(store, settings.incarnation, log)
+        self.owners = OwnerTable(store, settings.incarnation, settings.peer_listen, log)
+        self.book = AccountBook(store, self.owners, log)
+        self.budgets = ProgramBudgets(self.owners, self.book, PeerClient(), log)
         parts = TurnParts(self.budgets, TurnStore(store, cache, log), log)
         self.config = ConfigWatcher(platform.directory, log, metrics, lambda table: None)
         self.members = UpstreamWatcher(platform.directory, self.upstreams, log, metrics)
@@ -65,10 +68,13 @@
             tasks.start_soon(self.config.run)
             tasks.start_soon(self.members.read)
             self.members.subscribe(self.timers)
-            self.timers.every(10.0, self._forget)
+            self.budgets.tasks = tasks
+            self.timers.every(defaults.OWNERS_READ_S, self._read_owners)
+            tasks.start_soon(self._read_owners)
             local = [
                 (self.settings.ready_listen, self._answer_ready),
                 (self.settings.metrics_listen, self._answer_metrics),
+                (self.settings.peer_listen, PeerServer(self.book).handle),
             ]
             for address, handler in local:
                 await self._listen(stack, tasks, address, self._local_server(handler))
@@ -165,8 +171,12 @@
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         await client.respond(200, headers, self.metrics.text())
 
-    async def _forget(self) -> None:
-        self.budgets.forget_idle(anyio.current_time(), _FORGET_IDLE_S)
+    async def _read_owners(self) -> None:
+        now = anyio.current_time()
+        try:
+            await self.owners.refresh(now, now + defaults.OWNERS_READ_S)
+        except PlatformUnavailableError:
+            return
 
     async def _stop(self, clients: AsyncExitStack) -> None:
         """Finish what was read, and close the rest in order, within the grace period."""
@@ -183,7 +193,7 @@
         with anyio.move_on_at(end):
             await self.all_left.wait()
         with anyio.move_on_at(end + defaults.STOP_MARGIN_S / 2):
-            await self.budgets.release_all(end + defaults.STOP_MARGIN_S / 2)
+            await self.book.hand_over(end + defaults.STOP_MARGIN_S / 2)
         self.log.emit(EventKind.GATEWAY_STOPPED, connections=len(self.clients))
 
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/settings.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/settings.py
@@ -17,6 +17,7 @@
     client_listen: str
     ready_listen: str
     metrics_listen: str
+    peer_listen: str
     memory_bytes: int
     grace_s: float
     log_level: str = "INFO"
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/store_calls.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/store_calls.py
@@ -4,14 +4,18 @@
 from typing import TypeVar
 
 import anyio
+import xxhash
 
 from skylarkferry_core.errors import PlatformUnavailableError, WriteConflictError
-from skylarkferry_core.interfaces import Condition, Row, Write
+from skylarkferry_core.interfaces import Condition, Write
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.interfaces import Store
 
 Result = TypeVar("Result")
 
+_MAX_PART = 120
+"""Longest text used as it is in a key; the store takes 200 bytes."""
+
 
 async def retried(call: Callable[[], Awaitable[Result]], by: float) -> Result:
     """Repeat a call that changes nothing until it succeeds or the monotonic time ``by`` comes.
@@ -67,6 +71,8 @@
     return f"{table}/{part}/{name}"
 
 
-def is_absent(row: Row) -> bool:
-    """Tell whether a read found no row."""
-    return row.version == 0
+def part_of(text: str) -> str:
+    """Return a text from a client as part of a row's key: as it is where that is safe."""
+    if len(text) <= _MAX_PART and text.isascii() and text.replace("-", "").isalnum():
+        return text
+    return "x" + xxhash.xxh128_hexdigest(text.encode("utf-8", "surrogateescape"))
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/turns.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/turns.py
@@ -16,10 +16,10 @@
 from skylarkferry_core.routes import EngineSpec, Route
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
-from skylarkferry_gateway.budgets import ProgramBudgets, part_of
+from skylarkferry_gateway.budgets import ProgramBudgets
 from skylarkferry_gateway.interfaces import Store
-from skylarkferry_gateway.messages import ClientRequest
-from skylarkferry_gateway.store_calls import key_of, retried, write_once
+from skylarkferry_gateway.messages import ClientRequest, Reservation
+from skylarkferry_gateway.store_calls import key_of, part_of, retried, write_once
 from skylarkferry_gateway.stream_events import StreamEvent
 
 TABLE = "turns"
@@ -159,9 +159,8 @@
                 raise PlatformUnavailableError("the start of a retained turn is not known here")
             await self._find_chain()
         if facts.token_budget is not None and facts.program_id:
-            need = facts.output_tokens
             await self.parts.budgets.reserve(
-                facts.program_id, facts.token_budget, self.turn_id, need
+                Reservation(facts.program_id, facts.token_budget, self.turn_id, facts.output_tokens)
             )
             self.has_reserved = True
         return prompt_of(self.chain, self.request.body)
