--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/plain_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/plain_relay.py
@@ -1,5 +1,7 @@
 """Relay of requests whose answers are buffered whole before the client gets them."""
 
+from http import HTTPStatus
+
 import anyio
 
 from skylarkferry_core.errors import (
@@ -14,8 +16,6 @@
 from skylarkferry_gateway.placing import Choice
 from skylarkferry_gateway.relaying import RelayContext, idle_limit_s
 
-_MISDIRECTED = 421
-
 
 class PlainRelay:
     """Send a request until an answer counts, nothing may be sent again, or time is up."""
@@ -87,9 +87,9 @@
         self, attempts: Attempts, choice: Choice, reply: Reply, body: bytes
     ) -> tuple[Reply, bytes] | None:
         upstream = choice.upstream
-        if reply.facts.not_executed or reply.status == _MISDIRECTED:
+        if reply.facts.not_executed or reply.status == HTTPStatus.MISDIRECTED_REQUEST:
             upstream.breaker.succeeded()
-            upstream.is_misplaced = upstream.is_misplaced or reply.status == _MISDIRECTED
+            upstream.is_misplaced = upstream.is_misplaced or reply.status == HTTPStatus.MISDIRECTED_REQUEST
             error = UpstreamLostError(f"refused with status {reply.status}")
             self.context.on_failed(attempts, choice, error)
             return None
@@ -98,8 +98,8 @@
             attempts.doubt = AnswerInvalidError("an answer without signature or in an encoding")
             self.context.on_failed(attempts, choice, attempts.doubt)
             return None
-        if reply.status >= 500:
-            upstream.breaker.failed(anyio.current_time())
+        if reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            self.context.on_failure_status(upstream, reply)
             if attempts.route.is_repeatable:
                 attempts.last_reply = (reply, body)
                 failure = AnswerInvalidError(f"failed with status {reply.status}")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relaying.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relaying.py
@@ -1,5 +1,7 @@
 """What the relays share: choice, order headers, what answers teach, and the log of decisions."""
 
+from http import HTTPStatus
+
 import anyio
 
 from skylarkferry_core.errors import SkylarkferryError
@@ -72,6 +74,13 @@
         if reply.facts.load is not None:
             upstream.on_load(reply.facts.load, anyio.current_time())
 
+    def on_failure_status(self, upstream: Upstream, reply: Reply) -> None:
+        """Count a failure against its upstream, but not a deadline that it kept to."""
+        if reply.status == HTTPStatus.GATEWAY_TIMEOUT:
+            upstream.breaker.succeeded()
+        else:
+            upstream.breaker.failed(anyio.current_time())
+
     def on_failed(self, attempts: Attempts, choice: Choice, error: SkylarkferryError) -> None:
         """Log a send without an answer that counts."""
         upstream = choice.upstream
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -1,5 +1,6 @@
 """Relay of event streams: events pass on as they come, and resumable ones go on elsewhere."""
 
+from http import HTTPStatus
 from typing import Protocol
 
 import anyio
@@ -18,9 +19,6 @@
 from skylarkferry_gateway.relaying import RelayContext, idle_limit_s
 from skylarkferry_gateway.stream_events import EventSplitter, StreamEvent
 
-_MISDIRECTED = 421
-_OK = 200
-
 
 class StreamListener(Protocol):
     """Hears of the events that go to the client, and of the stream's end before the client."""
@@ -122,7 +120,7 @@
                     await exchange.body()
                     await exchange.finish()
                 raise refused
-            if reply.status != _OK:
+            if reply.status != HTTPStatus.OK:
                 return await self._other_status(exchange, choice, reply)
             self._remember(choice)
             await self._pass_on(exchange, reply)
@@ -141,8 +139,8 @@
 
     def _refusal(self, choice: Choice, reply: Reply) -> SkylarkferryError | None:
         """Return why an answer does not count, or ``None``."""
-        if reply.facts.not_executed or reply.status == _MISDIRECTED:
-            if reply.status == _MISDIRECTED:
+        if reply.facts.not_executed or reply.status == HTTPStatus.MISDIRECTED_REQUEST:
+            if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
                 choice.upstream.is_misplaced = True
             choice.upstream.breaker.succeeded()
             return _RefusedError(f"refused with status {reply.status}")
@@ -155,9 +153,9 @@
         with anyio.move_on_at(self.attempts.event_by(anyio.current_time())):
             body = await exchange.body()
             await exchange.finish()
-            is_failure = reply.status >= 500
+            is_failure = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
             if is_failure:
-                choice.upstream.breaker.failed(anyio.current_time())
+                self.context.on_failure_status(choice.upstream, reply)
             if self.client.answer is AnswerState.STREAMING:
                 raise AnswerInvalidError(f"resumption failed with status {reply.status}")
             if is_failure and self.attempts.route.is_repeatable:
