--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/plain_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/plain_relay.py
@@ -89,7 +89,8 @@
         upstream = choice.upstream
         if reply.facts.not_executed or reply.status == HTTPStatus.MISDIRECTED_REQUEST:
             upstream.breaker.succeeded()
-            upstream.is_misplaced = upstream.is_misplaced or reply.status == HTTPStatus.MISDIRECTED_REQUEST
+            if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
+                upstream.is_misplaced = True
             error = UpstreamLostError(f"refused with status {reply.status}")
             self.context.on_failed(attempts, choice, error)
             return None
