--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -92,10 +92,13 @@
     async def close_idle(self, now: float) -> None:
         """Close idle connections that are past their limit, or all where no work may go."""
         closes_all = not self.takes_work or self.vanished_at is not None
-        for connection in list(self.idle):
-            if closes_all or not connection.is_fresh(now, defaults.POOL_IDLE_S):
-                self.idle.remove(connection)
-                await connection.abort()
+        idle, self.idle = self.idle, []
+        stale: list[HttpConnection] = []
+        for connection in idle:
+            is_kept = not closes_all and connection.is_fresh(now, defaults.POOL_IDLE_S)
+            (self.idle if is_kept else stale).append(connection)
+        for connection in stale:
+            await connection.abort()
 
 
 class Upstreams:
