Refuse a request that crashed three upstreams, at every gateway

Cause: nothing contained a request that crashes each upstream that runs it; its client sends it again at any entry. A crash counts when the connection broke off and a new one is refused; gateways share crashes through the store's feed. Ruled out: counting every broken connection (answers are lost on their own).

--- a/packages/skylarkferry-core/src/skylarkferry_core/crashes.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/crashes.py
@@ -19,7 +19,8 @@
 class CrashBook:
     """Crashes by request fingerprint; ``shared`` is what other processes quarantined."""
 
-    def __init__(self) -> None:
+    def __init__(self, crashes_to_quarantine: int = CRASHES_TO_QUARANTINE) -> None:
+        self.crashes_to_quarantine = crashes_to_quarantine
         self.crashes: dict[Fingerprint, set[CrashId]] = {}
         self.shared: frozenset[Fingerprint] = frozenset()
 
@@ -44,7 +45,7 @@
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         """Tell whether a request may not run any more."""
         crashes = self.crashes.get(fingerprint, ())
-        return fingerprint in self.shared or len(crashes) >= CRASHES_TO_QUARANTINE
+        return fingerprint in self.shared or len(crashes) >= self.crashes_to_quarantine
 
     def suspects(self) -> set[Fingerprint]:
         """Return the requests that may run only alone."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -74,6 +74,11 @@
 LOG_LINES_PER_S = 400
 """Lines buffered for output and lines written a second; more are dropped and counted."""
 
+QUARANTINE_RETRY_AFTER_S = 5.0
+"""Retry-After of a request that crashes upstreams: past any deadline, so that it is not tried."""
+CRASHES_WAIT_S = 5.0
+"""Longest wait of one call for other gateways' notes of crashes; they come at once."""
+
 PEER_CALL_S = 0.4
 """Timeout of a call to another gateway: a store write and two round trips fit on a slow host."""
 PEER_IDLE_S = 10.0
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
@@ -106,6 +106,7 @@
     async def _relay(
         self, request: ClientRequest, route: Route, table: RoutingTable, client: ClientConnection
     ) -> int:
+        self.context.crashes.check(request)
         service = self.context.placer.service(request, route)
         attempts = Attempts(request, route, table, service)
         if not route.is_streamed:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relaying.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relaying.py
@@ -3,13 +3,14 @@
 from http import HTTPStatus
 
 import anyio
+from anyio.abc import TaskGroup
 
-from skylarkferry_core.errors import SkylarkferryError
+from skylarkferry_core.errors import ConnectionLostError, SkylarkferryError
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.ids import TurnId
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.attempts import Attempts
+from skylarkferry_gateway.crash_watch import CrashWatch
 from skylarkferry_gateway.exchanges import Reply
 from skylarkferry_gateway.interfaces import HeaderCodec
 from skylarkferry_gateway.messages import OrderFacts
@@ -27,9 +28,16 @@
     """Parts that every relay of one process uses."""
 
     def __init__(
-        self, codec: HeaderCodec, placer: Placer, log: EventLog, metrics: GatewayMetrics
+        self,
+        codec: HeaderCodec,
+        placer: Placer,
+        crashes: CrashWatch,
+        log: EventLog,
+        metrics: GatewayMetrics,
     ) -> None:
         self.codec = codec
+        self.crashes = crashes
+        self.tasks: TaskGroup | None = None
         self.placer = placer
         self.log = log
         self.metrics = metrics
@@ -96,15 +104,8 @@
             detail=error.detail,
             breaker=upstream.breaker.state.value,
         )
-
-    def log_broken_off(self, attempts: Attempts, detail: str) -> None:
-        """Log that a client's answer was cut off."""
-        self.log.emit(
-            EventKind.GATEWAY_BROKEN_OFF,
-            attempts.request.facts.program_id,
-            request=TurnId(attempts.request.facts.request_id),
-            detail=detail,
-        )
+        if isinstance(error, ConnectionLostError) and self.tasks is not None:
+            self.tasks.start_soon(self.crashes.on_cut, attempts.request, upstream)
 
 
 def idle_limit_s(attempts: Attempts) -> float:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -16,6 +16,7 @@
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.accounts import AccountBook
 from skylarkferry_gateway.budgets import ProgramBudgets
+from skylarkferry_gateway.crash_watch import CrashWatch
 from skylarkferry_gateway.gateway import Gateway
 from skylarkferry_gateway.http_server import ClientConnection, Handler, RequestHead
 from skylarkferry_gateway.interfaces import Platform
@@ -52,9 +53,10 @@
         self.book = AccountBook(store, self.owners, log)
         self.budgets = ProgramBudgets(self.owners, self.book, PeerClient(), log)
         parts = TurnParts(self.budgets, TurnStore(store, cache, log), log)
+        self.crashes = CrashWatch(store, log)
         self.config = ConfigWatcher(platform.directory, log, metrics, lambda table: None)
         self.members = UpstreamWatcher(platform.directory, self.upstreams, log, metrics)
-        context = RelayContext(platform.codec, placer, log, metrics)
+        self.context = context = RelayContext(platform.codec, placer, self.crashes, log, metrics)
         self.gateway = Gateway(context, self.config, parts, log, metrics)
         self.is_stopping = False
         self.was_ready = False
@@ -68,7 +70,8 @@
             tasks.start_soon(self.config.run)
             tasks.start_soon(self.members.read)
             self.members.subscribe(self.timers)
-            self.budgets.tasks = tasks
+            self.budgets.tasks = self.context.tasks = tasks
+            tasks.start_soon(self.crashes.follow)
             self.timers.every(defaults.OWNERS_READ_S, self._read_owners)
             tasks.start_soon(self._read_owners)
             local = [
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -81,6 +81,13 @@
             await connection.abort()
         return await connect(self.entry.address)
 
+    async def return_unused(self, connection: HttpConnection) -> None:
+        """Keep a connection on which nothing was sent, or close it."""
+        if self.takes_work and len(self.idle) < defaults.POOL_CONNECTIONS:
+            self.idle.append(connection)
+        else:
+            await connection.abort()
+
     async def return_connection(self, connection: HttpConnection, idle_s: float | None) -> None:
         """Keep a connection whose exchange ended in order, or close it."""
         is_kept = connection.finish(idle_s) and len(self.idle) < defaults.POOL_CONNECTIONS
