Test the gateway against stand-ins of the users' store and replicas

Stand-ins: rows with conditions, feed, lost and late answers; replicas that shed, garble, lose answers, cut events and crash.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
@@ -161,6 +161,7 @@
             event = await self._next_event()
             if not isinstance(event, h11.Request):
                 return None
+            _check_head(event, limits)
             return RequestHead(event, await self._read_body(event, limits))
         raise BodyTimeoutError(f"the request did not arrive within {limits.header_s:g} s")
 
@@ -272,6 +273,13 @@
             raise ClientLeftError from error
 
 
+def _check_head(request: h11.Request, limits: ClientLimits) -> None:
+    """Raise ``HeaderTooLargeError``; the parser bounds only a head that is not whole yet."""
+    size = len(request.target) + sum(len(name) + len(value) for name, value in request.headers)
+    if size > limits.header_bytes:
+        raise HeaderTooLargeError(f"expected a head of at most {limits.header_bytes} bytes")
+
+
 def _content_length(request: h11.Request) -> int:
     for name, value in request.headers:
         if name == b"content-length":
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/placing.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/placing.py
@@ -34,7 +34,7 @@
     upstream: Upstream
     cached_tokens: int
     requests: int
-    load_age_s: float
+    load_age_s: float | None
 
 
 class Placer:
@@ -77,7 +77,8 @@
             chosen = self.least_load.place(wanted, candidates, self.site)
         found = next((item for item in usable if item.entry.upstream == chosen), usable[0])
         cached_tokens = found.prompts.cached(request.facts.prompt_parts)
-        return Choice(found, cached_tokens, found.requests(), now - found.load_at)
+        load_age_s = now - found.load_at if found.load_at is not None else None
+        return Choice(found, cached_tokens, found.requests(), load_age_s)
 
     def has_untried(self, attempts: Attempts) -> bool:
         """Tell whether another upstream may take the request."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relaying.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relaying.py
@@ -58,7 +58,7 @@
             service=attempts.service,
             send=attempts.sent + 1,
             requests=choice.requests,
-            load_age_ms=round(choice.load_age_s * 1_000),
+            load_age_ms=_milliseconds(choice.load_age_s),
             cached=choice.cached_tokens,
             left_ms=round(attempts.left_s(now) * 1_000),
         )
@@ -113,3 +113,8 @@
     if attempts.route.is_repeatable:
         return defaults.POOL_IDLE_S
     return defaults.ORDER_IDLE_S
+
+
+def _milliseconds(age_s: float | None) -> str:
+    """Return an age for the log; an upstream that was not heard of has none."""
+    return "none" if age_s is None else str(round(age_s * 1_000))
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -48,7 +48,7 @@
         self.in_flight = 0
         self.others = 0.0
         self.slots = max(entry.slots, 1)
-        self.load_at = 0.0
+        self.load_at: float | None = None
         self.prompts = PromptParts()
         self.is_misplaced = False
         self.vanished_at: float | None = None
--- /dev/null
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
@@ -0,0 +1,113 @@
+"""Stand-in for a replica of the users' platform: runs requests and fails in the ways they list."""
+
+from collections.abc import Callable
+from enum import Enum
+
+import msgspec
+
+from skylarkferry_standins.wire_server import Ending, WireReply, WireRequest, framed
+
+EVENTS = 5
+
+
+class Behaviour(Enum):
+    """What a replica does with a request."""
+
+    SERVE = "serve"
+    SHED = "shed"
+    MISDIRECT = "misdirect"
+    FAIL = "fail"
+    RESET_UNRUN = "reset_unrun"
+    LOSE_ANSWER = "lose_answer"
+    SILENT = "silent"
+    TRUNCATE = "truncate"
+    UNSIGNED = "unsigned"
+    UNFRAMED = "unframed"
+    UNFRAMED_RESET = "unframed_reset"
+    EXTRA = "extra"
+    """After its answer a second one follows on the connection."""
+    STALE_FIRST = "stale_first"
+    """The answer of an earlier request comes before its own."""
+    CUT_IN_EVENT = "cut_in_event"
+    REPEAT_EVENT = "repeat_event"
+
+
+class Run(msgspec.Struct, frozen=True):
+    """A request that a replica ran."""
+
+    request_id: str
+    target: str
+    body: bytes
+    headers: dict[str, str]
+
+
+class Replica:
+    """One replica; ``behaviour`` decides on each request."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.runs: list[Run] = []
+        self.arrivals: list[str] = []
+        self.work_s = 0.0
+        self.behaviour: Callable[[WireRequest], Behaviour] = lambda request: Behaviour.SERVE
+
+    async def handle(self, request: WireRequest) -> WireReply:
+        """Answer one request."""
+        request_id = request.headers.get("skylarkferry-request-id", "")
+        self.arrivals.append(request_id)
+        expected = request.headers.get("skylarkferry-expect-instance", self.name)
+        behaviour = self.behaviour(request)
+        if expected != self.name or behaviour is Behaviour.MISDIRECT:
+            return WireReply(421, {"Skylarkferry-Instance-Id": "another"})
+        if behaviour is Behaviour.SHED:
+            return WireReply(503, {"Skylarkferry-Not-Executed": "1"})
+        if behaviour is Behaviour.RESET_UNRUN:
+            return WireReply(raw=b"", ending=Ending.RESET)
+        self.runs.append(Run(request_id, request.target, request.body, request.headers))
+        return self._ran(request, request_id, behaviour)
+
+    def _ran(self, request: WireRequest, request_id: str, behaviour: Behaviour) -> WireReply:
+        headers = self._headers(request_id)
+        if behaviour is Behaviour.FAIL:
+            return WireReply(500, headers, b"failed", delay_s=self.work_s)
+        is_stream = "skylarkferry-token-usage" in request.headers
+        body = self._events(request, behaviour) if is_stream else b"answer to " + request.body
+        whole = WireReply(200, headers, body, delay_s=self.work_s)
+        match behaviour:
+            case Behaviour.LOSE_ANSWER:
+                return WireReply(raw=b"", ending=Ending.RESET, delay_s=self.work_s)
+            case Behaviour.SILENT:
+                return WireReply(raw=b"", ending=Ending.SILENT)
+            case Behaviour.TRUNCATE | Behaviour.CUT_IN_EVENT:
+                return WireReply(raw=framed(whole)[:-3], ending=Ending.RESET)
+            case Behaviour.UNSIGNED:
+                del headers["Skylarkferry-Response-Signature"]
+            case Behaviour.UNFRAMED | Behaviour.UNFRAMED_RESET:
+                return self._unframed(whole, behaviour)
+            case Behaviour.EXTRA:
+                return WireReply(raw=framed(whole) * 2)
+            case Behaviour.STALE_FIRST:
+                stale = WireReply(200, self._headers("an-earlier-request"), b"stale")
+                return WireReply(raw=framed(stale) + framed(whole))
+        return whole
+
+    def _unframed(self, whole: WireReply, behaviour: Behaviour) -> WireReply:
+        """Return an answer that ends with its connection."""
+        data = framed(whole).replace(f"Content-Length: {len(whole.body)}\r\n".encode(), b"")
+        if behaviour is Behaviour.UNFRAMED_RESET:
+            return WireReply(raw=data[:-3], ending=Ending.RESET)
+        return WireReply(raw=data, closes=True)
+
+    def _headers(self, request_id: str) -> dict[str, str]:
+        return {
+            "Skylarkferry-Request-Id": request_id,
+            "Skylarkferry-Response-Signature": f"signed by {self.name}",
+            "Skylarkferry-Server-Load": f"{1},0,4",
+        }
+
+    def _events(self, request: WireRequest, behaviour: Behaviour) -> bytes:
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        numbers = list(range(first, EVENTS + 1))
+        if behaviour is Behaviour.REPEAT_EVENT:
+            numbers.insert(1, first)
+        return b"".join(f"id: {n}\ndata: token {n}\n\n".encode() for n in numbers)
--- /dev/null
+++ b/tests/gateway/test_budgets.py
@@ -0,0 +1,140 @@
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from gateway_rig import MOST_TOKENS, TOKENS_PER_EVENT, send, turn_headers, until
+from skylarkferry_core.accounts import BUDGET_PARTITIONS, budget_partition
+from skylarkferry_core.ids import ProgramId
+from skylarkferry_standins.replica import EVENTS, Behaviour
+from skylarkferry_standins.rows import StoreFault
+
+pytestmark = pytest.mark.anyio
+
+ONE_TURN = EVENTS * TOKENS_PER_EVENT
+
+
+async def spend(rig, program, budget, turns, gateways):
+    """Send turns one after the other and return the statuses."""
+    statuses = []
+    for number in range(turns):
+        fields = turn_headers(f"{program}-{number}", program, budget)
+        gateway = gateways[number % len(gateways)]
+        statuses.append((await send(rig, "/turn/1", fields, b"p", gateway=gateway)).status_code)
+    return statuses
+
+
+def handed_out(rig):
+    """Return the tokens that all replicas generated."""
+    return sum(len(replica.runs) for replica in rig.replicas.values()) * ONE_TURN
+
+
+async def test_budget_holds_over_gateways_and_is_used_up(rig):
+    await rig.add_replica("e1", "engine")
+    gateways = [await rig.add_gateway(f"g{n}") for n in range(3)]
+    budget = 1_000
+    statuses = await spend(rig, "program", budget, 30, gateways)
+    assert_that(handed_out(rig), LessThan(budget + 1))
+    assert_that(handed_out(rig), GreaterThan(budget - 2 * MOST_TOKENS))
+    assert_that(set(statuses), Equals({200, 402}))
+    assert_that(statuses[-1], Equals(402))
+
+
+async def test_refused_turn_never_runs(rig):
+    replica = await rig.add_replica("e1", "engine")
+    await rig.add_gateway()
+    statuses = await spend(rig, "program", MOST_TOKENS - 1, 1, rig.gateways)
+    assert_that((statuses, replica.runs), Equals(([402], [])))
+
+
+@pytest.mark.parametrize("budget", [250, 1_000])
+async def test_budget_holds_when_every_gateway_dies_again_and_again(rig, budget):
+    await rig.add_replica("e1", "engine")
+    for number in range(6):
+        gateway = await rig.add_gateway(f"g{number}")
+        await spend(rig, "program", budget, 4, [gateway])
+        gateway.scope.cancel()
+        await gateway.ended.wait()
+    assert_that(handed_out(rig), LessThan(budget + MOST_TOKENS + 1))
+
+
+async def test_program_goes_on_after_a_planned_stop_with_all_it_did_not_use(rig):
+    await rig.add_replica("e1", "engine")
+    first = await rig.add_gateway("g1")
+    assert_that(await spend(rig, "program", 1_000, 2, [first]), Equals([200, 200]))
+    first.stop.set()
+    await first.ended.wait()
+    second = await rig.add_gateway("g2")
+    statuses = await spend(rig, "program", 1_000, 30, [second])
+    assert_that(handed_out(rig), GreaterThan(1_000 - 2 * MOST_TOKENS))
+    assert_that(handed_out(rig), LessThan(1_001))
+    assert_that(statuses[-1], Equals(402))
+
+
+async def test_parallel_turns_over_gateways_stay_within_the_budget(rig):
+    (await rig.add_replica("e1", "engine")).work_s = 0.05
+    gateways = [await rig.add_gateway(f"g{n}") for n in range(3)]
+    budget = 800
+    async with anyio.create_task_group() as tasks:
+        for number in range(24):
+            fields = turn_headers(f"t-{number}", "program", budget)
+            gateway = gateways[number % 3]
+
+            async def one(fields=fields, gateway=gateway):
+                await send(rig, "/turn/1", fields, b"p", gateway=gateway)
+
+            tasks.start_soon(one)
+    assert_that(handed_out(rig), LessThan(budget + 1))
+
+
+async def test_new_programs_are_served_while_the_store_is_away(rig):
+    await rig.add_replica("e1", "engine")
+    gateways = [await rig.add_gateway(f"g{n}") for n in range(2)]
+    await spend(rig, "warm", 1_000, 2, gateways)
+    number = budget_partition(ProgramId("warm"))
+    same = next(
+        name
+        for name in (f"p{n}" for n in range(100 * BUDGET_PARTITIONS))
+        if budget_partition(ProgramId(name)) == number
+    )
+    rig.store.fault = lambda request: StoreFault.REFUSED
+    await until(lambda: gateways[0].store.lost_s() > 0.5)
+    for gateway in gateways:
+        gateway.owners.read_at = gateway.owners.read_at or 0.0
+        gateway.owners.owners.update(gateways[0].owners.owners)
+    statuses = await spend(rig, same, 1_000, 3, gateways)
+    assert_that(statuses, Equals([200, 200, 200]))
+
+
+async def test_grant_without_an_answer_is_settled_by_reading(rig):
+    await rig.add_replica("e1", "engine")
+    gateway = await rig.add_gateway()
+    failures = [StoreFault.LOST, StoreFault.LATE, StoreFault.LOST]
+
+    def fault_of(request):
+        is_write = "rows-tx" in request.target and b"program." in request.body
+        return failures.pop() if is_write and failures else StoreFault.NONE
+
+    rig.store.fault = fault_of
+    statuses = await spend(rig, "program", 1_000, 12, [gateway])
+    rig.store.perform_late()
+    statuses += await spend(rig, "program-2", 1_000, 1, [gateway])
+    statuses += await spend(rig, "program", 1_000, 12, [gateway])
+    runs = [run for run in rig.replicas["e1"].runs if "program-2" not in run.request_id]
+    assert_that(len(runs) * ONE_TURN, LessThan(1_001))
+    assert_that(statuses[:6], Equals([200] * 6))
+
+
+async def test_broken_attempts_count_what_the_client_got(rig):
+    replica = await rig.add_replica("e1", "engine")
+    replica.behaviour = lambda request: Behaviour.CUT_IN_EVENT
+    gateway = await rig.add_gateway()
+    for number in range(3):
+        fields = turn_headers(f"t-{number}", "program", 1_000)
+        try:
+            await send(rig, "/turn/1", fields, b"p")
+        except Exception as error:
+            assert_that(type(error).__name__, Equals("RemoteProtocolError"))
+    owned = gateway.book.partitions[budget_partition(ProgramId("program"))]
+    account = owned.programs[ProgramId("program")].account
+    assert_that(account.used, Equals(3 * (EVENTS - 1) * TOKENS_PER_EVENT))
--- /dev/null
+++ b/tests/gateway/test_plain_relay.py
@@ -0,0 +1,218 @@
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan, Not
+
+from gateway_rig import config, free_address, headers, send, until
+from skylarkferry_standins.replica import Behaviour
+
+pytestmark = pytest.mark.anyio
+
+
+def behave(replica, first, then=Behaviour.SERVE):
+    """Let a replica behave in one way once, and in another after that."""
+    planned = [first]
+    replica.behaviour = lambda request: planned.pop() if planned else then
+
+
+async def test_request_reaches_its_service_unchanged(rig):
+    replica = await rig.add_replica("r1")
+    await rig.add_gateway()
+    fields = {**headers("id-1"), "X-Extra": "kept", "Skylarkferry-Hold": "forged"}
+    answer = await send(rig, "/order/2?x=1", fields, b"body")
+    assert_that((answer.status_code, answer.content), Equals((200, b"answer to body")))
+    assert_that(answer.headers["Skylarkferry-Response-Signature"], Equals("signed by r1"))
+    run = replica.runs[0]
+    assert_that((run.target, run.body), Equals(("/order/2?x=1", b"body")))
+    assert_that(run.headers["x-extra"], Equals("kept"))
+    assert_that(run.headers["skylarkferry-expect-instance"], Equals("r1"))
+    assert_that(run.headers, Not(Contains("skylarkferry-hold")))
+    assert_that(int(run.headers["skylarkferry-deadline-ms"]), LessThan(2_001))
+
+
+async def test_unknown_host_and_prefix_are_not_found(rig):
+    await rig.add_replica("r1")
+    await rig.add_gateway()
+    unknown = await send(rig, "/nowhere/1", headers("id-1"))
+    foreign = await send(rig, "/order/1", {**headers("id-2"), "Host": "other.example"})
+    assert_that((unknown.status_code, foreign.status_code), Equals((404, 404)))
+
+
+async def test_longest_prefix_wins(rig):
+    await rig.add_replica("r1")
+    await rig.add_replica("e1", "engine")
+    routes = {
+        "/a/": {"kind": "idempotent", "service": "engine"},
+        "/a/b/": {"kind": "idempotent", "service": "tools"},
+    }
+    rig.configure(config(2, routes))
+    await rig.add_gateway()
+    await send(rig, "/a/b/c", headers("id-1"))
+    await send(rig, "/a/bc", headers("id-2"))
+    assert_that(rig.replicas["r1"].arrivals, Equals(["id-1"]))
+    assert_that(rig.replicas["e1"].arrivals, Equals(["id-2"]))
+
+
+async def test_refused_request_goes_to_another_upstream(rig):
+    for name in ("r1", "r2"):
+        replica = await rig.add_replica(name)
+        replica.behaviour = lambda request, name=name: (
+            Behaviour.SHED if name == "r1" else Behaviour.SERVE
+        )
+    await rig.add_gateway()
+    answers = [await send(rig, "/order/1", headers(f"id-{n}")) for n in range(6)]
+    assert_that({answer.status_code for answer in answers}, Equals({200}))
+    assert_that(len(rig.replicas["r1"].arrivals), GreaterThan(0))
+
+
+async def test_attempts_are_never_exceeded_and_the_refusal_says_when_to_come_back(rig):
+    for name in ("r1", "r2", "r3"):
+        (await rig.add_replica(name)).behaviour = lambda request: Behaviour.SHED
+    await rig.add_gateway()
+    answer = await send(rig, "/order/1", headers("id-1"))
+    arrivals = sum(len(replica.arrivals) for replica in rig.replicas.values())
+    assert_that((answer.status_code, arrivals), Equals((503, 2)))
+    assert_that(float(answer.headers["Retry-After"]), GreaterThan(0.0))
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [
+        Behaviour.LOSE_ANSWER,
+        Behaviour.TRUNCATE,
+        Behaviour.UNSIGNED,
+        Behaviour.UNFRAMED_RESET,
+        Behaviour.FAIL,
+    ],
+)
+async def test_repeatable_request_gets_a_whole_answer_from_another_upstream(rig, failure):
+    for name in ("r1", "r2"):
+        behave(await rig.add_replica(name), failure)
+    await rig.add_gateway()
+    rig.replicas["r2"].behaviour = lambda request: Behaviour.SERVE
+    answers = [await send(rig, "/get/1", headers(f"id-{n}"), b"x") for n in range(4)]
+    found = {(answer.status_code, answer.content) for answer in answers}
+    assert_that(found, Equals({(200, b"answer to x")}))
+
+
+@pytest.mark.parametrize("failure", [Behaviour.LOSE_ANSWER, Behaviour.TRUNCATE, Behaviour.UNSIGNED])
+async def test_order_in_doubt_is_never_sent_again_nor_called_not_run(rig, failure):
+    for name in ("r1", "r2"):
+        (await rig.add_replica(name)).behaviour = lambda request: failure
+    await rig.add_gateway()
+    answer = await send(rig, "/order/1", headers("id-1"))
+    runs = sum(len(replica.runs) for replica in rig.replicas.values())
+    assert_that((answer.status_code, runs), Equals((502, 1)))
+
+
+async def test_failure_of_the_tool_itself_is_passed_on_unchanged(rig):
+    (await rig.add_replica("r1")).behaviour = lambda request: Behaviour.FAIL
+    await rig.add_gateway()
+    answer = await send(rig, "/order/1", headers("id-1"))
+    assert_that((answer.status_code, answer.content), Equals((500, b"failed")))
+    assert_that(answer.headers["Skylarkferry-Response-Signature"], Equals("signed by r1"))
+
+
+async def test_answer_without_length_is_whole_at_a_clean_end(rig):
+    (await rig.add_replica("r1")).behaviour = lambda request: Behaviour.UNFRAMED
+    await rig.add_gateway()
+    answer = await send(rig, "/order/1", headers("id-1"), b"x")
+    assert_that((answer.status_code, answer.content), Equals((200, b"answer to x")))
+
+
+@pytest.mark.parametrize("kind", [Behaviour.EXTRA, Behaviour.STALE_FIRST])
+async def test_answers_of_other_requests_reach_nobody(rig, kind):
+    (await rig.add_replica("r1")).behaviour = lambda request: kind
+    await rig.add_gateway()
+    for number in range(4):
+        body = f"body {number}".encode()
+        answer = await send(rig, "/order/1", headers(f"id-{number}"), body)
+        assert_that((answer.status_code, answer.content), Equals((200, b"answer to " + body)))
+
+
+async def test_upstream_at_a_reused_address_gets_no_more_requests(rig):
+    await rig.add_replica("r1")
+    (await rig.add_replica("r2")).behaviour = lambda request: Behaviour.MISDIRECT
+    await rig.add_gateway()
+    for number in range(6):
+        answer = await send(rig, "/order/1", headers(f"id-{number}"))
+        assert_that(answer.status_code, Equals(200))
+    assert_that(len(rig.replicas["r2"].arrivals), LessThan(2))
+
+
+async def test_leaving_and_malformed_entries_get_nothing(rig):
+    await rig.add_replica("r1")
+    await rig.add_replica("r2", state="draining")
+    await rig.add_gateway()
+    rig.store.put("servers", "", "forged", b'{"service": 3}')
+    rig.store.put("servers", "", "bytes", "not base64!")
+    for number in range(4):
+        answer = await send(rig, "/order/1", headers(f"id-{number}"))
+        assert_that(answer.status_code, Equals(200))
+    assert_that(rig.replicas["r2"].arrivals, HasLength(0))
+    gateway = rig.gateways[0]
+    assert_that(set(gateway.upstreams.upstreams), Equals({"r1", "r2"}))
+
+
+async def test_dead_upstream_costs_no_attempt(rig):
+    await rig.add_replica("r1")
+    rig.addresses["gone"] = free_address()
+    rig.list_replica("gone")
+    await rig.add_gateway()
+    for number in range(6):
+        answer = await send(rig, "/once/1", headers(f"id-{number}"))
+        assert_that(answer.status_code, Equals(200))
+
+
+async def test_silent_upstream_is_given_up_in_time_for_another(rig):
+    await rig.add_replica("r1")
+    (await rig.add_replica("r2")).behaviour = lambda request: Behaviour.SILENT
+    await rig.add_gateway()
+    for number in range(3):
+        answer = await send(rig, "/get/1", headers(f"id-{number}"), b"x")
+        assert_that((answer.status_code, answer.content), Equals((200, b"answer to x")))
+
+
+async def test_route_timeout_ends_an_order_that_runs(rig):
+    (await rig.add_replica("r1")).work_s = 5.0
+    routes = {"/order/": {"kind": "non_idempotent", "service": "tools", "timeoutMs": 300}}
+    rig.configure(config(2, routes))
+    await rig.add_gateway()
+    started = anyio.current_time()
+    answer = await send(rig, "/order/1", headers("id-1"))
+    assert_that(answer.status_code, Equals(504))
+    assert_that(anyio.current_time() - started, LessThan(2.0))
+
+
+async def test_order_ends_upstream_even_if_its_client_left(rig):
+    replica = await rig.add_replica("r1")
+    replica.work_s = 0.3
+    await rig.add_gateway()
+    with anyio.move_on_after(0.15):
+        await send(rig, "/order/1", headers("id-1"))
+    await until(lambda: len(replica.runs) == 1)
+    upstream = rig.gateways[0].upstreams.upstreams["r1"]
+    await until(lambda: upstream.in_flight == 0)
+    assert_that(upstream.idle, HasLength(1))
+
+
+async def test_request_that_crashes_upstreams_is_refused_at_every_gateway(rig):
+    for name in ("r1", "r2", "r3", "r4"):
+        replica = await rig.add_replica(name)
+
+        def crash(request, replica=replica):
+            if b"poison" not in request.body:
+                return Behaviour.SERVE
+            rig.tasks.start_soon(replica.listener.aclose)
+            return Behaviour.LOSE_ANSWER
+
+        replica.behaviour = crash
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    for number in range(3):
+        await send(rig, "/get/1", headers(f"id-{number}"), b"poison", gateway=first)
+    await until(second.crashes.book.quarantined)
+    arrived = sum(len(replica.arrivals) for replica in rig.replicas.values())
+    refused = await send(rig, "/get/1", headers("id-9"), b"poison", gateway=second)
+    assert_that(refused.status_code, Equals(503))
+    after = sum(len(replica.arrivals) for replica in rig.replicas.values())
+    assert_that(after, Equals(arrived))
--- /dev/null
+++ b/tests/gateway/test_role.py
@@ -0,0 +1,249 @@
+import json
+import socket
+
+import anyio
+import httpx
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan
+
+from gateway_rig import PATIENCE_S, config, headers, send, until
+from skylarkferry_gateway import defaults
+from skylarkferry_standins.replica import Behaviour
+from skylarkferry_standins.rows import StoreFault
+
+pytestmark = pytest.mark.anyio
+
+
+async def raw(rig, data, *, half_close=False, wait_s=5.0):
+    """Send bytes on a connection and return all that comes back until it ends."""
+    host, _, port = rig.gateways[0].settings.client_listen.rpartition(":")
+    stream = await anyio.connect_tcp(host, int(port))
+    received = b""
+    async with stream:
+        await stream.send(data)
+        if half_close:
+            await stream.send_eof()
+        try:
+            with anyio.move_on_after(wait_s):
+                while True:
+                    received += await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            pass
+    return received
+
+
+def head(request_id, extra=b"", method=b"POST", path=b"/order/1"):
+    """Return a request head without its last line."""
+    return (
+        method + b" " + path + b" HTTP/1.1\r\nHost: shop.example\r\n"
+        b"Skylarkferry-Request-Id: " + request_id + b"\r\n" + extra
+    )
+
+
+async def readiness(gateway):
+    async with httpx.AsyncClient(timeout=PATIENCE_S, verify=False) as client:
+        answer = await client.get(f"http://{gateway.settings.ready_listen}/api/readiness")
+        return answer.status_code
+
+
+async def test_readiness_and_metrics_are_served(rig):
+    await rig.add_replica("r1")
+    gateway = await rig.add_gateway()
+    await until(lambda: gateway.members.has_read)
+    assert_that(await readiness(gateway), Equals(200))
+    await send(rig, "/order/1", headers("id-1"))
+    async with httpx.AsyncClient(timeout=PATIENCE_S, verify=False) as client:
+        answer = await client.get(f"http://{gateway.settings.metrics_listen}/metrics")
+    expected = 'skylarkferry_gateway_requests_total{kind="non_idempotent",outcome="200"} 1.0'
+    assert_that(answer.text, Contains(expected))
+
+
+async def test_gateway_without_the_store_is_not_ready_and_still_serves_tools(rig):
+    await rig.add_replica("r1")
+    gateway = await rig.add_gateway()
+    rig.store.fault = lambda request: StoreFault.REFUSED
+    await until(lambda: gateway.store.lost_s() > defaults.NOT_READY_S)
+    assert_that(await readiness(gateway), Equals(503))
+    answer = await send(rig, "/order/1", headers("id-1"))
+    assert_that(answer.status_code, Equals(200))
+    rig.store.fault = lambda request: StoreFault.NONE
+    await until(lambda: gateway.store.lost_s() == 0)
+    assert_that(await readiness(gateway), Equals(200))
+
+
+async def test_gateway_without_a_configuration_says_so(rig):
+    rig.store.drop("op", "", "config")
+    rig.tasks.start_soon(rig.add_gateway)
+    await until(lambda: rig.gateways)
+    gateway = rig.gateways[0]
+    await until(lambda: gateway.members.has_read)
+    answer = await send(rig, "/order/1", headers("id-1"))
+    assert_that((answer.status_code, await readiness(gateway)), Equals((503, 503)))
+    rig.configure(config())
+    await until(lambda: gateway.config.current is not None)
+
+
+async def test_version_is_in_force_soon_and_never_goes_back(rig):
+    await rig.add_replica("r1")
+    gateway = await rig.add_gateway()
+    routes = {"/new/": {"kind": "idempotent", "service": "tools"}}
+    rig.configure(config(5, routes))
+    await until(lambda: gateway.config.current.version == 5)
+    assert_that((await send(rig, "/new/1", headers("id-1"))).status_code, Equals(200))
+    assert_that((await send(rig, "/order/1", headers("id-2"))).status_code, Equals(404))
+    rig.configure(config(4))
+    rig.store.forget_history()
+    rig.store.put("op", "", "config", b'{"version": "six"}')
+    await anyio.sleep(0.3)
+    assert_that(gateway.config.current.version, Equals(5))
+    rig.configure(config(6))
+    await until(lambda: gateway.config.current.version == 6)
+
+
+async def test_lost_history_is_replaced_by_one_read(rig):
+    gateway = await rig.add_gateway()
+    rig.store.forget_history()
+    before = len(rig.store.calls)
+    rig.configure(config(7))
+    await until(lambda: gateway.config.current.version == 7)
+    rig.store.forget_history()
+    await anyio.sleep(0.5)
+    assert_that(len(rig.store.calls) - before, LessThan(20))
+
+
+async def test_drained_upstream_gets_nothing_after_the_bound(rig):
+    await rig.add_replica("r1")
+    await rig.add_replica("r2")
+    gateway = await rig.add_gateway()
+    rig.list_replica("r2", state="draining")
+    await until(lambda: gateway.upstreams.upstreams["r2"].entry.is_leaving)
+    for number in range(4):
+        await send(rig, "/order/1", headers(f"id-{number}"))
+    assert_that(rig.replicas["r2"].arrivals, HasLength(0))
+
+
+async def test_upstream_reborn_under_its_id_is_a_new_one(rig):
+    await rig.add_replica("r1")
+    gateway = await rig.add_gateway()
+    known = gateway.upstreams.upstreams["r1"]
+    rig.list_replica("r1", born=2)
+    await until(lambda: gateway.upstreams.upstreams["r1"] is not known)
+
+
+async def test_entries_that_lapse_in_an_outage_are_kept_for_a_while(rig):
+    await rig.add_replica("r1")
+    gateway = await rig.add_gateway()
+    rig.store.fault = lambda request: StoreFault.REFUSED
+    await until(lambda: gateway.store.lost_s() > defaults.OUTAGE_S + 0.5)
+    rig.store.drop("servers", "", "r1")
+    rig.store.fault = lambda request: StoreFault.NONE
+    await until(lambda: gateway.store.lost_s() == 0)
+    assert_that((await send(rig, "/order/1", headers("id-1"))).status_code, Equals(200))
+    await until(lambda: not gateway.upstreams.upstreams)
+
+
+async def test_planned_stop_finishes_what_was_read_and_what_still_comes(rig):
+    (await rig.add_replica("r1")).work_s = 0.4
+    gateway = await rig.add_gateway()
+    statuses = []
+
+    async def one(request_id):
+        statuses.append((await send(rig, "/order/1", headers(request_id))).status_code)
+
+    rig.tasks.start_soon(one, "id-1")
+    await until(lambda: rig.replicas["r1"].runs)
+    gateway.stop.set()
+    await until(lambda: gateway.is_stopping)
+    assert_that(await readiness(gateway), Equals(503))
+    rig.tasks.start_soon(one, "id-2")
+    await gateway.ended.wait()
+    await until(lambda: len(statuses) == 2)
+    assert_that(statuses, Equals([200, 200]))
+
+
+async def test_kept_connection_serves_several_requests_and_closes_at_a_stop(rig):
+    await rig.add_replica("r1")
+    gateway = await rig.add_gateway()
+    async with httpx.AsyncClient(timeout=PATIENCE_S, verify=False) as client:
+        for number in range(3):
+            await client.post(rig.url("/order/1"), headers=headers(f"id-{number}"))
+        assert_that(gateway.clients, HasLength(1))
+        gateway.stop.set()
+        await until(lambda: not gateway.clients)
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (head(b"id-1", b"Content-Length: 5\r\nContent-Length: 6\r\n") + b"\r\nhello", b"400"),
+        (head(b"id-1", b"Content-Length: 9999999\r\n") + b"\r\n", b"413"),
+        (head(b"id-1", b"X: " + b"a" * 20_000 + b"\r\n") + b"\r\n", b"431"),
+        (head(b"id-1", b"Skylarkferry-Deadline-Ms: soon\r\n") + b"\r\n", b"400"),
+        (b"POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n", b"400"),
+    ],
+)
+async def test_broken_requests_get_a_typed_answer_and_reach_nobody(rig, request_bytes, status):
+    replica = await rig.add_replica("r1")
+    await rig.add_gateway()
+    received = await raw(rig, request_bytes, wait_s=0.5)
+    assert_that(received.split(b" ")[1], Equals(status))
+    assert_that(replica.arrivals, HasLength(0))
+    assert_that((await send(rig, "/order/1", headers("id-9"))).status_code, Equals(200))
+
+
+async def test_smuggled_request_stays_part_of_the_body(rig):
+    replica = await rig.add_replica("r1")
+    await rig.add_gateway()
+    inner = head(b"inner") + b"\r\n"
+    chunked = f"{len(inner):x}\r\n".encode() + inner + b"\r\n0\r\n\r\n"
+    extra = b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"
+    await raw(rig, head(b"id-1", extra) + b"\r\n" + chunked, wait_s=0.5)
+    assert_that([run.request_id for run in replica.runs if run.request_id == "inner"], Equals([]))
+
+
+async def test_slow_request_times_out(rig):
+    rig.configure(config(2, limits={"headerTimeoutMs": 200, "idleTimeoutMs": 300}))
+    replica = await rig.add_replica("r1")
+    await rig.add_gateway()
+    received = await raw(rig, head(b"id-1"))
+    assert_that((received.split(b" ")[1], replica.arrivals), Equals((b"408", [])))
+
+
+async def test_idle_connection_is_closed_after_its_time(rig):
+    rig.configure(config(2, limits={"headerTimeoutMs": 200, "idleTimeoutMs": 300}))
+    await rig.add_replica("r1")
+    gateway = await rig.add_gateway()
+    started = anyio.current_time()
+    await raw(rig, head(b"id-1", b"Content-Length: 0\r\n") + b"\r\n")
+    assert_that(anyio.current_time() - started, GreaterThan(0.25))
+    await until(lambda: not gateway.clients)
+
+
+async def test_pipelined_requests_are_answered_in_order(rig):
+    await rig.add_replica("r1")
+    await rig.add_gateway()
+    parts = [head(f"id-{n}".encode(), b"Content-Length: 1\r\n") + b"\r\n%d" % n for n in range(3)]
+    received = await raw(rig, b"".join(parts), wait_s=1.0)
+    found = [received.index(b"answer to %d" % n) for n in range(3)]
+    assert_that(found, Equals(sorted(found)))
+
+
+async def test_one_broken_client_disturbs_nobody(rig):
+    (await rig.add_replica("r1")).behaviour = lambda request: Behaviour.SERVE
+    gateway = await rig.add_gateway()
+    host, _, port = gateway.settings.client_listen.rpartition(":")
+    for _ in range(5):
+        with socket.create_connection((host, int(port))) as client:
+            client.sendall(head(b"id-x", b"Content-Length: 100\r\n") + b"\r\nhalf")
+    assert_that((await send(rig, "/order/1", headers("id-1"))).status_code, Equals(200))
+    await until(lambda: not gateway.clients)
+
+
+async def test_own_failures_are_problem_details_with_a_code(rig):
+    await rig.add_gateway()
+    answer = await send(rig, "/order/1", headers("id-1"))
+    body = json.loads(answer.content)
+    found = (answer.status_code, body["code"], body["word"])
+    assert_that(found, Equals((503, "overloaded", "not_run")))
--- /dev/null
+++ b/tests/gateway_rig.py
@@ -0,0 +1,215 @@
+"""A gateway on loopback before stand-ins of the users' store and replicas."""
+
+import json
+import socket
+from contextlib import asynccontextmanager
+
+import anyio
+import httpx
+
+from skylarkferry_core.ids import FailureDomain, Incarnation, NodeId
+from skylarkferry_daemon.log import EventLog
+from skylarkferry_gateway.interfaces import Platform
+from skylarkferry_gateway.metrics import GatewayMetrics
+from skylarkferry_gateway.role import GatewayRole
+from skylarkferry_gateway.settings import GatewaySettings
+from skylarkferry_platform.codec import PlatformHeaders
+from skylarkferry_platform.directory import PlatformDirectory
+from skylarkferry_platform.store import PlatformStore
+from skylarkferry_standins.replica import Replica
+from skylarkferry_standins.rows import RowStore
+from skylarkferry_standins.wire_server import WireServer
+
+HOST = "shop.example"
+PATIENCE_S = 20.0
+TOKENS_PER_EVENT = 10
+MOST_TOKENS = 100
+
+ROUTES = {
+    "/get/": {"kind": "idempotent", "service": "tools", "maxAttempts": 2},
+    "/order/": {"kind": "non_idempotent", "service": "tools", "maxAttempts": 2},
+    "/once/": {"kind": "non_idempotent", "service": "tools", "maxAttempts": 1},
+    "/turn/": {"kind": "streaming", "service": "engine", "retentionS": 60.0, "maxAttempts": 2},
+    "/resume/": {
+        "kind": "streaming",
+        "service": "engine",
+        "retentionS": 60.0,
+        "maxAttempts": 2,
+        "resumable": True,
+    },
+    "/kept/": {
+        "kind": "streaming",
+        "service": "engine",
+        "retentionS": 60.0,
+        "maxAttempts": 2,
+        "retainContext": True,
+    },
+}
+ENGINE = {"slots": 4, "kvCapacity": 100_000, "tokensPerEvent": TOKENS_PER_EVENT}
+
+
+def config(version=1, routes=None, limits=None):
+    """Return a configuration document as the operator writes it."""
+    common = {"host": HOST, "timeoutMs": 2_000, "targetLatencyMs": 200, "priority": 1}
+    found = ROUTES if routes is None else routes
+    return {
+        "version": version,
+        "routes": [
+            {"name": prefix, "prefix": prefix, **common, **route} for prefix, route in found.items()
+        ],
+        "services": [{"name": "tools"}, {"name": "engine", "engine": ENGINE}],
+        "limits": limits or {"maxHeaderBytes": 8_192, "maxBodyBytes": 200_000},
+    }
+
+
+def entry(replica, service, address, state="ready", **fields):
+    """Return a replica's entry in the list."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 4,
+        "state": state,
+        "coldLeftMs": 0,
+        "sequence": 1,
+        "born": 1,
+        **fields,
+    }
+
+
+def free_address():
+    """Return an address that nobody listens on now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+async def until(condition):
+    """Wait for a condition."""
+    with anyio.fail_after(PATIENCE_S):
+        while not condition():  # noqa: ASYNC110
+            await anyio.sleep(0.01)
+
+
+class Rig:
+    """The store, the replicas by name, and the gateways that were started."""
+
+    def __init__(self, tasks):
+        self.tasks = tasks
+        self.store = RowStore()
+        self.store_address = free_address()
+        self.replicas = {}
+        self.addresses = {}
+        self.servers = {}
+        self.gateways = []
+
+    async def start(self):
+        await self.listen(self.store_address, WireServer(self.store.handle))
+        self.configure(config())
+
+    def configure(self, document):
+        self.store.put("op", "", "config", json.dumps(document).encode())
+
+    async def listen(self, address, server):
+        host, _, port = address.rpartition(":")
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
+        self.tasks.start_soon(self._accept, listener, server)
+        return listener
+
+    async def _accept(self, listener, server):
+        try:
+            await listener.serve(server.serve, task_group=self.tasks)
+        except* anyio.ClosedResourceError:
+            pass
+
+    async def add_replica(self, name, service="tools", **fields):
+        replica = self.replicas[name] = Replica(name)
+        address = self.addresses[name] = free_address()
+        server = self.servers[name] = WireServer(replica.handle)
+        replica.listener = await self.listen(address, server)
+        self.list_replica(name, service, **fields)
+        return replica
+
+    def list_replica(self, name, service="tools", **fields):
+        row = entry(name, service, self.addresses[name], **fields)
+        self.store.put("servers", "", name, json.dumps(row).encode())
+
+    async def add_gateway(self, name="gateway-1"):
+        settings = GatewaySettings(
+            node=NodeId(name),
+            incarnation=Incarnation(f"{name}.{len(self.gateways)}"),
+            failure_domain=FailureDomain("a"),
+            client_listen=free_address(),
+            ready_listen=free_address(),
+            metrics_listen=free_address(),
+            peer_listen=free_address(),
+            memory_bytes=200 << 20,
+            grace_s=2.0,
+        )
+        log = EventLog(settings.node, 1_000)
+        metrics = GatewayMetrics()
+        store = PlatformStore(self.store_address, log, metrics)
+        platform = Platform(store, PlatformDirectory(store, log), PlatformHeaders())
+        gateway = GatewayRole(settings, platform, log, metrics)
+        gateway.stop = anyio.Event()
+        gateway.scope = anyio.CancelScope()
+        gateway.ended = anyio.Event()
+        self.gateways.append(gateway)
+        self.tasks.start_soon(self._run, gateway)
+        listed = set(self.replicas)
+        await until(
+            lambda: gateway.config.current is not None
+            and gateway.owners.read_at is not None
+            and set(gateway.upstreams.upstreams) >= listed
+        )
+        return gateway
+
+    async def _run(self, gateway):
+        with gateway.scope:
+            await gateway.run(gateway.stop)
+        gateway.ended.set()
+
+    def url(self, path, gateway=None):
+        chosen = gateway or self.gateways[0]
+        return f"http://{chosen.settings.client_listen}{path}"
+
+
+@asynccontextmanager
+async def rig():
+    """Run the stand-ins; they and all gateways end with the test."""
+    async with anyio.create_task_group() as tasks:
+        found = Rig(tasks)
+        await found.start()
+        yield found
+        tasks.cancel_scope.cancel()
+
+
+def headers(request_id, deadline_ms=2_000, **more):
+    """Return the headers of a client's request."""
+    fields = {f"Skylarkferry-{name.replace('_', '-')}": str(value) for name, value in more.items()}
+    return {
+        "Host": HOST,
+        "Skylarkferry-Request-Id": request_id,
+        "Skylarkferry-Deadline-Ms": str(deadline_ms),
+        **fields,
+    }
+
+
+def turn_headers(request_id, program="program", budget=10_000, most=MOST_TOKENS, **more):
+    """Return the headers of a turn."""
+    return headers(
+        request_id,
+        Program_Id=program,
+        Session_Id="session",
+        Token_Budget=budget,
+        Token_Usage=f"50,{most}",
+        **more,
+    )
+
+
+async def send(rig, path, fields, body=b"", *, method="POST", gateway=None):
+    """Send one request on a connection of its own and return the answer, whole."""
+    async with httpx.AsyncClient(timeout=PATIENCE_S, verify=False) as client:
+        url = rig.url(path, gateway)
+        return await client.request(method, url, headers=fields, content=body)
--- /dev/null
+++ b/tests/platform_adapter/test_boot.py
@@ -0,0 +1,53 @@
+import pytest
+from testtools import ExpectedException
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, StartsWith
+
+from skylarkferry_core.errors import SettingsInvalidError
+from skylarkferry_platform import boot
+
+FILE = """
+nodeName = "front-a-1"
+ip = "10.1.0.38"
+zone = "a"
+portRange = [7380, 7395]
+unknown = { later = true }
+[listen]
+front = "10.1.0.38:8149"
+ready = "10.1.0.38:8141"
+[limits]
+memoryMb = 170
+cpuShare = 0.7
+[bounds]
+graceS = 8
+[platform]
+address = "10.200.1.7:8142"
+"""
+
+
+@pytest.fixture
+def written(tmp_path, monkeypatch):
+    path = tmp_path / "boot.toml"
+    monkeypatch.setenv(boot.PATH_VARIABLE, str(path))
+    return path
+
+
+def test_settings_are_decoded_and_unknown_fields_ignored(written):
+    written.write_text(FILE)
+    settings = boot.load().gateway_settings()
+    found = (settings.client_listen, settings.peer_listen, settings.grace_s)
+    assert_that(found, Equals(("10.1.0.38:8149", "10.1.0.38:7380", 8.0)))
+    assert_that(settings.memory_bytes, Equals(170 << 20))
+    assert_that(settings.incarnation, StartsWith("front-a-1."))
+
+
+@pytest.mark.parametrize("text", ["", "nodeName = 3", FILE.replace('"10.200.1.7:8142"', "7"), "="])
+def test_wrong_settings_are_refused(written, text):
+    written.write_text(text)
+    with ExpectedException(SettingsInvalidError):
+        boot.load()
+
+
+def test_missing_settings_are_refused(written):
+    with ExpectedException(SettingsInvalidError):
+        boot.load()
--- /dev/null
+++ b/tests/platform_adapter/test_store.py
@@ -0,0 +1,108 @@
+import anyio
+import pytest
+from testtools import ExpectedException
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength
+
+from gateway_rig import rig as running_rig
+from skylarkferry_core.errors import (
+    HistoryLostError,
+    PlatformRefusedError,
+    PlatformUnavailableError,
+    WriteConflictError,
+)
+from skylarkferry_core.interfaces import Condition, Write
+from skylarkferry_daemon.log import EventLog
+from skylarkferry_gateway.metrics import GatewayMetrics
+from skylarkferry_gateway.store_calls import part_of, write_once
+from skylarkferry_platform.store import PlatformStore
+from skylarkferry_standins.rows import MAX_NAME_BYTES, StoreFault
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+async def rig(anyio_backend):
+    async with running_rig() as found:
+        found.client = PlatformStore(found.store_address, EventLog("node", 100), GatewayMetrics())
+        yield found
+
+
+async def test_rows_are_written_under_conditions_and_read_back(rig):
+    version = await rig.client.transact([Condition("t/p/k", 0)], [Write("t/p/k", b"\0value")])
+    row = await rig.client.read("t/p/k")
+    assert_that((row.value, row.version), Equals((b"\0value", version)))
+    with ExpectedException(WriteConflictError):
+        await rig.client.transact([Condition("t/p/k", 0)], [Write("t/p/k", b"other")])
+    await rig.client.transact([Condition("t/p/k", version)], [Write("t/p/k", None)])
+    assert_that((await rig.client.read("t/p/k")).version, Equals(0))
+
+
+async def test_rows_of_several_parts_are_written_at_once(rig):
+    await rig.client.transact([], [Write("t/p/k", b"1"), Write("t/q/k", b"2")])
+    assert_that((await rig.client.read("t/q/k")).value, Equals(b"2"))
+
+
+async def test_long_parts_are_scanned_to_their_end(rig):
+    for first in range(0, 600, 100):
+        names = range(first, first + 100)
+        await rig.client.transact([], [Write(f"t/p/{n:04d}", b"x") for n in names])
+    rows = await rig.client.scan("t/p/")
+    assert_that([row.key for row in rows], Equals([f"t/p/{n:04d}" for n in range(600)]))
+
+
+async def test_changes_come_in_order_and_lost_history_is_told(rig):
+    snapshot = await rig.client.snapshot("t/p/k")
+    await rig.client.transact([], [Write("t/p/k", b"1")])
+    changes = await rig.client.changes("t", snapshot.version, 1.0)
+    assert_that([row.value for row in changes.rows], Equals([b"1"]))
+    none = await rig.client.changes("t", changes.version, 0.05)
+    assert_that(none.rows, HasLength(0))
+    rig.store.put("t", "p", "k", b"2")
+    rig.store.forget_history()
+    with ExpectedException(HistoryLostError):
+        await rig.client.changes("t", changes.version, 0.05)
+
+
+@pytest.mark.parametrize("fault", [StoreFault.REFUSED, StoreFault.THROTTLED])
+async def test_refused_call_certainly_did_nothing(rig, fault):
+    rig.store.fault = lambda request: fault
+    with ExpectedException(PlatformRefusedError):
+        await rig.client.transact([], [Write("t/p/k", b"1")])
+
+
+@pytest.mark.parametrize("fault", [StoreFault.RESET, StoreFault.LOST, StoreFault.SILENT])
+async def test_call_without_an_answer_leaves_doubt_and_the_store_lost(rig, fault):
+    rig.store.fault = lambda request: fault
+    with ExpectedException(PlatformUnavailableError):
+        await rig.client.transact([], [Write("t/p/k", b"1")])
+    await anyio.sleep(0.01)
+    assert_that(rig.client.lost_s() > 0, Equals(True))
+    rig.store.fault = lambda request: StoreFault.NONE
+    await rig.client.read("t/p/k")
+    assert_that(rig.client.lost_s(), Equals(0.0))
+
+
+@pytest.mark.parametrize("fault", [StoreFault.LOST, StoreFault.LATE, StoreFault.REFUSED])
+async def test_write_once_settles_a_lost_answer(rig, fault):
+    failures = [fault]
+    rig.store.fault = lambda request: failures.pop() if failures else StoreFault.NONE
+    by = anyio.current_time() + 5
+    await write_once(rig.client, [Condition("t/p/k", 0)], [Write("t/p/k", b"1")], by)
+    rig.store.perform_late()
+    assert_that(rig.store.value("t", "p", "k"), Equals(b"1"))
+
+
+async def test_write_once_does_not_take_another_writers_row_for_its_own(rig):
+    rig.store.put("t", "p", "k", b"other")
+    by = anyio.current_time() + 5
+    with ExpectedException(WriteConflictError):
+        await write_once(rig.client, [Condition("t/p/k", 0)], [Write("t/p/k", b"1")], by)
+
+
+@pytest.mark.parametrize("text", ["a/b", "x" * 500, "ü", "", "own er", "owner+"])
+async def test_any_text_of_a_client_is_a_safe_part(rig, text):
+    part = part_of(text)
+    assert_that(len(part.encode()) <= MAX_NAME_BYTES and "/" not in part, Equals(True))
+    await rig.client.transact([], [Write(f"t/{part}/k", b"1")])
+    assert_that((await rig.client.read(f"t/{part}/k")).value, Equals(b"1"))
