--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -61,7 +61,7 @@
         self.is_stopping = False
         self.was_ready = False
         self.clients: set[ClientConnection] = set()
-        self.all_left = anyio.Event()
+        self.client_left = anyio.Event()
 
     async def run(self, stop: anyio.Event) -> None:
         """Serve until ``stop`` is set and the work under way has ended."""
@@ -143,8 +143,7 @@
             await client.serve()
         finally:
             self.clients.discard(client)
-            if self.is_stopping and not self.clients:
-                self.all_left.set()
+            self.client_left.set()
 
     def _local_server(self, handler: Handler) -> Callable[[SocketStream], Awaitable[None]]:
         async def serve(stream: SocketStream) -> None:
@@ -191,10 +190,10 @@
             client.close_if_idle()
         await anyio.sleep(min(defaults.STOP_ACCEPT_S, self.settings.grace_s / 2))
         await clients.aclose()
-        if not self.clients:
-            self.all_left.set()
         with anyio.move_on_at(end):
-            await self.all_left.wait()
+            while self.clients:
+                self.client_left = anyio.Event()
+                await self.client_left.wait()
         with anyio.move_on_at(end + defaults.STOP_MARGIN_S / 2):
             await self.book.hand_over(end + defaults.STOP_MARGIN_S / 2)
         self.log.emit(EventKind.GATEWAY_STOPPED, connections=len(self.clients))
--- a/tests/gateway/test_role.py
+++ b/tests/gateway/test_role.py
@@ -247,3 +247,14 @@
     body = json.loads(answer.content)
     found = (answer.status_code, body["code"], body["word"])
     assert_that(found, Equals((503, "overloaded", "not_run")))
+
+
+async def test_planned_stop_waits_for_a_request_that_came_after_all_others_left(rig):
+    replica = await rig.add_replica("r1")
+    gateway = await rig.add_gateway()
+    await send(rig, "/order/1", headers("id-1"))
+    gateway.stop.set()
+    await until(lambda: gateway.is_stopping and not gateway.clients)
+    replica.work_s = 1.2
+    answer = await send(rig, "/order/1", headers("id-2"))
+    assert_that(answer.status_code, Equals(200))
