Log breaker changes, bound how long one stays open, and remove what nothing uses

Cause: an upstream's breaker could stay half open after a 4xx of its own, changes of it were not logged, and it opened for up to 30 s where recovered upstreams must get work within seconds. Unused fields, an error class and constants are gone.

--- a/packages/skylarkferry-core/src/skylarkferry_core/errors.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/errors.py
@@ -44,7 +44,6 @@
     UNKNOWN_ROUTE = "unknown_route"
     UNKNOWN_TURN = "unknown_turn"
     HEADER_TOO_LARGE = "header_too_large"
-    STOPPING = "stopping"
     ANSWER_INVALID = "answer_invalid"
     ANSWER_TIMEOUT = "answer_timeout"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -296,13 +295,6 @@
     status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
 
 
-class StoppingError(SkylarkferryError):
-    """The process stops and takes no new work."""
-
-    code = ErrorCode.STOPPING
-    status = HTTPStatus.SERVICE_UNAVAILABLE
-
-
 class AnswerInvalidError(SkylarkferryError):
     """An upstream's answer is broken, incomplete or of another request."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -58,8 +58,8 @@
 
 TURN_CACHE_SHARE = 0.15
 """Share of the process's memory limit for retained turns."""
-SESSIONS_KEPT = 20_000
-"""Runs whose last upstream is remembered; programs of one minute at 300 a second."""
+BREAKER_MAX_OPEN_S = 4.0
+"""Longest time a breaker stays open: an upstream that recovers gets work again within seconds."""
 
 STOP_ACCEPT_S = 3.0
 """Time a stopping process goes on accepting: the balancer takes it out after two misses, 2 s."""
@@ -70,9 +70,8 @@
 DECODE_TOKENS_PER_S = 600.0
 """Speed of an engine until it is measured: the order of magnitude of current accelerators."""
 
-LOG_LINES_KEPT = 4_000
-LOG_LINES_PER_S = 400
-"""Lines buffered for output and lines written a second; more are dropped and counted."""
+RING_EVENTS = 4_000
+"""Events kept in memory for the time line; some minutes of a gateway at its planned load."""
 
 QUARANTINE_RETRY_AFTER_S = 5.0
 """Retry-After of a request that crashes upstreams: past any deadline, so that it is not tried."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
@@ -27,9 +27,8 @@
 class RequestFacts(msgspec.Struct, frozen=True):
     """What a client's headers say of its request; ``None`` or empty where they say nothing.
 
-    ``time_left_s`` is how long the client waits, ``program_left_s`` the time until its program
-    should end, ``token_budget`` what all turns of the program may generate, ``output_tokens`` the
-    most that this one generates.
+    ``time_left_s`` is how long the client waits, ``token_budget`` what all turns of the program may
+    generate, ``output_tokens`` the most that this one generates.
     """
 
     request_id: str = ""
@@ -37,7 +36,6 @@
     affinity_key: str = ""
     program_id: ProgramId = ProgramId("")
     run_id: RunId = RunId("")
-    program_left_s: float | None = None
     token_budget: int | None = None
     prompt_tokens: int = 0
     output_tokens: int = 0
@@ -93,7 +91,6 @@
     not_executed: bool = False
     is_encoded: bool = False
     load: LoadAnswer | None = None
-    closes: bool = False
     idle_s: float | None = None
 
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/plain_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/plain_relay.py
@@ -57,7 +57,7 @@
         try:
             reply, body = await self._exchange(attempts, choice)
         except SkylarkferryError as error:
-            upstream.breaker.failed(anyio.current_time())
+            self.context.count_failure(upstream)
             self.context.on_failed(attempts, choice, error)
             if error.word is not FinalWord.NOT_RUN:
                 attempts.doubt = error
@@ -88,14 +88,14 @@
     ) -> tuple[Reply, bytes] | None:
         upstream = choice.upstream
         if reply.facts.not_executed or reply.status == HTTPStatus.MISDIRECTED_REQUEST:
-            upstream.breaker.succeeded()
+            self.context.count_success(upstream)
             if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
                 upstream.is_misplaced = True
             error = UpstreamLostError(f"refused with status {reply.status}")
             self.context.on_failed(attempts, choice, error)
             return None
         if not reply.is_trusted:
-            upstream.breaker.failed(anyio.current_time())
+            self.context.count_failure(upstream)
             attempts.doubt = AnswerInvalidError(f"status {reply.status} that does not count")
             self.context.on_failed(attempts, choice, attempts.doubt)
             return None
@@ -107,5 +107,5 @@
                 self.context.on_failed(attempts, choice, failure)
                 return None
             return reply, body
-        upstream.breaker.succeeded()
+        self.context.count_success(upstream)
         return reply, body
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relaying.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relaying.py
@@ -5,6 +5,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from skylarkferry_core.breakers import BreakerState
 from skylarkferry_core.errors import ConnectionLostError, SkylarkferryError
 from skylarkferry_core.events import EventKind
 from skylarkferry_daemon.log import EventLog
@@ -85,9 +86,32 @@
     def on_failure_status(self, upstream: Upstream, reply: Reply) -> None:
         """Count a failure against its upstream, but not a deadline that it kept to."""
         if reply.status == HTTPStatus.GATEWAY_TIMEOUT:
-            upstream.breaker.succeeded()
+            self.count_success(upstream)
         else:
-            upstream.breaker.failed(anyio.current_time())
+            self.count_failure(upstream)
+
+    def count_success(self, upstream: Upstream) -> None:
+        """Count an answer for its upstream; log when its breaker closes."""
+        before = upstream.breaker.state
+        upstream.breaker.succeeded()
+        self._log_breaker(upstream, before)
+
+    def count_failure(self, upstream: Upstream) -> None:
+        """Count a failure against its upstream; log when its breaker opens."""
+        before = upstream.breaker.state
+        upstream.breaker.failed(anyio.current_time())
+        self._log_breaker(upstream, before)
+
+    def _log_breaker(self, upstream: Upstream, before: BreakerState) -> None:
+        breaker = upstream.breaker
+        if breaker.state is not before:
+            self.log.emit(
+                EventKind.GATEWAY_BREAKER,
+                upstream=upstream.entry.upstream,
+                before=before.value,
+                after=breaker.state.value,
+                open_s=breaker.open_s,
+            )
 
     def on_failed(self, attempts: Attempts, choice: Choice, error: SkylarkferryError) -> None:
         """Log a send without an answer that counts."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -99,9 +99,8 @@
         return status
 
     def _on_failure(self, choice: Choice, error: SkylarkferryError) -> None:
-        now = anyio.current_time()
         if not isinstance(error, _RefusedError):
-            choice.upstream.breaker.failed(now)
+            self.context.count_failure(choice.upstream)
         self.context.on_failed(self.attempts, choice, error)
         if error.word is not FinalWord.NOT_RUN:
             self.attempts.doubt = error
@@ -126,7 +125,7 @@
             self._remember(choice)
             await self._pass_on(exchange, reply)
             ended_at = anyio.current_time()
-            choice.upstream.breaker.succeeded()
+            self.context.count_success(choice.upstream)
             self._learn(choice, sent_at, ended_at)
             await exchange.finish()
         await self._complete(reply)
@@ -143,7 +142,7 @@
         if reply.facts.not_executed or reply.status == HTTPStatus.MISDIRECTED_REQUEST:
             if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
                 choice.upstream.is_misplaced = True
-            choice.upstream.breaker.succeeded()
+            self.context.count_success(choice.upstream)
             return _RefusedError(f"refused with status {reply.status}")
         if not reply.is_trusted:
             return AnswerInvalidError(f"status {reply.status} that does not count")
@@ -157,6 +156,8 @@
             is_failure = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
             if is_failure:
                 self.context.on_failure_status(choice.upstream, reply)
+            else:
+                self.context.count_success(choice.upstream)
             if self.client.answer is AnswerState.STREAMING:
                 raise AnswerInvalidError(f"resumption failed with status {reply.status}")
             if is_failure and self.attempts.route.is_repeatable:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -43,7 +43,7 @@
 
     def __init__(self, entry: UpstreamEntry) -> None:
         self.entry = entry
-        self.breaker = Breaker()
+        self.breaker = Breaker(max_open_s=defaults.BREAKER_MAX_OPEN_S)
         self.idle: list[HttpConnection] = []
         self.in_flight = 0
         self.others = 0.0
--- a/tests/platform_adapter/test_codec.py
+++ b/tests/platform_adapter/test_codec.py
@@ -18,15 +18,14 @@
         [
             (b"skylarkferry-request-id", b"r"),
             (b"skylarkferry-deadline-ms", b"1500"),
-            (b"skylarkferry-finish-ms", b"5200"),
             (b"skylarkferry-token-budget", b"4576"),
             (b"skylarkferry-token-usage", b"1840,572"),
             (b"skylarkferry-prompt-prefix", b"5c1e:800,91bd:410"),
             (b"last-event-id", b"12"),
         ]
     )
-    found = (facts.time_left_s, facts.program_left_s, facts.token_budget, facts.output_tokens)
-    assert_that(found, Equals((1.5, 5.2, 4576, 572)))
+    found = (facts.time_left_s, facts.token_budget, facts.output_tokens)
+    assert_that(found, Equals((1.5, 4576, 572)))
     assert_that(facts.prompt_parts, Equals((PromptPart("5c1e", 800), PromptPart("91bd", 410))))
     assert_that(facts.last_event_id, Equals(12))
 
