Forget accounts after an hour without use, and clients that take nothing

Cause: an owner kept every program it ever accounted for, in memory and in the store, and a client that stopped reading held its request and an upstream's work for good. Tests: a stuck stream (fails with the bound at 100 s), rows of idle accounts.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -43,6 +43,7 @@
     def __init__(self, partition: OwnedPartition, rows: Sequence[Row]) -> None:
         self.partition = partition
         self.rows = {row.key: row for row in rows}
+        self.owned_since = anyio.current_time()
         self.programs: dict[ProgramId, OwnedAccount] = {}
 
     def account(self, wanted: Reservation, now: float) -> OwnedAccount:
@@ -59,6 +60,19 @@
         found.used_at = now
         return found
 
+    def take_idle(self, now: float) -> list[str]:
+        """Forget accounts unused for ``ACCOUNT_IDLE_S`` and return the keys of their rows."""
+        keys: list[str] = []
+        for program_id, item in list(self.programs.items()):
+            is_idle = now - item.used_at > defaults.ACCOUNT_IDLE_S
+            if is_idle and not item.account.reserved:
+                del self.programs[program_id]
+                keys.extend([item.key] if item.account.version else [])
+        if now - self.owned_since > defaults.ACCOUNT_IDLE_S:
+            keys.extend(self.rows)
+            self.rows = {}
+        return keys
+
     def final_writes(self) -> list[Write]:
         """Return the rows to hand over: programs whose use no row covers, or covers too widely."""
         return [
@@ -186,6 +200,18 @@
             version=account.version,
         )
 
+    async def forget_idle(self) -> None:
+        """Remove rows of accounts that nobody used for long; what fails stays in the store."""
+        now = anyio.current_time()
+        for owned in list(self.partitions.values()):
+            keys = owned.take_idle(now)
+            for first in range(0, len(keys), _ROWS_A_CALL):
+                writes = [Write(key, None) for key in keys[first : first + _ROWS_A_CALL]]
+                try:
+                    await self.store.transact([owned.partition.fence()], writes)
+                except (PlatformUnavailableError, WriteConflictError) as error:
+                    self.log.emit(EventKind.GATEWAY_STORE_RETRY, call="forget", detail=error.detail)
+
     async def hand_over(self, by: float) -> None:
         """Hand all partitions over before the process ends; those that fail count as lost."""
         self.is_closed = True
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -20,6 +20,8 @@
 """Time past the deadline handed to an upstream in which its own timeout answer is awaited."""
 MIN_SEND_S = 0.02
 """Least time left for a send; less than a round trip with the shortest work is no offer."""
+CLIENT_SEND_S = 10.0
+"""Time without taking a byte after which a client has left; three usual deadlines."""
 LARGE_BODY_BYTES = 32_768
 """Bodies above this are sent while the answer is read: an upstream may answer early."""
 RECEIVE_BYTES = 65_536
@@ -78,6 +80,11 @@
 CRASHES_WAIT_S = 5.0
 """Longest wait of one call for other gateways' notes of crashes; they come at once."""
 
+ACCOUNT_IDLE_S = 3_600.0
+"""Time after which an unused account is forgotten; sixty times the usual retention of turns."""
+ACCOUNTS_SWEEP_S = 60.0
+"""Interval at which unused accounts are looked for."""
+
 PEER_CALL_S = 0.4
 """Timeout of a call to another gateway: a store write and two round trips fit on a slow host."""
 PEER_IDLE_S = 10.0
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
@@ -149,7 +149,6 @@
         if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
             return False
         self.http.start_next_cycle()
-        self.http._max_incomplete_event_size = self.limits().header_bytes
         return True
 
     async def _read_request(self) -> RequestHead | None:
@@ -267,8 +266,9 @@
         if not data:
             return
         try:
-            await self.stream.send(data)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            with anyio.fail_after(defaults.CLIENT_SEND_S):
+                await self.stream.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, TimeoutError) as error:
             self.has_left = True
             raise ClientLeftError from error
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -74,6 +74,7 @@
             self.budgets.tasks = self.context.tasks = tasks
             tasks.start_soon(self.crashes.follow)
             self.timers.every(defaults.OWNERS_READ_S, self._read_owners)
+            self.timers.every(defaults.ACCOUNTS_SWEEP_S, self.book.forget_idle)
             tasks.start_soon(self._read_owners)
             local = [
                 (self.settings.ready_listen, self._answer_ready),
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -6,6 +6,7 @@
 from gateway_rig import MOST_TOKENS, TOKENS_PER_EVENT, send, turn_headers, until
 from skylarkferry_core.accounts import BUDGET_PARTITIONS, budget_partition
 from skylarkferry_core.ids import ProgramId
+from skylarkferry_gateway import defaults
 from skylarkferry_standins.replica import EVENTS, Behaviour
 from skylarkferry_standins.rows import StoreFault
 
@@ -138,3 +139,17 @@
     owned = gateway.book.partitions[budget_partition(ProgramId("program"))]
     account = owned.programs[ProgramId("program")].account
     assert_that(account.used, Equals(3 * (EVENTS - 1) * TOKENS_PER_EVENT))
+
+
+async def test_accounts_that_nobody_uses_are_forgotten(rig, monkeypatch):
+    await rig.add_replica("e1", "engine")
+    gateway = await rig.add_gateway()
+    await spend(rig, "program", 1_000, 8, [gateway])
+    number = budget_partition(ProgramId("program"))
+    assert_that(rig.store.value("accounts", str(number), "program.program") is None, Equals(False))
+    await gateway.book.forget_idle()
+    assert_that(len(gateway.book.partitions[number].programs), Equals(1))
+    monkeypatch.setattr(defaults, "ACCOUNT_IDLE_S", -1.0)
+    await gateway.book.forget_idle()
+    assert_that(len(gateway.book.partitions[number].programs), Equals(0))
+    assert_that(rig.store.value("accounts", str(number), "program.program"), Equals(None))
--- /dev/null
+++ b/tests/gateway/test_http_server.py
@@ -0,0 +1,42 @@
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from skylarkferry_core.routes import ClientLimits
+from skylarkferry_gateway import defaults
+from skylarkferry_gateway.http_server import ClientConnection
+
+pytestmark = pytest.mark.anyio
+
+
+class StuckStream:
+    """A client that sends one request and then neither takes nor sends anything."""
+
+    def __init__(self):
+        self.requests = [b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"]
+        self.is_closed = False
+
+    async def receive(self, limit):
+        if self.requests:
+            return self.requests.pop()
+        await anyio.sleep_forever()
+
+    async def send(self, data):
+        await anyio.sleep_forever()
+
+    async def aclose(self):
+        self.is_closed = True
+
+
+async def test_client_that_takes_nothing_has_left(monkeypatch):
+    monkeypatch.setattr(defaults, "CLIENT_SEND_S", 0.1)
+    stream = StuckStream()
+
+    async def answer(head, client):
+        await client.respond(200, [], b"answer")
+
+    client = ClientConnection(stream, ClientLimits, answer, lambda: False)
+    with anyio.fail_after(5):
+        await client.serve()
+    assert_that((client.has_left, stream.is_closed), Equals((True, True)))
