--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -18,9 +18,9 @@
         self.is_closed = False
 
     async def receive(self, limit):
-        if self.requests:
-            return self.requests.pop()
-        await anyio.sleep_forever()
+        if not self.requests:
+            await anyio.sleep_forever()
+        return self.requests.pop()
 
     async def send(self, data):
         await anyio.sleep_forever()
