--- a/tests/gateway/test_plain_relay.py
+++ b/tests/gateway/test_plain_relay.py
@@ -3,7 +3,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan, Not
 
-from gateway_rig import config, free_address, headers, send, until
+from gateway_rig import config, free_address, headers, leaving_client, send, until
 from skylarkferry_standins.replica import Behaviour
 
 pytestmark = pytest.mark.anyio
@@ -196,11 +196,10 @@
 
 async def test_order_ends_upstream_even_if_its_client_left(rig):
     replica = await rig.add_replica("r1")
-    replica.work_s = 0.3
+    replica.work_s = 0.5
     await rig.add_gateway()
-    with anyio.move_on_after(0.15):
-        await send(rig, "/order/1", headers("id-1"))
-    await until(lambda: len(replica.runs) == 1)
+    async with leaving_client(rig, "/order/1", headers("id-1")):
+        await until(lambda: len(replica.runs) == 1)
     upstream = rig.gateways[0].upstreams.upstreams["r1"]
     await until(lambda: upstream.in_flight == 0)
     assert_that(upstream.idle, HasLength(1))
--- a/tests/gateway/test_role.py
+++ b/tests/gateway/test_role.py
@@ -7,7 +7,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan
 
-from gateway_rig import PATIENCE_S, config, headers, send, until
+from gateway_rig import GRACE_S, PATIENCE_S, config, headers, send, until
 from skylarkferry_gateway import defaults
 from skylarkferry_standins.replica import Behaviour
 from skylarkferry_standins.rows import StoreFault
@@ -250,11 +250,13 @@
 
 
 async def test_planned_stop_waits_for_a_request_that_came_after_all_others_left(rig):
+    routes = {"/order/": {"kind": "non_idempotent", "service": "tools", "timeoutMs": 10_000}}
+    rig.configure(config(2, routes))
     replica = await rig.add_replica("r1")
     gateway = await rig.add_gateway()
     await send(rig, "/order/1", headers("id-1"))
     gateway.stop.set()
     await until(lambda: gateway.is_stopping and not gateway.clients)
-    replica.work_s = 1.2
-    answer = await send(rig, "/order/1", headers("id-2"))
+    replica.work_s = GRACE_S / 2 + 0.4
+    answer = await send(rig, "/order/1", headers("id-2", 10_000))
     assert_that(answer.status_code, Equals(200))
--- a/tests/gateway/test_stream_relay.py
+++ b/tests/gateway/test_stream_relay.py
@@ -1,10 +1,9 @@
-import anyio
 import httpx
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, HasLength, Not
 
-from gateway_rig import PATIENCE_S, send, turn_headers, until
+from gateway_rig import PATIENCE_S, leaving_client, send, turn_headers, until
 from skylarkferry_standins.replica import EVENTS, Behaviour
 
 pytestmark = pytest.mark.anyio
@@ -87,10 +86,10 @@
     replica = await rig.add_replica("e1", "engine")
     replica.behaviour = lambda request: Behaviour.SILENT
     await rig.add_gateway()
-    with anyio.move_on_after(0.3):
-        await send(rig, "/turn/1", turn_headers("t-1"), b"prompt")
+    async with leaving_client(rig, "/turn/1", turn_headers("t-1"), b"prompt"):
+        await until(lambda: replica.runs)
     upstream = rig.gateways[0].upstreams.upstreams["e1"]
-    await until(lambda: replica.runs and upstream.in_flight == 0)
+    await until(lambda: upstream.in_flight == 0)
     assert_that(upstream.idle, HasLength(0))
 
 
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -25,6 +25,7 @@
 
 HOST = "shop.example"
 PATIENCE_S = 20.0
+GRACE_S = 5.0
 TOKENS_PER_EVENT = 10
 MOST_TOKENS = 100
 
@@ -154,7 +155,7 @@
             metrics_listen=free_address(),
             peer_listen=free_address(),
             memory_bytes=200 << 20,
-            grace_s=2.0,
+            grace_s=GRACE_S,
         )
         log = EventLog(settings.node, 1_000)
         metrics = GatewayMetrics()
@@ -218,6 +219,19 @@
     )
 
 
+@asynccontextmanager
+async def leaving_client(rig, path, fields, body=b""):
+    """Send a request whose client leaves when the block ends."""
+    async with anyio.create_task_group() as tasks:
+
+        async def one():
+            await send(rig, path, fields, body)
+
+        tasks.start_soon(one)
+        yield
+        tasks.cancel_scope.cancel()
+
+
 async def send(rig, path, fields, body=b"", *, method="POST", gateway=None):
     """Send one request on a connection of its own and return the answer, whole."""
     async with httpx.AsyncClient(timeout=PATIENCE_S, verify=False) as client:
