--- a/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
@@ -13,7 +13,7 @@
 from skylarkferry_core.ids import Incarnation, PartitionNumber, ProgramId, TurnId
 
 BUDGET_PARTITIONS = 128
-"""Partitions of the programs: some for each of the 320 nodes' upstream neighbours to own."""
+"""Partitions of all programs; a lost owner costs one program in 128 its first allowance."""
 FIRST_PARTS = 3
 """A first allowance is a third of the budget, and half of the one before after each lost owner."""
 GROWTH_PARTS = 3
