Judge upstreams by evidence against their peers, and let a cut-off gateway say so

Cause 1: a replica that fails 40% of its requests never opens the breaker (half of 20), and one that is down costs each gateway five connect timeouts. Outcomes now count with a half-life of 4 s; an upstream that fails three times as often as its peers gets work only when no other may take it. Refusals of an upstream that is not full count, general ones condemn none.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
@@ -18,12 +18,12 @@
 from skylarkferry_gateway.messages import Reservation
 from skylarkferry_gateway.ownership import OwnerTable
 from skylarkferry_gateway.peers import (
-    PeerClient,
     PeerDownError,
     PeerSilentError,
     Settlement,
     Verdict,
 )
+from skylarkferry_gateway.store_paths import StorePaths
 
 _LOCAL = ""
 _SETTLE_TRIES = 3
@@ -33,11 +33,16 @@
     """Reserve a turn's most before it runs, and settle what it handed out when it ended."""
 
     def __init__(
-        self, table: OwnerTable, book: AccountBook, peers: PeerClient, log: EventLog
+        self,
+        table: OwnerTable,
+        book: AccountBook,
+        store: StorePaths,
+        log: EventLog,
     ) -> None:
         self.table = table
         self.book = book
-        self.peers = peers
+        self.store = store
+        self.peers = store.peers
         self.log = log
         self.owners_of_turns: dict[TurnId, str] = {}
         self.silent: dict[Incarnation, float] = {}
@@ -74,10 +79,12 @@
         owner = self.table.owners.get(number)
         if owner is None or owner.owner in (NOBODY, self.table.incarnation):
             return False
+        if self.store.is_isolated():
+            return False
         return self.silent.get(owner.owner, 0.0) <= anyio.current_time()
 
     async def _claim(self, number: PartitionNumber, by: float) -> None:
-        if self.table.store.lost_s() > defaults.STORE_LOST_S:
+        if self.store.lost_s() > defaults.STORE_LOST_S:
             raise PlatformUnavailableError("the store does not answer; no owner can be found")
         if self.table.read_at is None:
             await self.table.refresh(anyio.current_time(), by)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -59,6 +59,8 @@
 """Retry-After of a refusal for want of capacity: about one tool call or a third of a turn."""
 OUTAGE_RETRY_AFTER_S = 1.0
 """Retry-After while the store is away: a third of the usual 3 s deadline, which clients honour."""
+ISOLATED_RETRY_AFTER_S = 0.02
+"""Retry-After of a gateway that is cut off from store and peers: another one serves at once."""
 
 TURN_CACHE_SHARE = 0.15
 """Share of the process's memory limit for retained turns."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
@@ -11,7 +11,7 @@
 )
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.routes import ClientLimits, Route, RoutingTable
-from skylarkferry_daemon.log import NO_PROGRAM, EventLog
+from skylarkferry_daemon.log import NO_PROGRAM
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.attempts import Attempts
 from skylarkferry_gateway.http_server import (
@@ -21,9 +21,9 @@
     RequestHead,
 )
 from skylarkferry_gateway.messages import ClientRequest
-from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.plain_relay import PlainRelay
 from skylarkferry_gateway.relaying import RelayContext
+from skylarkferry_gateway.store_paths import StorePaths
 from skylarkferry_gateway.stream_relay import StreamBrokenError, StreamRelay
 from skylarkferry_gateway.turns import TurnParts, TurnWork
 from skylarkferry_gateway.watchers import ConfigWatcher
@@ -39,14 +39,14 @@
         context: RelayContext,
         config: ConfigWatcher,
         parts: TurnParts,
-        log: EventLog,
-        metrics: GatewayMetrics,
+        store: StorePaths,
     ) -> None:
         self.context = context
         self.config = config
         self.parts = parts
-        self.log = log
-        self.metrics = metrics
+        self.store = store
+        self.log = context.log
+        self.metrics = context.metrics
         self.plain = PlainRelay(context)
 
     def limits(self) -> ClientLimits:
@@ -128,7 +128,7 @@
             return
         closes = isinstance(error, PlatformUnavailableError | NoConfigurationError)
         if closes and error.retry_after_s is None:
-            error.retry_after_s = defaults.OUTAGE_RETRY_AFTER_S
+            error.retry_after_s = self.store.retry_after_s()
         try:
             await client.fail(error, closes=closes)
         except ClientLeftError:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -102,6 +102,8 @@
 
     def __init__(self) -> None:
         self.idle: dict[str, list[HttpConnection]] = {}
+        self.answered_at = 0.0
+        self.silent_at = 0.0
 
     async def reserve(self, address: str, wanted: Reservation) -> ReserveReply:
         """Ask an owner; raise ``PeerSilentError`` or ``PeerDownError``."""
@@ -122,11 +124,15 @@
     ) -> bytes:
         with anyio.move_on_after(timeout_s):
             try:
-                return await self._exchange(address, target, body)
+                answer = await self._exchange(address, target, body)
+                self.answered_at = anyio.current_time()
+                return answer
             except UpstreamLostError as error:
+                self.silent_at = anyio.current_time()
                 raise PeerUnreachableError(f"{address}: {error.detail}") from error
             except SkylarkferryError as error:
                 raise PeerDownError(f"{address}: {error.detail}") from error
+        self.silent_at = anyio.current_time()
         raise PeerSilentError(f"{address} did not answer in {timeout_s:g} s")
 
     async def _exchange(self, address: str, target: bytes, body: bytes) -> bytes:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/placing.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/placing.py
@@ -67,7 +67,11 @@
         usable = self._untried(attempts)
         if not usable:
             return None
-        candidates = [self._candidate(item, request, engine, now) for item in usable]
+        suspects = self.upstreams.suspects(attempts.service, now)
+        candidates = [
+            self._candidate(item, request, engine, item.entry.upstream not in suspects, now)
+            for item in usable
+        ]
         wanted = self._wanted(request)
         if engine is not None:
             chosen = self.completion.place(wanted, candidates, self.site)
@@ -102,7 +106,12 @@
         )
 
     def _candidate(
-        self, item: Upstream, request: ClientRequest, engine: EngineSpec | None, now: float
+        self,
+        item: Upstream,
+        request: ClientRequest,
+        engine: EngineSpec | None,
+        is_sound: bool,
+        now: float,
     ) -> Candidate:
         requests = item.requests()
         slots = engine.slots if engine is not None else item.slots
@@ -113,7 +122,7 @@
             running_output_tokens=running * _MEAN_OUTPUT_TOKENS,
             slots=slots,
         )
-        allowed = item.breaker.allows(now)
+        allowed = is_sound and item.breaker.allows(now)
         return Candidate(
             upstream=item.entry.upstream,
             pool=PoolName(item.entry.service),
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/plain_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/plain_relay.py
@@ -57,7 +57,7 @@
         try:
             reply, body = await self._exchange(attempts, choice)
         except SkylarkferryError as error:
-            self.context.count_failure(upstream)
+            self.context.count_failure(upstream, error)
             self.context.on_failed(attempts, choice, error)
             if error.word is not FinalWord.NOT_RUN:
                 attempts.doubt = error
@@ -88,7 +88,7 @@
     ) -> tuple[Reply, bytes] | None:
         upstream = choice.upstream
         if reply.facts.not_executed or reply.status == HTTPStatus.MISDIRECTED_REQUEST:
-            self.context.count_success(upstream)
+            self.context.count_refusal(upstream)
             if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
                 upstream.is_misplaced = True
             error = UpstreamLostError(f"refused with status {reply.status}")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relaying.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relaying.py
@@ -6,7 +6,11 @@
 from anyio.abc import TaskGroup
 
 from skylarkferry_core.breakers import BreakerState
-from skylarkferry_core.errors import ConnectionLostError, SkylarkferryError
+from skylarkferry_core.errors import (
+    ConnectionLostError,
+    SkylarkferryError,
+    UpstreamLostError,
+)
 from skylarkferry_core.events import EventKind
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
@@ -21,6 +25,8 @@
 
 _FIRST_LEVEL = 1
 _LEVEL_STEP = 3
+_UNREACHABLE_WEIGHT = 3.0
+"""Failures that an upstream without a connection counts for: each next try costs a timeout."""
 _LAST_LEVEL = 9
 """Engine priorities, 0 to 9 with 0 first: a route's rank in steps that leave room between."""
 
@@ -94,12 +100,24 @@
         """Count an answer for its upstream; log when its breaker closes."""
         before = upstream.breaker.state
         upstream.breaker.succeeded()
+        upstream.evidence.observe(anyio.current_time(), is_failure=False)
         self._log_breaker(upstream, before)
 
-    def count_failure(self, upstream: Upstream) -> None:
+    def count_refusal(self, upstream: Upstream) -> None:
+        """Count a refusal: evidence against an upstream that is not full."""
+        before = upstream.breaker.state
+        upstream.breaker.succeeded()
+        is_full = upstream.requests() >= upstream.slots
+        upstream.evidence.observe(anyio.current_time(), is_failure=not is_full)
+        self._log_breaker(upstream, before)
+
+    def count_failure(self, upstream: Upstream, error: SkylarkferryError | None = None) -> None:
         """Count a failure against its upstream; log when its breaker opens."""
         before = upstream.breaker.state
-        upstream.breaker.failed(anyio.current_time())
+        now = anyio.current_time()
+        upstream.breaker.failed(now)
+        weight = _UNREACHABLE_WEIGHT if isinstance(error, UpstreamLostError) else 1.0
+        upstream.evidence.observe(now, True, weight)
         self._log_breaker(upstream, before)
 
     def _log_breaker(self, upstream: Upstream, before: BreakerState) -> None:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -54,13 +54,13 @@
         cache = TurnCache(int(settings.memory_bytes * defaults.TURN_CACHE_SHARE))
         self.owners = OwnerTable(store, settings.incarnation, settings.peer_listen, log)
         self.book = AccountBook(store, self.owners, log)
-        self.budgets = ProgramBudgets(self.owners, self.book, peers, log)
+        self.budgets = ProgramBudgets(self.owners, self.book, store, log)
         parts = TurnParts(self.budgets, TurnStore(store, cache, log), log)
         self.crashes = CrashWatch(store, log)
         self.config = ConfigWatcher(directory, log, metrics, lambda table: None)
         self.members = UpstreamWatcher(directory, self.upstreams, log, metrics)
         self.context = context = RelayContext(platform.codec, placer, self.crashes, log, metrics)
-        self.gateway = Gateway(context, self.config, parts, log, metrics)
+        self.gateway = Gateway(context, self.config, parts, store)
         self.is_listening = False
         self.is_stopping = False
         self.was_ready = False
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/store_paths.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/store_paths.py
@@ -103,6 +103,20 @@
         """Return for how many seconds neither way has led to the store; 0 when one does."""
         return 0.0 if self.is_relayed else self.own.lost_s()
 
+    def is_isolated(self) -> bool:
+        """Tell whether neither the store nor the peers asked last answer this process."""
+        is_lost = self.lost_s() > defaults.STORE_LOST_S
+        return is_lost and self.peers.silent_at > self.peers.answered_at
+
+    def retry_after_s(self) -> float:
+        """Return when a request refused for want of the store may come again, in seconds.
+
+        Its client comes to another gateway then, which serves it if only this one is cut off.
+        """
+        if self.is_isolated():
+            return defaults.ISOLATED_RETRY_AFTER_S
+        return defaults.OUTAGE_RETRY_AFTER_S
+
     async def probe(self) -> None:
         """Find out whether the store answers this process again."""
         if self.own.lost_s() == 0:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -100,7 +100,7 @@
 
     def _on_failure(self, choice: Choice, error: SkylarkferryError) -> None:
         if not isinstance(error, _RefusedError):
-            self.context.count_failure(choice.upstream)
+            self.context.count_failure(choice.upstream, error)
         self.context.on_failed(self.attempts, choice, error)
         if error.word is not FinalWord.NOT_RUN:
             self.attempts.doubt = error
@@ -142,7 +142,7 @@
         if reply.facts.not_executed or reply.status == HTTPStatus.MISDIRECTED_REQUEST:
             if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
                 choice.upstream.is_misplaced = True
-            self.context.count_success(choice.upstream)
+            self.context.count_refusal(choice.upstream)
             return _RefusedError(f"refused with status {reply.status}")
         if not reply.is_trusted:
             return AnswerInvalidError(f"status {reply.status} that does not count")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Sequence
 
 from skylarkferry_core.breakers import Breaker
+from skylarkferry_core.evidence import Evidence, suspects
 from skylarkferry_core.ids import ServiceName, UpstreamId
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.http_client import HttpConnection, connect
@@ -44,6 +45,7 @@
     def __init__(self, entry: UpstreamEntry) -> None:
         self.entry = entry
         self.breaker = Breaker(max_open_s=defaults.BREAKER_MAX_OPEN_S)
+        self.evidence = Evidence()
         self.idle: list[HttpConnection] = []
         self.in_flight = 0
         self.others = 0.0
@@ -121,6 +123,11 @@
         """Return a service's upstreams, those that leave included."""
         return self.by_service.get(service, [])
 
+    def suspects(self, service: ServiceName, now: float) -> set[UpstreamId]:
+        """Return a service's upstreams that fail far more often than their peers."""
+        evidence = {item.entry.upstream: item.evidence for item in self.of(service)}
+        return suspects(evidence, now)
+
     def update(self, entries: Sequence[UpstreamEntry], now: float) -> list[Upstream]:
         """Take a read of the list and return the upstreams that are gone by it.
 
--- a/tests/gateway/test_plain_relay.py
+++ b/tests/gateway/test_plain_relay.py
@@ -4,6 +4,7 @@
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan, Not
 
 from gateway_rig import config, free_address, headers, leaving_client, send, until
+from skylarkferry_core.evidence import HALF_LIFE_S
 from skylarkferry_standins.replica import Behaviour
 
 pytestmark = pytest.mark.anyio
@@ -225,3 +226,32 @@
     assert_that(refused.status_code, Equals(503))
     after = sum(len(replica.arrivals) for replica in rig.replicas.values())
     assert_that(after, Equals(arrived))
+
+
+async def test_upstream_that_fails_more_than_its_peers_gets_little_work(rig):
+    failing = await rig.add_replica("r1")
+    await rig.add_replica("r2")
+    await rig.add_replica("r3")
+    failing.behaviour = lambda request: Behaviour.FAIL
+    await rig.add_gateway()
+    statuses = [
+        (await send(rig, "/order/1", headers(f"id-{number}"))).status_code for number in range(30)
+    ]
+    assert_that(statuses.count(500), LessThan(3))
+    assert_that(statuses.count(200), GreaterThan(27))
+
+
+async def test_upstream_that_recovered_gets_work_again(rig):
+    recovering = await rig.add_replica("r1")
+    await rig.add_replica("r2")
+    await rig.add_replica("r3")
+    recovering.behaviour = lambda request: Behaviour.FAIL
+    gateway = await rig.add_gateway()
+    for number in range(9):
+        await send(rig, "/order/1", headers(f"id-{number}"))
+    recovering.behaviour = lambda request: Behaviour.SERVE
+    before = len(recovering.runs)
+    gateway.upstreams.upstreams["r1"].evidence.decay(anyio.current_time() + 3 * HALF_LIFE_S)
+    for number in range(9):
+        await send(rig, "/order/1", headers(f"late-{number}"))
+    assert_that(len(recovering.runs), GreaterThan(before))
--- a/tests/gateway/test_store_paths.py
+++ b/tests/gateway/test_store_paths.py
@@ -11,6 +11,14 @@
 pytestmark = pytest.mark.anyio
 
 
+class SilentServer:
+    """Accept connections and never answer."""
+
+    async def serve(self, stream):
+        async with stream:
+            await anyio.sleep_forever()
+
+
 class Pair:
     """Two gateways; the store may turn the second one away."""
 
@@ -106,3 +114,18 @@
     waited_s = anyio.current_time() - began
     assert_that(waited_s, LessThan(defaults.MEMBERS_POLL_S + defaults.STORE_CALL_S))
     assert_that((await send(pair.rig, "/none/", headers("x"))).status_code, Equals(404))
+
+
+async def test_gateway_that_is_cut_off_refuses_at_once_and_sends_its_clients_elsewhere(pair):
+    near_address = pair.near.settings.peer_listen
+    pair.near.scope.cancel()
+    await pair.near.ended.wait()
+    await pair.rig.listen(near_address, SilentServer())
+    await pair.turn_away(StoreFault.SILENT)
+    await until(pair.far.store.is_isolated)
+    fields = turn_headers("t-2", "t-1-program")
+    began = anyio.current_time()
+    answer = await send(pair.rig, "/turn/1", fields, b"p", gateway=pair.far)
+    assert_that(anyio.current_time() - began, LessThan(defaults.PEER_CALL_S))
+    assert_that(answer.status_code, Equals(503))
+    assert_that(float(answer.headers["Retry-After"]), Equals(defaults.ISOLATED_RETRY_AFTER_S))
