Run retained turns while the store is away, and end them once they are kept

Ruled out: ending the stream before the store has the turn (lost with the host); holding the start (held, untried). Now a turn whose chain is in memory runs, its events pass on, and its end waits for the store while the client does. A gateway that is cut off alone still refuses at once. Test: gateway/test_turns.py::test_turn_runs_while_the_store_is_away_and_ends_once_it_is_kept (before: 503).

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/turns.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/turns.py
@@ -17,9 +17,9 @@
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.budgets import ProgramBudgets
-from skylarkferry_gateway.interfaces import Store
 from skylarkferry_gateway.messages import ClientRequest, Reservation
 from skylarkferry_gateway.store_calls import key_of, part_of, retried, write_once
+from skylarkferry_gateway.store_paths import StorePaths
 from skylarkferry_gateway.stream_events import StreamEvent
 
 TABLE = "turns"
@@ -40,7 +40,7 @@
 class TurnStore:
     """Turns that ended whole: in memory, and in the store before they count."""
 
-    def __init__(self, store: Store, cache: TurnCache, log: EventLog) -> None:
+    def __init__(self, store: StorePaths, cache: TurnCache, log: EventLog) -> None:
         self.store = store
         self.cache = cache
         self.log = log
@@ -105,6 +105,8 @@
         known = self.cache.get(turn_id)
         if known is not None:
             return known
+        if self.store.lost_s() > defaults.STORE_LOST_S:
+            raise PlatformUnavailableError("the store does not answer; the turn is not known here")
         part = part_of(turn_id)
         row = await retried(lambda: self.store.read(key_of(TABLE, part, _HEAD)), by)
         if row.version == 0:
@@ -153,8 +155,8 @@
         """
         facts = self.request.facts
         if self.route.retains_context:
-            if self.parts.turns.store.lost_s() > defaults.STORE_LOST_S:
-                raise PlatformUnavailableError("the store does not answer; no turn can be kept")
+            if self.parts.turns.store.is_isolated():
+                raise PlatformUnavailableError("this process is cut off; no turn can be kept")
             if facts.last_event_id is not None:
                 raise PlatformUnavailableError("the start of a retained turn is not known here")
             await self._find_chain()
--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/test_turns.py
@@ -135,3 +135,23 @@
         cache.put(TurnId(name), Turn(TurnId(""), (), b"x" * 10))
         cache.get(TurnId("a"))
     assert_that(list(cache.turns), Equals(["c", "a"]))
+
+
+async def test_turn_runs_while_the_store_is_away_and_ends_once_it_is_kept(rig):
+    replica = await rig.add_replica("e1", "engine")
+    gateway = await rig.add_gateway()
+    assert_that((await kept(rig, "t-1", b"one ")).status_code, Equals(200))
+    rig.store.fault = lambda request: StoreFault.REFUSED
+    await until(lambda: gateway.store.lost_s() > defaults.STORE_LOST_S)
+    answers = []
+
+    async def turn():
+        answers.append(await kept(rig, "t-2", b"two ", "t-1", deadline_ms=10_000))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(turn)
+        await until(lambda: len(replica.runs) == 2)
+        assert_that(answers, Equals([]))
+        rig.store.fault = lambda request: StoreFault.NONE
+    assert_that([answer.status_code for answer in answers], Equals([200]))
+    assert_that(rig.store.value("turns", "t-2", "0000") is not None, Equals(True))
