Add a randomized soak of the gateway's processes under faults from outside

Cause: the users ask for a soak of the real programs: processes that are stopped, paused, killed and restarted by signals, links that are delayed, silenced, cut one way and reset by a loopback proxy, a store and upstreams that misbehave, in overlapping series drawn from a seed. Callers keep connections until the process is gone. Eight checks run on what callers and upstreams saw; tests/soak/test_checks.py shows each broken promise to its check. Clocks are not touched: the gateway uses the time of day in log lines and incarnations only.

--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,17 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN = $(VENV)/bin
-PACKAGES = core wire daemon gateway client standins bench
+PACKAGES = core wire daemon gateway client standins bench soak
 SOURCES = $(foreach package,$(PACKAGES),packages/skylarkferry-$(package)/src) platform
 KNOWN_RED = $(shell sed -n 's/^\(tests[^ |]*\).*/\1/p' KNOWN-RED.txt)
 GENERATED = $(shell grep -l '@given' -r tests --include='test_*.py')
 export PYTHONPATH := $(shell echo $(addprefix $(CURDIR)/,$(SOURCES)) | tr ' ' ':')
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test check bench slopes soak lock format
+.PHONY: demo test check bench slopes soak soak-processes lock format
+
+SEEDS ?= 50
+FIRST ?= 0
 
 demo: $(VENV)/installed
 	PYTHON=$(BIN)/python scripts/demo.sh
@@ -35,6 +38,9 @@
 soak: $(VENV)/installed
 	HYPOTHESIS_PROFILE=soak $(BIN)/python -m pytest $(GENERATED)
 
+soak-processes: $(VENV)/installed
+	$(BIN)/python -m skylarkferry_soak --first=$(FIRST) --seeds=$(SEEDS)
+
 $(VENV)/installed: requirements.lock
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --no-deps --requirement requirements.lock
--- /dev/null
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/plans.py
@@ -0,0 +1,70 @@
+"""Seeded series of faults, which come close together and overlap."""
+
+import random
+from enum import Enum
+
+import msgspec
+
+
+class FaultKind(Enum):
+    """What is done to the running system."""
+
+    KILL = "kill"
+    PAUSE = "pause"
+    STOP = "stop"
+    KILL_ALL = "kill_all"
+    RELOAD = "reload"
+    STORE_REFUSES = "store_refuses"
+    STORE_REFUSES_ONE = "store_refuses_one"
+    STORE_SILENT = "store_silent"
+    STORE_LOSES_ANSWERS = "store_loses_answers"
+    STORE_LATE = "store_late"
+    STORE_SLOW = "store_slow"
+    STORE_FORGETS = "store_forgets"
+    UPSTREAM_MISBEHAVES = "upstream_misbehaves"
+    UPSTREAM_DOWN = "upstream_down"
+    UPSTREAM_LEAVES = "upstream_leaves"
+    UPSTREAM_REPLACED = "upstream_replaced"
+    LINK_DELAYED = "link_delayed"
+    LINK_SILENT = "link_silent"
+    LINK_DEAF = "link_deaf"
+    LINK_RESET = "link_reset"
+    CONFIG = "config"
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One fault, ``at`` seconds after the start, for ``for_s``; ``pick`` in 0 to 1 says where."""
+
+    at: float
+    kind: FaultKind
+    for_s: float
+    pick: float
+
+
+_WEIGHTS = {
+    FaultKind.KILL: 3,
+    FaultKind.PAUSE: 3,
+    FaultKind.STOP: 4,
+    FaultKind.KILL_ALL: 1,
+    FaultKind.RELOAD: 1,
+    FaultKind.CONFIG: 4,
+    FaultKind.UPSTREAM_MISBEHAVES: 4,
+}
+
+
+def plan(seed: int, length_s: float, faults_a_second: float = 0.8) -> list[Fault]:
+    """Return the faults of a run, in order; the same seed gives the same ones."""
+    draw = random.Random(seed)
+    kinds = draw.sample(list(FaultKind), draw.randint(4, len(FaultKind)))
+    weights = [_WEIGHTS.get(kind, 2) for kind in kinds]
+    count = max(int(length_s * faults_a_second), 3)
+    faults = [
+        Fault(
+            at=draw.uniform(0.5, length_s),
+            kind=draw.choices(kinds, weights)[0],
+            for_s=draw.uniform(0.3, 4.0),
+            pick=draw.random(),
+        )
+        for _ in range(count)
+    ]
+    return sorted(faults, key=lambda fault: fault.at)
--- /dev/null
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/proxy.py
@@ -0,0 +1,115 @@
+"""Loopback proxy of one link, which delays, resets, cuts or silences its connections."""
+
+import random
+import socket
+import struct
+from enum import Enum
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+
+_RECEIVE_BYTES = 65_536
+_HELD_POLL_S = 0.05
+
+
+class LinkState(Enum):
+    """What the link does with bytes."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"
+    """Bytes of both ways are held back; new connections are taken and carry nothing."""
+    DEAF = "deaf"
+    """Bytes from the server are held back, those to it pass."""
+    REFUSE = "refuse"
+    """New connections are reset."""
+
+
+class Link:
+    """One proxied address; ``delay_s`` is the delay of each piece in the state ``DELAY``."""
+
+    def __init__(self, name: str, address: str, target: str) -> None:
+        self.name = name
+        self.address = address
+        self.target = target
+        self.state = LinkState.PASS
+        self.delay_s = 0.05
+        self.pairs: set[tuple[SocketStream, SocketStream]] = set()
+
+    async def run(self, tasks: TaskGroup) -> None:
+        """Listen and return once connections are taken."""
+        host, _, port = self.address.rpartition(":")
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
+        tasks.start_soon(listener.serve, self._serve)
+
+    async def _serve(self, client: SocketStream) -> None:
+        host, _, port = self.target.rpartition(":")
+        if self.state is LinkState.REFUSE:
+            await _reset(client)
+            return
+        try:
+            server = await anyio.connect_tcp(host, int(port))
+        except OSError:
+            await _reset(client)
+            return
+        pair = (client, server)
+        self.pairs.add(pair)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._copy, client, server, False, tasks)
+                tasks.start_soon(self._copy, server, client, True, tasks)
+        finally:
+            self.pairs.discard(pair)
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(client)
+                await anyio.aclose_forcefully(server)
+
+    async def _copy(
+        self, source: SocketStream, sink: SocketStream, is_answer: bool, tasks: TaskGroup
+    ) -> None:
+        try:
+            while True:
+                data = await source.receive(_RECEIVE_BYTES)
+                await self._hold(is_answer)
+                await sink.send(data)
+        except anyio.EndOfStream:
+            await self._hold(is_answer)
+            if is_answer:
+                await sink.aclose()
+                tasks.cancel_scope.cancel()
+            else:
+                await _send_eof(sink)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            await _reset(sink)
+            tasks.cancel_scope.cancel()
+
+    async def _hold(self, is_answer: bool) -> None:
+        if self.state is LinkState.DELAY:
+            await anyio.sleep(self.delay_s)
+        while self._holds(is_answer):  # noqa: ASYNC110
+            await anyio.sleep(_HELD_POLL_S)
+
+    def _holds(self, is_answer: bool) -> bool:
+        return self.state is LinkState.SILENT or (self.state is LinkState.DEAF and is_answer)
+
+    async def reset_some(self, share: float, seed: random.Random) -> None:
+        """Reset a share of the open connections."""
+        for client, server in list(self.pairs):
+            if seed.random() < share:
+                await _reset(client)
+                await _reset(server)
+
+
+async def _send_eof(stream: SocketStream) -> None:
+    try:
+        await stream.send_eof()
+    except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+        return  # the other side is gone, which its own copy sees
+
+
+async def _reset(stream: SocketStream) -> None:
+    """Close a connection so that its peer sees a reset."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    if raw.fileno() >= 0:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    await anyio.aclose_forcefully(stream)
--- /dev/null
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/soak.py
@@ -0,0 +1,86 @@
+"""One run: a world, callers and a plan of faults, then recovery and the checks."""
+
+import random
+import tempfile
+from pathlib import Path as FilePath
+
+import anyio
+import msgspec
+
+from skylarkferry_soak.callers import Balancer, Caller, Entrance
+from skylarkferry_soak.checks import Finding, findings
+from skylarkferry_soak.injection import Injector
+from skylarkferry_soak.observations import Observations, Path
+from skylarkferry_soak.plans import Fault, plan
+from skylarkferry_soak.world import World, running
+
+RECOVER_S = 12.0
+"""Time after the last fault by which every gateway serves again (the platform's bound)."""
+_START_S = 30.0
+_SETTLE_S = 1.0
+_POLL_S = 0.1
+
+
+class Size(msgspec.Struct, frozen=True):
+    """How large and long a run is."""
+
+    length_s: float = 20.0
+    gateways: int = 3
+    callers: int = 12
+
+
+class Report(msgspec.Struct):
+    """What a run gave."""
+
+    seed: int
+    findings: list[Finding]
+    attempts: int
+    served: int
+    runs: int
+    faults: list[Fault]
+    directory: str
+
+
+async def run_seed(seed: int, size: Size, directory: FilePath | None = None) -> Report:
+    """Run one seed and return what was found; logs stay in ``directory``."""
+    place = directory or FilePath(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    seen = Observations()
+    faults = plan(seed, size.length_s)
+    async with running(place, seen, size.gateways) as world:
+        found = await _play(world, seen, faults, size, seed)
+    found += findings(seen)
+    served = sum(item.status == 200 and item.is_whole for item in seen.attempts)
+    return Report(seed, found, len(seen.attempts), served, len(seen.runs), faults, str(place))
+
+
+async def _play(
+    world: World, seen: Observations, faults: list[Fault], size: Size, seed: int
+) -> list[Finding]:
+    draw = random.Random(seed)
+    entrances = [gateway.entrance for gateway in world.gateways]
+    balancer = Balancer(entrances, draw)
+    prober = Caller("probe", balancer, seen, draw)
+    for entrance in entrances:
+        if not await _serves(prober, entrance, _START_S):
+            return [Finding("starts", f"{entrance.name} does not serve after {_START_S:g} s")]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(balancer.run)
+        for number in range(size.callers):
+            caller = Caller(f"c{number}", balancer, seen, random.Random(seed * 1_000 + number))
+            tasks.start_soon(caller.run)
+        await Injector(world, seen, prober, draw).run(faults)
+        lost = [item.name for item in entrances if not await _serves(prober, item, RECOVER_S)]
+        await anyio.sleep(_SETTLE_S)
+        tasks.cancel_scope.cancel()
+    return [Finding("recovers", f"{name} does not serve after {RECOVER_S:g} s") for name in lost]
+
+
+async def _serves(prober: Caller, entrance: Entrance, patience_s: float) -> bool:
+    """Tell whether a gateway serves a plain request before its time is up."""
+    with anyio.move_on_after(patience_s):
+        while True:
+            attempt = await prober.ask(entrance, Path.GET)
+            if attempt.status == 200 and attempt.is_whole:
+                return True
+            await anyio.sleep(_POLL_S)
+    return False
--- a/packages/skylarkferry-standins/src/skylarkferry_standins/rows.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/rows.py
@@ -100,7 +100,7 @@
             case StoreFault.LOST:
                 await self._perform(request)
                 return WireReply(raw=b"", ending=Ending.RESET)
-            case StoreFault.LATE:
+            case StoreFault.LATE if request.body:
                 self.late.append(msgspec.json.decode(request.body))
                 return WireReply(raw=b"", ending=Ending.RESET)
         return await self._perform(request)
