Take an upstream that is not full for hanging after four objectives

Test: gateway/test_plain_relay.py::test_hanging_upstream_costs_a_few_objectives_and_not_half_the_deadline.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -15,6 +15,8 @@
 
 _RETRY_SHARE = 0.45
 """Share of the time left that one send may take while another may follow; two then fit."""
+_HANG_OBJECTIVES = 4.0
+"""Objectives after which an upstream that is not full is taken to hang; clients leave then, too."""
 _STREAM_GAP_S = 1.2
 """Silence after which a resumable stream goes on elsewhere; clients leave after 2 s."""
 
@@ -53,11 +55,17 @@
         has_time = self.left_s(now) >= defaults.MIN_SEND_S
         return has_time and self.sent < max(self.route.max_attempts, 1)
 
-    def answer_by(self, now: float, has_others: bool) -> float:
-        """Return the monotonic time by which the head of an answer must come."""
-        if self.route.is_repeatable and has_others and self.sent < self.route.max_attempts:
-            return now + max(self.left_s(now) * _RETRY_SHARE, defaults.MIN_SEND_S)
-        return self.deadline + defaults.ANSWER_SLACK_S
+    def answer_by(self, now: float, has_others: bool, *, is_full: bool) -> float:
+        """Return the monotonic time by which the head of an answer must come.
+
+        An upstream with free places that is silent for several times the route's objective hangs.
+        """
+        if not (self.route.is_repeatable and has_others and self.sent < self.route.max_attempts):
+            return self.deadline + defaults.ANSWER_SLACK_S
+        wait_s = self.left_s(now) * _RETRY_SHARE
+        if not is_full:
+            wait_s = min(wait_s, _HANG_OBJECTIVES * self.route.target_latency_s)
+        return now + max(wait_s, defaults.MIN_SEND_S)
 
     def event_by(self, now: float) -> float:
         """Return the monotonic time by which a stream must go on."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/plain_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/plain_relay.py
@@ -74,7 +74,7 @@
             now = anyio.current_time()
             attempts.sent += 1
             order = context.order(attempts, choice, now)
-            by = attempts.answer_by(now, context.has_others(attempts))
+            by = context.answer_by(attempts, choice, now)
             with anyio.move_on_at(by):
                 reply = await exchange.send(attempts.request, attempts.request.body, order)
                 body = await exchange.body()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relaying.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relaying.py
@@ -70,9 +70,11 @@
             left_ms=round(attempts.left_s(now) * 1_000),
         )
 
-    def has_others(self, attempts: Attempts) -> bool:
-        """Tell whether the service has an upstream that was not tried."""
-        return self.placer.has_untried(attempts)
+    def answer_by(self, attempts: Attempts, choice: Choice, now: float) -> float:
+        """Return the monotonic time by which the head of an answer must come."""
+        has_others = self.placer.has_untried(attempts)
+        is_full = choice.requests >= choice.upstream.slots
+        return attempts.answer_by(now, has_others, is_full=is_full)
 
     def order(
         self, attempts: Attempts, choice: Choice, now: float, last_event_id: int | None = None
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -112,7 +112,8 @@
             sent_at = anyio.current_time()
             attempts.sent += 1
             order = context.order(attempts, choice, sent_at, self.last_event_id)
-            reply = await self._head(exchange, order, sent_at)
+            by = context.answer_by(attempts, choice, sent_at)
+            reply = await self._head(exchange, order, by)
             context.on_reply(choice.upstream, reply)
             refused = self._refusal(choice, reply)
             if refused is not None:
@@ -131,8 +132,7 @@
         await self._complete(reply)
         return reply.status
 
-    async def _head(self, exchange: Exchange, order: OrderFacts, sent_at: float) -> Reply:
-        by = self.attempts.answer_by(sent_at, self.context.has_others(self.attempts))
+    async def _head(self, exchange: Exchange, order: OrderFacts, by: float) -> Reply:
         with anyio.move_on_at(by):
             return await exchange.send(self.attempts.request, self.body, order)
         raise AnswerInvalidError("no answer came in time")
--- a/tests/gateway/test_plain_relay.py
+++ b/tests/gateway/test_plain_relay.py
@@ -3,7 +3,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan, Not
 
-from gateway_rig import config, free_address, headers, leaving_client, send, until
+from gateway_rig import ROUTES, config, free_address, headers, leaving_client, send, until
 from skylarkferry_core.evidence import HALF_LIFE_S
 from skylarkferry_standins.replica import Behaviour
 
@@ -255,3 +255,21 @@
     for number in range(9):
         await send(rig, "/order/1", headers(f"late-{number}"))
     assert_that(len(recovering.runs), GreaterThan(before))
+
+
+async def test_hanging_upstream_costs_a_few_objectives_and_not_half_the_deadline(rig):
+    """The route's objective is 0.2 s; 45 in 100 of the deadline would be 4.5 s."""
+    hanging = await rig.add_replica("r1")
+    await rig.add_replica("r2")
+    hanging.behaviour = lambda request: Behaviour.SILENT
+    rig.configure(config(version=2, routes={"/get/": {**ROUTES["/get/"], "timeoutMs": 10_000}}))
+    gateway = await rig.add_gateway()
+    await until(lambda: gateway.config.current.version == 2)
+    began = anyio.current_time()
+    for number in range(4):
+        answer = await send(
+            rig, "/get/1", headers(f"id-{number}", deadline_ms=10_000), method="GET"
+        )
+        assert_that(answer.status_code, Equals(200))
+    assert_that(len(hanging.runs), GreaterThan(0))
+    assert_that(anyio.current_time() - began, LessThan(4.0))
