Let the frozen sidecar's test set its delay before the program starts

Cause: the test delayed the tool only after the quote had been sent, and watched a window of one second; on a busy machine (load 8 to 12) the order had run before: 2 of 8 runs waited in vain for it. The delay is for the order's path now, in force before the start, and the tool's stand-in says which requests it has read. Ruled out: the sidecar's read grace and the order's timeout (20 s against 10 s frozen) as causes of these two.

--- a/packages/skylarkferry-standins/src/skylarkferry_standins/deployment.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/deployment.py
@@ -33,6 +33,11 @@
         """Put exactly these faults in force at the stand-in."""
         httpx.post(f"{self.url}/control/faults", json=faults).raise_for_status()
 
+    def under_way(self) -> list[str]:
+        """Return the paths of requests that a service has read and not yet executed."""
+        paths: list[str] = httpx.get(f"{self.url}/control/ledger").json()["under_way"]
+        return paths
+
     def effects(self) -> list[dict[str, str]]:
         """Return the effects that a service executed."""
         effects: list[dict[str, str]] = httpx.get(f"{self.url}/control/ledger").json()["effects"]
--- a/packages/skylarkferry-standins/src/skylarkferry_standins/service.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/service.py
@@ -31,10 +31,12 @@
 class ServiceFaults(msgspec.Struct, forbid_unknown_fields=True):
     """Faults in force; a new body replaces all of them, an empty one ends all.
 
-    Counts are of the next requests; ``delay_s`` comes before the effect.
+    Counts are of the next requests; ``delay_s`` comes before the effect, of requests for
+    ``delay_path`` only where it is set.
     """
 
     delay_s: float = 0.0
+    delay_path: str = ""
     fail: int = 0
     hang_before_effect: int = 0
     hang_after_effect: int = 0
@@ -56,9 +58,13 @@
 
 
 class Ledger(msgspec.Struct):
-    """Executed effects in order, and the repeats that were answered from the first answer."""
+    """Executed effects in order, and the repeats that were answered from the first answer.
+
+    ``under_way`` are the paths of requests that were read and have no effect yet.
+    """
 
     effects: list[Effect] = []
+    under_way: list[str] = []
     repeats_answered: int = 0
     refused_epochs: int = 0
 
@@ -82,13 +88,22 @@
         body = (await request.body()).decode(errors="replace")
         path = "/" + request.path_params["path"]
         scripted = self.script.answers.get(path, ScriptedAnswer(result=None))
-        await anyio.sleep(scripted.seconds + self.faults.delay_s)
+        await self._work(path, scripted.seconds)
         if failure := await self.fail_before(request, body):
             return failure
         key = request.headers.get("idempotency-key", "")
         content = self.first_answer(key) or self.execute(request, path, key, body, scripted)
         return await self.reply(request, content)
 
+    async def _work(self, path: str, seconds: float) -> None:
+        """Take the time of a request, with the delay in force."""
+        is_delayed = self.faults.delay_path in ("", path)
+        self.ledger.under_way.append(path)
+        try:
+            await anyio.sleep(seconds + (self.faults.delay_s if is_delayed else 0.0))
+        finally:
+            self.ledger.under_way.remove(path)
+
     async def fail_before(self, request: Request, body: str) -> Response | None:
         """Apply the faults that leave no effect."""
         crashes = self.faults.crash_text and self.faults.crash_text in body
--- a/tests/processes/test_sidecars.py
+++ b/tests/processes/test_sidecars.py
@@ -13,6 +13,7 @@
 
 ORDER_PATH = "/order_blank_stock"
 FROZEN_S = 10.0
+ORDER_DELAY_S = 3.0
 SLOWDOWN = 3.0
 
 
@@ -89,11 +90,6 @@
     return program_id
 
 
-def is_running_one_call(upstream):
-    metrics = httpx.get(upstream.sidecar.ready_url).text
-    return "skylarkferry_sidecar_running_calls 1.0" in metrics
-
-
 def test_a_killed_sidecar_leaves_an_order_unknown_and_never_repeats_it(arusha, client, background):
     tools = arusha.upstreams["shop-tools-1"]
     program_id = start_and_wait_for_quote(arusha, client, "killed")
@@ -107,10 +103,11 @@
 
 def test_a_frozen_sidecar_delivers_the_one_outcome_after_it_thaws(arusha, client, background):
     tools = arusha.upstreams["shop-tools-1"]
+    # The delay is in force before the program starts: an order that came first would end unseen.
+    tools.set_faults(delay_s=ORDER_DELAY_S, delay_path=ORDER_PATH)
     program_id = start_and_wait_for_quote(arusha, client, "frozen")
-    tools.set_faults(delay_s=1.0)
     held = background.submit(answer, client, program_id)
-    wait_until(lambda: is_running_one_call(tools), "the order to be under way")
+    wait_until(lambda: tools.under_way() == [ORDER_PATH], "the tool to have read the order")
     tools.sidecar.pause()
     time.sleep(FROZEN_S)
     tools.sidecar.resume()
