Give shared prefixes that do not all fit some engines each, by rendezvous hashing

Cause (grown Gearworks, 33 gateways before 25 engines of 233,717 tokens): sixteen shared prefixes of about 12,600 tokens fill an engine; each gateway learned for itself where they are, so all engines read all of them: 38 of 88 million prompt tokens were shared parts read again, and a third of the turns came through another gateway than the turn before, of which 4 (grown Frio) and 17 (Gearworks) in 100 met their session's engine. Now each prefix has as many engines as half of their memory holds, the same at every gateway without a word. Where all prefixes fit, what a gateway has seen decides as before, and one that it knows nothing of goes where all send it first.

--- a/packages/skylarkferry-core/src/skylarkferry_core/placements.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/placements.py
@@ -129,7 +129,7 @@
         key = request.prefix or request.program_id
         limit = self.bound * (sum(map(calls_at, found)) + 1) / len(found)
         within = [item for item in found if calls_at(item) < limit]
-        return max(within or found, key=lambda item: _rendezvous(key, item.upstream)).upstream
+        return max(within or found, key=lambda item: rendezvous(key, item.upstream)).upstream
 
 
 class CompletionPlacement:
@@ -247,7 +247,8 @@
     return site.latency_weight * latency_s + site.cache_weight * wasted_s + crossing_s
 
 
-def _rendezvous(key: str, upstream: UpstreamId) -> int:
+def rendezvous(key: str, upstream: UpstreamId) -> int:
+    """Return an upstream's rank for a key, the same in every process; the highest wins."""
     return xxhash.xxh64_intdigest(f"{key}\x00{upstream}".encode())
 
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/placing.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/placing.py
@@ -5,7 +5,14 @@
 import msgspec
 
 from skylarkferry_core.document import SiteSpec
-from skylarkferry_core.ids import FailureDomain, Fingerprint, PoolName, ProgramId, ServiceName
+from skylarkferry_core.ids import (
+    FailureDomain,
+    Fingerprint,
+    PoolName,
+    ProgramId,
+    ServiceName,
+    UpstreamId,
+)
 from skylarkferry_core.interfaces import Candidate, PlacementRequest, Speed
 from skylarkferry_core.messages import LoadReport
 from skylarkferry_core.placements import (
@@ -13,6 +20,7 @@
     LeastLoadPlacement,
     PrefixHashPlacement,
 )
+from skylarkferry_core.prefix_homes import PrefixHomes, first_homes
 from skylarkferry_core.routes import EngineSpec, Route
 from skylarkferry_core.shifts import pool_of_new
 from skylarkferry_core.speeds import SpeedEstimates
@@ -49,6 +57,7 @@
         self.completion = CompletionPlacement(seed, sample=8)
         self.least_load = LeastLoadPlacement(seed)
         self.affinity = PrefixHashPlacement(seed)
+        self.homes = PrefixHomes()
         self.site = SiteSpec((domain,), crossing_s=_CROSSING_S)
 
     def service(self, request: ClientRequest, route: Route) -> ServiceName:
@@ -68,8 +77,14 @@
         if not usable:
             return None
         suspects = self.upstreams.suspects(attempts.service, now)
+        cached = self._cached(attempts, usable, now)
         candidates = [
-            self._candidate(item, request, engine, item.entry.upstream not in suspects, now)
+            self._candidate(
+                item,
+                engine,
+                cached[item.entry.upstream],
+                item.entry.upstream not in suspects and item.breaker.allows(now),
+            )
             for item in usable
         ]
         wanted = self._wanted(request)
@@ -80,7 +95,7 @@
         else:
             chosen = self.least_load.place(wanted, candidates, self.site)
         found = next((item for item in usable if item.entry.upstream == chosen), usable[0])
-        cached_tokens = found.prompts.cached(request.facts.prompt_parts)
+        cached_tokens = cached[found.entry.upstream]
         load_age_s = now - found.load_at if found.load_at is not None else None
         return Choice(found, cached_tokens, found.requests(), load_age_s)
 
@@ -95,6 +110,35 @@
             if upstream.takes_work and upstream not in attempts.tried
         ]
 
+    def _cached(
+        self, attempts: Attempts, usable: list[Upstream], now: float
+    ) -> dict[UpstreamId, int]:
+        """Return the prompt tokens expected in each upstream's cache.
+
+        Where prefixes do not all fit, the engines that keep the prompt's have it from any process's
+        requests, and the others will drop it soon.  Where they do, only a prefix that this process
+        has sent nowhere yet is taken to be where all processes send it first.
+        """
+        parts = attempts.request.facts.prompt_parts
+        found = {item.entry.upstream: item.prompts.cached(parts) for item in usable}
+        if attempts.engine is None or len(parts) < 2:
+            return found
+        self.homes.note(parts[0].part_id, parts[0].tokens, now)
+        members = [
+            item.entry.upstream for item in self.upstreams.of(attempts.service) if item.takes_work
+        ]
+        shared = parts[0]
+        if self.homes.fit(attempts.engine.kv_tokens):
+            if any(found.values()):
+                return found
+            first = first_homes(shared.part_id, members)
+            return {item: shared.tokens if item in first else 0 for item in found}
+        homes = self.homes.homes(shared.part_id, members, attempts.engine.kv_tokens)
+        return {
+            upstream: max(tokens, shared.tokens) if upstream in homes else 0
+            for upstream, tokens in found.items()
+        }
+
     def _wanted(self, request: ClientRequest) -> PlacementRequest:
         facts = request.facts
         return PlacementRequest(
@@ -108,10 +152,9 @@
     def _candidate(
         self,
         item: Upstream,
-        request: ClientRequest,
         engine: EngineSpec | None,
+        cached_tokens: int,
         is_sound: bool,
-        now: float,
     ) -> Candidate:
         requests = item.requests()
         slots = engine.slots if engine is not None else item.slots
@@ -122,15 +165,14 @@
             running_output_tokens=running * _MEAN_OUTPUT_TOKENS,
             slots=slots,
         )
-        allowed = is_sound and item.breaker.allows(now)
         return Candidate(
             upstream=item.entry.upstream,
             pool=PoolName(item.entry.service),
             kind=PoolKind.MODEL if engine is not None else PoolKind.SERVICE,
-            state=UpstreamState.LIVE if allowed else UpstreamState.SUSPECT,
+            state=UpstreamState.LIVE if is_sound else UpstreamState.SUSPECT,
             failure_domain=item.entry.failure_domain,
             load=load,
-            cached_tokens=item.prompts.cached(request.facts.prompt_parts),
+            cached_tokens=cached_tokens,
             speed=self.speeds.speed(item.entry.upstream),
         )
 
