--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/placing.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/placing.py
@@ -123,18 +123,17 @@
         found = {item.entry.upstream: item.prompts.cached(parts) for item in usable}
         if attempts.engine is None or len(parts) < 2:
             return found
-        shared = parts[0]
-        self.homes.note(shared.part_id, shared.tokens, prompt_tokens(attempts.request), now)
+        self.homes.note(parts[0].part_id, parts[0].tokens, now)
         members = [
             item.entry.upstream for item in self.upstreams.of(attempts.service) if item.takes_work
         ]
-        kv_tokens, slots = attempts.engine.kv_tokens, attempts.engine.slots
-        if self.homes.fit(kv_tokens, slots):
+        shared = parts[0]
+        if self.homes.fit(attempts.engine.kv_tokens):
             if any(found.values()):
                 return found
             first = first_homes(shared.part_id, members)
             return {item: shared.tokens if item in first else 0 for item in found}
-        homes = self.homes.homes(shared.part_id, members, kv_tokens, slots)
+        homes = self.homes.homes(shared.part_id, members, attempts.engine.kv_tokens)
         return {
             upstream: max(tokens, shared.tokens) if upstream in homes else 0
             for upstream, tokens in found.items()
