Put the tools' faults in force before the program starts, for the order's path

Faults of the tool's stand-in can name a path now, and the tests put them before the start; the same for the killed sidecar and the lost answer. The checks are unchanged.

--- a/packages/skylarkferry-standins/src/skylarkferry_standins/service.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/service.py
@@ -31,12 +31,12 @@
 class ServiceFaults(msgspec.Struct, forbid_unknown_fields=True):
     """Faults in force; a new body replaces all of them, an empty one ends all.
 
-    Counts are of the next requests; ``delay_s`` comes before the effect, of requests for
-    ``delay_path`` only where it is set.
+    Counts are of the next requests; ``delay_s`` comes before the effect.  Where ``path`` is set,
+    only requests for it are hit.
     """
 
+    path: str = ""
     delay_s: float = 0.0
-    delay_path: str = ""
     fail: int = 0
     hang_before_effect: int = 0
     hang_after_effect: int = 0
@@ -89,31 +89,35 @@
         path = "/" + request.path_params["path"]
         scripted = self.script.answers.get(path, ScriptedAnswer(result=None))
         await self._work(path, scripted.seconds)
-        if failure := await self.fail_before(request, body):
+        if failure := await self.fail_before(request, path, body):
             return failure
         key = request.headers.get("idempotency-key", "")
         content = self.first_answer(key) or self.execute(request, path, key, body, scripted)
-        return await self.reply(request, content)
+        return await self.reply(request, path, content)
 
     async def _work(self, path: str, seconds: float) -> None:
         """Take the time of a request, with the delay in force."""
-        is_delayed = self.faults.delay_path in ("", path)
         self.ledger.under_way.append(path)
         try:
-            await anyio.sleep(seconds + (self.faults.delay_s if is_delayed else 0.0))
+            await anyio.sleep(seconds + self._faults(path).delay_s)
         finally:
             self.ledger.under_way.remove(path)
 
-    async def fail_before(self, request: Request, body: str) -> Response | None:
+    def _faults(self, path: str) -> ServiceFaults:
+        """Return the faults that hit requests for a path."""
+        return self.faults if self.faults.path in ("", path) else ServiceFaults()
+
+    async def fail_before(self, request: Request, path: str, body: str) -> Response | None:
         """Apply the faults that leave no effect."""
-        crashes = self.faults.crash_text and self.faults.crash_text in body
-        if crashes or self.faults.crash is CrashPoint.BEFORE_EFFECT:
+        faults = self._faults(path)
+        crashes = faults.crash_text and faults.crash_text in body
+        if crashes or faults.crash is CrashPoint.BEFORE_EFFECT:
             os._exit(CRASH_EXIT_CODE)
-        if self.faults.fail > 0:
-            self.faults.fail -= 1
+        if faults.fail > 0:
+            faults.fail -= 1
             return refuse(HTTPStatus.INTERNAL_SERVER_ERROR, "service failure")
-        if self.faults.hang_before_effect > 0:
-            self.faults.hang_before_effect -= 1
+        if faults.hang_before_effect > 0:
+            faults.hang_before_effect -= 1
             return await hang(request)
         return None
 
@@ -139,15 +143,16 @@
             self.answers[key] = content
         return content
 
-    async def reply(self, request: Request, content: bytes) -> Response:
+    async def reply(self, request: Request, path: str, content: bytes) -> Response:
         """Answer, unless a fault loses the answer after the effect."""
-        if self.faults.crash is CrashPoint.AFTER_EFFECT:
+        faults = self._faults(path)
+        if faults.crash is CrashPoint.AFTER_EFFECT:
             os._exit(CRASH_EXIT_CODE)
-        if self.faults.hang_after_effect > 0:
-            self.faults.hang_after_effect -= 1
+        if faults.hang_after_effect > 0:
+            faults.hang_after_effect -= 1
             return await hang(request)
-        if self.faults.lose_answers > 0:
-            self.faults.lose_answers -= 1
+        if faults.lose_answers > 0:
+            faults.lose_answers -= 1
             return CutResponse()
         return Response(content, media_type="application/json")
 
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -4,12 +4,11 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
-from processes.programs import answer, effects_of, sizing_body, start, wait_for_step
+from processes.programs import answer, effects_of, sizing_body, start
 from processes.test_kills import assert_whole_and_once, other_entry, owner_of
 from skylarkferry_standins.running import wait_until
 
 ORDER = "/order_blank_stock"
-STEP_BEFORE_ORDER = 10
 PROGRAMS = 6
 
 
@@ -23,11 +22,13 @@
 
 
 def run_with_tool_faults(deployment, key, **faults):
-    """Run a program whose order meets a fault; return its view and id."""
+    """Run a program whose order meets a fault; return its view and id.
+
+    The fault is in force before the start: on a busy machine the order may come before a later one.
+    """
+    deployment.upstreams["shop-tools-1"].set_faults(path=ORDER, **faults)
     with deployment.entries["entry-1"].client() as client:
         program_id = start(client, key)
-        wait_for_step(client, program_id, STEP_BEFORE_ORDER - 1)
-        deployment.upstreams["shop-tools-1"].set_faults(**faults)
         view = answer(client, program_id)
     return view, program_id
 
@@ -46,13 +47,12 @@
 def test_a_driver_killed_while_its_order_hangs_repeats_nothing(arusha):
     entry = arusha.entries["entry-1"]
     tools = arusha.upstreams["shop-tools-1"]
+    tools.set_faults(hang_after_effect=1, path=ORDER)
     with entry.client() as client:
         program_id = start(client, "hanging-order")
         owner = owner_of(arusha, entry, program_id)
     survivor = other_entry(arusha, owner)
     with survivor.client() as client:
-        wait_for_step(client, program_id, STEP_BEFORE_ORDER - 1)
-        tools.set_faults(hang_after_effect=1)
         wait_until(lambda: orders_of(arusha, program_id) == 1, "the order to take effect")
         arusha.entries[owner].process.kill()
         view = answer(client, program_id)
--- a/tests/processes/test_sidecars.py
+++ b/tests/processes/test_sidecars.py
@@ -92,8 +92,8 @@
 
 def test_a_killed_sidecar_leaves_an_order_unknown_and_never_repeats_it(arusha, client, background):
     tools = arusha.upstreams["shop-tools-1"]
+    tools.set_faults(hang_after_effect=1, path=ORDER_PATH)
     program_id = start_and_wait_for_quote(arusha, client, "killed")
-    tools.set_faults(hang_after_effect=1)
     held = background.submit(answer, client, program_id)
     wait_until(lambda: bool(orders(arusha)), "the order to take effect")
     tools.sidecar.restart()
@@ -104,7 +104,7 @@
 def test_a_frozen_sidecar_delivers_the_one_outcome_after_it_thaws(arusha, client, background):
     tools = arusha.upstreams["shop-tools-1"]
     # The delay is in force before the program starts: an order that came first would end unseen.
-    tools.set_faults(delay_s=ORDER_DELAY_S, delay_path=ORDER_PATH)
+    tools.set_faults(delay_s=ORDER_DELAY_S, path=ORDER_PATH)
     program_id = start_and_wait_for_quote(arusha, client, "frozen")
     held = background.submit(answer, client, program_id)
     wait_until(lambda: tools.under_way() == [ORDER_PATH], "the tool to have read the order")
