--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -16,7 +16,7 @@
 _RETRY_SHARE = 0.45
 """Share of the time left that one send may take while another may follow; two then fit."""
 _HANG_OBJECTIVES = 4.0
-"""Objectives after which an upstream that is not full is taken to hang; clients leave then, too."""
+"""Objectives of the route after which an upstream with free places is taken to hang."""
 _STREAM_GAP_S = 1.2
 """Silence after which a resumable stream goes on elsewhere; clients leave after 2 s."""
 
