Remove a callback and a method that nothing uses, and name the source of each limit of the soak

Cause: reading the change as a newcomer: the configuration's watcher was given a function that does nothing, and the soak's limits stood without unit and source. Nothing that decides was changed.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -57,7 +57,7 @@
         self.budgets = ProgramBudgets(self.owners, self.book, store, log)
         parts = TurnParts(self.budgets, TurnStore(store, cache, log), log)
         self.crashes = CrashWatch(store, log)
-        self.config = ConfigWatcher(directory, log, metrics, lambda table: None)
+        self.config = ConfigWatcher(directory, log, metrics)
         self.members = UpstreamWatcher(directory, self.upstreams, log, metrics)
         self.context = context = RelayContext(platform.codec, placer, self.crashes, log, metrics)
         self.gateway = Gateway(context, self.config, parts, store)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
@@ -1,7 +1,5 @@
 """Watchers of the platform: upstreams and configuration, kept as fresh as the bounds need."""
 
-from collections.abc import Callable
-
 import anyio
 
 from skylarkferry_core.errors import PlatformUnavailableError
@@ -79,12 +77,10 @@
         directory: Directory,
         log: EventLog,
         metrics: GatewayMetrics,
-        on_change: Callable[[RoutingTable], None],
     ) -> None:
         self.directory = directory
         self.log = log
         self.metrics = metrics
-        self.on_change = on_change
         self.current: RoutingTable | None = None
 
     async def run(self) -> None:
@@ -114,4 +110,3 @@
             routes=len(table.routes),
             services=len(table.services),
         )
-        self.on_change(table)
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/callers.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/callers.py
@@ -13,9 +13,13 @@
 
 HOST = "shop.example"
 _DEADLINE_S = 3.0
+"""Deadline of a request: that of most on the users' sheets."""
 _CONNECT_S = 1.0
+"""Time that clients allow a new connection (protocol)."""
 _IDLE_S = 10.0
+"""Idle limit of a kept connection: under four fifths of the gateway's 15 s."""
 _READY_S = 0.5
+"""Interval of readiness questions: twice the platform's rate."""
 _REQUEST_ID = b"skylarkferry-request-id"
 _SIGNATURE = b"skylarkferry-response-signature"
 
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/injection.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/injection.py
@@ -15,7 +15,9 @@
 from skylarkferry_standins.rows import StoreFault
 
 _SLOW_S = 0.25
+"""Delay of a slow store's answers: 60 times the usual 4 ms."""
 _SHARE = 0.3
+"""Share of calls or requests that a fault hits; about that of the users' bench."""
 _APPLY_S = 2.0
 """Time in which a change of the configuration is in force (the platform's bound)."""
 _BAD = (
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/soak.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/soak.py
@@ -17,7 +17,9 @@
 RECOVER_S = 12.0
 """Time after the last fault by which every gateway serves again (the platform's bound)."""
 _START_S = 30.0
+"""Time for all processes to start on a busy machine; only a broken start takes longer."""
 _SETTLE_S = 1.0
+"""Time after the recovery in which requests that were refused would still run."""
 _POLL_S = 0.1
 
 
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/world.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/world.py
@@ -24,10 +24,13 @@
 from skylarkferry_standins.wire_server import WireReply, WireRequest, WireServer
 
 GRACE_S = 5
+"""Grace period of the processes: shorter than the platform's 8 s, so that more stops fit."""
 _ENGINES = 4
 _TOOLS = 3
 _WORK_S = 0.02
+"""Time of one request at an upstream: the work of a turn on the users' sheets."""
 _END_S = 10.0
+"""Longest wait for a killed process to be gone."""
 _BOOT_VARIABLE = "SKYLARKFERRY_BOOT"
 _KINDS: dict[str, dict[str, object]] = {
     "/order/": {"kind": "non_idempotent", "service": "tools"},
@@ -54,7 +57,6 @@
         self.replica.work_s = _WORK_S
         self.target = free_address()
         self.link = Link(f"upstream {name}", free_address(), self.target)
-        self.listener: Listener[SocketStream] | None = None
         self.state = "ready"
 
     async def handle(self, request: WireRequest) -> WireReply:
@@ -72,14 +74,8 @@
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port), reuse_port=True
         )
-        self.listener = listener
         tasks.start_soon(_accept, listener, WireServer(self.handle), tasks)
 
-    async def close(self) -> None:
-        """Take no more connections."""
-        if self.listener is not None:
-            await self.listener.aclose()
-
 
 async def _accept(listener: Listener[SocketStream], server: WireServer, tasks: TaskGroup) -> None:
     try:
