Log each lost attempt's crash check and the sharing of crash reports

Cause: the logs could not tell the incident's hypotheses apart. A lost attempt logged its error, but not whether anyone looked for a crash of its upstream, what was found, under which fingerprint, or whether the report reached the store. Four metrics go with them. No logic is changed. Ran: make check; tests of gateway, adapter, events and pages: 152 passed.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
@@ -66,6 +66,7 @@
             return None
         except BaseException:
             upstream.breaker.interrupted()
+            self.context.report_abandoned_attempt(attempts, decision)
             raise
         return self._evaluate(attempts, decision, reply, body)
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
@@ -1,6 +1,7 @@
 """Quarantine of requests that crash upstreams, shared by all gateways through the store."""
 
 from collections.abc import Sequence
+from enum import Enum
 
 import anyio
 import msgspec
@@ -22,6 +23,7 @@
 from skylarkferry_gateway.http_client import connect
 from skylarkferry_gateway.interfaces import Store
 from skylarkferry_gateway.messages import ClientRequest
+from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.store_calls import row_key
 from skylarkferry_gateway.upstreams import Upstream
 
@@ -32,6 +34,14 @@
 """Connect timeout of the check for a crash after an upstream dropped a connection."""
 
 
+class CrashCheck(Enum):
+    """What is known of an upstream process after an attempt on it was lost."""
+
+    ENDED = "ended"
+    RUNNING = "running"
+    NOT_CHECKED = "not_checked"
+
+
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
     """One crash: the request that was running, and the upstream process that ended."""
 
@@ -54,9 +64,10 @@
 class CrashWatch:
     """Record which requests ran when an upstream crashed, and share them through the store."""
 
-    def __init__(self, store: Store, log: EventLog) -> None:
+    def __init__(self, store: Store, log: EventLog, metrics: GatewayMetrics) -> None:
         self.store = store
         self.log = log
+        self.metrics = metrics
         self.registry = CrashRegistry(_QUARANTINE_CRASHES)
         self.followed_version: int | None = None
 
@@ -66,6 +77,14 @@
             return
         fingerprint = fingerprint_of(request)
         if fingerprint is not None and self.registry.is_quarantined(fingerprint):
+            self.metrics.quarantine_refusals.inc()
+            self.log.emit(
+                EventKind.GATEWAY_QUARANTINE_APPLIED,
+                request.metadata.program_id,
+                request=request.metadata.request_id,
+                fingerprint=fingerprint,
+                crashes=len(self.registry.crashes.get(fingerprint, ())),
+            )
             raise OverloadedError(
                 "the request crashed upstreams before",
                 retry_after_s=defaults.QUARANTINE_RETRY_AFTER_S,
@@ -74,8 +93,13 @@
     async def on_connection_lost(self, request: ClientRequest, upstream: Upstream) -> None:
         """Record the request if the upstream that dropped its connection has crashed."""
         fingerprint = fingerprint_of(request)
-        if fingerprint is None or not await self._is_down(upstream):
+        if fingerprint is None:
+            self.log_check(request, upstream, CrashCheck.NOT_CHECKED, "request without identity")
             return
+        if not await self._is_down(upstream):
+            self.log_check(request, upstream, CrashCheck.RUNNING, "accepts connections")
+            return
+        self.log_check(request, upstream, CrashCheck.ENDED, "accepts no connection")
         crash = CrashId(f"{upstream.entry.upstream}.{upstream.entry.born_ms}")
         self._record(CrashReport(fingerprint, crash), request.metadata.request_id)
         key = row_key(_TABLE, "", f"{fingerprint}.{crash}")
@@ -83,7 +107,29 @@
         try:
             await self.store.transact([], [Write(key, value)])
         except (PlatformUnavailableError, WriteConflictError) as error:
-            self.log.emit(EventKind.GATEWAY_STORE_RETRY, call="crashes", detail=error.detail)
+            self.metrics.crash_reports.labels(outcome="failed").inc()
+            self.log.emit(
+                EventKind.GATEWAY_STORE_RETRY, call="crashes", crash=crash, detail=error.detail
+            )
+            return
+        self.metrics.crash_reports.labels(outcome="stored").inc()
+        self.log.emit(EventKind.GATEWAY_CRASH_SHARED, fingerprint=fingerprint, crash=crash)
+
+    def log_check(
+        self, request: ClientRequest, upstream: Upstream, check: CrashCheck, detail: str
+    ) -> None:
+        """Log what is known of the process that an attempt was lost on."""
+        self.metrics.crash_checks.labels(outcome=check.value).inc()
+        self.log.emit(
+            EventKind.GATEWAY_CRASH_CHECKED,
+            request.metadata.program_id,
+            request=request.metadata.request_id,
+            fingerprint=fingerprint_of(request) or "none",
+            upstream=upstream.entry.upstream,
+            born_ms=upstream.entry.born_ms,
+            check=check.value,
+            detail=detail,
+        )
 
     async def _is_down(self, upstream: Upstream) -> bool:
         try:
@@ -97,6 +143,7 @@
         was_quarantined = self.registry.is_quarantined(report.fingerprint)
         self.registry.on_crash(report.fingerprint, report.crash)
         is_quarantined_now = self.registry.is_quarantined(report.fingerprint)
+        self.metrics.quarantined.set(len(self.registry.quarantined()))
         kind = EventKind.GATEWAY_CRASH_SUSPECTED
         if is_quarantined_now and not was_quarantined:
             kind = EventKind.GATEWAY_QUARANTINED
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -64,6 +64,28 @@
             "Version of the routing table in force.",
             registry=self.registry,
         )
+        self.crash_checks = Counter(
+            "skylarkferry_gateway_crash_checks",
+            "Lost attempts by what is known of the upstream process.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.crash_reports = Counter(
+            "skylarkferry_gateway_crash_reports",
+            "Writes of crash reports to the store by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.quarantined = Gauge(
+            "skylarkferry_gateway_quarantined_requests",
+            "Distinct requests in quarantine.",
+            registry=self.registry,
+        )
+        self.quarantine_refusals = Counter(
+            "skylarkferry_gateway_quarantine_refusals",
+            "Requests rejected because of their quarantine.",
+            registry=self.registry,
+        )
         self.dropped_lines = Counter(
             "skylarkferry_gateway_dropped_log_lines",
             "Log lines dropped to stay within the bound.",
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -15,7 +15,7 @@
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.attempts import Attempts
-from skylarkferry_gateway.crash_watch import CrashWatch
+from skylarkferry_gateway.crash_watch import CrashCheck, CrashWatch
 from skylarkferry_gateway.exchanges import Reply
 from skylarkferry_gateway.interfaces import HeaderCodec
 from skylarkferry_gateway.messages import UpstreamRequestMetadata
@@ -160,6 +160,16 @@
         )
         if isinstance(error, ConnectionLostError) and self.tasks is not None:
             self.tasks.start_soon(self.crashes.on_connection_lost, attempts.request, upstream)
+        elif not isinstance(error, UpstreamLostError):
+            self.crashes.log_check(
+                attempts.request, upstream, CrashCheck.NOT_CHECKED, error.code.value
+            )
+
+    def report_abandoned_attempt(self, attempts: Attempts, decision: PlacementDecision) -> None:
+        """Log an attempt that was cancelled, usually because the client left."""
+        self.crashes.log_check(
+            attempts.request, decision.upstream, CrashCheck.NOT_CHECKED, "cancelled"
+        )
 
 
 def idle_limit_s(attempts: Attempts) -> float:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -56,7 +56,7 @@
         self.accounts = AccountManager(store, self.owners, log)
         self.budgets = ProgramBudgets(self.owners, self.accounts, store, log)
         turn_services = TurnServices(self.budgets, TurnStore(store, cache, log), log)
-        self.crashes = CrashWatch(store, log)
+        self.crashes = CrashWatch(store, log, metrics)
         self.config = ConfigWatcher(directory, log, metrics)
         self.upstream_watcher = UpstreamWatcher(directory, self.upstreams, log, metrics)
         self.context = context = RelayContext(platform.codec, placer, self.crashes, log, metrics)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -98,6 +98,7 @@
             return None
         except BaseException:
             upstream.breaker.interrupted()
+            self.context.report_abandoned_attempt(self.attempts, decision)
             raise
         return status
 
