Add tests of requests that crash upstreams, in each way a process can end

Stand-in replicas end under a request by a reset, an orderly close before or inside the response, or in silence; afterwards the address refuses connections, stays silent, or is served at once by a new process. Also: a stale entry, a store outage at the report, a retry that was under way, and repeats without a body or by another program.

--- a/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
@@ -21,6 +21,10 @@
     """Run the request, then respond 503 without the header that says it was not executed."""
     RESET_UNRUN = "reset_unrun"
     LOSE_ANSWER = "lose_answer"
+    CLOSE = "close"
+    """Close the connection in order, without a response."""
+    CLOSE_IN_RESPONSE = "close_in_response"
+    """Close the connection in order after a part of the response."""
     SILENT = "silent"
     TRUNCATE = "truncate"
     UNSIGNED = "unsigned"
@@ -80,6 +84,10 @@
         match behaviour:
             case Behaviour.LOSE_ANSWER:
                 return WireReply(raw=b"", ending=Ending.RESET, delay_s=self.work_s)
+            case Behaviour.CLOSE:
+                return WireReply(raw=b"", delay_s=self.work_s, closes=True)
+            case Behaviour.CLOSE_IN_RESPONSE:
+                return WireReply(raw=encode_reply(whole_reply)[:-3], closes=True)
             case Behaviour.SILENT:
                 return WireReply(raw=b"", ending=Ending.SILENT)
             case Behaviour.TRUNCATE | Behaviour.CUT_IN_EVENT:
--- /dev/null
+++ b/tests/gateway/test_crash_watch.py
@@ -0,0 +1,166 @@
+from contextlib import suppress
+
+import anyio
+import httpx
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from gateway_rig import (
+    HOST,
+    POISON,
+    AfterCrash,
+    disconnecting_client,
+    headers,
+    send,
+    turn_headers,
+    wait_until,
+)
+from skylarkferry_core.ids import CrashId
+from skylarkferry_gateway.crash_watch import fingerprint_of
+from skylarkferry_gateway.messages import ClientRequest, RequestMetadata
+from skylarkferry_standins.replica import Behaviour
+from skylarkferry_standins.row_store import StoreFault
+
+pytestmark = pytest.mark.anyio
+
+SERVICES = {"/once/1": "tools", "/turn/1": "engine"}
+CRASHES = 3
+
+
+async def add_crashing_replicas(rig, path, ending, after=AfterCrash.REFUSES):
+    """Add one replica more than a request may crash."""
+    for number in range(CRASHES + 1):
+        await rig.add_crashing_replica(f"r{number}", SERVICES[path], ending, after)
+
+
+async def send_poison(rig, path, request_id, gateway, deadline_ms=2_000):
+    """Send a poisonous request and return the status, or ``None`` for a broken response."""
+    make_headers = turn_headers if SERVICES[path] == "engine" else headers
+    fields = make_headers(request_id, deadline_ms=deadline_ms)
+    with suppress(httpx.RemoteProtocolError, httpx.ReadError):
+        return (await send(rig, path, fields, POISON, gateway=gateway)).status_code
+
+
+def suspected_crashes(gateway):
+    """Return the number of crashes that a gateway has found itself."""
+    names = [event.name for event in gateway.log.ring if event.fields.get("request")]
+    return names.count("gateway_crash_suspected") + names.count("gateway_quarantined")
+
+
+def client_request(target, body=POISON, **metadata):
+    """Return a decoded request of a client."""
+    path = target.decode().partition("?")[0]
+    fields = RequestMetadata(**metadata)
+    return ClientRequest(b"POST", target, HOST, path, [], body, fields, 0.0)
+
+
+async def assert_not_sent_any_more(rig, path, gateway, arrivals=CRASHES):
+    """Assert that a gateway rejects the request, once it knows of the crashes."""
+    await wait_until(gateway.crashes.registry.quarantined)
+    status = await send_poison(rig, path, "id-last", gateway)
+    assert_that((status, rig.arrivals()), Equals((503, arrivals)))
+
+
+@pytest.mark.parametrize("path", list(SERVICES))
+@pytest.mark.parametrize(
+    "ending", [Behaviour.LOSE_ANSWER, Behaviour.CLOSE, Behaviour.CLOSE_IN_RESPONSE]
+)
+async def test_crash_counts_however_the_connection_ends(rig, path, ending):
+    await add_crashing_replicas(rig, path, ending)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    for number in range(CRASHES):
+        await send_poison(rig, path, f"id-{number}", first)
+    await assert_not_sent_any_more(rig, path, second)
+
+
+@pytest.mark.parametrize("path", list(SERVICES))
+async def test_crash_without_a_reset_counts_after_the_response_timed_out(rig, path):
+    await add_crashing_replicas(rig, path, Behaviour.SILENT, AfterCrash.SILENT)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    for number in range(CRASHES):
+        await send_poison(rig, path, f"id-{number}", first, deadline_ms=300)
+    await assert_not_sent_any_more(rig, path, second)
+
+
+async def test_crash_without_a_reset_counts_after_the_client_left(rig):
+    path = "/turn/1"
+    await add_crashing_replicas(rig, path, Behaviour.SILENT, AfterCrash.SILENT)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    for number in range(CRASHES):
+        async with disconnecting_client(rig, path, turn_headers(f"id-{number}"), POISON):
+            await wait_until(lambda number=number: rig.arrivals() == number + 1)
+            await anyio.sleep(0.2)
+        upstreams = list(first.upstreams.upstreams.values())
+        await wait_until(lambda upstreams=upstreams: not any(up.in_flight for up in upstreams))
+    await assert_not_sent_any_more(rig, path, second)
+
+
+@pytest.mark.parametrize("path", list(SERVICES))
+async def test_crash_counts_if_the_upstream_is_back_before_anyone_looks(rig, path):
+    await add_crashing_replicas(rig, path, Behaviour.CLOSE, AfterCrash.RESTARTED)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    for number in range(CRASHES):
+        await send_poison(rig, path, f"id-{number}", first)
+    await assert_not_sent_any_more(rig, path, second)
+
+
+async def test_crashes_of_a_restarted_upstream_count_while_its_entry_is_stale(rig):
+    path = "/once/1"
+    replica = await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    for number in range(CRASHES):
+        await send_poison(rig, path, f"id-{number}", first)
+        await wait_until(lambda number=number: suspected_crashes(first) == number + 1)
+        replica.listener = await rig.listen(rig.addresses["r1"], rig.servers["r1"])
+    await assert_not_sent_any_more(rig, path, second)
+
+
+async def test_crash_report_survives_a_store_outage(rig):
+    path = "/once/1"
+    await add_crashing_replicas(rig, path, Behaviour.LOSE_ANSWER)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    rig.store.fault = lambda request: (
+        StoreFault.REFUSED if request.target.endswith("rows-tx") else StoreFault.NONE
+    )
+    for number in range(CRASHES):
+        await send_poison(rig, path, f"id-{number}", first)
+    await wait_until(first.crashes.registry.quarantined)
+    rig.store.fault = lambda request: StoreFault.NONE
+    await assert_not_sent_any_more(rig, path, second)
+
+
+async def test_retry_is_not_sent_if_the_request_was_quarantined_meanwhile(rig):
+    for name in ("r1", "r2"):
+        replica = await rig.add_replica(name)
+        replica.behaviour = lambda request: Behaviour.LOSE_ANSWER
+        replica.work_s = 0.5
+    gateway = await rig.add_gateway("g1")
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(send, rig, "/get/1", headers("id-slow"), POISON)
+        await wait_until(lambda: rig.arrivals() == 1)
+        fingerprint = fingerprint_of(client_request(b"/get/1"))
+        for number in range(CRASHES):
+            gateway.crashes.registry.on_crash(fingerprint, CrashId(f"crash-{number}"))
+    assert_that(rig.arrivals(), Equals(1))
+
+
+async def test_anonymous_request_without_a_body_is_recognized(rig):
+    for number in range(CRASHES + 1):
+        await rig.add_crashing_replica(f"r{number}", "tools", Behaviour.LOSE_ANSWER)
+    gateway = await rig.add_gateway("g1")
+    for number in range(CRASHES):
+        await send(rig, "/once/poison", headers(f"id-{number}"), method="GET")
+    await wait_until(gateway.crashes.registry.quarantined)
+    response = await send(rig, "/once/poison", headers("id-last"), method="GET")
+    assert_that((response.status_code, rig.arrivals()), Equals((503, CRASHES)))
+
+
+async def test_request_is_recognized_if_its_next_sender_is_another_program(rig):
+    path = "/turn/1"
+    await add_crashing_replicas(rig, path, Behaviour.LOSE_ANSWER)
+    gateway = await rig.add_gateway("g1")
+    for number in range(CRASHES):
+        fields = turn_headers(f"id-{number}", program=f"program-{number}")
+        await send(rig, path, fields, POISON)
+    await assert_not_sent_any_more(rig, path, gateway)
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -6,6 +6,7 @@
 import os
 import socket
 from contextlib import asynccontextmanager
+from enum import Enum
 
 import anyio
 import httpx
@@ -19,7 +20,7 @@
 from skylarkferry_platform.codec import PlatformHeaders
 from skylarkferry_platform.directory import PlatformDirectory
 from skylarkferry_platform.store import PlatformStore
-from skylarkferry_standins.replica import Replica
+from skylarkferry_standins.replica import Behaviour, Replica
 from skylarkferry_standins.row_store import RowStore
 from skylarkferry_standins.wire_server import WireServer
 
@@ -103,6 +104,19 @@
             await anyio.sleep(0.01)
 
 
+POISON = b"poison"
+"""A request with these bytes in its target or body ends each crashing replica that runs it."""
+
+
+class AfterCrash(Enum):
+    """What a replica's address does after the replica's process ended."""
+
+    REFUSES = "refuses"
+    SILENT = "silent"
+    RESTARTED = "restarted"
+    """A new process accepts connections at once, under the same id with a later start time."""
+
+
 class Rig:
     """A store, replicas by name and gateways."""
 
@@ -114,6 +128,8 @@
         self.addresses = {}
         self.servers = {}
         self.gateways = []
+        self.births = itertools.count(2)
+        self.stack = contextlib.ExitStack()
 
     async def start(self):
         await self.listen(self.store_address, WireServer(self.store.handle))
@@ -146,6 +162,44 @@
         row = entry(name, service, self.addresses[name], **fields)
         self.store.put("servers", "", name, json.dumps(row).encode())
 
+    async def add_crashing_replica(self, name, service, ending, after=AfterCrash.REFUSES):
+        """Add a replica that runs a poisonous request, ends its response so, and crashes."""
+        replica = await self.add_replica(name, service)
+
+        def behaviour(request):
+            if POISON not in request.target.encode() + request.body:
+                return Behaviour.SERVE
+            self.tasks.start_soon(self._crash, name, service, after)
+            return ending
+
+        replica.work_s = 0.05  # the address changes before the connection ends
+        replica.behaviour = behaviour
+        return replica
+
+    async def _crash(self, name, service, after):
+        if after is AfterCrash.RESTARTED:
+            self.register_replica(name, service, born=next(self.births))
+            return
+        await self.replicas[name].listener.aclose()
+        if after is AfterCrash.SILENT:
+            self.silence(self.addresses[name])
+
+    def silence(self, address):
+        """Make new connections to an address hang, as if its host had lost power."""
+        host, _, port = address.rpartition(":")
+        listener = self.stack.enter_context(socket.socket())
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.listen(0)
+        for _ in range(3):  # fill the queue of new connections
+            client = self.stack.enter_context(socket.socket())
+            client.setblocking(False)
+            client.connect_ex((host, int(port)))
+
+    def arrivals(self):
+        """Return the number of requests that reached replicas."""
+        return sum(len(replica.received_ids) for replica in self.replicas.values())
+
     async def add_store_listener(self, fault):
         """Return another address of the store, with its own faults."""
         address = free_address()
@@ -202,9 +256,10 @@
     """Run the stand-ins and stop them and all gateways when the context exits."""
     async with anyio.create_task_group() as tasks:
         running = Rig(tasks)
-        await running.start()
-        yield running
-        tasks.cancel_scope.cancel()
+        with running.stack:
+            await running.start()
+            yield running
+            tasks.cancel_scope.cancel()
 
 
 def headers(request_id, deadline_ms=2_000, **more):
