Check every lost attempt for a crash, however its connection ended

Callers saw: a request that had ended three upstream processes was sent on, and ended more of them. Cause: only ConnectionLostError led to a check for a crash, and the HTTP client raises it for a reset alone. An orderly close before or inside a response, as a process without unread data makes at its end, is a protocol error to h11 and became AnswerInvalidError, as did a response that never came. Now each attempt that may have run and has no complete response is checked. Since silence now counts too, a check that gets no reaction asks up to four other upstreams, so that a gateway that is cut off itself takes nobody for crashed. New: two tests that live upstreams and a cut-off gateway lead to no suspicion.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
@@ -63,10 +63,10 @@
             self.context.report_failed_attempt(attempts, decision, error)
             if error.word is not FinalWord.NOT_RUN:
                 attempts.ambiguous_error = error
+                self.context.check_for_crash(attempts, decision)
             return None
         except BaseException:
             upstream.breaker.interrupted()
-            self.context.report_abandoned_attempt(attempts, decision)
             raise
         return self._evaluate(attempts, decision, reply, body)
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
@@ -1,7 +1,6 @@
 """Quarantine of requests that crash upstreams, shared by all gateways through the store."""
 
 from collections.abc import Sequence
-from enum import Enum
 
 import anyio
 import msgspec
@@ -12,7 +11,6 @@
     HistoryLostError,
     OverloadedError,
     PlatformUnavailableError,
-    UpstreamLostError,
     WriteConflictError,
 )
 from skylarkferry_core.events import EventKind
@@ -20,26 +18,16 @@
 from skylarkferry_core.interfaces import Row, Write
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
-from skylarkferry_gateway.http_client import connect
 from skylarkferry_gateway.interfaces import Store
 from skylarkferry_gateway.messages import ClientRequest
 from skylarkferry_gateway.metrics import GatewayMetrics
+from skylarkferry_gateway.process_checks import CheckResult, ProcessChecker, ProcessState
 from skylarkferry_gateway.store_calls import row_key
 from skylarkferry_gateway.upstreams import Upstream
 
 _TABLE = "crashes"
 _QUARANTINE_CRASHES = 3
 """Crashes of different upstreams after which a request is quarantined; the bound is three."""
-_PROBE_TIMEOUT_S = 0.3
-"""Connect timeout of the check for a crash after an upstream dropped a connection."""
-
-
-class CrashCheck(Enum):
-    """What is known of an upstream process after an attempt on it was lost."""
-
-    ENDED = "ended"
-    RUNNING = "running"
-    NOT_CHECKED = "not_checked"
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
@@ -64,8 +52,11 @@
 class CrashWatch:
     """Record which requests ran when an upstream crashed, and share them through the store."""
 
-    def __init__(self, store: Store, log: EventLog, metrics: GatewayMetrics) -> None:
+    def __init__(
+        self, store: Store, checker: ProcessChecker, log: EventLog, metrics: GatewayMetrics
+    ) -> None:
         self.store = store
+        self.checker = checker
         self.log = log
         self.metrics = metrics
         self.registry = CrashRegistry(_QUARANTINE_CRASHES)
@@ -90,16 +81,17 @@
                 retry_after_s=defaults.QUARANTINE_RETRY_AFTER_S,
             )
 
-    async def on_connection_lost(self, request: ClientRequest, upstream: Upstream) -> None:
-        """Record the request if the upstream that dropped its connection has crashed."""
+    async def on_attempt_lost(self, request: ClientRequest, upstream: Upstream) -> None:
+        """Record the request if the upstream's process ended while it ran there.
+
+        The way in which the attempt was lost does not matter: a process that ends resets its
+        connections, closes them, or leaves them silent.
+        """
+        result = await self.checker.check(upstream)
+        self._log_check(request, upstream, result)
         fingerprint = fingerprint_of(request)
-        if fingerprint is None:
-            self.log_check(request, upstream, CrashCheck.NOT_CHECKED, "request without identity")
+        if fingerprint is None or result.state is not ProcessState.ENDED:
             return
-        if not await self._is_down(upstream):
-            self.log_check(request, upstream, CrashCheck.RUNNING, "accepts connections")
-            return
-        self.log_check(request, upstream, CrashCheck.ENDED, "accepts no connection")
         crash = CrashId(f"{upstream.entry.upstream}.{upstream.entry.born_ms}")
         self._record(CrashReport(fingerprint, crash), request.metadata.request_id)
         key = row_key(_TABLE, "", f"{fingerprint}.{crash}")
@@ -115,11 +107,8 @@
         self.metrics.crash_reports.labels(outcome="stored").inc()
         self.log.emit(EventKind.GATEWAY_CRASH_SHARED, fingerprint=fingerprint, crash=crash)
 
-    def log_check(
-        self, request: ClientRequest, upstream: Upstream, check: CrashCheck, detail: str
-    ) -> None:
-        """Log what is known of the process that an attempt was lost on."""
-        self.metrics.crash_checks.labels(outcome=check.value).inc()
+    def _log_check(self, request: ClientRequest, upstream: Upstream, result: CheckResult) -> None:
+        self.metrics.crash_checks.labels(outcome=result.state.value).inc()
         self.log.emit(
             EventKind.GATEWAY_CRASH_CHECKED,
             request.metadata.program_id,
@@ -127,18 +116,10 @@
             fingerprint=fingerprint_of(request) or "none",
             upstream=upstream.entry.upstream,
             born_ms=upstream.entry.born_ms,
-            check=check.value,
-            detail=detail,
+            state=result.state.value,
+            detail=result.detail,
         )
 
-    async def _is_down(self, upstream: Upstream) -> bool:
-        try:
-            connection = await connect(upstream.entry.address, _PROBE_TIMEOUT_S)
-        except UpstreamLostError:
-            return True
-        await upstream.release_unused(connection)
-        return False
-
     def _record(self, report: CrashReport, request_id: str = "") -> None:
         was_quarantined = self.registry.is_quarantined(report.fingerprint)
         self.registry.on_crash(report.fingerprint, report.crash)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -7,7 +7,6 @@
 
 from skylarkferry_core.breakers import BreakerState
 from skylarkferry_core.errors import (
-    ConnectionLostError,
     SkylarkferryError,
     UpstreamLostError,
 )
@@ -15,7 +14,7 @@
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.attempts import Attempts
-from skylarkferry_gateway.crash_watch import CrashCheck, CrashWatch
+from skylarkferry_gateway.crash_watch import CrashWatch
 from skylarkferry_gateway.exchanges import Reply
 from skylarkferry_gateway.interfaces import HeaderCodec
 from skylarkferry_gateway.messages import UpstreamRequestMetadata
@@ -144,7 +143,7 @@
     def report_failed_attempt(
         self, attempts: Attempts, decision: PlacementDecision, error: SkylarkferryError
     ) -> None:
-        """Log an attempt without a valid response; after a lost connection, check for a crash."""
+        """Log an attempt without a valid response."""
         upstream = decision.upstream
         self.metrics.failed_sends.labels(outcome=error.code.value).inc()
         self.log.emit(
@@ -158,18 +157,11 @@
             detail=error.detail,
             breaker=upstream.breaker.state.value,
         )
-        if isinstance(error, ConnectionLostError) and self.tasks is not None:
-            self.tasks.start_soon(self.crashes.on_connection_lost, attempts.request, upstream)
-        elif not isinstance(error, UpstreamLostError):
-            self.crashes.log_check(
-                attempts.request, upstream, CrashCheck.NOT_CHECKED, error.code.value
-            )
 
-    def report_abandoned_attempt(self, attempts: Attempts, decision: PlacementDecision) -> None:
-        """Log an attempt that was cancelled, usually because the client left."""
-        self.crashes.log_check(
-            attempts.request, decision.upstream, CrashCheck.NOT_CHECKED, "cancelled"
-        )
+    def check_for_crash(self, attempts: Attempts, decision: PlacementDecision) -> None:
+        """Check in the background if the upstream's process ended under a lost attempt."""
+        if self.tasks is not None:
+            self.tasks.start_soon(self.crashes.on_attempt_lost, attempts.request, decision.upstream)
 
 
 def idle_limit_s(attempts: Attempts) -> float:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -25,6 +25,7 @@
 from skylarkferry_gateway.ownership import OwnerTable
 from skylarkferry_gateway.peers import PeerClient, PeerServer
 from skylarkferry_gateway.placement import Placer
+from skylarkferry_gateway.process_checks import ProcessChecker
 from skylarkferry_gateway.relay_context import RelayContext
 from skylarkferry_gateway.settings import GatewaySettings
 from skylarkferry_gateway.turns import TurnServices, TurnStore
@@ -56,7 +57,8 @@
         self.accounts = AccountManager(store, self.owners, log)
         self.budgets = ProgramBudgets(self.owners, self.accounts, store, log)
         turn_services = TurnServices(self.budgets, TurnStore(store, cache, log), log)
-        self.crashes = CrashWatch(store, log, metrics)
+        checker = ProcessChecker(self.upstreams, rng)
+        self.crashes = CrashWatch(store, checker, log, metrics)
         self.config = ConfigWatcher(directory, log, metrics)
         self.upstream_watcher = UpstreamWatcher(directory, self.upstreams, log, metrics)
         self.context = context = RelayContext(platform.codec, placer, self.crashes, log, metrics)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -98,7 +98,6 @@
             return None
         except BaseException:
             upstream.breaker.interrupted()
-            self.context.report_abandoned_attempt(self.attempts, decision)
             raise
         return status
 
@@ -108,6 +107,7 @@
         self.context.report_failed_attempt(self.attempts, decision, error)
         if error.word is not FinalWord.NOT_RUN:
             self.attempts.ambiguous_error = error
+            self.context.check_for_crash(self.attempts, decision)
 
     async def _exchange(self, decision: PlacementDecision) -> int | None:
         context, attempts = self.context, self.attempts
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -16,6 +16,7 @@
     turn_headers,
     wait_until,
 )
+from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import CrashId
 from skylarkferry_gateway.crash_watch import fingerprint_of
 from skylarkferry_gateway.messages import ClientRequest, RequestMetadata
@@ -34,18 +35,19 @@
         await rig.add_crashing_replica(f"r{number}", SERVICES[path], ending, after)
 
 
-async def send_poison(rig, path, request_id, gateway, deadline_ms=2_000):
+async def send_poison(rig, path, request_id, gateway):
     """Send a poisonous request and return the status, or ``None`` for a broken response."""
     make_headers = turn_headers if SERVICES[path] == "engine" else headers
-    fields = make_headers(request_id, deadline_ms=deadline_ms)
+    fields = make_headers(request_id)
     with suppress(httpx.RemoteProtocolError, httpx.ReadError):
         return (await send(rig, path, fields, POISON, gateway=gateway)).status_code
 
 
-def suspected_crashes(gateway):
-    """Return the number of crashes that a gateway has found itself."""
-    names = [event.name for event in gateway.log.ring if event.fields.get("request")]
-    return names.count("gateway_crash_suspected") + names.count("gateway_quarantined")
+def crash_checks(gateway, **fields):
+    """Return the number of a gateway's checks for a crash with these results."""
+    number = EventKind.GATEWAY_CRASH_CHECKED.number
+    events = [event for event in gateway.log.ring if event.number == number]
+    return sum(fields.items() <= event.fields.items() for event in events)
 
 
 def client_request(target, body=POISON, **metadata):
@@ -79,7 +81,7 @@
     await add_crashing_replicas(rig, path, Behaviour.SILENT, AfterCrash.SILENT)
     first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
     for number in range(CRASHES):
-        await send_poison(rig, path, f"id-{number}", first, deadline_ms=300)
+        await send_poison(rig, path, f"id-{number}", first)
     await assert_not_sent_any_more(rig, path, second)
 
 
@@ -111,7 +113,7 @@
     first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
     for number in range(CRASHES):
         await send_poison(rig, path, f"id-{number}", first)
-        await wait_until(lambda number=number: suspected_crashes(first) == number + 1)
+        await wait_until(lambda number=number: crash_checks(first, state="ended") == number + 1)
         replica.listener = await rig.listen(rig.addresses["r1"], rig.servers["r1"])
     await assert_not_sent_any_more(rig, path, second)
 
@@ -164,3 +166,30 @@
         fields = turn_headers(f"id-{number}", program=f"program-{number}")
         await send(rig, path, fields, POISON)
     await assert_not_sent_any_more(rig, path, gateway)
+
+
+async def test_upstreams_that_only_lose_responses_are_not_taken_for_crashed(rig):
+    for name in ("r1", "r2"):
+        (await rig.add_replica(name)).behaviour = lambda request: Behaviour.LOSE_ANSWER
+    gateway = await rig.add_gateway()
+    for number in range(CRASHES + 1):
+        response = await send(rig, "/once/1", headers(f"id-{number}"), POISON)
+        assert_that(response.status_code, Equals(502))
+    assert_that(rig.arrivals(), Equals(CRASHES + 1))
+    assert_that(gateway.crashes.registry.crashes, Equals({}))
+
+
+async def test_gateway_that_reaches_no_upstream_takes_none_for_crashed(rig):
+    for name in ("r1", "r2", "r3", "r4"):
+        (await rig.add_replica(name)).behaviour = lambda request: Behaviour.SILENT
+    gateway = await rig.add_gateway()
+    async with anyio.create_task_group() as tasks:
+        for number in range(CRASHES):
+            fields = headers(f"id-{number}", deadline_ms=500)
+            tasks.start_soon(send, rig, "/once/1", fields, POISON)
+        await wait_until(lambda: rig.arrivals() == CRASHES)
+        for name, replica in rig.replicas.items():
+            await replica.listener.aclose()
+            rig.silence(rig.addresses[name])
+    await wait_until(lambda: crash_checks(gateway, state="unknown") == CRASHES)
+    assert_that(gateway.crashes.registry.crashes, Equals({}))
