--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
@@ -56,6 +56,7 @@
         now = anyio.current_time()
         upstream.breaker.begin(now)
         attempts.tried_upstreams.add(upstream)
+        attempts_before = attempts.attempts_made
         try:
             reply, body = await self._exchange(attempts, decision)
         except SkylarkferryError as error:
@@ -67,6 +68,8 @@
             return None
         except BaseException:
             upstream.breaker.interrupted()
+            if attempts.attempts_made > attempts_before:
+                self.context.check_for_crash(attempts, decision)
             raise
         return self._evaluate(attempts, decision, reply, body)
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -91,6 +91,7 @@
         upstream = decision.upstream
         upstream.breaker.begin(anyio.current_time())
         self.attempts.tried_upstreams.add(upstream)
+        attempts_before = self.attempts.attempts_made
         try:
             status = await self._exchange(decision)
         except SkylarkferryError as error:
@@ -98,6 +99,8 @@
             return None
         except BaseException:
             upstream.breaker.interrupted()
+            if self.attempts.attempts_made > attempts_before:
+                self.context.check_for_crash(self.attempts, decision)
             raise
         return status
 
