Tell crashes apart by the attempt, not by the upstream's listed start time

Callers saw: a request that had ended three processes was sent on while the upstream list could not be read. Cause: a crash was named by the upstream's id and listed start time. Until the list is read again, a process that was started again under the same id bears the start time of the one before, so that its crash counted as the first one again. Now the attempt names the crash: a client attempt is sent to an upstream once, so no crash is counted twice, and none is missed. Two attempts of one request at one process at the same time count as two crashes; callers repeat a request after its end. Failed before, passes now: test_crashes_of_a_restarted_upstream_count_while_its_entry_is_stale.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
@@ -22,7 +22,7 @@
 from skylarkferry_gateway.messages import ClientRequest
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.process_checks import CheckResult, ProcessChecker, ProcessState
-from skylarkferry_gateway.store_calls import row_key
+from skylarkferry_gateway.store_calls import key_part, row_key
 from skylarkferry_gateway.upstreams import Upstream
 
 _TABLE = "crashes"
@@ -31,7 +31,7 @@
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
-    """One crash: the request that was running, and the upstream process that ended."""
+    """One crash: the request that was running, and the attempt under which a process ended."""
 
     fingerprint: Fingerprint
     crash: CrashId
@@ -92,7 +92,8 @@
         fingerprint = fingerprint_of(request)
         if fingerprint is None or result.state is not ProcessState.ENDED:
             return
-        crash = CrashId(f"{upstream.entry.upstream}.{upstream.entry.born_ms}")
+        # The listed start time may be that of an earlier process, so the attempt names the crash.
+        crash = CrashId(f"{key_part(request.metadata.request_id)}.{upstream.entry.upstream}")
         self._record(CrashReport(fingerprint, crash), request.metadata.request_id)
         key = row_key(_TABLE, "", f"{fingerprint}.{crash}")
         value = msgspec.msgpack.encode(CrashReport(fingerprint, crash))
