Take an upstream that is listed with another start time for crashed

Callers saw: a request that had ended three processes was sent on if these were back at once, at their address or at another one. Cause: a check that reached the address was final, although a process started anew accepts connections as well. Now an attempt that no connection explains is kept for 6 s of the upstream list (three heartbeats of silence, the list's lag and the poll): another start time under the same id, or another upstream at the address, shows that the process ended. An entry that lapses counts only if the address was silent, since an upstream may leave the list without notice and serve on. Failed before, passes now: test_crash_counts_if_the_upstream_is_back_before_anyone_looks; the two tests that live upstreams raise no suspicion still pass.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
@@ -1,5 +1,6 @@
 """Quarantine of requests that crash upstreams, shared by all gateways through the store."""
 
+from collections import deque
 from collections.abc import Sequence
 
 import anyio
@@ -17,6 +18,7 @@
 from skylarkferry_core.ids import CrashId, Fingerprint
 from skylarkferry_core.interfaces import Row, Write
 from skylarkferry_daemon.log import EventLog
+from skylarkferry_daemon.timers import TimerService
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.interfaces import Store
 from skylarkferry_gateway.messages import ClientRequest
@@ -29,6 +31,20 @@
 _QUARANTINE_CRASHES = 3
 """Crashes of different upstreams after which a request is quarantined; the bound is three."""
 
+_MAX_UNDECIDED = 1_000
+"""Lost attempts that wait for the upstream list; beyond that, the oldest are given up."""
+_LIST_EVIDENCE_S = 6.0
+"""Age up to which a lost attempt is explained by the list: an entry lapses within 5 s."""
+
+
+class LostAttempt(msgspec.Struct, frozen=True):
+    """An attempt that was lost at monotonic time ``lost_at``, and the latest check for a crash."""
+
+    request: ClientRequest
+    upstream: Upstream
+    lost_at: float
+    result: CheckResult
+
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
     """One crash: the request that was running, and the attempt under which a process ended."""
@@ -61,6 +77,11 @@
         self.metrics = metrics
         self.registry = CrashRegistry(_QUARANTINE_CRASHES)
         self.followed_version: int | None = None
+        self.undecided: deque[LostAttempt] = deque(maxlen=_MAX_UNDECIDED)
+
+    def subscribe(self, timers: TimerService) -> None:
+        """Schedule the decisions that wait for the upstream list."""
+        timers.every(defaults.UPSTREAMS_POLL_S, self.decide_by_list)
 
     def check(self, request: ClientRequest) -> None:
         """Raise ``OverloadedError`` for a quarantined request, before it is sent."""
@@ -87,10 +108,37 @@
         The way in which the attempt was lost does not matter: a process that ends resets its
         connections, closes them, or leaves them silent.
         """
+        lost_at = anyio.current_time()
         result = await self.checker.check(upstream)
-        self._log_check(request, upstream, result)
+        attempt = LostAttempt(request, upstream, lost_at, result)
+        self._log_check(attempt)
+        if result.state is ProcessState.ENDED:
+            await self._on_crash(attempt)
+        else:
+            self.undecided.append(attempt)
+
+    async def decide_by_list(self) -> None:
+        """Decide on attempts that no connection could explain, by the latest upstream list.
+
+        A process that is back before the check accepts connections; its entry then tells that it
+        was started anew.
+        """
+        read_at = self.checker.upstreams.read_at
+        attempts = list(self.undecided)
+        self.undecided.clear()
+        for attempt in attempts:
+            result = self.checker.check_list(attempt.upstream, attempt.result)
+            if result.state is ProcessState.ENDED:
+                decided = msgspec.structs.replace(attempt, result=result)
+                self._log_check(decided)
+                await self._on_crash(decided)
+            elif read_at is None or read_at < attempt.lost_at + _LIST_EVIDENCE_S:
+                self.undecided.append(attempt)
+
+    async def _on_crash(self, attempt: LostAttempt) -> None:
+        request, upstream = attempt.request, attempt.upstream
         fingerprint = fingerprint_of(request)
-        if fingerprint is None or result.state is not ProcessState.ENDED:
+        if fingerprint is None:
             return
         # The listed start time may be that of an earlier process, so the attempt names the crash.
         crash = CrashId(f"{key_part(request.metadata.request_id)}.{upstream.entry.upstream}")
@@ -108,7 +156,8 @@
         self.metrics.crash_reports.labels(outcome="stored").inc()
         self.log.emit(EventKind.GATEWAY_CRASH_SHARED, fingerprint=fingerprint, crash=crash)
 
-    def _log_check(self, request: ClientRequest, upstream: Upstream, result: CheckResult) -> None:
+    def _log_check(self, attempt: LostAttempt) -> None:
+        request, upstream, result = attempt.request, attempt.upstream, attempt.result
         self.metrics.crash_checks.labels(outcome=result.state.value).inc()
         self.log.emit(
             EventKind.GATEWAY_CRASH_CHECKED,
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/process_checks.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/process_checks.py
@@ -50,6 +50,21 @@
             return CheckResult(ProcessState.ENDED, "silent, while other upstreams are reachable")
         return CheckResult(ProcessState.UNKNOWN, "silent, as are other upstreams")
 
+    def check_list(self, upstream: Upstream, before: CheckResult) -> CheckResult:
+        """Return the result of an earlier check, revised by what the upstream list says now."""
+        entry = upstream.entry
+        if upstream.removed_at is None:
+            return before
+        if entry.upstream in self.upstreams.upstreams:
+            return CheckResult(ProcessState.ENDED, "listed with another start time")
+        if entry.is_leaving:
+            return before
+        if entry.address in {item.entry.address for item in self.upstreams.upstreams.values()}:
+            return CheckResult(ProcessState.ENDED, "another upstream has its address")
+        if before.state is ProcessState.UNKNOWN:
+            return CheckResult(ProcessState.ENDED, "silent, and no longer listed")
+        return before
+
     async def _reaches_others(self, upstream: Upstream) -> bool:
         """Return whether any of a few other upstreams reacts to a connection attempt."""
         others = [
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -76,6 +76,7 @@
             tasks.start_soon(self.config.run)
             tasks.start_soon(self.upstream_watcher.read)
             self.upstream_watcher.subscribe(self.timers)
+            self.crashes.subscribe(self.timers)
             self.budgets.tasks = self.context.tasks = tasks
             tasks.start_soon(self.crashes.follow)
             self.timers.every(defaults.OWNERS_POLL_S, self._read_owners)
