Repeat the write of a crash report until it is stored

Callers saw: a request that had ended three processes was sent on by gateways other than the one that met the crashes. Cause: the report was written once. With the store away, slow or losing answers (0.8 s a call), it was given up with a log line, and the other gateways never learned of the crash: the belief was local, the rule holds for all. Sharing moves to crash_reports.py. A lost attempt keeps the digest of its request, not the request.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
@@ -1,7 +1,6 @@
-"""Quarantine of requests that crash upstreams, shared by all gateways through the store."""
+"""Detection and quarantine of requests that crash the upstreams that run them."""
 
 from collections import deque
-from collections.abc import Sequence
 
 import anyio
 import msgspec
@@ -9,28 +8,22 @@
 
 from skylarkferry_core.crashes import CrashRegistry
 from skylarkferry_core.errors import (
-    HistoryLostError,
     OverloadedError,
-    PlatformUnavailableError,
-    WriteConflictError,
 )
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.ids import CrashId, Fingerprint
-from skylarkferry_core.interfaces import Row, Write
+from skylarkferry_core.ids import CrashId, Fingerprint, ProgramId
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_daemon.timers import TimerService
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.crash_reports import CrashReport, CrashReports
 from skylarkferry_gateway.interfaces import Store
 from skylarkferry_gateway.messages import ClientRequest
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.process_checks import CheckResult, ProcessChecker, ProcessState
-from skylarkferry_gateway.store_calls import key_part, row_key
 from skylarkferry_gateway.upstreams import Upstream
 
-_TABLE = "crashes"
 _QUARANTINE_CRASHES = 3
 """Crashes of different upstreams after which a request is quarantined; the bound is three."""
-
 _MAX_UNDECIDED = 1_000
 """Lost attempts that wait for the upstream list; beyond that, the oldest are given up."""
 _LIST_EVIDENCE_S = 6.0
@@ -40,19 +33,14 @@
 class LostAttempt(msgspec.Struct, frozen=True):
     """An attempt that was lost at monotonic time ``lost_at``, and the latest check for a crash."""
 
-    request: ClientRequest
+    request_id: str
+    program_id: ProgramId
+    fingerprint: Fingerprint | None
     upstream: Upstream
     lost_at: float
     result: CheckResult
 
 
-class CrashReport(msgspec.Struct, frozen=True, array_like=True):
-    """One crash: the request that was running, and the attempt under which a process ended."""
-
-    fingerprint: Fingerprint
-    crash: CrashId
-
-
 def fingerprint_of(request: ClientRequest) -> Fingerprint | None:
     """Return a digest shared by all repeats of a request; ``None`` if nothing identifies them."""
     metadata = request.metadata
@@ -66,17 +54,16 @@
 
 
 class CrashWatch:
-    """Record which requests ran when an upstream crashed, and share them through the store."""
+    """Find out which requests ran when an upstream crashed, and reject those that did so often."""
 
     def __init__(
         self, store: Store, checker: ProcessChecker, log: EventLog, metrics: GatewayMetrics
     ) -> None:
-        self.store = store
         self.checker = checker
         self.log = log
         self.metrics = metrics
         self.registry = CrashRegistry(_QUARANTINE_CRASHES)
-        self.followed_version: int | None = None
+        self.reports = CrashReports(store, self.registry, log, metrics)
         self.undecided: deque[LostAttempt] = deque(maxlen=_MAX_UNDECIDED)
 
     def subscribe(self, timers: TimerService) -> None:
@@ -110,10 +97,18 @@
         """
         lost_at = anyio.current_time()
         result = await self.checker.check(upstream)
-        attempt = LostAttempt(request, upstream, lost_at, result)
+        metadata = request.metadata
+        attempt = LostAttempt(
+            metadata.request_id,
+            metadata.program_id,
+            fingerprint_of(request),
+            upstream,
+            lost_at,
+            result,
+        )
         self._log_check(attempt)
         if result.state is ProcessState.ENDED:
-            await self._on_crash(attempt)
+            self._on_crash(attempt)
         else:
             self.undecided.append(attempt)
 
@@ -131,77 +126,27 @@
             if result.state is ProcessState.ENDED:
                 decided = msgspec.structs.replace(attempt, result=result)
                 self._log_check(decided)
-                await self._on_crash(decided)
+                self._on_crash(decided)
             elif read_at is None or read_at < attempt.lost_at + _LIST_EVIDENCE_S:
                 self.undecided.append(attempt)
 
-    async def _on_crash(self, attempt: LostAttempt) -> None:
-        request, upstream = attempt.request, attempt.upstream
-        fingerprint = fingerprint_of(request)
-        if fingerprint is None:
+    def _on_crash(self, attempt: LostAttempt) -> None:
+        if attempt.fingerprint is None:
             return
         # The listed start time may be that of an earlier process, so the attempt names the crash.
-        crash = CrashId(f"{key_part(request.metadata.request_id)}.{upstream.entry.upstream}")
-        self._record(CrashReport(fingerprint, crash), request.metadata.request_id)
-        key = row_key(_TABLE, "", f"{fingerprint}.{crash}")
-        value = msgspec.msgpack.encode(CrashReport(fingerprint, crash))
-        try:
-            await self.store.transact([], [Write(key, value)])
-        except (PlatformUnavailableError, WriteConflictError) as error:
-            self.metrics.crash_reports.labels(outcome="failed").inc()
-            self.log.emit(
-                EventKind.GATEWAY_STORE_RETRY, call="crashes", crash=crash, detail=error.detail
-            )
-            return
-        self.metrics.crash_reports.labels(outcome="stored").inc()
-        self.log.emit(EventKind.GATEWAY_CRASH_SHARED, fingerprint=fingerprint, crash=crash)
+        crash = CrashId(f"{attempt.request_id}.{attempt.upstream.entry.upstream}")
+        self.reports.add(CrashReport(attempt.fingerprint, crash), attempt.request_id)
 
     def _log_check(self, attempt: LostAttempt) -> None:
-        request, upstream, result = attempt.request, attempt.upstream, attempt.result
+        entry, result = attempt.upstream.entry, attempt.result
         self.metrics.crash_checks.labels(outcome=result.state.value).inc()
         self.log.emit(
             EventKind.GATEWAY_CRASH_CHECKED,
-            request.metadata.program_id,
-            request=request.metadata.request_id,
-            fingerprint=fingerprint_of(request) or "none",
-            upstream=upstream.entry.upstream,
-            born_ms=upstream.entry.born_ms,
+            attempt.program_id,
+            request=attempt.request_id,
+            fingerprint=attempt.fingerprint or "none",
+            upstream=entry.upstream,
+            born_ms=entry.born_ms,
             state=result.state.value,
             detail=result.detail,
         )
-
-    def _record(self, report: CrashReport, request_id: str = "") -> None:
-        was_quarantined = self.registry.is_quarantined(report.fingerprint)
-        self.registry.on_crash(report.fingerprint, report.crash)
-        is_quarantined_now = self.registry.is_quarantined(report.fingerprint)
-        self.metrics.quarantined.set(len(self.registry.quarantined()))
-        kind = EventKind.GATEWAY_CRASH_SUSPECTED
-        if is_quarantined_now and not was_quarantined:
-            kind = EventKind.GATEWAY_QUARANTINED
-        self.log.emit(kind, request=request_id, fingerprint=report.fingerprint, crash=report.crash)
-
-    async def follow(self) -> None:
-        """Apply crash reports of other gateways until cancelled."""
-        while True:
-            try:
-                await self._follow_once()
-            except PlatformUnavailableError:
-                await anyio.sleep(defaults.STORE_RETRY_MAX_S)
-            except HistoryLostError:
-                self.followed_version = None
-
-    async def _follow_once(self) -> None:
-        if self.followed_version is None:
-            snapshot = await self.store.snapshot(row_key(_TABLE, "", ""))
-            self._apply(await self.store.scan(row_key(_TABLE, "", "")))
-            self.followed_version = snapshot.version
-        changes = await self.store.changes(
-            _TABLE, self.followed_version, defaults.CRASHES_POLL_TIMEOUT_S
-        )
-        self._apply(changes.rows)
-        self.followed_version = max(self.followed_version, changes.version)
-
-    def _apply(self, rows: Sequence[Row]) -> None:
-        for row in rows:
-            if row.version and row.value:
-                self._record(msgspec.msgpack.decode(row.value, type=CrashReport))
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -78,7 +78,8 @@
             self.upstream_watcher.subscribe(self.timers)
             self.crashes.subscribe(self.timers)
             self.budgets.tasks = self.context.tasks = tasks
-            tasks.start_soon(self.crashes.follow)
+            tasks.start_soon(self.crashes.reports.follow)
+            tasks.start_soon(self.crashes.reports.write)
             self.timers.every(defaults.OWNERS_POLL_S, self._read_owners)
             self.timers.every(defaults.UPSTREAMS_POLL_S, self.store.probe)
             self.timers.every(defaults.ACCOUNTS_SWEEP_S, self.accounts.delete_idle_accounts)
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -25,7 +25,7 @@
 from skylarkferry_standins.wire_server import WireServer
 
 HOST = "shop.example"
-TIMEOUT_S = 6.0
+TIMEOUT_S = 20.0
 GRACE_S = 5.0
 TOKENS_PER_EVENT = 10
 MAX_OUTPUT_TOKENS = 100
