--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
@@ -123,7 +123,8 @@
 
 
 def _row_key(report: CrashReport) -> str:
-    return row_key(_TABLE, "", f"{report.fingerprint}.{xxhash.xxh128_hexdigest(report.crash.encode())}")
+    crash = xxhash.xxh128_hexdigest(report.crash.encode())
+    return row_key(_TABLE, "", f"{report.fingerprint}.{crash}")
 
 
 def _encode(report: CrashReport) -> bytes:
