Check for quarantine before each attempt, not once a request

Callers saw: a retry of a request was sent although its quarantine had become known while the attempt before it was under way. Cause: the check stood at the start of the request; retries, and turns that had waited for their reservation, passed it. Now choosing an upstream includes the check; the final answer still says 'may have run' if an earlier attempt may have. Failed before, passes now: test_retry_is_not_sent_if_the_request_was_quarantined_meanwhile (2 arrivals instead of 1).

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -24,7 +24,8 @@
 class Attempts:
     """Attempts for one request.
 
-    ``ambiguous_error`` is the error of an attempt whose request the upstream may have executed.
+    ``ambiguous_error`` is the error of an attempt whose request the upstream may have executed;
+    ``refusal`` is the reason why no further attempt is allowed although time is left.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         self.attempts_made = 0
         self.tried_upstreams: set[Upstream] = set()
         self.ambiguous_error: SkylarkferryError | None = None
+        self.refusal: SkylarkferryError | None = None
         self.last_reply: tuple[Reply, bytes] | None = None
 
     @property
@@ -91,6 +93,8 @@
             if self.remaining_s(now) <= 0:
                 return AnswerTimeoutError("no response in time; the request may have been executed")
             return ConnectionLostError(self.ambiguous_error.detail)
+        if self.refusal is not None:
+            return self.refusal
         return OverloadedError(
             "no upstream accepted the request", retry_after_s=defaults.RETRY_AFTER_S
         )
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
@@ -9,6 +9,7 @@
 from skylarkferry_core.crashes import CrashRegistry
 from skylarkferry_core.errors import (
     OverloadedError,
+    SkylarkferryError,
 )
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import CrashId, Fingerprint, ProgramId
@@ -70,24 +71,25 @@
         """Schedule the decisions that wait for the upstream list."""
         timers.every(defaults.UPSTREAMS_POLL_S, self.decide_by_list)
 
-    def check(self, request: ClientRequest) -> None:
-        """Raise ``OverloadedError`` for a quarantined request, before it is sent."""
+    def refusal(self, request: ClientRequest) -> SkylarkferryError | None:
+        """Return the error for a quarantined request, or ``None`` if it may be sent."""
         if not self.registry.crashes:
-            return
+            return None
         fingerprint = fingerprint_of(request)
-        if fingerprint is not None and self.registry.is_quarantined(fingerprint):
-            self.metrics.quarantine_refusals.inc()
-            self.log.emit(
-                EventKind.GATEWAY_QUARANTINE_APPLIED,
-                request.metadata.program_id,
-                request=request.metadata.request_id,
-                fingerprint=fingerprint,
-                crashes=len(self.registry.crashes.get(fingerprint, ())),
-            )
-            raise OverloadedError(
-                "the request crashed upstreams before",
-                retry_after_s=defaults.QUARANTINE_RETRY_AFTER_S,
-            )
+        if fingerprint is None or not self.registry.is_quarantined(fingerprint):
+            return None
+        self.metrics.quarantine_refusals.inc()
+        self.log.emit(
+            EventKind.GATEWAY_QUARANTINE_APPLIED,
+            request.metadata.program_id,
+            request=request.metadata.request_id,
+            fingerprint=fingerprint,
+            crashes=len(self.registry.crashes.get(fingerprint, ())),
+        )
+        return OverloadedError(
+            "the request crashed upstreams before",
+            retry_after_s=defaults.QUARANTINE_RETRY_AFTER_S,
+        )
 
     async def on_attempt_lost(self, request: ClientRequest, upstream: Upstream) -> None:
         """Record the request if the upstream's process ended while it ran there.
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
@@ -108,7 +108,9 @@
     async def _relay(
         self, request: ClientRequest, route: Route, table: RoutingTable, client: ClientConnection
     ) -> int:
-        self.context.crashes.check(request)
+        refusal = self.context.crashes.refusal(request)
+        if refusal is not None:
+            raise refusal
         service = self.context.placer.choose_service(request, route)
         attempts = Attempts(request, route, table, service)
         if not route.is_streamed:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -49,7 +49,10 @@
         self.metrics = metrics
 
     def choose_upstream(self, attempts: Attempts, now: float) -> PlacementDecision | None:
-        """Return the next upstream, or ``None`` if none is left; log the decision."""
+        """Return the next upstream, or ``None`` if none may be tried; log the decision."""
+        attempts.refusal = self.crashes.refusal(attempts.request)
+        if attempts.refusal is not None:
+            return None
         decision = self.placer.place(attempts, now)
         if decision is not None:
             self._log_decision(attempts, decision, now)
