Recognize a repeated request by its content, and one without a body at all

Callers saw: repeats of a request that crashes upstreams were never recognized if they had neither a body, a program nor an affinity key, or if another program or session sent them. Cause: the fingerprint was None for the first, and mixed program and session into it for the others. Now the digest is of target and body; the caller is part of it where the body does not say everything: in a chain of turns, and without a body.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
@@ -36,20 +36,24 @@
 
     request_id: str
     program_id: ProgramId
-    fingerprint: Fingerprint | None
+    fingerprint: Fingerprint
     upstream: Upstream
     lost_at: float
     result: CheckResult
 
 
-def fingerprint_of(request: ClientRequest) -> Fingerprint | None:
-    """Return a digest shared by all repeats of a request; ``None`` if nothing identifies them."""
+def fingerprint_of(request: ClientRequest) -> Fingerprint:
+    """Return a digest shared by all repeats of a request, whichever attempt or session sends it.
+
+    A body describes the request completely, unless it continues a chain of turns; only then, and
+    without a body, does the digest depend on the caller.
+    """
     metadata = request.metadata
-    caller = metadata.program_id or metadata.affinity_key
-    if not caller and not request.body:
-        return None
+    caller = ""
+    if not request.body or metadata.previous_turn:
+        caller = metadata.program_id or metadata.affinity_key
     digest = xxhash.xxh128(request.target)
-    for part in (caller.encode(), metadata.run_id.encode(), request.body):
+    for part in (caller.encode(), request.body):
         digest.update(b"\0" + part)
     return Fingerprint(digest.hexdigest())
 
@@ -76,7 +80,7 @@
         if not self.registry.crashes:
             return None
         fingerprint = fingerprint_of(request)
-        if fingerprint is None or not self.registry.is_quarantined(fingerprint):
+        if not self.registry.is_quarantined(fingerprint):
             return None
         self.metrics.quarantine_refusals.inc()
         self.log.emit(
@@ -133,8 +137,6 @@
                 self.undecided.append(attempt)
 
     def _on_crash(self, attempt: LostAttempt) -> None:
-        if attempt.fingerprint is None:
-            return
         # The listed start time may be that of an earlier process, so the attempt names the crash.
         crash = CrashId(f"{attempt.request_id}.{attempt.upstream.entry.upstream}")
         self.reports.add(CrashReport(attempt.fingerprint, crash), attempt.request_id)
@@ -146,7 +148,7 @@
             EventKind.GATEWAY_CRASH_CHECKED,
             attempt.program_id,
             request=attempt.request_id,
-            fingerprint=attempt.fingerprint or "none",
+            fingerprint=attempt.fingerprint,
             upstream=entry.upstream,
             born_ms=entry.born_ms,
             state=result.state.value,
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -193,3 +193,21 @@
             rig.silence(rig.addresses[name])
     await wait_until(lambda: crash_checks(gateway, state="unknown") == CRASHES)
     assert_that(gateway.crashes.registry.crashes, Equals({}))
+
+
+def test_fingerprint_distinguishes_turns_with_the_same_input_in_other_chains():
+    first = client_request(b"/kept/1", b"continue", program_id="p1", previous_turn="t1")
+    second = client_request(b"/kept/1", b"continue", program_id="p2", previous_turn="t2")
+    assert_that(fingerprint_of(first) == fingerprint_of(second), Equals(False))
+
+
+def test_fingerprint_distinguishes_callers_of_a_request_without_a_body():
+    first = client_request(b"/get/1", b"", program_id="p1")
+    second = client_request(b"/get/1", b"", program_id="p2")
+    assert_that(fingerprint_of(first) == fingerprint_of(second), Equals(False))
+
+
+def test_fingerprint_is_that_of_the_same_request_in_another_session():
+    first = client_request(b"/get/1", b"", program_id="p1", run_id="s1")
+    second = client_request(b"/get/1", b"", program_id="p1", run_id="s2")
+    assert_that(fingerprint_of(first), Equals(fingerprint_of(second)))
