Withdraw crash reports of a request that completes, and those of an hour ago

Since a request is now recognized by its content, unrelated crashes would add up on a common request until it is refused for good. A quarantined request is not sent, so it stays refused until its reports are old.

--- a/packages/skylarkferry-core/src/skylarkferry_core/crashes.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/crashes.py
@@ -42,6 +42,13 @@
         del self.crashes[fingerprint]
         return True
 
+    def forget(self, fingerprint: Fingerprint, crash: CrashId) -> None:
+        """Remove a crash from the record of a request."""
+        crashes = self.crashes.get(fingerprint, set())
+        crashes.discard(crash)
+        if not crashes:
+            self.crashes.pop(fingerprint, None)
+
     def share(self, fingerprints: Iterable[Fingerprint]) -> None:
         """Replace the set of requests that other processes quarantined."""
         self.shared = frozenset(fingerprints)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
@@ -120,4 +120,5 @@
                 return None
             return reply, body
         self.context.count_success(upstream)
+        self.context.crashes.on_completed(attempts.request)
         return reply, body
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
@@ -33,8 +33,18 @@
     crash: CrashId
 
 
+class _Change(msgspec.Struct, frozen=True):
+    """A report to write to the store, or to delete from it."""
+
+    report: CrashReport
+    is_withdrawal: bool
+
+
 class CrashReports:
-    """Record crashes in a registry, write them to the store, and follow those of other gateways."""
+    """Record crashes in a registry, write them to the store, and follow those of other gateways.
+
+    ``known_since`` holds the monotonic time at which each report became known here.
+    """
 
     def __init__(
         self, store: Store, registry: CrashRegistry, log: EventLog, metrics: GatewayMetrics
@@ -43,44 +53,66 @@
         self.registry = registry
         self.log = log
         self.metrics = metrics
-        self.unsent: deque[CrashReport] = deque()
+        self.known_since: dict[CrashReport, float] = {}
+        self.unsent: deque[_Change] = deque()
         self.added = anyio.Event()
         self.followed_version: int | None = None
 
     def add(self, report: CrashReport, request_id: str) -> None:
         """Record a crash that this gateway found, and queue its report to the others."""
         self._record(report, request_id)
-        self.unsent.append(report)
+        self._enqueue(_Change(report, is_withdrawal=False))
+
+    def withdraw(self, fingerprint: Fingerprint) -> None:
+        """Forget a request's crashes, here and at the other gateways."""
+        for report in [item for item in self.known_since if item.fingerprint == fingerprint]:
+            self._forget(report)
+            self._enqueue(_Change(report, is_withdrawal=True))
+
+    async def withdraw_old(self) -> None:
+        """Withdraw reports that have been known for longer than ``CRASH_KEEP_S``."""
+        limit = anyio.current_time() - defaults.CRASH_KEEP_S
+        old = {item.fingerprint for item, since in self.known_since.items() if since < limit}
+        for fingerprint in old:
+            self.withdraw(fingerprint)
+
+    def _enqueue(self, change: _Change) -> None:
+        self.unsent.append(change)
         if len(self.unsent) > _MAX_UNSENT:
             self._log_failed(self.unsent.popleft(), "too many reports wait for the store")
         self.added.set()
 
     async def write(self) -> None:
-        """Write queued reports until cancelled; a failed write is repeated until it succeeds."""
+        """Write queued changes until cancelled; a failed write is repeated until it succeeds."""
         delay_s = defaults.STORE_RETRY_S
         while True:
             if not self.unsent:
                 self.added = anyio.Event()
                 await self.added.wait()
-            report = self.unsent[0]
+            change = self.unsent[0]
             try:
-                await self.store.transact([], [Write(_row_key(report), _encode(report))])
+                await self.store.transact([], [_write(change)])
             except PlatformUnavailableError as error:
-                self._log_failed(report, error.detail)
+                self._log_failed(change, error.detail)
                 await anyio.sleep(delay_s)
                 delay_s = min(delay_s * 2, defaults.STORE_RETRY_MAX_S)
                 continue
             delay_s = defaults.STORE_RETRY_S
-            if self.unsent and self.unsent[0] is report:
+            if self.unsent and self.unsent[0] is change:
                 self.unsent.popleft()
             self.metrics.crash_reports.labels(outcome="stored").inc()
             self.log.emit(
-                EventKind.GATEWAY_CRASH_SHARED, fingerprint=report.fingerprint, crash=report.crash
+                EventKind.GATEWAY_CRASH_SHARED,
+                fingerprint=change.report.fingerprint,
+                crash=change.report.crash,
+                withdrawn=change.is_withdrawal,
             )
 
-    def _log_failed(self, report: CrashReport, detail: str) -> None:
+    def _log_failed(self, change: _Change, detail: str) -> None:
         self.metrics.crash_reports.labels(outcome="failed").inc()
-        self.log.emit(EventKind.GATEWAY_STORE_RETRY, call=_TABLE, crash=report.crash, detail=detail)
+        self.log.emit(
+            EventKind.GATEWAY_STORE_RETRY, call=_TABLE, crash=change.report.crash, detail=detail
+        )
 
     async def follow(self) -> None:
         """Apply the reports of other gateways until cancelled."""
@@ -95,7 +127,9 @@
     async def _follow_once(self) -> None:
         if self.followed_version is None:
             snapshot = await self.store.snapshot(row_key(_TABLE, "", ""))
-            self._apply(await self.store.scan(row_key(_TABLE, "", "")))
+            rows = await self.store.scan(row_key(_TABLE, "", ""))
+            self._forget_missing({row.key for row in rows})
+            self._apply(rows)
             self.followed_version = snapshot.version
         changes = await self.store.changes(
             _TABLE, self.followed_version, defaults.CRASHES_POLL_TIMEOUT_S
@@ -107,12 +141,34 @@
         for row in rows:
             if row.version and row.value:
                 self._record(msgspec.msgpack.decode(row.value, type=CrashReport))
+            else:
+                self._forget_deleted(row.key)
+
+    def _forget_deleted(self, key: str) -> None:
+        for report in [item for item in self.known_since if _row_key(item) == key]:
+            self._forget(report)
+
+    def _forget_missing(self, keys: set[str]) -> None:
+        """Forget the reports that others withdrew while their changes were not followed."""
+        unsent = {change.report for change in self.unsent}
+        for report in [item for item in self.known_since if _row_key(item) not in keys]:
+            if report not in unsent:
+                self._forget(report)
+
+    def _forget(self, report: CrashReport) -> None:
+        del self.known_since[report]
+        self.registry.forget(report.fingerprint, report.crash)
+        self.metrics.quarantined.set(len(self.registry.quarantined()))
+        self.log.emit(
+            EventKind.GATEWAY_CRASH_FORGOTTEN, fingerprint=report.fingerprint, crash=report.crash
+        )
 
     def _record(self, report: CrashReport, request_id: str = "") -> None:
         """Record a crash and log it, unless it is known already."""
         fingerprint, crash = report.fingerprint, report.crash
-        if crash in self.registry.crashes.get(fingerprint, ()):
+        if report in self.known_since or _Change(report, is_withdrawal=True) in self.unsent:
             return
+        self.known_since[report] = anyio.current_time()
         was_quarantined = self.registry.is_quarantined(fingerprint)
         self.registry.on_crash(fingerprint, crash)
         self.metrics.quarantined.set(len(self.registry.quarantined()))
@@ -127,5 +183,6 @@
     return row_key(_TABLE, "", f"{report.fingerprint}.{crash}")
 
 
-def _encode(report: CrashReport) -> bytes:
-    return msgspec.msgpack.encode(report)
+def _write(change: _Change) -> Write:
+    value = None if change.is_withdrawal else msgspec.msgpack.encode(change.report)
+    return Write(_row_key(change.report), value)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
@@ -72,8 +72,9 @@
         self.undecided: deque[LostAttempt] = deque(maxlen=_MAX_UNDECIDED)
 
     def subscribe(self, timers: TimerService) -> None:
-        """Schedule the decisions that wait for the upstream list."""
+        """Schedule the decisions that wait for the upstream list, and the sweeps."""
         timers.every(defaults.UPSTREAMS_POLL_S, self.decide_by_list)
+        timers.every(defaults.CRASHES_SWEEP_S, self.reports.withdraw_old)
 
     def refusal(self, request: ClientRequest) -> SkylarkferryError | None:
         """Return the error for a quarantined request, or ``None`` if it may be sent."""
@@ -95,6 +96,14 @@
             retry_after_s=defaults.QUARANTINE_RETRY_AFTER_S,
         )
 
+    def on_completed(self, request: ClientRequest) -> None:
+        """Withdraw what is reported of a request that an upstream has completed."""
+        if not self.registry.crashes:
+            return
+        fingerprint = fingerprint_of(request)
+        if fingerprint in self.registry.suspects():
+            self.reports.withdraw(fingerprint)
+
     async def on_attempt_lost(self, request: ClientRequest, upstream: Upstream) -> None:
         """Record the request if the upstream's process ended while it ran there.
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -91,6 +91,10 @@
 
 QUARANTINE_RETRY_AFTER_S = 5.0
 """Retry-After of a quarantined request: beyond any deadline, so that clients do not retry it."""
+CRASH_KEEP_S = 3_600.0
+"""Time after which a crash no longer counts against a request."""
+CRASHES_SWEEP_S = 60.0
+"""Interval between sweeps for old crash reports."""
 CRASHES_POLL_TIMEOUT_S = 5.0
 """Longest wait of one poll for other gateways' crash reports; a report ends the wait at once."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -136,6 +136,7 @@
             await self._relay_events(exchange, reply)
             ended_at = anyio.current_time()
             self.context.count_success(decision.upstream)
+            self.context.crashes.on_completed(attempts.request)
             self._observe_speed(decision, sent_at, ended_at)
             await exchange.finish()
         await self._complete(reply)
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -18,6 +18,7 @@
 )
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import CrashId
+from skylarkferry_gateway import defaults
 from skylarkferry_gateway.crash_watch import fingerprint_of
 from skylarkferry_gateway.messages import ClientRequest, RequestMetadata
 from skylarkferry_standins.replica import Behaviour
@@ -211,3 +212,36 @@
     first = client_request(b"/get/1", b"", program_id="p1", run_id="s1")
     second = client_request(b"/get/1", b"", program_id="p1", run_id="s2")
     assert_that(fingerprint_of(first), Equals(fingerprint_of(second)))
+
+
+async def test_completed_request_is_no_longer_suspected_at_any_gateway(rig):
+    crashing = await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    await send_poison(rig, "/once/1", "id-0", first)
+    await wait_until(lambda: second.crashes.registry.crashes)
+    crashing.behaviour = lambda request: Behaviour.SERVE
+    crashing.listener = await rig.listen(rig.addresses["r1"], rig.servers["r1"])
+    await send_poison(rig, "/once/1", "id-1", second)
+    await wait_until(lambda: not first.crashes.registry.crashes)
+    assert_that(second.crashes.registry.crashes, Equals({}))
+
+
+async def test_withdrawn_reports_are_forgotten_by_a_gateway_that_missed_the_change(rig):
+    await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    await send_poison(rig, "/once/1", "id-0", first)
+    await wait_until(lambda: second.crashes.registry.crashes)
+    rig.store.rows = {key: row for key, row in rig.store.rows.items() if key[0] != "crashes"}
+    rig.store.put("other", "", "row", b"")
+    rig.store.discard_history()
+    await wait_until(lambda: not second.crashes.registry.crashes)
+
+
+async def test_old_crash_reports_are_withdrawn(rig, monkeypatch):
+    await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    await send_poison(rig, "/once/1", "id-0", first)
+    await wait_until(lambda: second.crashes.registry.crashes)
+    monkeypatch.setattr(defaults, "CRASH_KEEP_S", 0.0)
+    await first.crashes.reports.withdraw_old()
+    await wait_until(lambda: not second.crashes.registry.crashes)
