End a poll for crash reports within the bound for contact

Cause: a connection that goes silent for good ended a poll after 5.8 s only, so that a gateway could send a quarantined request for longer than the 3 s that the platform grants for contact. Now a poll waits 2 s, 2.8 s with the timeout of a store call. It costs 0.3 calls a second and gateway more. Failed before, passes now: test_poll_on_a_dead_connection_ends_within_the_bound_for_contact (5.8 is not < 3.0).

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -95,8 +95,12 @@
 """Time after which a crash no longer counts against a request."""
 CRASHES_SWEEP_S = 60.0
 """Interval between sweeps for old crash reports."""
-CRASHES_POLL_TIMEOUT_S = 5.0
-"""Longest wait of one poll for other gateways' crash reports; a report ends the wait at once."""
+CRASHES_POLL_TIMEOUT_S = 2.0
+"""Longest wait of one poll for other gateways' crash reports; a report ends the wait at once.
+
+With the timeout of a store call, a poll on a dead connection ends within 3 s, the platform's bound
+for contact.
+"""
 
 ACCOUNT_IDLE_S = 3_600.0
 """Time after which an unused account is deleted; sixty times the usual retention of turns."""
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -4,7 +4,7 @@
 import httpx
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, LessThan
 
 from gateway_rig import (
     HOST,
@@ -245,3 +245,9 @@
     monkeypatch.setattr(defaults, "CRASH_KEEP_S", 0.0)
     await first.crashes.reports.withdraw_old()
     await wait_until(lambda: not second.crashes.registry.crashes)
+
+
+def test_poll_on_a_dead_connection_ends_within_the_bound_for_contact():
+    contact_s = 3.0
+    longest_s = defaults.CRASHES_POLL_TIMEOUT_S + defaults.STORE_TIMEOUT_S
+    assert_that(longest_s, LessThan(contact_s))
