Do not take an entry that lapsed and returned for a new process

Cause, found by reading the list check: an entry that lapses while the store is away and is written again by the same process gives a new object in the list, which the check took for a process started anew. Innocent requests would have been suspected after each outage. Now the start times are compared. Failed before, passes now: test_entry_that_lapsed_and_returned_is_that_of_the_same_process.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/process_checks.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/process_checks.py
@@ -55,9 +55,10 @@
         entry = upstream.entry
         if upstream.removed_at is None:
             return before
-        if entry.upstream in self.upstreams.upstreams:
+        listed = self.upstreams.upstreams.get(entry.upstream)
+        if listed is not None and listed.entry.born_ms != entry.born_ms:
             return CheckResult(ProcessState.ENDED, "listed with another start time")
-        if entry.is_leaving:
+        if listed is not None or entry.is_leaving:
             return before
         if entry.address in {item.entry.address for item in self.upstreams.upstreams.values()}:
             return CheckResult(ProcessState.ENDED, "another upstream has its address")
