Send requests that crash upstreams in the soak, and check that they are contained

The soak had no upstream that ends under a request. The check allows what the platform allows: three runs by undisturbed gateways later than 3 s after the third crash. A stream that a crashed upstream broke off during a planned stop is no cut of the stop; test_checks.py has the case, and that the new check finds four late runs and allows three.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
@@ -8,10 +8,7 @@
 import xxhash
 
 from skylarkferry_core.crashes import CrashRegistry
-from skylarkferry_core.errors import (
-    HistoryLostError,
-    PlatformUnavailableError,
-)
+from skylarkferry_core.errors import HistoryLostError, PlatformUnavailableError
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import CrashId, Fingerprint
 from skylarkferry_core.interfaces import Row, Write
@@ -66,15 +63,17 @@
     def withdraw(self, fingerprint: Fingerprint) -> None:
         """Forget a request's crashes, here and at the other gateways."""
         for report in [item for item in self.known_since if item.fingerprint == fingerprint]:
-            self._forget(report)
-            self._enqueue(_Change(report, is_withdrawal=True))
+            self._withdraw_report(report)
 
     async def withdraw_old(self) -> None:
         """Withdraw reports that have been known for longer than ``CRASH_KEEP_S``."""
         limit = anyio.current_time() - defaults.CRASH_KEEP_S
-        old = {item.fingerprint for item, since in self.known_since.items() if since < limit}
-        for fingerprint in old:
-            self.withdraw(fingerprint)
+        for report in [item for item, since in self.known_since.items() if since < limit]:
+            self._withdraw_report(report)
+
+    def _withdraw_report(self, report: CrashReport) -> None:
+        self._forget(report)
+        self._enqueue(_Change(report, is_withdrawal=True))
 
     def _enqueue(self, change: _Change) -> None:
         self.unsent.append(change)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
@@ -7,10 +7,7 @@
 import xxhash
 
 from skylarkferry_core.crashes import CrashRegistry
-from skylarkferry_core.errors import (
-    OverloadedError,
-    SkylarkferryError,
-)
+from skylarkferry_core.errors import OverloadedError, SkylarkferryError
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import CrashId, Fingerprint, ProgramId
 from skylarkferry_daemon.log import EventLog
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/checks.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/checks.py
@@ -11,6 +11,7 @@
     FaultInterval,
     Observations,
     RoutePrefix,
+    UpstreamRun,
 )
 
 EVENTS_PER_TURN = 5
@@ -32,6 +33,11 @@
 """Maximum duration of a planned stop: the platform's grace period plus 1 s."""
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that the request has not run and never will run."""
+POISON = b"poison "
+"""Body of a request that crashes each upstream that runs it."""
+_CRASHES_TO_QUARANTINE = 3
+_MAX_LATE_RUNS = 3
+"""Runs of a quarantined request that the platform tolerates."""
 _OK = 200
 _NOT_FOUND = 404
 _BUDGET_SPENT = 402
@@ -147,12 +153,35 @@
             lasted_s = attempt.ended_at - attempt.sent_at
             lost_close_race = attempt.request_id not in ran and lasted_s < CLOSE_RACE_S
             started = attempt.sent_at - UNDISTURBED_S
+            if _runs_at_crash(observations, attempt):
+                continue
             if not lost_close_race and not _is_disturbed(
                 observations, stop.gateway, started, attempt.ended_at
             ):
                 yield Finding("stops_cut_nothing", f"{attempt.request_id} at {stop.gateway}")
 
 
+def crashing_requests_are_contained(observations: Observations) -> Iterator[Finding]:
+    """Find requests that undisturbed gateways sent on long after their third crash."""
+    sent = {attempt.request_id: attempt for attempt in observations.attempts}
+    runs_by_body: dict[bytes, list[UpstreamRun]] = {}
+    for run in observations.runs:
+        if run.body.startswith(POISON):
+            runs_by_body.setdefault(run.body, []).append(run)
+    for body, runs in runs_by_body.items():
+        known_at = [*(run.ran_at for run in runs), float("inf")][_CRASHES_TO_QUARANTINE - 1]
+        late = [
+            run
+            for run in runs[_CRASHES_TO_QUARANTINE:]
+            if (attempt := sent[run.request_id]).sent_at > known_at + UNDISTURBED_S
+            and not _is_disturbed(
+                observations, attempt.gateway, attempt.sent_at - UNDISTURBED_S, run.ran_at
+            )
+        ]
+        if len(late) > _MAX_LATE_RUNS:
+            yield Finding("crashing_requests_are_contained", f"{body!r}: {len(late)} late runs")
+
+
 def _is_cut_by(stop: FaultInterval, attempt: Attempt) -> bool:
     is_accepted = attempt.gateway == stop.gateway and attempt.is_sent
     is_sent_in_time = attempt.sent_at < stop.started_at + BALANCER_LAG_S
@@ -188,6 +217,15 @@
     )
 
 
+def _runs_at_crash(observations: Observations, attempt: Attempt) -> bool:
+    """Return whether an upstream that ran the attempt crashed before the attempt's end."""
+    upstreams = {run.upstream for run in observations.runs if run.request_id == attempt.request_id}
+    return any(
+        crash.upstream in upstreams and attempt.sent_at <= crash.crashed_at <= attempt.ended_at
+        for crash in observations.crashes
+    )
+
+
 Check = Callable[[Observations], Iterator[Finding]]
 CHECKS: tuple[Check, ...] = (
     runs_once,
@@ -197,6 +235,7 @@
     budgets_hold,
     drains_hold,
     stops_cut_nothing,
+    crashing_requests_are_contained,
     versions_never_go_back,
 )
 
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/observations.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/observations.py
@@ -70,6 +70,13 @@
     started_at: float
 
 
+class UpstreamCrash(msgspec.Struct, frozen=True):
+    """The end of an upstream's process under a request that it ran."""
+
+    upstream: str
+    crashed_at: float
+
+
 class Observations(msgspec.Struct):
     """Everything that was observed in a run."""
 
@@ -77,5 +84,6 @@
     runs: list[UpstreamRun] = []
     disturbances: list[FaultInterval] = []
     drain_starts: list[DrainStart] = []
+    crashes: list[UpstreamCrash] = []
     stops: list[FaultInterval] = []
     process_starts: dict[str, list[float]] = {}
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/proxy.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/proxy.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from anyio.abc import Listener, SocketAttribute, SocketStream, TaskGroup
 
 _RECEIVE_BYTES = 65_536
 _HELD_POLL_S = 0.05
@@ -34,13 +34,25 @@
         self.target = target
         self.state = LinkState.PASS
         self.delay_s = 0.05
+        self.listener: Listener[SocketStream] | None = None
         self.pairs: set[tuple[SocketStream, SocketStream]] = set()
 
     async def run(self, tasks: TaskGroup) -> None:
         """Listen, and return once connections are accepted."""
         host, _, port = self.address.rpartition(":")
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
-        tasks.start_soon(listener.serve, self._serve)
+        self.listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
+        tasks.start_soon(self._accept, self.listener)
+
+    async def _accept(self, listener: Listener[SocketStream]) -> None:
+        try:
+            await listener.serve(self._serve)
+        except* anyio.ClosedResourceError:
+            pass  # the listener was closed
+
+    async def stop_listening(self) -> None:
+        """Refuse new connections until the link runs again; open ones are not affected."""
+        if self.listener is not None:
+            await self.listener.aclose()
 
     async def _serve(self, client: SocketStream) -> None:
         host, _, port = self.target.rpartition(":")
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/soak.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/soak.py
@@ -9,6 +9,7 @@
 
 from skylarkferry_soak.callers import Caller, GatewayEndpoint, LoadBalancer
 from skylarkferry_soak.checks import Finding, find_violations
+from skylarkferry_soak.crashes import PoisonCaller, UpstreamCrasher
 from skylarkferry_soak.injection import FaultInjector
 from skylarkferry_soak.observations import Observations, RoutePrefix
 from skylarkferry_soak.plans import Fault, fault_plan
@@ -29,6 +30,7 @@
     length_s: float = 20.0
     gateways: int = 3
     callers: int = 12
+    poison_callers: int = 1
 
 
 class Report(msgspec.Struct):
@@ -75,8 +77,14 @@
             return [
                 Finding("starts", f"{endpoint.name} does not serve after {_START_TIMEOUT_S:g} s")
             ]
+    crasher = UpstreamCrasher(testbed, observations, random.Random(seed))
+    testbed.crash_with(crasher.crash)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(balancer.run)
+        for number in range(size.poison_callers):
+            name = f"poison-{number}"
+            poison_rng = random.Random(seed * 1_000 + size.callers + number)
+            tasks.start_soon(PoisonCaller(name, balancer, observations, poison_rng).run)
         for number in range(size.callers):
             caller = Caller(
                 f"c{number}", balancer, observations, random.Random(seed * 1_000 + number)
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
@@ -7,7 +7,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
@@ -15,7 +15,7 @@
 from anyio.abc import Listener, SocketStream, TaskGroup
 
 from skylarkferry_soak.callers import HOST, GatewayEndpoint
-from skylarkferry_soak.checks import TOKENS_PER_EVENT
+from skylarkferry_soak.checks import POISON, TOKENS_PER_EVENT
 from skylarkferry_soak.observations import Observations, UpstreamRun
 from skylarkferry_soak.proxy import Link
 from skylarkferry_standins.child_processes import free_address
@@ -58,12 +58,17 @@
         self.target = free_address()
         self.link = Link(f"upstream {name}", free_address(), self.target)
         self.state = "ready"
+        self.born_ms = 1
+        self.crash: Callable[[Upstream], Awaitable[WireReply]] | None = None
 
     async def handle(self, request: WireRequest) -> WireReply:
         """Handle a request and record whether it ran."""
         before = len(self.replica.runs)
         reply = await self.replica.handle(request)
         now = anyio.current_time()
+        has_run = len(self.replica.runs) > before
+        if has_run and self.crash is not None and POISON in request.body:
+            reply = await self.crash(self)
         for run in self.replica.runs[before:]:
             self.observations.runs.append(UpstreamRun(run.request_id, self.name, run.body, now))
         return reply
@@ -153,6 +158,7 @@
         self.store_address = free_address()
         self.store_delay_s = 0.0
         self.upstreams: dict[str, Upstream] = {}
+        self.crash: Callable[[Upstream], Awaitable[WireReply]] | None = None
         self.gateways: list[GatewayProcess] = []
         self.version = 1
         self.added_versions: list[int] = []
@@ -209,6 +215,7 @@
     async def add_upstream(self, name: str, service: str, link: Link | None = None) -> Upstream:
         """Start an upstream behind a new link, or behind an existing ``link``, and register it."""
         upstream = self.upstreams[name] = Upstream(name, service, self.observations)
+        upstream.crash = self.crash
         await upstream.listen(self.tasks)
         if link is None:
             await upstream.link.run(self.tasks)
@@ -218,6 +225,12 @@
         self.register_upstream(upstream)
         return upstream
 
+    def crash_with(self, crash: Callable[[Upstream], Awaitable[WireReply]]) -> None:
+        """Set how an upstream crashes when it runs a poisonous request."""
+        self.crash = crash
+        for upstream in self.upstreams.values():
+            upstream.crash = crash
+
     def register_upstream(self, upstream: Upstream) -> None:
         """Write the registry entry of an upstream, as a real upstream does itself."""
         entry = {
@@ -229,7 +242,7 @@
             "state": upstream.state,
             "coldLeftMs": 0,
             "sequence": 1,
-            "born": 1,
+            "born": upstream.born_ms,
         }
         self.store.put("servers", "", upstream.name, json.dumps(entry).encode())
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -12,6 +12,7 @@
     FaultInterval,
     Observations,
     RoutePrefix,
+    UpstreamCrash,
     UpstreamRun,
 )
 
@@ -134,3 +135,34 @@
     stale_probe = msgspec.structs.replace(observations.attempts[3], status=404, sent_at=11.0)
     observations.attempts.append(stale_probe)
     assert_that(violated_checks(observations), Equals({"versions_never_go_back"}))
+
+
+@pytest.fixture
+def poisoned(observations):
+    """Add a request that is sent seven times and crashes an upstream each time."""
+    for number in range(7):
+        request_id, sent_at = f"poison-{number}", 10.0 + 2.0 * number
+        observations.attempts.append(
+            Attempt(request_id, RoutePrefix.ORDER, "g1", sent_at, b"poison ", is_sent=True)
+        )
+        observations.runs.append(UpstreamRun(request_id, "u1", b"poison ", sent_at))
+    return observations
+
+
+def test_crashing_request_that_is_sent_too_often_is_found(poisoned):
+    late = msgspec.structs.replace(poisoned.attempts[-1], request_id="poison-7", sent_at=24.0)
+    poisoned.attempts.append(late)
+    poisoned.runs.append(UpstreamRun("poison-7", "u1", b"poison ", 24.0))
+    assert_that(violated_checks(poisoned), Equals({"crashing_requests_are_contained"}))
+
+
+def test_three_late_runs_of_a_crashing_request_are_allowed(poisoned):
+    assert_that(violated_checks(poisoned), Equals(set()))
+
+
+def test_request_whose_upstream_crashed_is_not_cut_off_by_the_planned_stop(observations):
+    attempt = observations.attempts[0]
+    attempt.status, attempt.is_complete, attempt.response_body = 0, False, b""
+    observations.stops.append(FaultInterval("g1", "stop", 10.2, 12.0))
+    observations.crashes.append(UpstreamCrash("u1", 10.3))
+    assert_that(violated_checks(observations), Equals(set()))
