--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/process_checks.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/process_checks.py
@@ -96,5 +96,5 @@
     except UpstreamLostError as error:
         is_silent = isinstance(error.__cause__, TimeoutError)
         return _Reachability.SILENT if is_silent else _Reachability.REFUSES
-    await upstream.release_unused(connection)
+    await connection.abort()
     return _Reachability.ACCEPTS
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -83,13 +83,6 @@
             await connection.abort()
         return await connect(self.entry.address)
 
-    async def release_unused(self, connection: HttpConnection) -> None:
-        """Pool a connection on which nothing was sent, or close it."""
-        if self.accepts_requests and len(self.idle) < defaults.POOL_IDLE_CONNECTIONS:
-            self.idle.append(connection)
-        else:
-            await connection.abort()
-
     async def release_connection(self, connection: HttpConnection, idle_s: float | None) -> None:
         """Pool a connection after its exchange if it can be reused, else close it."""
         keep = connection.finish(idle_s) and len(self.idle) < defaults.POOL_IDLE_CONNECTIONS
