Report the loss of a partition only after its acquisition was reported

Cause of the known failure: a node that claims a partition and hands over before the partition is replayed counted it as lost, so that its listener got on_lost without on_acquired (KeyError: 3 in the test's listener). The listener's contract is right: it is told of gains and losses in turn. Now a partition is marked as announced just before the listener is told, under the same lock; only such a one is reported as lost. A loss while the listener takes the partition over is still reported, after it.

--- a/packages/skylarkferry-core/src/skylarkferry_core/held_partitions.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/held_partitions.py
@@ -9,15 +9,20 @@
 
 
 class HeldPartition(msgspec.Struct):
-    """Epoch of a held partition, version of its row, and whether its programs are running."""
+    """Epoch of a held partition and version of its row.
+
+    ``announced`` is set before the listener is notified of the partition, ``ready`` once its
+    programs are running.
+    """
 
     epoch: Epoch
     version: int
+    announced: bool = False
     ready: bool = False
 
 
 class HeldPartitions:
-    """Held partitions, and those lost since the last call of ``take_lost``."""
+    """Held partitions, and announced ones lost since the last call of ``take_lost``."""
 
     def __init__(self) -> None:
         self.held: dict[PartitionNumber, HeldPartition] = {}
@@ -29,12 +34,13 @@
         return Fence(partition, epoch)
 
     def lose(self, partition: PartitionNumber) -> None:
-        """Remove a partition and record it as lost if it was held."""
-        if self.held.pop(partition, None) is not None:
+        """Remove a partition and record it as lost if it was announced."""
+        held = self.held.pop(partition, None)
+        if held is not None and held.announced:
             self.lost.append(partition)
 
     def take_lost(self) -> list[PartitionNumber]:
-        """Return the partitions lost since the last call."""
+        """Return the announced partitions lost since the last call."""
         lost, self.lost = self.lost, []
         return lost
 
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/partition_takeover.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/partition_takeover.py
@@ -161,6 +161,7 @@
             held = self.journal.held_partitions.find(fence)
             if held is None:
                 return False
+            held.announced = True
             await listener.on_acquired(fence, records)
             held.ready = True
         self.events.emit(
