--- a/packages/skylarkferry-soak/src/skylarkferry_soak/soak.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/soak.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from skylarkferry_soak.callers import Caller, GatewayEndpoint, LoadBalancer
-from skylarkferry_soak.checks import Finding, find_violations
+from skylarkferry_soak.checks import UNDISTURBED_S, Finding, find_violations
 from skylarkferry_soak.crashes import PoisonCaller, UpstreamCrasher
 from skylarkferry_soak.injection import FaultInjector
 from skylarkferry_soak.observations import Observations, RoutePrefix
@@ -21,6 +21,8 @@
 """Time limit for the start of all processes; on a busy machine, only a failed start exceeds it."""
 _SETTLE_S = 1.0
 """Time to wait after the recovery for refused requests that run late, which is a violation."""
+_QUIET_S = UNDISTURBED_S + 4.0
+"""Time without faults in which a crashing request is still sent: it must have been contained."""
 _POLL_S = 0.1
 
 
@@ -96,7 +98,7 @@
             for item in endpoints
             if not await _starts_serving(prober, item, RECOVERY_TIMEOUT_S)
         ]
-        await anyio.sleep(_SETTLE_S)
+        await anyio.sleep(_QUIET_S if size.poison_callers else _SETTLE_S)
         tasks.cancel_scope.cancel()
     return [
         Finding("recovers", f"{name} does not serve after {RECOVERY_TIMEOUT_S:g} s")
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
@@ -65,12 +65,12 @@
         """Handle a request and record whether it ran."""
         before = len(self.replica.runs)
         reply = await self.replica.handle(request)
+        new_runs = self.replica.runs[before:]
         now = anyio.current_time()
-        has_run = len(self.replica.runs) > before
-        if has_run and self.crash is not None and POISON in request.body:
-            reply = await self.crash(self)
-        for run in self.replica.runs[before:]:
+        for run in new_runs:
             self.observations.runs.append(UpstreamRun(run.request_id, self.name, run.body, now))
+        if new_runs and self.crash is not None and POISON in request.body:
+            return await self.crash(self)
         return reply
 
     async def listen(self, tasks: TaskGroup) -> None:
