Name the requests of the soak and the tests by what they do

Names and comments only: crashing requests instead of a metaphor; the comments of the crash check say what its constants are for.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/process_checks.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/process_checks.py
@@ -11,9 +11,9 @@
 from skylarkferry_gateway.upstreams import Upstream, Upstreams
 
 _CONNECT_TIMEOUT_S = 0.3
-"""Timeout of a check; even a lost SYN between failure domains is not waited for."""
+"""Connect timeout of a check; a lost SYN is not repeated within it."""
 _CONTROLS = 4
-"""Other upstreams that are asked whether it is this gateway that reaches nobody."""
+"""Other upstreams to connect to if one is silent, as the gateway itself may be cut off."""
 
 
 class ProcessState(Enum):
@@ -23,6 +23,7 @@
     ACCEPTING = "accepting"
     """The address accepts connections: of the same process, or of one started since."""
     UNKNOWN = "unknown"
+    """Neither this upstream nor others react, so the gateway may be cut off."""
 
 
 class CheckResult(msgspec.Struct, frozen=True):
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/checks.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/checks.py
@@ -33,7 +33,7 @@
 """Maximum duration of a planned stop: the platform's grace period plus 1 s."""
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that the request has not run and never will run."""
-POISON = b"poison "
+CRASH_MARKER = b"crash "
 """Body of a request that crashes each upstream that runs it."""
 _CRASHES_TO_QUARANTINE = 3
 _MAX_LATE_RUNS = 3
@@ -166,7 +166,7 @@
     sent = {attempt.request_id: attempt for attempt in observations.attempts}
     runs_by_body: dict[bytes, list[UpstreamRun]] = {}
     for run in observations.runs:
-        if run.body.startswith(POISON):
+        if run.body.startswith(CRASH_MARKER):
             runs_by_body.setdefault(run.body, []).append(run)
     for body, runs in runs_by_body.items():
         known_at = [*(run.ran_at for run in runs), float("inf")][_CRASHES_TO_QUARANTINE - 1]
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/crashes.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/crashes.py
@@ -7,7 +7,7 @@
 import anyio
 
 from skylarkferry_soak.callers import Caller, LoadBalancer
-from skylarkferry_soak.checks import MAX_TURN_TOKENS, POISON
+from skylarkferry_soak.checks import CRASH_MARKER, MAX_TURN_TOKENS
 from skylarkferry_soak.observations import Observations, RoutePrefix, UpstreamCrash
 from skylarkferry_soak.proxy import LinkState
 from skylarkferry_soak.testbed import Testbed, Upstream
@@ -30,7 +30,7 @@
 
 
 class UpstreamCrasher:
-    """Crash each upstream that runs a poisonous request, and start it again."""
+    """Crash each upstream that runs a crashing request, and start it again."""
 
     def __init__(self, testbed: Testbed, observations: Observations, rng: random.Random) -> None:
         self.testbed = testbed
@@ -72,15 +72,15 @@
         self.down.discard(upstream.name)
 
 
-class PoisonCaller(Caller):
-    """Send one poisonous request again and again, through any gateway."""
+class CrashingRequestCaller(Caller):
+    """Send one crashing request again and again, through any gateway."""
 
     def __init__(
         self, name: str, balancer: LoadBalancer, observations: Observations, rng: random.Random
     ) -> None:
         super().__init__(name, balancer, observations, rng)
         self.route = rng.choice((RoutePrefix.ORDER, RoutePrefix.GET, RoutePrefix.TURN))
-        self.body = POISON + name.encode()
+        self.body = CRASH_MARKER + name.encode()
 
     async def run(self) -> None:
         """Send the request until cancelled."""
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/soak.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/soak.py
@@ -9,7 +9,7 @@
 
 from skylarkferry_soak.callers import Caller, GatewayEndpoint, LoadBalancer
 from skylarkferry_soak.checks import UNDISTURBED_S, Finding, find_violations
-from skylarkferry_soak.crashes import PoisonCaller, UpstreamCrasher
+from skylarkferry_soak.crashes import CrashingRequestCaller, UpstreamCrasher
 from skylarkferry_soak.injection import FaultInjector
 from skylarkferry_soak.observations import Observations, RoutePrefix
 from skylarkferry_soak.plans import Fault, fault_plan
@@ -32,7 +32,7 @@
     length_s: float = 20.0
     gateways: int = 3
     callers: int = 12
-    poison_callers: int = 1
+    crashing_callers: int = 1
 
 
 class Report(msgspec.Struct):
@@ -83,10 +83,10 @@
     testbed.crash_with(crasher.crash)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(balancer.run)
-        for number in range(size.poison_callers):
-            name = f"poison-{number}"
-            poison_rng = random.Random(seed * 1_000 + size.callers + number)
-            tasks.start_soon(PoisonCaller(name, balancer, observations, poison_rng).run)
+        for number in range(size.crashing_callers):
+            name = f"crashing-{number}"
+            caller_rng = random.Random(seed * 1_000 + size.callers + number)
+            tasks.start_soon(CrashingRequestCaller(name, balancer, observations, caller_rng).run)
         for number in range(size.callers):
             caller = Caller(
                 f"c{number}", balancer, observations, random.Random(seed * 1_000 + number)
@@ -98,7 +98,7 @@
             for item in endpoints
             if not await _starts_serving(prober, item, RECOVERY_TIMEOUT_S)
         ]
-        await anyio.sleep(_QUIET_S if size.poison_callers else _SETTLE_S)
+        await anyio.sleep(_QUIET_S if size.crashing_callers else _SETTLE_S)
         tasks.cancel_scope.cancel()
     return [
         Finding("recovers", f"{name} does not serve after {RECOVERY_TIMEOUT_S:g} s")
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
@@ -15,7 +15,7 @@
 from anyio.abc import Listener, SocketStream, TaskGroup
 
 from skylarkferry_soak.callers import HOST, GatewayEndpoint
-from skylarkferry_soak.checks import POISON, TOKENS_PER_EVENT
+from skylarkferry_soak.checks import CRASH_MARKER, TOKENS_PER_EVENT
 from skylarkferry_soak.observations import Observations, UpstreamRun
 from skylarkferry_soak.proxy import Link
 from skylarkferry_standins.child_processes import free_address
@@ -69,7 +69,7 @@
         now = anyio.current_time()
         for run in new_runs:
             self.observations.runs.append(UpstreamRun(run.request_id, self.name, run.body, now))
-        if new_runs and self.crash is not None and POISON in request.body:
+        if new_runs and self.crash is not None and CRASH_MARKER in request.body:
             return await self.crash(self)
         return reply
 
@@ -226,7 +226,7 @@
         return upstream
 
     def crash_with(self, crash: Callable[[Upstream], Awaitable[WireReply]]) -> None:
-        """Set how an upstream crashes when it runs a poisonous request."""
+        """Set how an upstream crashes when it runs a crashing request."""
         self.crash = crash
         for upstream in self.upstreams.values():
             upstream.crash = crash
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -7,8 +7,8 @@
 from testtools.matchers import Equals, LessThan
 
 from gateway_rig import (
+    CRASH_MARKER,
     HOST,
-    POISON,
     AfterCrash,
     disconnecting_client,
     headers,
@@ -36,12 +36,12 @@
         await rig.add_crashing_replica(f"r{number}", SERVICES[path], ending, after)
 
 
-async def send_poison(rig, path, request_id, gateway):
-    """Send a poisonous request and return the status, or ``None`` for a broken response."""
+async def send_crashing(rig, path, request_id, gateway):
+    """Send a crashing request and return the status, or ``None`` for a broken response."""
     make_headers = turn_headers if SERVICES[path] == "engine" else headers
     fields = make_headers(request_id)
     with suppress(httpx.RemoteProtocolError, httpx.ReadError):
-        return (await send(rig, path, fields, POISON, gateway=gateway)).status_code
+        return (await send(rig, path, fields, CRASH_MARKER, gateway=gateway)).status_code
 
 
 def crash_checks(gateway, **fields):
@@ -51,7 +51,7 @@
     return sum(fields.items() <= event.fields.items() for event in events)
 
 
-def client_request(target, body=POISON, **metadata):
+def client_request(target, body=CRASH_MARKER, **metadata):
     """Return a decoded request of a client."""
     path = target.decode().partition("?")[0]
     fields = RequestMetadata(**metadata)
@@ -61,7 +61,7 @@
 async def assert_not_sent_any_more(rig, path, gateway, arrivals=CRASHES):
     """Assert that a gateway rejects the request, once it knows of the crashes."""
     await wait_until(gateway.crashes.registry.quarantined)
-    status = await send_poison(rig, path, "id-last", gateway)
+    status = await send_crashing(rig, path, "id-last", gateway)
     assert_that((status, rig.arrivals()), Equals((503, arrivals)))
 
 
@@ -73,7 +73,7 @@
     await add_crashing_replicas(rig, path, ending)
     first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
     for number in range(CRASHES):
-        await send_poison(rig, path, f"id-{number}", first)
+        await send_crashing(rig, path, f"id-{number}", first)
     await assert_not_sent_any_more(rig, path, second)
 
 
@@ -82,7 +82,7 @@
     await add_crashing_replicas(rig, path, Behaviour.SILENT, AfterCrash.SILENT)
     first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
     for number in range(CRASHES):
-        await send_poison(rig, path, f"id-{number}", first)
+        await send_crashing(rig, path, f"id-{number}", first)
     await assert_not_sent_any_more(rig, path, second)
 
 
@@ -91,7 +91,7 @@
     await add_crashing_replicas(rig, path, Behaviour.SILENT, AfterCrash.SILENT)
     first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
     for number in range(CRASHES):
-        async with disconnecting_client(rig, path, turn_headers(f"id-{number}"), POISON):
+        async with disconnecting_client(rig, path, turn_headers(f"id-{number}"), CRASH_MARKER):
             await wait_until(lambda number=number: rig.arrivals() == number + 1)
             await anyio.sleep(0.2)
         upstreams = list(first.upstreams.upstreams.values())
@@ -104,7 +104,7 @@
     await add_crashing_replicas(rig, path, Behaviour.CLOSE, AfterCrash.RESTARTED)
     first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
     for number in range(CRASHES):
-        await send_poison(rig, path, f"id-{number}", first)
+        await send_crashing(rig, path, f"id-{number}", first)
     await assert_not_sent_any_more(rig, path, second)
 
 
@@ -113,7 +113,7 @@
     replica = await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER)
     first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
     for number in range(CRASHES):
-        await send_poison(rig, path, f"id-{number}", first)
+        await send_crashing(rig, path, f"id-{number}", first)
         await wait_until(lambda number=number: crash_checks(first, state="ended") == number + 1)
         replica.listener = await rig.listen(rig.addresses["r1"], rig.servers["r1"])
     await assert_not_sent_any_more(rig, path, second)
@@ -127,7 +127,7 @@
         StoreFault.REFUSED if request.target.endswith("rows-tx") else StoreFault.NONE
     )
     for number in range(CRASHES):
-        await send_poison(rig, path, f"id-{number}", first)
+        await send_crashing(rig, path, f"id-{number}", first)
     await wait_until(first.crashes.registry.quarantined)
     rig.store.fault = lambda request: StoreFault.NONE
     await assert_not_sent_any_more(rig, path, second)
@@ -140,7 +140,7 @@
         replica.work_s = 0.5
     gateway = await rig.add_gateway("g1")
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(send, rig, "/get/1", headers("id-slow"), POISON)
+        tasks.start_soon(send, rig, "/get/1", headers("id-slow"), CRASH_MARKER)
         await wait_until(lambda: rig.arrivals() == 1)
         fingerprint = fingerprint_of(client_request(b"/get/1"))
         for number in range(CRASHES):
@@ -153,9 +153,9 @@
         await rig.add_crashing_replica(f"r{number}", "tools", Behaviour.LOSE_ANSWER)
     gateway = await rig.add_gateway("g1")
     for number in range(CRASHES):
-        await send(rig, "/once/poison", headers(f"id-{number}"), method="GET")
+        await send(rig, "/once/crash", headers(f"id-{number}"), method="GET")
     await wait_until(gateway.crashes.registry.quarantined)
-    response = await send(rig, "/once/poison", headers("id-last"), method="GET")
+    response = await send(rig, "/once/crash", headers("id-last"), method="GET")
     assert_that((response.status_code, rig.arrivals()), Equals((503, CRASHES)))
 
 
@@ -165,7 +165,7 @@
     gateway = await rig.add_gateway("g1")
     for number in range(CRASHES):
         fields = turn_headers(f"id-{number}", program=f"program-{number}")
-        await send(rig, path, fields, POISON)
+        await send(rig, path, fields, CRASH_MARKER)
     await assert_not_sent_any_more(rig, path, gateway)
 
 
@@ -174,7 +174,7 @@
         (await rig.add_replica(name)).behaviour = lambda request: Behaviour.LOSE_ANSWER
     gateway = await rig.add_gateway()
     for number in range(CRASHES + 1):
-        response = await send(rig, "/once/1", headers(f"id-{number}"), POISON)
+        response = await send(rig, "/once/1", headers(f"id-{number}"), CRASH_MARKER)
         assert_that(response.status_code, Equals(502))
     assert_that(rig.arrivals(), Equals(CRASHES + 1))
     assert_that(gateway.crashes.registry.crashes, Equals({}))
@@ -187,7 +187,7 @@
     async with anyio.create_task_group() as tasks:
         for number in range(CRASHES):
             fields = headers(f"id-{number}", deadline_ms=500)
-            tasks.start_soon(send, rig, "/once/1", fields, POISON)
+            tasks.start_soon(send, rig, "/once/1", fields, CRASH_MARKER)
         await wait_until(lambda: rig.arrivals() == CRASHES)
         for name, replica in rig.replicas.items():
             await replica.listener.aclose()
@@ -217,11 +217,11 @@
 async def test_completed_request_is_no_longer_suspected_at_any_gateway(rig):
     crashing = await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER)
     first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
-    await send_poison(rig, "/once/1", "id-0", first)
+    await send_crashing(rig, "/once/1", "id-0", first)
     await wait_until(lambda: second.crashes.registry.crashes)
     crashing.behaviour = lambda request: Behaviour.SERVE
     crashing.listener = await rig.listen(rig.addresses["r1"], rig.servers["r1"])
-    await send_poison(rig, "/once/1", "id-1", second)
+    await send_crashing(rig, "/once/1", "id-1", second)
     await wait_until(lambda: not first.crashes.registry.crashes)
     assert_that(second.crashes.registry.crashes, Equals({}))
 
@@ -229,7 +229,7 @@
 async def test_withdrawn_reports_are_forgotten_by_a_gateway_that_missed_the_change(rig):
     await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER)
     first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
-    await send_poison(rig, "/once/1", "id-0", first)
+    await send_crashing(rig, "/once/1", "id-0", first)
     await wait_until(lambda: second.crashes.registry.crashes)
     rig.store.rows = {key: row for key, row in rig.store.rows.items() if key[0] != "crashes"}
     rig.store.put("other", "", "row", b"")
@@ -240,7 +240,7 @@
 async def test_old_crash_reports_are_withdrawn(rig, monkeypatch):
     await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER)
     first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
-    await send_poison(rig, "/once/1", "id-0", first)
+    await send_crashing(rig, "/once/1", "id-0", first)
     await wait_until(lambda: second.crashes.registry.crashes)
     monkeypatch.setattr(defaults, "CRASH_KEEP_S", 0.0)
     await first.crashes.reports.withdraw_old()
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -104,7 +104,7 @@
             await anyio.sleep(0.01)
 
 
-POISON = b"poison"
+CRASH_MARKER = b"crash"
 """A request with these bytes in its target or body ends each crashing replica that runs it."""
 
 
@@ -163,11 +163,11 @@
         self.store.put("servers", "", name, json.dumps(row).encode())
 
     async def add_crashing_replica(self, name, service, ending, after=AfterCrash.REFUSES):
-        """Add a replica that runs a poisonous request, ends its response so, and crashes."""
+        """Add a replica that runs a crashing request, ends its response so, and crashes."""
         replica = await self.add_replica(name, service)
 
         def behaviour(request):
-            if POISON not in request.target.encode() + request.body:
+            if CRASH_MARKER not in request.target.encode() + request.body:
                 return Behaviour.SERVE
             self.tasks.start_soon(self._crash, name, service, after)
             return ending
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -138,26 +138,28 @@
 
 
 @pytest.fixture
-def poisoned(observations):
+def repeated_crashes(observations):
     """Add a request that is sent seven times and crashes an upstream each time."""
     for number in range(7):
-        request_id, sent_at = f"poison-{number}", 10.0 + 2.0 * number
+        request_id, sent_at = f"crashing-{number}", 10.0 + 2.0 * number
         observations.attempts.append(
-            Attempt(request_id, RoutePrefix.ORDER, "g1", sent_at, b"poison ", is_sent=True)
+            Attempt(request_id, RoutePrefix.ORDER, "g1", sent_at, b"crash ", is_sent=True)
         )
-        observations.runs.append(UpstreamRun(request_id, "u1", b"poison ", sent_at))
+        observations.runs.append(UpstreamRun(request_id, "u1", b"crash ", sent_at))
     return observations
 
 
-def test_crashing_request_that_is_sent_too_often_is_found(poisoned):
-    late = msgspec.structs.replace(poisoned.attempts[-1], request_id="poison-7", sent_at=24.0)
-    poisoned.attempts.append(late)
-    poisoned.runs.append(UpstreamRun("poison-7", "u1", b"poison ", 24.0))
-    assert_that(violated_checks(poisoned), Equals({"crashing_requests_are_contained"}))
+def test_crashing_request_that_is_sent_too_often_is_found(repeated_crashes):
+    late = msgspec.structs.replace(
+        repeated_crashes.attempts[-1], request_id="crashing-7", sent_at=24.0
+    )
+    repeated_crashes.attempts.append(late)
+    repeated_crashes.runs.append(UpstreamRun("crashing-7", "u1", b"crash ", 24.0))
+    assert_that(violated_checks(repeated_crashes), Equals({"crashing_requests_are_contained"}))
 
 
-def test_three_late_runs_of_a_crashing_request_are_allowed(poisoned):
-    assert_that(violated_checks(poisoned), Equals(set()))
+def test_three_late_runs_of_a_crashing_request_are_allowed(repeated_crashes):
+    assert_that(violated_checks(repeated_crashes), Equals(set()))
 
 
 def test_request_whose_upstream_crashed_is_not_cut_off_by_the_planned_stop(observations):
