Recognize a repeat of a crashing request whose query differs

Callers could have seen: a request under which three upstream processes had ended is sent on if its next repeat has another query. Cause: the fingerprint covered the whole target, while the platform names path, caller and body as what repeats.

Both new tests failed before (the request was sent a fourth time; the fingerprints differed) and pass now, with the 26 others of test_crash_watch.py.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
@@ -42,14 +42,14 @@
 def fingerprint_of(request: ClientRequest) -> Fingerprint:
     """Return a digest shared by all repeats of a request, whichever attempt or session sends it.
 
-    A body describes the request completely, unless it continues a chain of turns; only then, and
-    without a body, does the digest depend on the caller.
+    The path and the body describe the request, unless it continues a chain of turns; only then, and
+    without a body, does the digest depend on the caller.  A repeat may have another query.
     """
     metadata = request.metadata
     caller = ""
     if not request.body or metadata.previous_turn:
         caller = metadata.program_id or metadata.affinity_key
-    digest = xxhash.xxh128(request.target)
+    digest = xxhash.xxh128(request.path.encode("latin-1"))
     for part in (caller.encode(), request.body):
         digest.update(b"\0" + part)
     return Fingerprint(digest.hexdigest())
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -159,6 +159,17 @@
     assert_that((response.status_code, rig.arrivals()), Equals((503, CRASHES)))
 
 
+async def test_request_is_recognized_if_its_next_query_differs(rig):
+    for number in range(CRASHES + 1):
+        await rig.add_crashing_replica(f"r{number}", "tools", Behaviour.LOSE_ANSWER)
+    gateway = await rig.add_gateway("g1")
+    for number in range(CRASHES):
+        await send(rig, f"/once/crash?page={number}", headers(f"id-{number}"), method="GET")
+    await wait_until(gateway.crashes.registry.quarantined)
+    response = await send(rig, "/once/crash?page=9", headers("id-last"), method="GET")
+    assert_that((response.status_code, rig.arrivals()), Equals((503, CRASHES)))
+
+
 async def test_request_is_recognized_if_its_next_sender_is_another_program(rig):
     path = "/turn/1"
     await add_crashing_replicas(rig, path, Behaviour.LOSE_ANSWER)
@@ -208,6 +219,12 @@
     assert_that(fingerprint_of(first) == fingerprint_of(second), Equals(False))
 
 
+def test_fingerprint_is_that_of_the_same_request_with_another_query():
+    first = client_request(b"/get/1?page=1", b"", program_id="p1")
+    second = client_request(b"/get/1?page=2", b"", program_id="p1")
+    assert_that(fingerprint_of(first), Equals(fingerprint_of(second)))
+
+
 def test_fingerprint_is_that_of_the_same_request_in_another_session():
     first = client_request(b"/get/1", b"", program_id="p1", run_id="s1")
     second = client_request(b"/get/1", b"", program_id="p1", run_id="s2")
