Decode and log the request limits that upstreams name

The logs could not tell which limit a gateway believes in, since when, or how many requests it sent to a limited upstream. What an upstream reports about itself (load, limit) is decoded into one structure and applied in one place, when the response head arrives: events 862 and 863, the limit and the report's age in the line of a placement (load_age_ms becomes report_age_ms), a counter of attempts to limited upstreams. A malformed header, one that comes twice, and a report in a response to another request or of another process at the address change nothing. Nothing is limited yet.

test_upstreams.py follows a signature (the time of a report is kept for all of it, not for the load alone).

--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -107,6 +107,12 @@
     GATEWAY_CRASH_SHARED = (859, Level.INFO, "A crash report is in the store for all gateways.")
     GATEWAY_QUARANTINE_APPLIED = (860, Level.INFO, "A quarantined request was rejected.")
     GATEWAY_CRASH_FORGOTTEN = (861, Level.INFO, "A crash report was withdrawn.")
+    GATEWAY_LIMIT_CHANGED = (
+        862,
+        Level.INFO,
+        "An upstream's request limit began, changed or ended.",
+    )
+    GATEWAY_REPORT_REFUSED = (863, Level.WARNING, "A report in a response header is malformed.")
     GATEWAY_STORE_LOST = (870, Level.WARNING, "The store does not answer this process.")
     GATEWAY_STORE_BACK = (871, Level.INFO, "The store answers this process again.")
     GATEWAY_STORE_RETRY = (872, Level.INFO, "A store call failed and is retried.")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
@@ -87,8 +87,8 @@
                 reply = await exchange.send(
                     attempts.request, attempts.request.body, request_metadata
                 )
-                body = await exchange.body()
                 context.on_reply(decision.upstream, reply)
+                body = await exchange.body()
                 await exchange.finish()
                 return reply, body
             raise AnswerInvalidError("no response in time")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
@@ -83,6 +83,19 @@
     slots: int
 
 
+class UpstreamReport(msgspec.Struct, frozen=True):
+    """What an upstream reports about itself in the headers of a response.
+
+    ``limit_per_s`` is the number of requests a second that it accepts from all gateways together:
+    ``None`` if it names no limit, unset if its header is malformed and tells nothing.
+    ``malformed`` lists the headers that could not be decoded.
+    """
+
+    load: ReportedLoad | None = None
+    limit_per_s: float | msgspec.UnsetType | None = None
+    malformed: tuple[str, ...] = ()
+
+
 class ReplyMetadata(msgspec.Struct, frozen=True):
     """Decoded headers of an upstream's response; ``idle_s`` is its keep-alive timeout."""
 
@@ -90,7 +103,7 @@
     is_signed: bool = False
     not_executed: bool = False
     is_encoded: bool = False
-    load: ReportedLoad | None = None
+    report: UpstreamReport = UpstreamReport()
     idle_s: float | None = None
 
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -86,6 +86,11 @@
             "Requests rejected because of their quarantine.",
             registry=self.registry,
         )
+        self.limited_attempts = Counter(
+            "skylarkferry_gateway_limited_attempts",
+            "Attempts sent to upstreams that name a request limit.",
+            registry=self.registry,
+        )
         self.dropped_lines = Counter(
             "skylarkferry_gateway_dropped_log_lines",
             "Log lines dropped to stay within the bound.",
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement.py
@@ -42,7 +42,7 @@
     upstream: Upstream
     cached_tokens: int
     requests: int
-    load_age_s: float | None
+    report_age_s: float | None
 
 
 class Placer:
@@ -96,10 +96,9 @@
             chosen = self.least_load.place(placement_request, candidates, self.site)
         selected = next((item for item in usable if item.entry.upstream == chosen), usable[0])
         cached_tokens = cached[selected.entry.upstream]
-        load_age_s = (
-            now - selected.load_reported_at if selected.load_reported_at is not None else None
-        )
-        return PlacementDecision(selected, cached_tokens, selected.requests(), load_age_s)
+        reported_at = selected.reported_at
+        report_age_s = now - reported_at if reported_at is not None else None
+        return PlacementDecision(selected, cached_tokens, selected.requests(), report_age_s)
 
     def has_untried(self, attempts: Attempts) -> bool:
         """Return whether an untried upstream accepts requests."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -20,6 +20,7 @@
 from skylarkferry_gateway.messages import UpstreamRequestMetadata
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.placement import PlacementDecision, Placer
+from skylarkferry_gateway.upstream_reports import UpstreamReports, limit_text
 from skylarkferry_gateway.upstreams import Upstream
 
 _FIRST_PRIORITY = 1
@@ -43,6 +44,7 @@
     ) -> None:
         self.codec = codec
         self.crashes = crashes
+        self.reports = UpstreamReports(log)
         self.tasks: TaskGroup | None = None
         self.placer = placer
         self.log = log
@@ -55,6 +57,8 @@
             return None
         decision = self.placer.place(attempts, now)
         if decision is not None:
+            if decision.upstream.limit_per_s is not None:
+                self.metrics.limited_attempts.inc()
             self._log_decision(attempts, decision, now)
         return decision
 
@@ -67,7 +71,8 @@
             service=attempts.service,
             send=attempts.attempts_made + 1,
             requests=decision.requests,
-            load_age_ms=_age_text(decision.load_age_s),
+            limit=limit_text(decision.upstream.limit_per_s),
+            report_age_ms=_age_text(decision.report_age_s),
             cached=decision.cached_tokens,
             left_ms=round(attempts.remaining_s(now) * 1_000),
         )
@@ -97,9 +102,9 @@
         )
 
     def on_reply(self, upstream: Upstream, reply: Reply) -> None:
-        """Update the upstream's load from a response head."""
-        if reply.metadata.load is not None:
-            upstream.update_load(reply.metadata.load, anyio.current_time())
+        """Apply what the upstream reports about itself in a response head."""
+        if reply.status != HTTPStatus.MISDIRECTED_REQUEST:
+            self.reports.apply(upstream, reply.metadata.report, anyio.current_time())
 
     def on_failure_status(self, upstream: Upstream, reply: Reply) -> None:
         """Count a failure against the upstream, except a timeout response sent at the deadline."""
@@ -175,5 +180,5 @@
 
 
 def _age_text(age_s: float | None) -> str:
-    """Format an age for the log; ``none`` if the upstream has not reported its load yet."""
+    """Format an age for the log; ``none`` if the upstream has not responded yet."""
     return "none" if age_s is None else str(round(age_s * 1_000))
--- /dev/null
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_reports.py
@@ -0,0 +1,50 @@
+"""Reports of upstreams about themselves, taken from response heads."""
+
+from msgspec import UnsetType
+
+from skylarkferry_core.events import EventKind
+from skylarkferry_daemon.log import EventLog
+from skylarkferry_gateway.messages import UpstreamReport
+from skylarkferry_gateway.upstreams import Upstream
+
+
+class UpstreamReports:
+    """Apply reports to upstreams, and log what changes."""
+
+    def __init__(self, log: EventLog) -> None:
+        self.log = log
+
+    def apply(self, upstream: Upstream, report: UpstreamReport, now: float) -> None:
+        """Apply the report of an upstream's latest response."""
+        upstream.reported_at = now
+        if report.load is not None:
+            upstream.update_load(report.load)
+        if not isinstance(report.limit_per_s, UnsetType):
+            self._apply_limit(upstream, report.limit_per_s)
+        self._log_malformed(upstream, report.malformed)
+
+    def _apply_limit(self, upstream: Upstream, limit_per_s: float | None) -> None:
+        if limit_per_s == upstream.limit_per_s:
+            return
+        self.log.emit(
+            EventKind.GATEWAY_LIMIT_CHANGED,
+            upstream=upstream.entry.upstream,
+            before=limit_text(upstream.limit_per_s),
+            after=limit_text(limit_per_s),
+        )
+        upstream.limit_per_s = limit_per_s
+
+    def _log_malformed(self, upstream: Upstream, malformed: tuple[str, ...]) -> None:
+        """Log malformed headers, unless those of the previous response were the same."""
+        if malformed and malformed != upstream.malformed_headers:
+            self.log.emit(
+                EventKind.GATEWAY_REPORT_REFUSED,
+                upstream=upstream.entry.upstream,
+                detail=", ".join(malformed),
+            )
+        upstream.malformed_headers = malformed
+
+
+def limit_text(limit_per_s: float | None) -> str:
+    """Format a request limit for the log."""
+    return "none" if limit_per_s is None else f"{limit_per_s:g}"
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -50,7 +50,9 @@
         self.in_flight = 0
         self.other_requests = 0.0
         self.slots = max(entry.slots, 1)
-        self.load_reported_at: float | None = None
+        self.limit_per_s: float | None = None
+        self.reported_at: float | None = None
+        self.malformed_headers: tuple[str, ...] = ()
         self.prompt_cache = PromptCacheEstimate()
         self.is_misdirected = False
         self.removed_at: float | None = None
@@ -60,11 +62,10 @@
         """Return whether new requests may be sent to the upstream."""
         return not (self.entry.is_leaving or self.is_misdirected)
 
-    def update_load(self, load: ReportedLoad, now: float) -> None:
+    def update_load(self, load: ReportedLoad) -> None:
         """Record the load reported in a response, which includes the request it responds to."""
         self.other_requests = max(float(load.running + load.queued - self.in_flight), 0.0)
         self.slots = max(load.slots, 1)
-        self.load_reported_at = now
 
     def requests(self) -> int:
         """Return the estimated number of requests at the upstream, from all gateways."""
--- a/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
@@ -55,6 +55,10 @@
         self.runs: list[ExecutedRequest] = []
         self.received_ids: list[str] = []
         self.work_s = 0.0
+        self.report: dict[str, str] = {}
+        """Headers added to every response, in which the replica reports about itself."""
+        self.stale_report: dict[str, str] = {}
+        """The same for the extra response of ``STALE_FIRST``."""
         self.behaviour: Callable[[WireRequest], Behaviour] = lambda request: Behaviour.SERVE
 
     async def handle(self, request: WireRequest) -> WireReply:
@@ -64,9 +68,9 @@
         expected = request.headers.get("skylarkferry-expect-instance", self.name)
         behaviour = self.behaviour(request)
         if expected != self.name or behaviour is Behaviour.MISDIRECT:
-            return WireReply(421, {"Skylarkferry-Instance-Id": "another"})
+            return WireReply(421, {"Skylarkferry-Instance-Id": "another", **self.report})
         if behaviour is Behaviour.SHED:
-            return WireReply(503, {"Skylarkferry-Not-Executed": "1"})
+            return WireReply(503, {"Skylarkferry-Not-Executed": "1", **self.report})
         if behaviour is Behaviour.RESET_UNRUN:
             return WireReply(raw=b"", ending=Ending.RESET)
         self.runs.append(ExecutedRequest(request_id, request.target, request.body, request.headers))
@@ -99,7 +103,8 @@
             case Behaviour.EXTRA:
                 return WireReply(raw=encode_reply(whole_reply) * 2)
             case Behaviour.STALE_FIRST:
-                stale = WireReply(200, self._headers("an-earlier-request"), b"stale")
+                stale_headers = {**self._headers("an-earlier-request"), **self.stale_report}
+                stale = WireReply(200, stale_headers, b"stale")
                 return WireReply(raw=encode_reply(stale) + encode_reply(whole_reply))
         return whole_reply
 
@@ -117,6 +122,7 @@
             "Skylarkferry-Request-Id": request_id,
             "Skylarkferry-Response-Signature": f"signed by {self.name}",
             "Skylarkferry-Server-Load": f"{1},0,4",
+            **self.report,
         }
 
     def _events(self, request: WireRequest, behaviour: Behaviour) -> bytes:
--- a/tests/gateway/test_upstreams.py
+++ b/tests/gateway/test_upstreams.py
@@ -70,7 +70,7 @@
 async def test_other_requests_are_reported_load_minus_own_requests():
     upstream = Upstream(entry())
     upstream.in_flight = 2
-    upstream.update_load(ReportedLoad(running=4, queued=3, slots=4), 1.0)
+    upstream.update_load(ReportedLoad(running=4, queued=3, slots=4))
     assert_that((upstream.other_requests, upstream.requests()), Equals((5.0, 7)))
 
 
--- a/tests/platform_adapter/test_codec.py
+++ b/tests/platform_adapter/test_codec.py
@@ -1,3 +1,4 @@
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -77,8 +78,26 @@
         (b"keep-alive", b"timeout=5, max=100"),
     ]
     metadata = CODEC.decode_reply(fields)
-    found = (metadata.is_signed, metadata.load, metadata.idle_s)
+    found = (metadata.is_signed, metadata.report.load, metadata.idle_s)
     assert_that(found, Equals((True, ReportedLoad(3, 1, 8), 5.0)))
     invalid = CODEC.decode_reply([(b"skylarkferry-server-load", b"full"), (b"keep-alive", b"x")])
-    assert_that((invalid.load, invalid.idle_s), Equals((None, None)))
+    assert_that((invalid.report.load, invalid.idle_s), Equals((None, None)))
     assert_that(CODEC.client_headers(fields), Not(Contains(fields[1])))
+
+
+@pytest.mark.parametrize(
+    ("values", "expected"),
+    [([], None), ([b"4.5"], 4.5), ([b"12"], 12.0), ([b"0"], 0.0)],
+)
+def test_request_limit_is_decoded(values, expected):
+    report = CODEC.decode_reply([(b"server-limit", value) for value in values]).report
+    assert_that((report.limit_per_s, report.malformed), Equals((expected, ())))
+
+
+@pytest.mark.parametrize(
+    "values",
+    [[b""], [b"-1"], [b"nan"], [b"inf"], [b"1e3"], [b"4,5"], [b"4 a second"], [b"4", b"5"]],
+)
+def test_malformed_request_limit_tells_nothing(values):
+    report = CODEC.decode_reply([(b"server-limit", value) for value in values]).report
+    assert_that((report.limit_per_s, len(report.malformed)), Equals((msgspec.UNSET, 1)))
