--- a/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from enum import Enum
 
+import anyio
 import msgspec
 
 from skylarkferry_standins.wire_server import Ending, WireReply, WireRequest, encode_reply
@@ -54,6 +55,8 @@
         self.name = name
         self.runs: list[ExecutedRequest] = []
         self.received_ids: list[str] = []
+        self.received_at: list[float] = []
+        """Monotonic times at which the requests arrived."""
         self.work_s = 0.0
         self.report: dict[str, str] = {}
         """Headers added to every response, in which the replica reports about itself."""
@@ -65,6 +68,7 @@
         """Handle one request."""
         request_id = request.headers.get("skylarkferry-request-id", "")
         self.received_ids.append(request_id)
+        self.received_at.append(anyio.current_time())
         expected = request.headers.get("skylarkferry-expect-instance", self.name)
         behaviour = self.behaviour(request)
         if expected != self.name or behaviour is Behaviour.MISDIRECT:
