Divide the request limit of an upstream among the gateways

Callers saw nothing; upstreams in need got many times the requests a second that they had named. Class of fault: a limit on a sum was visible to many senders and kept by none of them.

The slots of an upstream now follow each other on the wall clock at its limit and belong to the running gateways in turn, so that the sum holds without messages, also while the store is away. The gateways know each other from a list of rows in the store; a gateway sends nothing to limited upstreams until all others count it. All ways of sending pass the check, as it is part of choosing an upstream. What no upstream may take is rejected at once.

Ruled out: an owner that hands out tokens (two owners or none while hosts are cut), a rate a gateway without slots (a request saved up at each of 33 gateways exceeds a small limit), a subset of gateways (the others never learn that the limit ended).

--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -113,6 +113,11 @@
         "An upstream's request limit began, changed or ended.",
     )
     GATEWAY_REPORT_REFUSED = (863, Level.WARNING, "A report in a response header is malformed.")
+    GATEWAY_LIMIT_REACHED = (
+        864,
+        Level.INFO,
+        "Only upstreams at their limits are left; no attempt.",
+    )
     GATEWAY_STORE_LOST = (870, Level.WARNING, "The store does not answer this process.")
     GATEWAY_STORE_BACK = (871, Level.INFO, "The store answers this process again.")
     GATEWAY_STORE_RETRY = (872, Level.INFO, "A store call failed and is retried.")
@@ -130,6 +135,11 @@
     GATEWAY_STOPPING = (892, Level.INFO, "A planned stop began.")
     GATEWAY_STOPPED = (893, Level.INFO, "The gateway completed its planned stop.")
     GATEWAY_READINESS = (894, Level.INFO, "The readiness reported to the load balancer changed.")
+    GATEWAY_LIST_CHANGED = (
+        896,
+        Level.INFO,
+        "Gateways joined the list of running ones, or left it.",
+    )
     LOG_DROPPED = (895, Level.WARNING, "Log lines were dropped to stay within the limits.")
 
     def __init__(self, number: int, level: Level, meaning: str) -> None:
--- /dev/null
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/limit_shares.py
@@ -0,0 +1,45 @@
+"""Share of this gateway in the request limits that upstreams name."""
+
+from collections.abc import Callable
+
+import anyio
+
+from skylarkferry_core.request_limits import SlotTurn, UpstreamLimit
+from skylarkferry_gateway.gateway_list import GatewayList
+from skylarkferry_gateway.upstreams import Upstream
+
+
+class LimitShares:
+    """Allow requests to upstreams that name a limit only in the send slots of this gateway."""
+
+    def __init__(self, gateways: GatewayList, wall_clock: Callable[[], float]) -> None:
+        self.gateways = gateways
+        self.wall_clock = wall_clock
+
+    def set_limit(self, upstream: Upstream, per_s: float | None) -> None:
+        """Apply the limit that an upstream named last; ``None`` if it named none."""
+        if per_s is None:
+            upstream.limit = None
+        elif upstream.limit is None:
+            upstream.limit = UpstreamLimit(per_s, self.wall_clock())
+        else:
+            upstream.limit.per_s = per_s
+
+    def allows_request(self, upstream: Upstream) -> bool:
+        """Return whether a request may be sent to the upstream now.
+
+        A gateway that is not yet known to all others has no share of any limit.
+        """
+        if upstream.limit is None:
+            return True
+        turn = self._turn(upstream)
+        return turn is not None and upstream.limit.allows_request(turn, self.wall_clock())
+
+    def on_request(self, upstream: Upstream) -> None:
+        """Count a request that is about to be sent."""
+        turn = self._turn(upstream)
+        if upstream.limit is not None and turn is not None:
+            upstream.limit.use_slot(turn, self.wall_clock())
+
+    def _turn(self, upstream: Upstream) -> SlotTurn | None:
+        return self.gateways.turn(upstream.entry.upstream, anyio.current_time())
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -91,6 +91,11 @@
             "Attempts sent to upstreams that name a request limit.",
             registry=self.registry,
         )
+        self.limit_refusals = Counter(
+            "skylarkferry_gateway_limit_refusals",
+            "Attempts not made because all usable upstreams had reached their request limits.",
+            registry=self.registry,
+        )
         self.dropped_lines = Counter(
             "skylarkferry_gateway_dropped_log_lines",
             "Log lines dropped to stay within the bound.",
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement.py
@@ -27,6 +27,7 @@
 from skylarkferry_core.states import PoolKind, UpstreamState
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.attempts import Attempts
+from skylarkferry_gateway.limit_shares import LimitShares
 from skylarkferry_gateway.messages import ClientRequest
 from skylarkferry_gateway.upstreams import Upstream, Upstreams
 
@@ -48,8 +49,11 @@
 class Placer:
     """Select upstreams: engines by estimated completion time, others by load or affinity."""
 
-    def __init__(self, upstreams: Upstreams, domain: FailureDomain, rng: random.Random) -> None:
+    def __init__(
+        self, upstreams: Upstreams, limits: LimitShares, domain: FailureDomain, rng: random.Random
+    ) -> None:
         self.upstreams = upstreams
+        self.limits = limits
         self.domain = domain
         self.speeds = SpeedEstimates(
             Speed(defaults.PREFILL_TOKENS_PER_S, defaults.DECODE_TOKENS_PER_S)
@@ -73,7 +77,7 @@
     def place(self, attempts: Attempts, now: float) -> PlacementDecision | None:
         """Return the upstream to send to, or ``None`` if no untried one accepts requests."""
         request, route, engine = attempts.request, attempts.route, attempts.engine
-        usable = self._untried(attempts)
+        usable = [item for item in self._untried(attempts) if self.limits.allows_request(item)]
         if not usable:
             return None
         suspects = self.upstreams.suspects(attempts.service, now)
@@ -101,8 +105,12 @@
         return PlacementDecision(selected, cached_tokens, selected.requests(), report_age_s)
 
     def has_untried(self, attempts: Attempts) -> bool:
-        """Return whether an untried upstream accepts requests."""
-        return bool(self._untried(attempts))
+        """Return whether an untried upstream accepts requests now."""
+        return any(self.limits.allows_request(upstream) for upstream in self._untried(attempts))
+
+    def is_limited(self, attempts: Attempts) -> bool:
+        """Return whether untried upstreams would accept the request if not for their limits."""
+        return any(not self.limits.allows_request(upstream) for upstream in self._untried(attempts))
 
     def _untried(self, attempts: Attempts) -> list[Upstream]:
         return [
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -7,6 +7,7 @@
 
 from skylarkferry_core.breakers import BreakerState
 from skylarkferry_core.errors import (
+    OverloadedError,
     SkylarkferryError,
     UpstreamLostError,
 )
@@ -20,7 +21,7 @@
 from skylarkferry_gateway.messages import UpstreamRequestMetadata
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.placement import PlacementDecision, Placer
-from skylarkferry_gateway.upstream_reports import UpstreamReports, limit_text
+from skylarkferry_gateway.upstream_reports import UpstreamReports
 from skylarkferry_gateway.upstreams import Upstream
 
 _FIRST_PRIORITY = 1
@@ -44,7 +45,7 @@
     ) -> None:
         self.codec = codec
         self.crashes = crashes
-        self.reports = UpstreamReports(log)
+        self.reports = UpstreamReports(placer.limits, log)
         self.tasks: TaskGroup | None = None
         self.placer = placer
         self.log = log
@@ -56,13 +57,30 @@
         if attempts.refusal is not None:
             return None
         decision = self.placer.place(attempts, now)
-        if decision is not None:
-            if decision.upstream.limit_per_s is not None:
-                self.metrics.limited_attempts.inc()
-            self._log_decision(attempts, decision, now)
+        if decision is None:
+            if self.placer.is_limited(attempts):
+                attempts.refusal = self._refuse_beyond_limits(attempts)
+            return None
+        if decision.upstream.limit is not None:
+            self.placer.limits.on_request(decision.upstream)
+            self.metrics.limited_attempts.inc()
+        self._log_decision(attempts, decision, now)
         return decision
 
+    def _refuse_beyond_limits(self, attempts: Attempts) -> SkylarkferryError:
+        self.metrics.limit_refusals.inc()
+        self.log.emit(
+            EventKind.GATEWAY_LIMIT_REACHED,
+            attempts.request.metadata.program_id,
+            request=attempts.request.metadata.request_id,
+            service=attempts.service,
+        )
+        return OverloadedError(
+            "the upstreams accept no more requests now", retry_after_s=defaults.RETRY_AFTER_S
+        )
+
     def _log_decision(self, attempts: Attempts, decision: PlacementDecision, now: float) -> None:
+        limit = decision.upstream.limit
         self.log.emit(
             EventKind.GATEWAY_PLACED,
             attempts.request.metadata.program_id,
@@ -71,7 +89,7 @@
             service=attempts.service,
             send=attempts.attempts_made + 1,
             requests=decision.requests,
-            limit=limit_text(decision.upstream.limit_per_s),
+            limit=f"{limit.per_s:g}" if limit is not None else "none",
             report_age_ms=_age_text(decision.report_age_s),
             cached=decision.cached_tokens,
             left_ms=round(attempts.remaining_s(now) * 1_000),
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -1,6 +1,7 @@
 """Assembly of the gateway role: listeners, watchers and graceful shutdown."""
 
 import random
+import time
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 
@@ -19,8 +20,10 @@
 from skylarkferry_gateway.crash_watch import CrashWatch
 from skylarkferry_gateway.failover_store import FailoverStore
 from skylarkferry_gateway.gateway import Gateway
+from skylarkferry_gateway.gateway_list import GatewayList
 from skylarkferry_gateway.http_server import ClientConnection, Handler, ReceivedRequest
 from skylarkferry_gateway.interfaces import Platform
+from skylarkferry_gateway.limit_shares import LimitShares
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.ownership import OwnerTable
 from skylarkferry_gateway.peers import PeerClient, PeerServer
@@ -51,7 +54,9 @@
         self.metrics = metrics
         self.timers = TimerService()
         self.upstreams = Upstreams()
-        placer = Placer(self.upstreams, settings.failure_domain, rng)
+        self.gateways = GatewayList(store, settings.node, log)
+        limits = LimitShares(self.gateways, time.time)
+        placer = Placer(self.upstreams, limits, settings.failure_domain, rng)
         cache = TurnCache(int(settings.memory_bytes * defaults.TURN_CACHE_MEMORY_SHARE))
         self.owners = OwnerTable(store, settings.incarnation, settings.peer_listen, log)
         self.accounts = AccountManager(store, self.owners, log)
@@ -84,6 +89,8 @@
             self.timers.every(defaults.UPSTREAMS_POLL_S, self.store.probe)
             self.timers.every(defaults.ACCOUNTS_SWEEP_S, self.accounts.delete_idle_accounts)
             tasks.start_soon(self._read_owners)
+            self.timers.every(defaults.GATEWAY_BEAT_S, self.gateways.beat)
+            tasks.start_soon(self.gateways.beat)
             local = [
                 (self.settings.ready_listen, self._answer_ready),
                 (self.settings.metrics_listen, self._answer_metrics),
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_reports.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_reports.py
@@ -4,6 +4,7 @@
 
 from skylarkferry_core.events import EventKind
 from skylarkferry_daemon.log import EventLog
+from skylarkferry_gateway.limit_shares import LimitShares
 from skylarkferry_gateway.messages import UpstreamReport
 from skylarkferry_gateway.upstreams import Upstream
 
@@ -11,7 +12,8 @@
 class UpstreamReports:
     """Apply reports to upstreams, and log what changes."""
 
-    def __init__(self, log: EventLog) -> None:
+    def __init__(self, limits: LimitShares, log: EventLog) -> None:
+        self.limits = limits
         self.log = log
 
     def apply(self, upstream: Upstream, report: UpstreamReport, now: float) -> None:
@@ -24,15 +26,16 @@
         self._log_malformed(upstream, report.malformed)
 
     def _apply_limit(self, upstream: Upstream, limit_per_s: float | None) -> None:
-        if limit_per_s == upstream.limit_per_s:
+        before = upstream.limit.per_s if upstream.limit is not None else None
+        if limit_per_s == before:
             return
+        self.limits.set_limit(upstream, limit_per_s)
         self.log.emit(
             EventKind.GATEWAY_LIMIT_CHANGED,
             upstream=upstream.entry.upstream,
-            before=limit_text(upstream.limit_per_s),
-            after=limit_text(limit_per_s),
+            before=_limit_text(before),
+            after=_limit_text(limit_per_s),
         )
-        upstream.limit_per_s = limit_per_s
 
     def _log_malformed(self, upstream: Upstream, malformed: tuple[str, ...]) -> None:
         """Log malformed headers, unless those of the previous response were the same."""
@@ -45,6 +48,5 @@
         upstream.malformed_headers = malformed
 
 
-def limit_text(limit_per_s: float | None) -> str:
-    """Format a request limit for the log."""
+def _limit_text(limit_per_s: float | None) -> str:
     return "none" if limit_per_s is None else f"{limit_per_s:g}"
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -6,6 +6,7 @@
 from skylarkferry_core.breakers import Breaker
 from skylarkferry_core.ids import ServiceName, UpstreamId
 from skylarkferry_core.outcome_counts import OutcomeCounts, suspects
+from skylarkferry_core.request_limits import UpstreamLimit
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.http_client import HttpConnection, connect
 from skylarkferry_gateway.messages import PromptPart, ReportedLoad, UpstreamEntry
@@ -50,7 +51,7 @@
         self.in_flight = 0
         self.other_requests = 0.0
         self.slots = max(entry.slots, 1)
-        self.limit_per_s: float | None = None
+        self.limit: UpstreamLimit | None = None
         self.reported_at: float | None = None
         self.malformed_headers: tuple[str, ...] = ()
         self.prompt_cache = PromptCacheEstimate()
