Fail an attempt whose upstream sends interim responses without end

Callers waited until their deadline, and every other request of the gateway up to 0.21 s at a time: interim (1xx) responses were read without a bound, thousands from each piece received. An attempt fails now after eight.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
@@ -17,6 +17,8 @@
 from skylarkferry_gateway.messages import Headers
 
 _MAX_HEAD_BYTES = 65_536
+_MAX_INTERIM_RESPONSES = 8
+"""Interim (1xx) responses accepted before a response; servers send one or two."""
 
 
 def enable_keepalive(stream: SocketStream) -> None:
@@ -74,12 +76,13 @@
 
     async def read_head(self) -> h11.Response:
         """Return the response head; raise ``ConnectionLostError`` or ``AnswerInvalidError``."""
-        while True:
+        for _ in range(_MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise AnswerInvalidError(f"expected a response head, got {event!r}")
+        raise AnswerInvalidError(f"more than {_MAX_INTERIM_RESPONSES} interim responses")
 
     async def read(self) -> bytes | None:
         """Return the next bytes of the body, or ``None`` at its end."""
