Search each byte of an event once

An event without end in small pieces kept the event loop busy: each piece searched the whole buffer for the end of the event, 256 MB for 512 KB in pieces of 512 bytes (counted by the new test, which failed before and passes now with less than 1 MB). The test of a stream that breaks off in an event without end passed before as well: the client's stream is cut and the upstream's connection closed.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_events.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_events.py
@@ -8,6 +8,7 @@
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _LINE_END = re.compile(rb"\r\n|\n|\r")
+_EVENT_END_BYTES = 4
 _MAX_EVENT_BYTES = 1_048_576
 
 
@@ -20,18 +21,24 @@
 
 
 class EventSplitter:
-    """Split a byte stream into events; the buffer holds an incomplete event."""
+    """Split a byte stream into events; the buffer holds an incomplete event.
+
+    No event ends before ``searched`` bytes of the buffer.
+    """
 
     def __init__(self) -> None:
         self.buffer = bytearray()
+        self.searched = 0
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that ``data`` completes; raise ``AnswerInvalidError``."""
         self.buffer += data
         events: list[StreamEvent] = []
-        while (found := _EVENT_END.search(self.buffer)) is not None:
+        while (found := _EVENT_END.search(self.buffer, self.searched)) is not None:
             events.append(parse_event(bytes(self.buffer[: found.end()])))
             del self.buffer[: found.end()]
+            self.searched = 0
+        self.searched = max(len(self.buffer) - _EVENT_END_BYTES + 1, 0)
         if len(self.buffer) > _MAX_EVENT_BYTES:
             raise AnswerInvalidError(f"an event exceeds {_MAX_EVENT_BYTES} bytes")
         return events
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -1,12 +1,17 @@
 """Upstreams that send without end, until the gateway closes the connection."""
 
+import re
+
 import anyio
 import h11
+import httpx
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals
+from testtools.matchers import Contains, Equals, LessThan
 
-from gateway_rig import free_address, headers, send, wait_until
+from gateway_rig import free_address, headers, send, turn_headers, wait_until
+from skylarkferry_gateway import stream_events
+from skylarkferry_gateway.stream_events import EventSplitter
 from skylarkferry_standins.replica import Replica
 
 pytestmark = pytest.mark.anyio
@@ -35,6 +40,8 @@
             await stream.send(self.head.replace(b"IDENTITY", identity.encode()))
             while True:
                 await stream.send(self.repeated)
+        except anyio.EndOfStream:
+            pass  # a check of the process
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             self.closed += 1
         finally:
@@ -65,3 +72,45 @@
     assert_that(response.status_code, Equals(502))
     assert_that(response.json()["detail"], Contains("interim"))
     await wait_until(lambda: server.closed == 1)
+
+
+async def test_event_without_end_breaks_a_stream_that_the_client_is_receiving(rig):
+    head = (
+        b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nIDENTITY"
+        b"connection: close\r\n\r\nid: 1\ndata: first\n\nid: 2\ndata: "
+    )
+    server = await add_endless_replica(rig, "r1", "engine", head, b"x")
+    await rig.add_gateway()
+    with pytest.raises(httpx.RemoteProtocolError):
+        await send(rig, "/turn/1", turn_headers("id-1"), b"p")
+    await wait_until(lambda: server.closed == 1)
+
+
+def test_each_byte_of_an_event_is_searched_once_however_small_its_pieces(monkeypatch):
+    searched = []
+
+    class Recording:
+        def __init__(self, pattern):
+            self.pattern = pattern
+
+        def search(self, buffer, start=0):
+            searched.append(len(buffer) - start)
+            return self.pattern.search(buffer, start)
+
+    pattern = re.compile(stream_events._EVENT_END.pattern)
+    monkeypatch.setattr(stream_events, "_EVENT_END", Recording(pattern))
+    splitter = EventSplitter()
+    pieces, piece = 1_000, b"data: " + b"x" * 506
+    for _ in range(pieces):
+        splitter.feed(piece)
+    assert_that(sum(searched), LessThan(2 * pieces * len(piece)))
+    assert_that(len(splitter.feed(b"\n\n")), Equals(1))
+
+
+@pytest.mark.parametrize("cut", [1, 2, 3])
+def test_event_end_is_found_if_it_arrives_in_pieces(cut):
+    raw = b"id: 1\ndata: x\r\n\r\nid: 2\ndata: y\n\n"
+    middle = raw.index(b"\r\n\r\n") + cut
+    splitter = EventSplitter()
+    events = [*splitter.feed(raw[:middle]), *splitter.feed(raw[middle:])]
+    assert_that([event.event_id for event in events], Equals([1, 2]))
