Bound the memory of large responses of a process

Several upstreams that send bodies without end could have ended the whole process: each response was held up to 8 MB, whatever others held. Large responses together now use at most 15 % of the process's memory limit; the first 64 KB of each are not counted, so that ordinary responses are served meanwhile.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
@@ -11,7 +11,7 @@
 )
 from skylarkferry_core.states import FinalWord
 from skylarkferry_gateway.attempts import Attempts
-from skylarkferry_gateway.exchanges import Exchange, Reply
+from skylarkferry_gateway.exchanges import Reply
 from skylarkferry_gateway.http_server import ClientConnection
 from skylarkferry_gateway.placement import PlacementDecision
 from skylarkferry_gateway.relay_context import RelayContext, idle_limit_s
@@ -77,7 +77,7 @@
         self, attempts: Attempts, decision: PlacementDecision
     ) -> tuple[Reply, bytes]:
         context = self.context
-        async with Exchange(decision.upstream, context.codec) as exchange:
+        async with context.exchange(decision.upstream) as exchange:
             await exchange.connect(idle_limit_s(attempts))
             now = anyio.current_time()
             attempts.attempts_made += 1
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -71,6 +71,8 @@
 
 TURN_CACHE_MEMORY_SHARE = 0.15
 """Share of the process's memory limit for the cache of retained turns."""
+RESPONSE_MEMORY_SHARE = 0.15
+"""Share of the process's memory limit for large responses; a complete one is held twice."""
 BREAKER_MAX_OPEN_S = 4.0
 """Longest time a breaker stays open, so that a recovered upstream is used again within seconds."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
@@ -22,6 +22,7 @@
     ReplyMetadata,
     UpstreamRequestMetadata,
 )
+from skylarkferry_gateway.response_memory import HeldResponse, ResponseMemory
 from skylarkferry_gateway.upstreams import Upstream
 
 _NOT_EXECUTED_STATUSES = (
@@ -64,9 +65,10 @@
     Leaving it before ``finish`` closes the connection, to stop the upstream's work.
     """
 
-    def __init__(self, upstream: Upstream, codec: HeaderCodec) -> None:
+    def __init__(self, upstream: Upstream, codec: HeaderCodec, memory: ResponseMemory) -> None:
         self.upstream = upstream
         self.codec = codec
+        self.held = HeldResponse(memory)
         self.connection: HttpConnection | None = None
         self.idle_s: float | None = None
 
@@ -83,6 +85,7 @@
     ) -> None:
         """Remove the request from those in flight and close a connection that was not released."""
         self.upstream.in_flight -= 1
+        self.held.release()
         if self.connection is not None:
             await self.connection.abort()
 
@@ -137,7 +140,7 @@
             if _is_response_to(request, metadata, response.status_code):
                 self.idle_s = metadata.idle_s
                 return Reply(response.status_code, headers, metadata)
-            await self.connection.body(defaults.MAX_ANSWER_BYTES)
+            await self.body()
             self.connection.discard_reply()
         raise AnswerInvalidError("received only responses to other requests")
 
@@ -147,9 +150,9 @@
         return await self.connection.read()
 
     async def body(self) -> bytes:
-        """Return the whole response body."""
+        """Return the whole response body; raise ``AnswerInvalidError`` if it is too large."""
         assert self.connection is not None
-        return await self.connection.body(defaults.MAX_ANSWER_BYTES)
+        return await self.connection.body(defaults.MAX_ANSWER_BYTES, self.held.grow_to)
 
     async def finish(self) -> None:
         """Release the connection for reuse after the end of the response."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
@@ -2,6 +2,7 @@
 
 import select
 import socket
+from collections.abc import Callable
 from contextlib import suppress
 
 import anyio
@@ -93,15 +94,21 @@
             return None
         raise AnswerInvalidError(f"expected a response body, got {event!r}")
 
-    async def body(self, limit_bytes: int) -> bytes:
-        """Return the whole body; raise ``AnswerInvalidError`` if it exceeds ``limit_bytes``."""
+    async def body(
+        self, limit_bytes: int, on_growth: Callable[[int], None] = lambda size: None
+    ) -> bytes:
+        """Return the whole body; raise ``AnswerInvalidError`` if it exceeds ``limit_bytes``.
+
+        ``on_growth`` is called with the size so far before each part is kept.
+        """
         parts: list[bytes] = []
         size = 0
         while (data := await self.read()) is not None:
-            parts.append(data)
             size += len(data)
             if size > limit_bytes:
                 raise AnswerInvalidError(f"the response body exceeds {limit_bytes} bytes")
+            on_growth(size)
+            parts.append(data)
         return b"".join(parts)
 
     async def _next_event(self) -> h11.Event:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -16,11 +16,12 @@
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.attempts import Attempts
 from skylarkferry_gateway.crash_watch import CrashWatch
-from skylarkferry_gateway.exchanges import Reply
+from skylarkferry_gateway.exchanges import Exchange, Reply
 from skylarkferry_gateway.interfaces import HeaderCodec
 from skylarkferry_gateway.messages import UpstreamRequestMetadata
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.placement import PlacementDecision, Placer
+from skylarkferry_gateway.response_memory import ResponseMemory
 from skylarkferry_gateway.upstream_reports import UpstreamReports
 from skylarkferry_gateway.upstreams import Upstream
 
@@ -40,10 +41,13 @@
         codec: HeaderCodec,
         placer: Placer,
         crashes: CrashWatch,
+        response_memory: ResponseMemory,
+        *,
         log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
         self.codec = codec
+        self.response_memory = response_memory
         self.crashes = crashes
         self.reports = UpstreamReports(placer.limits, log)
         self.tasks: TaskGroup | None = None
@@ -95,6 +99,10 @@
             left_ms=round(attempts.remaining_s(now) * 1_000),
         )
 
+    def exchange(self, upstream: Upstream) -> Exchange:
+        """Return a new exchange with an upstream."""
+        return Exchange(upstream, self.codec, self.response_memory)
+
     def reply_deadline(self, attempts: Attempts, decision: PlacementDecision, now: float) -> float:
         """Return the monotonic time by which the response head must arrive."""
         has_alternatives = self.placer.has_untried(attempts)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -30,6 +30,7 @@
 from skylarkferry_gateway.placement import Placer
 from skylarkferry_gateway.process_checks import ProcessChecker
 from skylarkferry_gateway.relay_context import RelayContext
+from skylarkferry_gateway.response_memory import ResponseMemory
 from skylarkferry_gateway.settings import GatewaySettings
 from skylarkferry_gateway.turns import TurnServices, TurnStore
 from skylarkferry_gateway.upstreams import Upstreams
@@ -66,7 +67,10 @@
         self.crashes = CrashWatch(store, checker, log, metrics)
         self.config = ConfigWatcher(directory, log, metrics)
         self.upstream_watcher = UpstreamWatcher(directory, self.upstreams, log, metrics)
-        self.context = context = RelayContext(platform.codec, placer, self.crashes, log, metrics)
+        memory = ResponseMemory(int(settings.memory_bytes * defaults.RESPONSE_MEMORY_SHARE))
+        self.context = context = RelayContext(
+            platform.codec, placer, self.crashes, memory, log=log, metrics=metrics
+        )
         self.gateway = Gateway(context, self.config, turn_services, store)
         self.is_listening = False
         self.is_stopping = False
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -114,7 +114,7 @@
 
     async def _exchange(self, decision: PlacementDecision) -> int | None:
         context, attempts = self.context, self.attempts
-        async with Exchange(decision.upstream, context.codec) as exchange:
+        async with context.exchange(decision.upstream) as exchange:
             await exchange.connect(idle_limit_s(attempts))
             sent_at = anyio.current_time()
             attempts.attempts_made += 1
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -114,3 +114,31 @@
     splitter = EventSplitter()
     events = [*splitter.feed(raw[:middle]), *splitter.feed(raw[middle:])]
     assert_that([event.event_id for event in events], Equals([1, 2]))
+
+
+async def test_bodies_without_end_together_stay_within_the_memory_for_responses(rig):
+    head = b"HTTP/1.1 200 OK\r\nIDENTITYconnection: close\r\n\r\n"
+    for number in range(3):
+        await add_endless_replica(rig, f"r{number}", "tools", head, b"x")
+    gateway = await rig.add_gateway()
+    memory = gateway.context.response_memory
+    statuses = []
+
+    async def send_one(number):
+        fields = headers(f"id-{number}")
+        statuses.append((await send(rig, "/once/1", fields)).status_code)
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(40):
+            tasks.start_soon(send_one, number)
+    assert_that(set(statuses), Equals({502}))
+    assert_that(memory.most_used, LessThan(memory.limit_bytes + 1))
+    assert_that(memory.used, Equals(0))
+
+
+async def test_small_responses_are_served_while_the_memory_for_responses_is_used_up(rig):
+    await rig.add_replica("r1")
+    gateway = await rig.add_gateway()
+    gateway.context.response_memory.used = gateway.context.response_memory.limit_bytes
+    response = await send(rig, "/once/1", headers("id-1"), b"p")
+    assert_that(response.status_code, Equals(200))
