Give each test run loopback ports that no other run uses

Three functions drew ports, one at random, one by the process id, one from the range of outgoing connections, and none knew of other processes.

--- a/packages/skylarkferry-bench/src/skylarkferry_bench/stream_costs.py
+++ b/packages/skylarkferry-bench/src/skylarkferry_bench/stream_costs.py
@@ -19,7 +19,8 @@
 )
 from skylarkferry_bench.stream_peer import entry_heartbeat
 from skylarkferry_core.frames import SidecarBatch
-from skylarkferry_standins.child_processes import ChildProcess, free_address, wait_until
+from skylarkferry_standins.child_processes import ChildProcess, wait_until
+from skylarkferry_standins.ports import free_address
 from skylarkferry_wire.clients import open_channel, open_stream
 from skylarkferry_wire.codec import decoder, encode
 from skylarkferry_wire.methods import SIDECAR_STREAM
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
@@ -18,7 +18,7 @@
 from skylarkferry_soak.checks import CRASH_MARKER, TOKENS_PER_EVENT
 from skylarkferry_soak.observations import Observations, UpstreamRun
 from skylarkferry_soak.proxy import Link
-from skylarkferry_standins.child_processes import free_address
+from skylarkferry_standins.ports import free_address
 from skylarkferry_standins.replica import Replica
 from skylarkferry_standins.row_store import RowStore, StoreFault
 from skylarkferry_standins.wire_server import WireReply, WireRequest, WireServer
--- a/packages/skylarkferry-standins/src/skylarkferry_standins/child_processes.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/child_processes.py
@@ -1,9 +1,7 @@
 """Child processes under test: start, signal, restart and kill each by its id."""
 
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -12,31 +10,11 @@
 
 import httpx
 
-LOOPBACK = "127.0.0.1"
-PORTS = range(20_000, 32_000)
 POLL_S = 0.02
 WAIT_TIMEOUT_S = 120.0
 REQUEST_TIMEOUT_S = 5.0
 LOG_TAIL_CHARACTERS = 4_000
 
-_random = random.SystemRandom()
-_used_ports: set[int] = set()
-
-
-def free_address() -> str:
-    """Return an unused loopback address that no earlier call returned."""
-    while True:
-        port = _random.choice(PORTS)
-        if port in _used_ports:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind((LOOPBACK, port))
-            except OSError:
-                continue
-        _used_ports.add(port)
-        return f"{LOOPBACK}:{port}"
-
 
 def wait_until(
     condition: Callable[[], bool], description: str, timeout_s: float = WAIT_TIMEOUT_S
--- a/packages/skylarkferry-standins/src/skylarkferry_standins/deployment.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/deployment.py
@@ -8,7 +8,8 @@
 
 import httpx
 
-from skylarkferry_standins.child_processes import ChildProcess, free_address, wait_until
+from skylarkferry_standins.child_processes import ChildProcess, wait_until
+from skylarkferry_standins.ports import free_address
 
 BOOTSTRAP_TOKEN = "bootstrap-token"
 CUSTOMER_TOKEN = "gearworks-demo-token"
--- a/tests/gateway/test_buffered_relay.py
+++ b/tests/gateway/test_buffered_relay.py
@@ -7,12 +7,12 @@
     ROUTES,
     config,
     disconnecting_client,
-    free_address,
     headers,
     send,
     wait_until,
 )
 from skylarkferry_core.outcome_counts import HALF_LIFE_S
+from skylarkferry_standins.ports import free_address
 from skylarkferry_standins.replica import Behaviour
 
 pytestmark = pytest.mark.anyio
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -9,9 +9,10 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, LessThan
 
-from gateway_rig import free_address, headers, send, turn_headers, wait_until
+from gateway_rig import headers, send, turn_headers, wait_until
 from skylarkferry_gateway import stream_events
 from skylarkferry_gateway.stream_events import EventSplitter
+from skylarkferry_standins.ports import free_address
 from skylarkferry_standins.replica import Replica
 
 pytestmark = pytest.mark.anyio
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -3,7 +3,6 @@
 import contextlib
 import itertools
 import json
-import os
 import socket
 from contextlib import asynccontextmanager
 from enum import Enum
@@ -20,6 +19,7 @@
 from skylarkferry_platform.codec import PlatformHeaders
 from skylarkferry_platform.directory import PlatformDirectory
 from skylarkferry_platform.store import PlatformStore
+from skylarkferry_standins.ports import free_address
 from skylarkferry_standins.replica import Behaviour, Replica
 from skylarkferry_standins.row_store import RowStore
 from skylarkferry_standins.wire_server import WireServer
@@ -84,19 +84,6 @@
     }
 
 
-PORTS = itertools.count(os.getpid() * 131)
-
-
-def free_address():
-    """Return an unused address; its port is below the range of outgoing connections."""
-    for number in PORTS:
-        port = 12_000 + number % 20_000
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return f"127.0.0.1:{port}"
-    raise AssertionError("no free port found")
-
-
 async def wait_until(condition):
     """Wait until a condition holds."""
     with anyio.fail_after(TIMEOUT_S):
--- a/tests/sidecar_fakes.py
+++ b/tests/sidecar_fakes.py
@@ -1,7 +1,6 @@
 """Fakes and builders for the tests of sidecars and links."""
 
 import asyncio
-import socket
 from contextlib import asynccontextmanager, suppress
 
 import anyio
@@ -37,6 +36,7 @@
 from skylarkferry_daemon.settings import SidecarSettings
 from skylarkferry_daemon.sidecar import run_sidecar
 from skylarkferry_daemon.timers import TimerService
+from skylarkferry_standins.ports import free_address
 
 POOL = PoolName("pool")
 UPSTREAM = UpstreamId("up-1")
@@ -70,12 +70,6 @@
     return tool_order(call, **({"repeatable": True, "work": work} | fields))
 
 
-def free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class FakeUpstream:
     """An engine and tool service in one; responses wait until ``gate`` is set."""
 
