Send nothing new to an upstream whose response says that it is leaving

Callers saw requests sent to upstreams that were about to end. Cause: a gateway learned of it from the upstream list alone, so that one whose store is away, or whose list is older than the response, went on.

The header is decoded once, into the same report as load and limit, and applied in the same place. It holds for the process: a later list does not take it back, also if the entry lapses and returns with the same start time (the upstream's object is kept for a minute, with its limit and failures); another start time, or another id, begins without it.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
@@ -92,6 +92,7 @@
     """
 
     load: ReportedLoad | None = None
+    is_leaving: bool = False
     limit_per_s: float | msgspec.UnsetType | None = None
     malformed: tuple[str, ...] = ()
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -86,6 +86,12 @@
             "Requests rejected because of their quarantine.",
             registry=self.registry,
         )
+        self.leaving_upstreams = Counter(
+            "skylarkferry_gateway_leaving_upstreams",
+            "Upstreams that began to leave, by where this gateway learned it first.",
+            ["source"],
+            registry=self.registry,
+        )
         self.limited_attempts = Counter(
             "skylarkferry_gateway_limited_attempts",
             "Attempts sent to upstreams that name a request limit.",
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -22,6 +22,7 @@
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.placement import PlacementDecision, Placer
 from skylarkferry_gateway.response_memory import ResponseMemory
+from skylarkferry_gateway.upstream_log import UpstreamLog
 from skylarkferry_gateway.upstream_reports import UpstreamReports
 from skylarkferry_gateway.upstreams import Upstream
 
@@ -49,7 +50,7 @@
         self.codec = codec
         self.response_memory = response_memory
         self.crashes = crashes
-        self.reports = UpstreamReports(placer.limits, log)
+        self.reports = UpstreamReports(placer.limits, UpstreamLog(log, metrics), log)
         self.tasks: TaskGroup | None = None
         self.placer = placer
         self.log = log
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -33,6 +33,7 @@
 from skylarkferry_gateway.response_memory import ResponseMemory
 from skylarkferry_gateway.settings import GatewaySettings
 from skylarkferry_gateway.turns import TurnServices, TurnStore
+from skylarkferry_gateway.upstream_log import UpstreamLog
 from skylarkferry_gateway.upstreams import Upstreams
 from skylarkferry_gateway.watchers import ConfigWatcher, UpstreamWatcher
 
@@ -66,7 +67,9 @@
         checker = ProcessChecker(self.upstreams, rng)
         self.crashes = CrashWatch(store, checker, log, metrics)
         self.config = ConfigWatcher(directory, log, metrics)
-        self.upstream_watcher = UpstreamWatcher(directory, self.upstreams, log, metrics)
+        self.upstream_watcher = UpstreamWatcher(
+            directory, self.upstreams, UpstreamLog(log, metrics), metrics
+        )
         memory = ResponseMemory(int(settings.memory_bytes * defaults.RESPONSE_MEMORY_SHARE))
         self.context = context = RelayContext(
             platform.codec, placer, self.crashes, memory, log=log, metrics=metrics
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_reports.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_reports.py
@@ -6,14 +6,16 @@
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway.limit_shares import LimitShares
 from skylarkferry_gateway.messages import UpstreamReport
+from skylarkferry_gateway.upstream_log import LeavingSource, UpstreamLog
 from skylarkferry_gateway.upstreams import Upstream
 
 
 class UpstreamReports:
     """Apply reports to upstreams, and log what changes."""
 
-    def __init__(self, limits: LimitShares, log: EventLog) -> None:
+    def __init__(self, limits: LimitShares, upstream_log: UpstreamLog, log: EventLog) -> None:
         self.limits = limits
+        self.upstream_log = upstream_log
         self.log = log
 
     def apply(self, upstream: Upstream, report: UpstreamReport, now: float) -> None:
@@ -21,10 +23,18 @@
         upstream.reported_at = now
         if report.load is not None:
             upstream.update_load(report.load)
+        if report.is_leaving:
+            self._apply_leaving(upstream)
         if not isinstance(report.limit_per_s, UnsetType):
             self._apply_limit(upstream, report.limit_per_s)
         self._log_malformed(upstream, report.malformed)
 
+    def _apply_leaving(self, upstream: Upstream) -> None:
+        """Record that the process is leaving; it does not change its mind."""
+        if not upstream.is_leaving:
+            self.upstream_log.on_leaving(upstream, LeavingSource.RESPONSE)
+        upstream.has_announced_leaving = True
+
     def _apply_limit(self, upstream: Upstream, limit_per_s: float | None) -> None:
         before = upstream.limit.per_s if upstream.limit is not None else None
         if limit_per_s == before:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -11,6 +11,8 @@
 from skylarkferry_gateway.http_client import HttpConnection, connect
 from skylarkferry_gateway.messages import PromptPart, ReportedLoad, UpstreamEntry
 
+_REMOVED_KEEP_S = 60.0
+"""Time for which a removed upstream is kept; entries that lapse return within seconds."""
 _PROMPT_CACHE_SHARE = 0.8
 """Share of an engine's KV memory assumed to cache prompts; running requests use the rest."""
 
@@ -51,6 +53,7 @@
         self.in_flight = 0
         self.other_requests = 0.0
         self.slots = max(entry.slots, 1)
+        self.has_announced_leaving = False
         self.limit: UpstreamLimit | None = None
         self.reported_at: float | None = None
         self.malformed_headers: tuple[str, ...] = ()
@@ -61,7 +64,12 @@
     @property
     def accepts_requests(self) -> bool:
         """Return whether new requests may be sent to the upstream."""
-        return not (self.entry.is_leaving or self.is_misdirected)
+        return not (self.is_leaving or self.is_misdirected)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether its entry or one of its responses said that it is leaving."""
+        return self.entry.is_leaving or self.has_announced_leaving
 
     def update_load(self, load: ReportedLoad) -> None:
         """Record the load reported in a response, which includes the request it responds to."""
@@ -88,7 +96,7 @@
     async def release_connection(self, connection: HttpConnection, idle_s: float | None) -> None:
         """Pool a connection after its exchange if it can be reused, else close it."""
         keep = connection.finish(idle_s) and len(self.idle) < defaults.POOL_IDLE_CONNECTIONS
-        if keep and not self.entry.is_leaving and self.removed_at is None:
+        if keep and not self.is_leaving and self.removed_at is None:
             self.idle.append(connection)
         else:
             await connection.abort()
@@ -106,10 +114,14 @@
 
 
 class Upstreams:
-    """All upstreams by id, from successive reads of the platform's registry."""
+    """All upstreams by id, from successive reads of the platform's registry.
+
+    ``removed`` holds those that are no longer listed, for what is known of their processes.
+    """
 
     def __init__(self) -> None:
         self.upstreams: dict[UpstreamId, Upstream] = {}
+        self.removed: dict[UpstreamId, Upstream] = {}
         self.by_service: dict[ServiceName, list[Upstream]] = {}
         self.read_at: float | None = None
         self.recovered_at: float | None = None
@@ -136,9 +148,16 @@
         removed = self._remove_missing(listed, now)
         for entry in listed.values():
             self._add_or_update(entry, now)
+        self.removed.update((item.entry.upstream, item) for item in removed)
+        self._forget_removed(now)
         self._rebuild_index()
         return removed
 
+    def _forget_removed(self, now: float) -> None:
+        for upstream_id, upstream in list(self.removed.items()):
+            if upstream.removed_at is None or now - upstream.removed_at > _REMOVED_KEEP_S:
+                del self.removed[upstream_id]
+
     def _remove_missing(
         self, entries: dict[UpstreamId, UpstreamEntry], now: float
     ) -> list[Upstream]:
@@ -149,14 +168,14 @@
         for upstream_id, upstream in list(self.upstreams.items()):
             if upstream_id in entries:
                 continue
-            if in_grace_period and not upstream.entry.is_leaving:
+            if in_grace_period and not upstream.is_leaving:
                 continue
             upstream.removed_at = now
             removed.append(self.upstreams.pop(upstream_id))
         return removed
 
     def _add_or_update(self, entry: UpstreamEntry, now: float) -> None:
-        current = self.upstreams.get(entry.upstream)
+        current = self.upstreams.get(entry.upstream) or self._relisted(entry)
         if current is None or _is_restarted(current.entry, entry):
             if current is not None:
                 current.removed_at = now
@@ -166,6 +185,18 @@
             current.is_misdirected = False
         current.entry = entry
 
+    def _relisted(self, entry: UpstreamEntry) -> Upstream | None:
+        """Return the removed upstream whose process is listed again, if it is certainly the same.
+
+        An entry may lapse for a while without the end of its process.
+        """
+        removed = self.removed.get(entry.upstream)
+        if removed is None or not entry.born_ms or _is_restarted(removed.entry, entry):
+            return None
+        removed.removed_at = None
+        self.upstreams[entry.upstream] = removed
+        return removed
+
     def _rebuild_index(self) -> None:
         self.by_service = {}
         for upstream in self.upstreams.values():
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
@@ -10,14 +10,15 @@
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.interfaces import Directory
 from skylarkferry_gateway.metrics import GatewayMetrics
-from skylarkferry_gateway.upstreams import Upstream, Upstreams
+from skylarkferry_gateway.upstream_log import LeavingSource, UpstreamLog
+from skylarkferry_gateway.upstreams import Upstreams
 
 
 class UpstreamWatcher:
     """Read the upstream list periodically and log its changes."""
 
     def __init__(
-        self, directory: Directory, upstreams: Upstreams, log: EventLog, metrics: GatewayMetrics
+        self, directory: Directory, upstreams: Upstreams, log: UpstreamLog, metrics: GatewayMetrics
     ) -> None:
         self.directory = directory
         self.upstreams = upstreams
@@ -37,31 +38,21 @@
         except PlatformUnavailableError:
             return
         before = {key: item.entry for key, item in self.upstreams.upstreams.items()}
+        leaving = {key for key, item in self.upstreams.upstreams.items() if item.is_leaving}
         gone = self.upstreams.update(entries, anyio.current_time())
         self.has_read = True
         for upstream in gone:
-            self._log(EventKind.GATEWAY_UPSTREAM_GONE, upstream)
+            self.log.on_gone(upstream)
             await upstream.close_idle(anyio.current_time())
         for key, upstream in self.upstreams.upstreams.items():
             known = before.get(key)
             if known is None or known.born_ms != upstream.entry.born_ms:
-                self._log(EventKind.GATEWAY_UPSTREAM_SEEN, upstream)
-            elif upstream.entry.is_leaving and not known.is_leaving:
-                self._log(EventKind.GATEWAY_UPSTREAM_LEAVING, upstream)
+                self.log.on_seen(upstream)
+            elif upstream.is_leaving and key not in leaving:
+                self.log.on_leaving(upstream, LeavingSource.LIST)
         for service, members in self.upstreams.by_service.items():
             self.metrics.upstreams.labels(service=service).set(len(members))
 
-    def _log(self, kind: EventKind, upstream: Upstream) -> None:
-        entry = upstream.entry
-        self.log.emit(
-            kind,
-            upstream=entry.upstream,
-            service=entry.service,
-            address=entry.address,
-            domain=entry.failure_domain,
-            born_ms=entry.born_ms,
-        )
-
     async def close_idle(self) -> None:
         """Close connections that are past their idle limit."""
         now = anyio.current_time()
--- a/tests/platform_adapter/test_codec.py
+++ b/tests/platform_adapter/test_codec.py
@@ -101,3 +101,14 @@
 def test_malformed_request_limit_tells_nothing(values):
     report = CODEC.decode_reply([(b"server-limit", value) for value in values]).report
     assert_that((report.limit_per_s, len(report.malformed)), Equals((msgspec.UNSET, 1)))
+
+
+def test_leaving_is_decoded():
+    report = CODEC.decode_reply([(b"server-leaving", b"1")]).report
+    assert_that((report.is_leaving, report.malformed), Equals((True, ())))
+
+
+@pytest.mark.parametrize("values", [[b"0"], [b""], [b"true"], [b"1 "], [b"1", b"1"]])
+def test_malformed_leaving_is_not_taken(values):
+    report = CODEC.decode_reply([(b"server-leaving", value) for value in values]).report
+    assert_that((report.is_leaving, len(report.malformed)), Equals((False, 1)))
