Let upstreams of the soak name limits and say that they leave, and check both

Two faults (upstream_announces, upstream_limited) and two checks from what callers and upstreams see, with the platform's bounds.

--- a/packages/skylarkferry-soak/src/skylarkferry_soak/callers.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/callers.py
@@ -20,6 +20,8 @@
 """Interval of readiness probes: half of the platform's interval."""
 _REQUEST_ID = b"skylarkferry-request-id"
 _SIGNATURE = b"skylarkferry-response-signature"
+_LEAVING = b"server-leaving"
+_LIMIT = b"server-limit"
 
 
 class GatewayEndpoint(msgspec.Struct):
@@ -113,6 +115,8 @@
                 attempt.status = event.status_code
                 attempt.response_request_id = fields.get(_REQUEST_ID, b"").decode()
                 attempt.is_signed = _SIGNATURE in fields
+                attempt.says_leaving = _LEAVING in fields
+                attempt.says_limited = _LIMIT in fields
             elif isinstance(event, h11.Data):
                 attempt.response_body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/checks.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/checks.py
@@ -9,6 +9,7 @@
     AT_MOST_ONCE,
     Attempt,
     FaultInterval,
+    LimitInterval,
     Observations,
     RoutePrefix,
     UpstreamRun,
@@ -24,6 +25,13 @@
 """Time after which a leaving upstream receives no new requests (the platform's bound)."""
 UNDISTURBED_S = 3.0
 """Time without a disturbance after which the time limits apply (the platform's bound)."""
+LIMIT_WINDOW_S = 4.0
+LIMIT_NOTICE_S = 0.5
+"""Window in which the requests at a limited upstream are counted, and the time after which those
+of a gateway count that has relayed the limit (the platform's)."""
+_LIMIT_FACTOR = 1.5
+_LIMIT_EXTRA_REQUESTS = 5
+"""Requests that the platform tolerates: this multiple of the limit, and these."""
 BALANCER_LAG_S = 2.0
 """Time after SIGTERM in which the balancer may open connections; it needs two failed probes."""
 CLOSE_RACE_S = 0.2
@@ -145,6 +153,70 @@
                 yield Finding("drains_hold", f"{run.request_id} ran at {drain.upstream}")
 
 
+def announced_leaving_is_obeyed(observations: Observations) -> Iterator[Finding]:
+    """Find requests sent to an upstream long after the gateway relayed that it is leaving."""
+    sent = {attempt.request_id: attempt for attempt in observations.attempts}
+    relayed_at: dict[tuple[str, str], float] = {}
+    for run in _sole_runs(observations):
+        attempt = sent[run.request_id]
+        if attempt.says_leaving and attempt.is_complete:
+            key = (attempt.gateway, run.upstream)
+            relayed_at[key] = min(relayed_at.get(key, float("inf")), attempt.ended_at)
+    for run in observations.runs:
+        attempt = sent[run.request_id]
+        heard_at = relayed_at.get((attempt.gateway, run.upstream), float("inf"))
+        is_late = attempt.sent_at > heard_at + DRAIN_NOTICE_S
+        if is_late and not _is_interrupted(observations, attempt.gateway, heard_at, run.ran_at):
+            yield Finding("announced_leaving_is_obeyed", f"{run.request_id} ran at {run.upstream}")
+
+
+def limits_hold(observations: Observations) -> Iterator[Finding]:
+    """Find upstreams that got more requests than they tolerate from gateways that knew it."""
+    sent = {attempt.request_id: attempt for attempt in observations.attempts}
+    for limit in observations.limits:
+        runs = [run for run in observations.runs if run.upstream == limit.upstream]
+        sole_runs = [run for run in _sole_runs(observations) if run.upstream == limit.upstream]
+        relayed_at = _limit_relayed_at(limit, sole_runs, sent)
+        counted = [
+            run.ran_at
+            for run in runs
+            if limit.started_at + UNDISTURBED_S <= run.ran_at <= limit.ended_at
+            and relayed_at.get(sent[run.request_id].gateway, float("inf")) <= run.ran_at
+            and not _is_interrupted(
+                observations, sent[run.request_id].gateway, limit.started_at, run.ran_at
+            )
+        ]
+        allowed = _LIMIT_FACTOR * limit.limit_per_s * LIMIT_WINDOW_S + _LIMIT_EXTRA_REQUESTS
+        most = max((_count_from(counted, start) for start in counted), default=0)
+        if most > allowed:
+            detail = f"{limit.upstream}: {most} requests, {allowed:g} tolerated"
+            yield Finding("limits_hold", detail)
+
+
+def _sole_runs(observations: Observations) -> list[UpstreamRun]:
+    """Return the runs of requests that ran once, whose responses are those of their upstreams."""
+    counts = Counter(run.request_id for run in observations.runs)
+    return [run for run in observations.runs if counts[run.request_id] == 1]
+
+
+def _limit_relayed_at(
+    limit: LimitInterval, runs: list[UpstreamRun], sent: Mapping[str, Attempt]
+) -> dict[str, float]:
+    """Return from when on the runs of each gateway count that has relayed the limit."""
+    relayed_at: dict[str, float] = {}
+    for run in runs:
+        attempt = sent[run.request_id]
+        if attempt.says_limited and attempt.is_complete and run.ran_at >= limit.started_at:
+            counts_from = attempt.ended_at + LIMIT_NOTICE_S
+            earlier = relayed_at.get(attempt.gateway, float("inf"))
+            relayed_at[attempt.gateway] = min(earlier, counts_from)
+    return relayed_at
+
+
+def _count_from(times: list[float], start: float) -> int:
+    return sum(start <= moment < start + LIMIT_WINDOW_S for moment in times)
+
+
 def stops_cut_nothing(observations: Observations) -> Iterator[Finding]:
     """Find requests interrupted by a planned stop, unless the gateway was also disturbed."""
     ran = {run.request_id for run in observations.runs}
@@ -219,6 +291,17 @@
     )
 
 
+def _is_interrupted(observations: Observations, gateway: str, started: float, ended: float) -> bool:
+    """Return whether a gateway was started, or disturbed itself, in the period."""
+    starts = observations.process_starts.get(gateway, [])
+    return any(started <= moment <= ended for moment in starts) or any(
+        disturbance.gateway == gateway
+        and disturbance.started_at <= ended
+        and disturbance.ended_at >= started
+        for disturbance in observations.disturbances
+    )
+
+
 def _runs_at_crash(observations: Observations, attempt: Attempt) -> bool:
     """Return whether an upstream that ran the attempt crashed before the attempt's end."""
     upstreams = {run.upstream for run in observations.runs if run.request_id == attempt.request_id}
@@ -236,6 +319,8 @@
     histories_are_kept,
     budgets_hold,
     drains_hold,
+    announced_leaving_is_obeyed,
+    limits_hold,
     stops_cut_nothing,
     crashing_requests_are_contained,
     versions_never_go_back,
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/injection.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/injection.py
@@ -7,7 +7,13 @@
 import anyio
 
 from skylarkferry_soak.callers import Caller
-from skylarkferry_soak.observations import DrainStart, FaultInterval, Observations
+from skylarkferry_soak.checks import DRAIN_NOTICE_S, LIMIT_WINDOW_S, UNDISTURBED_S
+from skylarkferry_soak.observations import (
+    DrainStart,
+    FaultInterval,
+    LimitInterval,
+    Observations,
+)
 from skylarkferry_soak.plans import Fault, FaultKind
 from skylarkferry_soak.proxy import Link, LinkState
 from skylarkferry_soak.testbed import GRACE_S, GatewayProcess, Testbed, Upstream
@@ -16,6 +22,7 @@
 
 _STORE_DELAY_S = 0.25
 """Response delay of a slow store: 60 times the usual 4 ms."""
+_LIMIT_HEADER = "Server-Limit"
 _FAULT_SHARE = 0.3
 """Share of calls or requests that a fault affects; close to the share in the users' benchmark."""
 _CONFIG_APPLY_S = 2.0
@@ -72,6 +79,8 @@
             FaultKind.UPSTREAM_MISBEHAVES: self._misbehave,
             FaultKind.UPSTREAM_DOWN: self._upstream_down,
             FaultKind.UPSTREAM_LEAVES: self._upstream_leaves,
+            FaultKind.UPSTREAM_ANNOUNCES: self._upstream_announces,
+            FaultKind.UPSTREAM_LIMITED: self._upstream_limited,
             FaultKind.UPSTREAM_REPLACED: self._upstream_replaced,
             FaultKind.LINK_DELAYED: lambda fault: self._disturb_link(fault, LinkState.DELAY),
             FaultKind.LINK_SILENT: lambda fault: self._disturb_link(fault, LinkState.SILENT),
@@ -216,6 +225,29 @@
         await anyio.sleep(fault.duration_s + _CONFIG_APPLY_S)
         self.testbed.unregister_upstream(upstream)
 
+    async def _upstream_announces(self, fault: Fault) -> None:
+        """Let an upstream say in its responses that it is leaving, while its entry does not."""
+        upstream = self._target_upstream(fault)
+        name = f"{upstream.service}-new-{next(self.upstream_numbers)}"
+        await self.testbed.add_upstream(name, upstream.service)
+        upstream.replica.report["Server-Leaving"] = "1"
+        await anyio.sleep(fault.duration_s + 2 * DRAIN_NOTICE_S)
+        upstream.state = "gone"
+        self.testbed.unregister_upstream(upstream)
+
+    async def _upstream_limited(self, fault: Fault) -> None:
+        """Let an upstream name a request limit, long enough for the check."""
+        upstream = self._target_upstream(fault)
+        if _LIMIT_HEADER in upstream.replica.report:
+            return
+        limit_per_s = round(self.rng.uniform(0.5, 6.0), 1)
+        interval = LimitInterval(upstream.name, limit_per_s, anyio.current_time(), float("inf"))
+        self.observations.limits.append(interval)
+        upstream.replica.report[_LIMIT_HEADER] = str(limit_per_s)
+        await anyio.sleep(fault.duration_s + UNDISTURBED_S + LIMIT_WINDOW_S)
+        del upstream.replica.report[_LIMIT_HEADER]
+        interval.ended_at = anyio.current_time()
+
     async def _upstream_replaced(self, fault: Fault) -> None:
         """Reuse an upstream's address for another service without announcing it."""
         upstream = self._target_upstream(fault)
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/observations.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/observations.py
@@ -23,6 +23,8 @@
 class Attempt(msgspec.Struct):
     """A request as its caller observed it; ``status`` is 0 if no response header arrived.
 
+    ``says_leaving`` and ``says_limited`` tell what the upstream reported about itself.
+
     ``is_sent`` is True once the whole request is written to a connection, ``is_complete`` once the
     response has ended correctly.  Times are monotonic seconds.
     """
@@ -39,6 +41,8 @@
     status: int = 0
     response_body: bytes = b""
     response_request_id: str = ""
+    says_leaving: bool = False
+    says_limited: bool = False
     is_signed: bool = False
     is_complete: bool = False
     ended_at: float = 0.0
@@ -70,6 +74,15 @@
     started_at: float
 
 
+class LimitInterval(msgspec.Struct):
+    """Period in which an upstream named a request limit."""
+
+    upstream: str
+    limit_per_s: float
+    started_at: float
+    ended_at: float
+
+
 class UpstreamCrash(msgspec.Struct, frozen=True):
     """The end of an upstream's process under a request that it ran."""
 
@@ -84,6 +97,7 @@
     runs: list[UpstreamRun] = []
     disturbances: list[FaultInterval] = []
     drain_starts: list[DrainStart] = []
+    limits: list[LimitInterval] = []
     crashes: list[UpstreamCrash] = []
     stops: list[FaultInterval] = []
     process_starts: dict[str, list[float]] = {}
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/plans.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/plans.py
@@ -24,6 +24,8 @@
     UPSTREAM_MISBEHAVES = "upstream_misbehaves"
     UPSTREAM_DOWN = "upstream_down"
     UPSTREAM_LEAVES = "upstream_leaves"
+    UPSTREAM_ANNOUNCES = "upstream_announces"
+    UPSTREAM_LIMITED = "upstream_limited"
     UPSTREAM_REPLACED = "upstream_replaced"
     LINK_DELAYED = "link_delayed"
     LINK_SILENT = "link_silent"
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -10,6 +10,7 @@
     Attempt,
     DrainStart,
     FaultInterval,
+    LimitInterval,
     Observations,
     RoutePrefix,
     UpstreamCrash,
@@ -176,3 +177,48 @@
     attempt.ended_at = attempt.sent_at + REQUEST_DEADLINE_S
     observations.stops.append(FaultInterval("g1", "stop", 10.2, 14.0))
     assert_that(violated_checks(observations), Equals(set()))
+
+
+@pytest.fixture
+def many_requests(observations):
+    """Add twenty requests of one gateway at one upstream, five a second."""
+    for number in range(20):
+        request_id, sent_at = f"many-{number}", 20.0 + 0.2 * number
+        attempt = served_attempt(request_id, RoutePrefix.ORDER, b"o ", b"answer to o ")
+        attempt.sent_at, attempt.ended_at = sent_at, sent_at + 0.1
+        observations.attempts.append(attempt)
+        observations.runs.append(UpstreamRun(request_id, "u1", b"o ", sent_at))
+    return observations
+
+
+def test_request_to_an_upstream_that_said_it_leaves_is_found(many_requests):
+    many_requests.attempts[4].says_leaving = True
+    assert_that(violated_checks(many_requests), Equals({"announced_leaving_is_obeyed"}))
+
+
+def test_gateway_that_restarted_may_send_to_a_leaving_upstream(many_requests):
+    many_requests.attempts[4].says_leaving = True
+    many_requests.process_starts["g1"].append(21.0)
+    assert_that(violated_checks(many_requests), Equals(set()))
+
+
+def test_gateway_that_has_not_relayed_it_may_send_to_a_leaving_upstream(many_requests):
+    many_requests.attempts[4].says_leaving = True
+    many_requests.attempts[4].gateway = "g2"
+    assert_that(violated_checks(many_requests), Equals(set()))
+
+
+@pytest.mark.parametrize(("limit_per_s", "found"), [(1.0, {"limits_hold"}), (3.0, set())])
+def test_requests_beyond_a_limit_are_found(many_requests, limit_per_s, found):
+    many_requests.limits.append(LimitInterval("u1", limit_per_s, 16.0, 30.0))
+    many_requests.attempts[0].says_limited = True
+    many_requests.runs.append(UpstreamRun("named", "u1", b"o ", 17.0))
+    named = served_attempt("named", RoutePrefix.ORDER, b"o ", b"answer to o ")
+    named.sent_at, named.ended_at, named.says_limited = 17.0, 17.1, True
+    many_requests.attempts.append(named)
+    assert_that(violated_checks(many_requests), Equals(found))
+
+
+def test_requests_of_a_gateway_that_has_not_relayed_the_limit_do_not_count(many_requests):
+    many_requests.limits.append(LimitInterval("u1", 1.0, 16.0, 30.0))
+    assert_that(violated_checks(many_requests), Equals(set()))
