Repeat calls of the list of gateways that fail, and log few names

A gateway whose first call was lost got its share of limits one beat (5 s) later, and one that lost three updates in a row left the lists of the others. Calls are repeated for half a beat now; both cases of the new test failed before. The other test's sizes change by one read: a joining gateway read the list twice within milliseconds, so that two reads later counted as three.

--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -107,17 +107,9 @@
     GATEWAY_CRASH_SHARED = (859, Level.INFO, "A crash report is in the store for all gateways.")
     GATEWAY_QUARANTINE_APPLIED = (860, Level.INFO, "A quarantined request was rejected.")
     GATEWAY_CRASH_FORGOTTEN = (861, Level.INFO, "A crash report was withdrawn.")
-    GATEWAY_LIMIT_CHANGED = (
-        862,
-        Level.INFO,
-        "An upstream's request limit began, changed or ended.",
-    )
+    GATEWAY_LIMIT_CHANGED = (862, Level.INFO, "An upstream's limit began, changed or ended.")
     GATEWAY_REPORT_REFUSED = (863, Level.WARNING, "A report in a response header is malformed.")
-    GATEWAY_LIMIT_REACHED = (
-        864,
-        Level.INFO,
-        "Only upstreams at their limits are left; no attempt.",
-    )
+    GATEWAY_LIMIT_REACHED = (864, Level.INFO, "All usable upstreams are at their limits.")
     GATEWAY_STORE_LOST = (870, Level.WARNING, "The store does not answer this process.")
     GATEWAY_STORE_BACK = (871, Level.INFO, "The store answers this process again.")
     GATEWAY_STORE_RETRY = (872, Level.INFO, "A store call failed and is retried.")
@@ -135,12 +127,8 @@
     GATEWAY_STOPPING = (892, Level.INFO, "A planned stop began.")
     GATEWAY_STOPPED = (893, Level.INFO, "The gateway completed its planned stop.")
     GATEWAY_READINESS = (894, Level.INFO, "The readiness reported to the load balancer changed.")
-    GATEWAY_LIST_CHANGED = (
-        896,
-        Level.INFO,
-        "Gateways joined the list of running ones, or left it.",
-    )
     LOG_DROPPED = (895, Level.WARNING, "Log lines were dropped to stay within the limits.")
+    GATEWAY_LIST_CHANGED = (896, Level.INFO, "Gateways joined or left the list of running ones.")
 
     def __init__(self, number: int, level: Level, meaning: str) -> None:
         self.number = number
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
@@ -12,7 +12,7 @@
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.interfaces import Store
-from skylarkferry_gateway.store_calls import row_key
+from skylarkferry_gateway.store_calls import retry_until, row_key
 
 _PREFIX = row_key("gateways", "", "")
 _VALUE = b"1"
@@ -20,6 +20,7 @@
 """Reads without an update of its row after which a gateway counts as gone."""
 _DELETE_AFTER_READS = 120
 """Reads without an update after which the row of a gateway is deleted; ten minutes."""
+_MAX_LOGGED_NAMES = 10
 _JOIN_BEATS = 1.2
 """Beats after which all other gateways have read a new row."""
 
@@ -56,28 +57,35 @@
 
     async def beat(self) -> None:
         """Update the row of this gateway and read those of all gateways."""
+        deadline_at = anyio.current_time() + defaults.GATEWAY_BEAT_S / 2
         try:
             if self.known_from is None:
-                await self._join()
+                await self._join(deadline_at)
             else:
-                await self._update_row()
-            rows = await self.store.scan(_PREFIX)
+                await self._update_row(deadline_at)
+                self._apply(await self._read(deadline_at))
+                await self._delete_old_rows()
         except PlatformUnavailableError:
             return  # logged by the store client
-        self._apply(rows)
-        await self._delete_old_rows(rows)
 
-    async def _join(self) -> None:
-        """Write the row; other gateways that know an earlier process of this node count it."""
-        rows = await self.store.scan(_PREFIX)
-        await self._update_row()
+    async def _join(self, deadline_at: float) -> None:
+        """Add the row of this gateway; until all others have read it, it has no turn.
+
+        If the row exists, the others count this gateway already.
+        """
+        rows = await self._read(deadline_at)
+        await self._update_row(deadline_at)
         self._apply(rows)
-        is_listed = any(row.key == _PREFIX + self.node for row in rows)
-        wait_s = 0.0 if is_listed else _JOIN_BEATS * defaults.GATEWAY_BEAT_S
+        is_counted = _PREFIX + self.node in self.sightings
+        wait_s = 0.0 if is_counted else _JOIN_BEATS * defaults.GATEWAY_BEAT_S
         self.known_from = anyio.current_time() + wait_s
 
-    async def _update_row(self) -> None:
-        await self.store.transact([], [Write(_PREFIX + self.node, _VALUE)])
+    async def _read(self, deadline_at: float) -> list[Row]:
+        return await retry_until(lambda: self.store.scan(_PREFIX), deadline_at)
+
+    async def _update_row(self, deadline_at: float) -> None:
+        write = Write(_PREFIX + self.node, _VALUE)
+        await retry_until(lambda: self.store.transact([], [write]), deadline_at)
 
     def _apply(self, rows: list[Row]) -> None:
         sightings: dict[str, _Sighting] = {}
@@ -103,18 +111,23 @@
         self.log.emit(
             EventKind.GATEWAY_LIST_CHANGED,
             gateways=len(nodes),
-            joined=",".join(sorted(set(nodes) - before)),
-            gone=",".join(sorted(before - set(nodes))),
+            joined=_names_text(set(nodes) - before),
+            gone=_names_text(before - set(nodes)),
         )
 
-    async def _delete_old_rows(self, rows: list[Row]) -> None:
+    async def _delete_old_rows(self) -> None:
         """Delete the rows of gateways that ended long ago; the first gateway does it for all."""
         if self.nodes[0] != self.node:
             return
-        for row in rows:
-            if self.sightings[row.key].unchanged_reads < _DELETE_AFTER_READS:
+        for key, seen in self.sightings.items():
+            if seen.unchanged_reads < _DELETE_AFTER_READS:
                 continue
             try:
-                await self.store.transact([Condition(row.key, row.version)], [Write(row.key, None)])
-            except (PlatformUnavailableError, WriteConflictError):
-                return  # deleted after a later read, unless the gateway is back
+                await self.store.transact([Condition(key, seen.version)], [Write(key, None)])
+            except WriteConflictError:
+                continue  # the gateway is back
+
+
+def _names_text(nodes: set[NodeId]) -> str:
+    """Format names for the log, which has the first few only."""
+    return ",".join(sorted(nodes)[:_MAX_LOGGED_NAMES])
