--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -159,6 +159,20 @@
     assert_that((response.status_code, rig.arrivals()), Equals((503, CRASHES)))
 
 
+async def test_crashing_turn_of_a_retained_chain_is_contained_at_every_gateway(rig):
+    for number in range(CRASHES + 1):
+        await rig.add_crashing_replica(f"r{number}", "engine", Behaviour.LOSE_ANSWER)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    await send(rig, "/kept/1", turn_headers("start"), b"start", gateway=first)
+    for number in range(CRASHES):
+        fields = turn_headers(f"id-{number}", Previous_Turn="start")
+        await send(rig, "/kept/1", fields, CRASH_MARKER, gateway=first)
+    await wait_until(second.crashes.registry.quarantined)
+    fields = turn_headers("id-last", Previous_Turn="start")
+    response = await send(rig, "/kept/1", fields, CRASH_MARKER, gateway=second)
+    assert_that((response.status_code, rig.arrivals()), Equals((503, CRASHES + 1)))
+
+
 async def test_request_is_recognized_if_its_next_query_differs(rig):
     for number in range(CRASHES + 1):
         await rig.add_crashing_replica(f"r{number}", "tools", Behaviour.LOSE_ANSWER)
