--- a/packages/skylarkferry-core/src/skylarkferry_core/request_limits.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/request_limits.py
@@ -1,8 +1,8 @@
 """Division of an upstream's request limit among gateways that do not talk to each other.
 
-An upstream's send slots follow each other on the wall clock, as many a second as its limit allows,
-and belong to the gateways in turn.  Gateways whose clocks or lists differ still send at their share
-of the limit; only the spacing between their requests is lost.
+An upstream's time slots follow each other on the wall clock, as many a second as its limit allows;
+each admits one request, and they belong to the gateways one after the other.  Gateways whose clocks
+or lists differ still send at their share of the limit; only the spacing of their requests is lost.
 """
 
 import math
@@ -15,17 +15,17 @@
 """Rate at which a lower limit is still tested; otherwise no gateway would learn that it ended."""
 
 
-class SlotTurn(msgspec.Struct, frozen=True):
-    """Slots of one gateway at an upstream: those with this index in every ``gateways`` slots."""
+class TimeSlots(msgspec.Struct, frozen=True):
+    """Time slots of one gateway: those with this index in every ``gateways`` slots."""
 
     index: int
     gateways: int
 
-    def first_slot(self, rate_per_s: float, after: float) -> float:
+    def first_after(self, moment: float, rate_per_s: float) -> float:
         """Return the start of the first own slot after a moment, in seconds of the wall clock."""
-        number = math.floor(after * rate_per_s) + 1
+        number = math.floor(moment * rate_per_s) + 1
         number += (self.index - number) % self.gateways
-        while number / rate_per_s <= after:  # the product above was rounded down
+        while number / rate_per_s <= moment:  # the product above was rounded down
             number += self.gateways
         return number / rate_per_s
 
@@ -40,15 +40,15 @@
         self.per_s = per_s
         self.used_until = now
 
-    def allows_request(self, turn: SlotTurn, now: float) -> bool:
+    def allows_request(self, slots: TimeSlots, now: float) -> bool:
         """Return whether the gateway may send a request now."""
-        return self._next_slot(turn, now) <= now
+        return self._next_slot(slots, now) <= now
 
-    def use_slot(self, turn: SlotTurn, now: float) -> None:
+    def use_slot(self, slots: TimeSlots, now: float) -> None:
         """Use the slot of a request that is sent now."""
-        self.used_until = self._next_slot(turn, now)
+        self.used_until = self._next_slot(slots, now)
 
-    def _next_slot(self, turn: SlotTurn, now: float) -> float:
+    def _next_slot(self, slots: TimeSlots, now: float) -> float:
         self.used_until = min(self.used_until, now)  # the clock may have been set back
         rate_per_s = max(self.per_s, MIN_RATE_PER_S)
-        return turn.first_slot(rate_per_s, max(self.used_until, now - SLOT_VALID_S))
+        return slots.first_after(max(self.used_until, now - SLOT_VALID_S), rate_per_s)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -119,7 +119,7 @@
 """Idle limit of connections between gateways; a call on a silently dropped one times out."""
 PEER_BACKOFF_S = 2.0
 """Time without calls to an unresponsive gateway; even the shortest disturbance lasts longer."""
-GATEWAY_BEAT_S = 5.0
+GATEWAY_HEARTBEAT_S = 5.0
 """Interval between updates of this gateway's row in the list of running gateways."""
 OWNERS_POLL_S = 5.0
 """Interval between reads of the owner list; an owner replaced between reads may safely continue."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
@@ -8,7 +8,7 @@
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import NodeId, UpstreamId
 from skylarkferry_core.interfaces import Condition, Row, Write
-from skylarkferry_core.request_limits import SlotTurn
+from skylarkferry_core.request_limits import TimeSlots
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.interfaces import Store
@@ -21,8 +21,8 @@
 _DELETE_AFTER_READS = 120
 """Reads without an update after which the row of a gateway is deleted; ten minutes."""
 _MAX_LOGGED_NAMES = 10
-_JOIN_BEATS = 1.2
-"""Beats after which all other gateways have read a new row."""
+_JOIN_HEARTBEATS = 1.2
+"""Heartbeats after which all other gateways have read a new row."""
 
 
 class _Sighting(msgspec.Struct):
@@ -46,18 +46,18 @@
         self.nodes: tuple[NodeId, ...] = ()
         self.known_from: float | None = None
 
-    def turn(self, upstream: UpstreamId, now: float) -> SlotTurn | None:
-        """Return the turn of this gateway at an upstream, or ``None`` until all others know it."""
+    def time_slots(self, upstream: UpstreamId, now: float) -> TimeSlots | None:
+        """Return the time slots of this gateway, or ``None`` until all others know of it."""
         if self.known_from is None or now < self.known_from:
             return None
         # The gateways begin at another one for each upstream, so that its slots do not coincide.
         offset = xxhash.xxh64_intdigest(upstream.encode())
         gateways = len(self.nodes)
-        return SlotTurn((self.nodes.index(self.node) + offset) % gateways, gateways)
+        return TimeSlots((self.nodes.index(self.node) + offset) % gateways, gateways)
 
-    async def beat(self) -> None:
+    async def send_heartbeat(self) -> None:
         """Update the row of this gateway and read those of all gateways."""
-        deadline_at = anyio.current_time() + defaults.GATEWAY_BEAT_S / 2
+        deadline_at = anyio.current_time() + defaults.GATEWAY_HEARTBEAT_S / 2
         try:
             if self.known_from is None:
                 await self._join(deadline_at)
@@ -69,7 +69,7 @@
             return  # logged by the store client
 
     async def _join(self, deadline_at: float) -> None:
-        """Add the row of this gateway; until all others have read it, it has no turn.
+        """Add the row of this gateway; until all others have read it, it has no time slots.
 
         If the row exists, the others count this gateway already.
         """
@@ -77,7 +77,7 @@
         await self._update_row(deadline_at)
         self._apply(rows)
         is_counted = _PREFIX + self.node in self.sightings
-        wait_s = 0.0 if is_counted else _JOIN_BEATS * defaults.GATEWAY_BEAT_S
+        wait_s = 0.0 if is_counted else _JOIN_HEARTBEATS * defaults.GATEWAY_HEARTBEAT_S
         self.known_from = anyio.current_time() + wait_s
 
     async def _read(self, deadline_at: float) -> list[Row]:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/limit_shares.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/limit_shares.py
@@ -4,13 +4,13 @@
 
 import anyio
 
-from skylarkferry_core.request_limits import SlotTurn, UpstreamLimit
+from skylarkferry_core.request_limits import TimeSlots, UpstreamLimit
 from skylarkferry_gateway.gateway_list import GatewayList
 from skylarkferry_gateway.upstreams import Upstream
 
 
 class LimitShares:
-    """Allow requests to upstreams that name a limit only in the send slots of this gateway."""
+    """Allow requests to upstreams that name a limit only in the time slots of this gateway."""
 
     def __init__(self, gateways: GatewayList, wall_clock: Callable[[], float]) -> None:
         self.gateways = gateways
@@ -32,14 +32,14 @@
         """
         if upstream.limit is None:
             return True
-        turn = self._turn(upstream)
-        return turn is not None and upstream.limit.allows_request(turn, self.wall_clock())
+        slots = self._time_slots(upstream)
+        return slots is not None and upstream.limit.allows_request(slots, self.wall_clock())
 
     def on_request(self, upstream: Upstream) -> None:
         """Count a request that is about to be sent."""
-        turn = self._turn(upstream)
-        if upstream.limit is not None and turn is not None:
-            upstream.limit.use_slot(turn, self.wall_clock())
+        slots = self._time_slots(upstream)
+        if upstream.limit is not None and slots is not None:
+            upstream.limit.use_slot(slots, self.wall_clock())
 
-    def _turn(self, upstream: Upstream) -> SlotTurn | None:
-        return self.gateways.turn(upstream.entry.upstream, anyio.current_time())
+    def _time_slots(self, upstream: Upstream) -> TimeSlots | None:
+        return self.gateways.time_slots(upstream.entry.upstream, anyio.current_time())
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -96,8 +96,8 @@
             self.timers.every(defaults.UPSTREAMS_POLL_S, self.store.probe)
             self.timers.every(defaults.ACCOUNTS_SWEEP_S, self.accounts.delete_idle_accounts)
             tasks.start_soon(self._read_owners)
-            self.timers.every(defaults.GATEWAY_BEAT_S, self.gateways.beat)
-            tasks.start_soon(self.gateways.beat)
+            self.timers.every(defaults.GATEWAY_HEARTBEAT_S, self.gateways.send_heartbeat)
+            tasks.start_soon(self.gateways.send_heartbeat)
             local = [
                 (self.settings.ready_listen, self._answer_ready),
                 (self.settings.metrics_listen, self._answer_metrics),
--- a/tests/gateway/test_gateway_list.py
+++ b/tests/gateway/test_gateway_list.py
@@ -20,74 +20,74 @@
     return GatewayList(PlatformStore(rig.store_address, log, GatewayMetrics()), NodeId(node), log)
 
 
-async def test_gateway_has_no_turn_until_all_others_have_read_its_row(rig):
+async def test_gateway_has_no_time_slots_until_all_others_have_read_its_row(rig):
     gateway = gateway_list(rig, "g1")
-    await gateway.beat()
+    await gateway.send_heartbeat()
     joined_at = anyio.current_time()
-    assert_that(gateway.turn("r1", joined_at), Equals(None))
-    others_read_at = joined_at + defaults.GATEWAY_BEAT_S
-    assert_that(gateway.turn("r1", others_read_at), Equals(None))
-    assert_that(gateway.turn("r1", others_read_at + 2.0).gateways, Equals(1))
+    assert_that(gateway.time_slots("r1", joined_at), Equals(None))
+    others_read_at = joined_at + defaults.GATEWAY_HEARTBEAT_S
+    assert_that(gateway.time_slots("r1", others_read_at), Equals(None))
+    assert_that(gateway.time_slots("r1", others_read_at + 2.0).gateways, Equals(1))
 
 
-async def test_restarted_gateway_has_its_turn_at_once(rig):
-    await gateway_list(rig, "g1").beat()
+async def test_restarted_gateway_has_its_time_slots_at_once(rig):
+    await gateway_list(rig, "g1").send_heartbeat()
     restarted = gateway_list(rig, "g1")
-    await restarted.beat()
-    assert_that(restarted.turn("r1", anyio.current_time()).gateways, Equals(1))
+    await restarted.send_heartbeat()
+    assert_that(restarted.time_slots("r1", anyio.current_time()).gateways, Equals(1))
 
 
-async def test_gateways_have_different_turns_at_an_upstream(rig):
+async def test_gateways_have_different_time_slots_at_an_upstream(rig):
     gateways = [gateway_list(rig, f"g{number}") for number in range(5)]
     for _ in range(2):
         for gateway in gateways:
-            await gateway.beat()
-    now = anyio.current_time() + 2 * defaults.GATEWAY_BEAT_S
-    turns = [gateway.turn("r1", now) for gateway in gateways]
-    assert_that(sorted(turn.index for turn in turns), Equals([0, 1, 2, 3, 4]))
+            await gateway.send_heartbeat()
+    now = anyio.current_time() + 2 * defaults.GATEWAY_HEARTBEAT_S
+    slots = [gateway.time_slots("r1", now) for gateway in gateways]
+    assert_that(sorted(item.index for item in slots), Equals([0, 1, 2, 3, 4]))
 
 
 async def test_gateway_that_ended_leaves_the_list_after_three_reads(rig):
     gateway, ended = gateway_list(rig, "g1"), gateway_list(rig, "g2")
-    await ended.beat()
+    await ended.send_heartbeat()
     sizes = []
     for _ in range(5):
-        await gateway.beat()
+        await gateway.send_heartbeat()
         sizes.append(len(gateway.nodes))
     assert_that(sizes, Equals([2, 2, 2, 1, 1]))
 
 
 @pytest.mark.parametrize("fault", [StoreFault.LOST, StoreFault.REFUSED])
-async def test_beat_repeats_a_call_that_failed(rig, fault):
+async def test_heartbeat_repeats_a_call_that_failed(rig, fault):
     gateway = gateway_list(rig, "g1")
     faults = [fault] * 3
     rig.store.fault = lambda request: faults.pop() if faults else StoreFault.NONE
-    await gateway.beat()
+    await gateway.send_heartbeat()
     assert_that(gateway.nodes, Equals(("g1",)))
 
 
 async def test_list_stays_as_it_is_while_the_store_is_away(rig):
     gateway, other = gateway_list(rig, "g1"), gateway_list(rig, "g2")
-    await other.beat()
-    await gateway.beat()
+    await other.send_heartbeat()
+    await gateway.send_heartbeat()
     rig.store.fault = lambda request: StoreFault.REFUSED
     for _ in range(5):
-        await gateway.beat()
+        await gateway.send_heartbeat()
     assert_that(gateway.nodes, Equals(("g1", "g2")))
 
 
 async def test_row_of_a_gateway_that_ended_long_ago_is_deleted(rig, monkeypatch):
     monkeypatch.setattr("skylarkferry_gateway.gateway_list._DELETE_AFTER_READS", 4)
     first, second, ended = (gateway_list(rig, f"g{number}") for number in range(3))
-    await ended.beat()
+    await ended.send_heartbeat()
     for _ in range(8):
-        await first.beat()
-        await second.beat()
+        await first.send_heartbeat()
+        await second.send_heartbeat()
     rows = [rig.store.value("gateways", "", f"g{number}") for number in range(3)]
     assert_that([row is not None for row in rows], Equals([True, True, False]))
 
 
 async def test_running_gateways_count_each_other(rig, monkeypatch):
-    monkeypatch.setattr(defaults, "GATEWAY_BEAT_S", 0.1)
+    monkeypatch.setattr(defaults, "GATEWAY_HEARTBEAT_S", 0.1)
     gateways = [await rig.add_gateway(f"g{number}") for number in range(3)]
     await wait_until(lambda: all(len(gateway.gateways.nodes) == 3 for gateway in gateways))
--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -21,7 +21,7 @@
 
 @pytest.fixture(autouse=True)
 def fast_gateway_list(monkeypatch):
-    monkeypatch.setattr(defaults, "GATEWAY_BEAT_S", 0.2)
+    monkeypatch.setattr(defaults, "GATEWAY_HEARTBEAT_S", 0.2)
 
 
 def most_in_window(limit_per_s=LIMIT_PER_S):
@@ -41,11 +41,11 @@
     for index in range(number):
         await rig.add_gateway(f"g{index}")
     await wait_until(lambda: all(len(item.gateways.nodes) == number for item in rig.gateways))
-    await wait_until(lambda: all(has_turn(gateway) for gateway in rig.gateways))
+    await wait_until(lambda: all(has_time_slots(gateway) for gateway in rig.gateways))
 
 
-def has_turn(gateway):
-    return gateway.gateways.turn("r1", anyio.current_time()) is not None
+def has_time_slots(gateway):
+    return gateway.gateways.time_slots("r1", anyio.current_time()) is not None
 
 
 async def send_for(rig, seconds, path="/once/1", interval_s=0.04):
@@ -150,7 +150,7 @@
     limited = await add_limited_replica(rig, "r1", limit_per_s=100.0)
     await add_gateways(rig, 1)
     await send_for(rig, 0.1)
-    monkeypatch.setattr(defaults, "GATEWAY_BEAT_S", 60.0)
+    monkeypatch.setattr(defaults, "GATEWAY_HEARTBEAT_S", 60.0)
     newcomer = await rig.add_gateway("newcomer")
     rig.gateways.remove(newcomer)
     first = await send(rig, "/once/1", headers("new-1"), gateway=newcomer)
--- a/tests/gateway/test_upstream_reports.py
+++ b/tests/gateway/test_upstream_reports.py
@@ -13,13 +13,13 @@
 
 @pytest.fixture(autouse=True)
 def fast_gateway_list(monkeypatch):
-    monkeypatch.setattr(defaults, "GATEWAY_BEAT_S", 0.1)
+    monkeypatch.setattr(defaults, "GATEWAY_HEARTBEAT_S", 0.1)
 
 
 async def add_gateway(rig):
     """Add a gateway and wait until it may send to upstreams with a limit."""
     gateway = await rig.add_gateway()
-    await wait_until(lambda: gateway.gateways.turn("r1", anyio.current_time()) is not None)
+    await wait_until(lambda: gateway.gateways.time_slots("r1", anyio.current_time()) is not None)
     return gateway
 
 
