--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
@@ -50,7 +50,7 @@
         """Return the time slots of this gateway, or ``None`` until all others know of it."""
         if self.known_from is None or now < self.known_from:
             return None
-        # The gateways begin at another one for each upstream, so that its slots do not coincide.
+        # The order is rotated, so that slots at upstreams with equal limits do not coincide.
         offset = xxhash.xxh64_intdigest(upstream.encode())
         gateways = len(self.nodes)
         return TimeSlots((self.nodes.index(self.node) + offset) % gateways, gateways)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/response_memory.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/response_memory.py
@@ -1,4 +1,4 @@
-"""Bound on the memory that incomplete responses of upstreams occupy."""
+"""Bound on the memory that large responses of upstreams occupy while they are read."""
 
 from skylarkferry_core.errors import AnswerInvalidError
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_reports.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_reports.py
@@ -30,7 +30,7 @@
         self._log_malformed(upstream, report.malformed)
 
     def _apply_leaving(self, upstream: Upstream) -> None:
-        """Record that the process is leaving; it does not change its mind."""
+        """Record that the process is leaving, which is final."""
         if not upstream.is_leaving:
             self.upstream_log.on_leaving(upstream, LeavingSource.RESPONSE)
         upstream.has_announced_leaving = True
