--- a/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
@@ -61,7 +61,7 @@
         self.report: dict[str, str] = {}
         """Headers added to every response, in which the replica reports about itself."""
         self.stale_report: dict[str, str] = {}
-        """The same for the extra response of ``STALE_FIRST``."""
+        """The same for the unrequested response of ``STALE_FIRST`` and ``EXTRA``."""
         self.behaviour: Callable[[WireRequest], Behaviour] = lambda request: Behaviour.SERVE
 
     async def handle(self, request: WireRequest) -> WireReply:
@@ -105,7 +105,8 @@
             case Behaviour.UNFRAMED | Behaviour.UNFRAMED_RESET:
                 return self._unframed(whole_reply, behaviour)
             case Behaviour.EXTRA:
-                return WireReply(raw=encode_reply(whole_reply) * 2)
+                extra = WireReply(200, {**headers, **self.stale_report}, body)
+                return WireReply(raw=encode_reply(whole_reply) + encode_reply(extra))
             case Behaviour.STALE_FIRST:
                 stale_headers = {**self._headers("an-earlier-request"), **self.stale_report}
                 stale = WireReply(200, stale_headers, b"stale")
--- a/tests/gateway/test_leaving_upstreams.py
+++ b/tests/gateway/test_leaving_upstreams.py
@@ -162,10 +162,11 @@
     assert_that(events, HasLength(1))
 
 
-async def test_late_response_to_another_request_is_not_taken_as_leaving(rig):
+@pytest.mark.parametrize("behaviour", [Behaviour.STALE_FIRST, Behaviour.EXTRA])
+async def test_late_or_extra_response_is_not_taken_as_leaving(rig, behaviour):
     await add_replicas(rig, names=["r1"])
     gateway = await rig.add_gateway()
-    rig.replicas["r1"].behaviour = lambda request: Behaviour.STALE_FIRST
+    rig.replicas["r1"].behaviour = lambda request: behaviour
     rig.replicas["r1"].stale_report = LEAVING
     assert_that(await send_several(rig, gateway, count=3), Equals([200] * 3))
 
