Clear requests in use by many of crashes that they only witnessed

A request was refused for an hour at all gateways if it was running at three upstreams when these crashed together, for instance with their rack: a path that many callers use is in flight everywhere, each lost attempt counts as a crash of its own, and nothing could clear a request after the third one, as it was not sent any more.

A request that crashes what runs it never completes. So each gateway remembers for a minute which requests were completed; it neither reports crashes of these nor accepts reports of others, and a completion clears a quarantined request too.

The test failed before for both gateways: the request stayed refused (TimeoutError waiting for an empty registry).

--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -110,6 +110,7 @@
     GATEWAY_LIMIT_CHANGED = (862, Level.INFO, "An upstream's limit began, changed or ended.")
     GATEWAY_REPORT_REFUSED = (863, Level.WARNING, "A report in a response header is malformed.")
     GATEWAY_LIMIT_REACHED = (864, Level.INFO, "All usable upstreams are at their limits.")
+    GATEWAY_CRASH_DISMISSED = (865, Level.INFO, "A crash is not held against a request that works.")
     GATEWAY_STORE_LOST = (870, Level.WARNING, "The store does not answer this process.")
     GATEWAY_STORE_BACK = (871, Level.INFO, "The store answers this process again.")
     GATEWAY_STORE_RETRY = (872, Level.INFO, "A store call failed and is retried.")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
@@ -14,6 +14,7 @@
 from skylarkferry_core.interfaces import Row, Write
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.completed_requests import CompletedRequests
 from skylarkferry_gateway.interfaces import Store
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.store_calls import row_key
@@ -50,18 +51,35 @@
         self.registry = registry
         self.log = log
         self.metrics = metrics
+        self.completed = CompletedRequests()
         self.known_since: dict[CrashReport, float] = {}
         self.unsent: deque[_Change] = deque()
         self.added = anyio.Event()
         self.followed_version: int | None = None
 
     def add(self, report: CrashReport, request_id: str) -> None:
-        """Record a crash that this gateway found, and queue its report to the others."""
+        """Record a crash that this gateway found, and queue its report to the others.
+
+        A request that was completed lately is not suspected: other requests ran there as well.
+        """
+        if self.completed.is_recent(report.fingerprint, anyio.current_time()):
+            self.log.emit(
+                EventKind.GATEWAY_CRASH_DISMISSED,
+                request=request_id,
+                fingerprint=report.fingerprint,
+                crash=report.crash,
+            )
+            return
         self._record(report, request_id)
         self._enqueue(_Change(report, is_withdrawal=False))
 
-    def withdraw(self, fingerprint: Fingerprint) -> None:
-        """Forget a request's crashes, here and at the other gateways."""
+    def on_completed(self, fingerprint: Fingerprint) -> None:
+        """Forget the crashes of a request that was completed, here and at the other gateways."""
+        self.completed.add(fingerprint, anyio.current_time())
+        if fingerprint in self.registry.crashes:
+            self._withdraw(fingerprint)
+
+    def _withdraw(self, fingerprint: Fingerprint) -> None:
         for report in [item for item in self.known_since if item.fingerprint == fingerprint]:
             self._withdraw_report(report)
 
@@ -139,7 +157,10 @@
     def _apply(self, rows: Sequence[Row]) -> None:
         for row in rows:
             if row.version and row.value:
-                self._record(msgspec.msgpack.decode(row.value, type=CrashReport))
+                report = msgspec.msgpack.decode(row.value, type=CrashReport)
+                self._record(report)
+                if self.completed.is_recent(report.fingerprint, anyio.current_time()):
+                    self._withdraw(report.fingerprint)
             else:
                 self._forget_deleted(row.key)
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
@@ -94,12 +94,8 @@
         )
 
     def on_completed(self, request: ClientRequest) -> None:
-        """Withdraw what is reported of a request that an upstream has completed."""
-        if not self.registry.crashes:
-            return
-        fingerprint = fingerprint_of(request)
-        if fingerprint in self.registry.suspects():
-            self.reports.withdraw(fingerprint)
+        """Record that an upstream has completed a request, and withdraw its crash reports."""
+        self.reports.on_completed(fingerprint_of(request))
 
     async def on_attempt_lost(self, request: ClientRequest, upstream: Upstream) -> None:
         """Record the request if the upstream's process ended while it ran there.
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -205,6 +205,24 @@
     assert_that(gateway.crashes.registry.crashes, Equals({}))
 
 
+@pytest.mark.parametrize("completed_at", ["g1", "g2"])
+async def test_request_in_use_by_many_is_served_after_upstreams_crashed_together(rig, completed_at):
+    path = "/once/1"
+    await rig.add_replica("healthy")
+    gateways = {name: await rig.add_gateway(name) for name in ("g1", "g2")}
+    await send_crashing(rig, path, "id-first", gateways[completed_at])
+    for number in range(CRASHES):
+        await rig.add_crashing_replica(f"r{number}", "tools", Behaviour.LOSE_ANSWER)
+    first = gateways["g1"]
+    await wait_until(lambda: len(first.upstreams.upstreams) == CRASHES + 1)
+    async with anyio.create_task_group() as tasks:
+        for number in range(4 * CRASHES):
+            tasks.start_soon(send_crashing, rig, path, f"id-{number}", first)
+    await wait_until(lambda: crash_checks(first, state="ended") >= CRASHES)
+    await wait_until(lambda: not first.crashes.registry.crashes)
+    assert_that(await send_crashing(rig, path, "id-last", first), Equals(200))
+
+
 async def test_gateway_that_reaches_no_upstream_takes_none_for_crashed(rig):
     for name in ("r1", "r2", "r3", "r4"):
         (await rig.add_replica(name)).behaviour = lambda request: Behaviour.SILENT
