Recognize a crashing request without a body whose next sender is another program

Cause: of a request without a body, the fingerprint covered the program, so that every sending was another request. Leaving the program out would be wrong too: requests of other callers with the same content may complete, which clears the content. So a request has two fingerprints, of its content and of content and caller, and is rejected if either was there at three crashes.

test_request_without_a_body_is_recognized_if_another_program_sends_it_next failed before (TimeoutError waiting for the quarantine). test_fingerprint_distinguishes_callers_of_a_request_without_a_body demanded the fault; what it protected, callers whose requests complete, is now demanded of the decision itself by test_only_the_caller_whose_requests_crash_is_rejected_if_others_complete_them.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
@@ -33,26 +33,32 @@
 
     request_id: str
     program_id: ProgramId
-    fingerprint: Fingerprint
+    fingerprints: tuple[Fingerprint, ...]
     upstream: Upstream
     lost_at: float
     result: CheckResult
 
 
-def fingerprint_of(request: ClientRequest) -> Fingerprint:
-    """Return a digest shared by all repeats of a request, whichever attempt or session sends it.
+def fingerprints_of(request: ClientRequest) -> tuple[Fingerprint, ...]:
+    """Return digests of a request: of its content, and of its content with its caller if known.
 
-    The path and the body describe the request, unless it continues a chain of turns; only then, and
-    without a body, does the digest depend on the caller.  A repeat may have another query.
+    A repeat shares at least one of them.  The first recognizes it whoever sends it; the second
+    still does if others complete requests with the same content.  The content is the path, the body
+    and the turn that is continued; a repeat may have another query.
     """
     metadata = request.metadata
-    caller = ""
-    if not request.body or metadata.previous_turn:
-        caller = metadata.program_id or metadata.affinity_key
-    digest = xxhash.xxh128(request.path.encode("latin-1"))
-    for part in (caller.encode(), request.body):
-        digest.update(b"\0" + part)
-    return Fingerprint(digest.hexdigest())
+    digest = xxhash.xxh128(request.path.encode("latin-1") + b"\0" + request.body)
+    contexts = [b"\0turn\0" + metadata.previous_turn.encode()]
+    caller = metadata.program_id or metadata.affinity_key
+    if caller:
+        contexts.append(b"\0caller\0" + caller.encode())
+    return tuple(_digest_with(digest, context) for context in contexts)
+
+
+def _digest_with(digest: xxhash.xxh128, data: bytes) -> Fingerprint:
+    extended = digest.copy()
+    extended.update(data)
+    return Fingerprint(extended.hexdigest())
 
 
 class CrashWatch:
@@ -77,8 +83,9 @@
         """Return the error for a quarantined request, or ``None`` if it may be sent."""
         if not self.registry.crashes:
             return None
-        fingerprint = fingerprint_of(request)
-        if not self.registry.is_quarantined(fingerprint):
+        quarantined = filter(self.registry.is_quarantined, fingerprints_of(request))
+        fingerprint = next(quarantined, None)
+        if fingerprint is None:
             return None
         self.metrics.quarantine_refusals.inc()
         self.log.emit(
@@ -95,7 +102,8 @@
 
     def on_completed(self, request: ClientRequest) -> None:
         """Record that an upstream has completed a request, and withdraw its crash reports."""
-        self.reports.on_completed(fingerprint_of(request))
+        for fingerprint in fingerprints_of(request):
+            self.reports.on_completed(fingerprint)
 
     async def on_attempt_lost(self, request: ClientRequest, upstream: Upstream) -> None:
         """Record the request if the upstream's process ended while it ran there.
@@ -109,7 +117,7 @@
         attempt = LostAttempt(
             metadata.request_id,
             metadata.program_id,
-            fingerprint_of(request),
+            fingerprints_of(request),
             upstream,
             lost_at,
             result,
@@ -141,7 +149,8 @@
     def _on_crash(self, attempt: LostAttempt) -> None:
         # The listed start time may be that of an earlier process, so the attempt names the crash.
         crash = CrashId(f"{attempt.request_id}.{attempt.upstream.entry.upstream}")
-        self.reports.add(CrashReport(attempt.fingerprint, crash), attempt.request_id)
+        for fingerprint in attempt.fingerprints:
+            self.reports.add(CrashReport(fingerprint, crash), attempt.request_id)
 
     def _log_check(self, attempt: LostAttempt) -> None:
         entry, result = attempt.upstream.entry, attempt.result
@@ -150,7 +159,7 @@
             EventKind.GATEWAY_CRASH_CHECKED,
             attempt.program_id,
             request=attempt.request_id,
-            fingerprint=attempt.fingerprint,
+            fingerprint=",".join(attempt.fingerprints),
             upstream=entry.upstream,
             born_ms=entry.born_ms,
             state=result.state.value,
