Log the software version of a chosen upstream and the stream that a request resumes

The hypotheses on streams that go on at another version differ in who chose the second upstream: the relay, or a client that takes the stream up at any gateway. No line showed the version of an upstream, or that a request resumes a stream.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
@@ -28,7 +28,8 @@
     """Decoded headers of a client's request; absent headers are ``None``, empty, 0 or infinite.
 
     ``time_left_s`` is how long the client waits, ``token_budget`` the output tokens allowed for all
-    turns of the program, ``output_tokens`` the maximum output of this turn.
+    turns of the program, ``output_tokens`` the maximum output of this turn.  ``resumed_request`` is
+    the id of the attempt whose response began the stream that this request resumes.
     """
 
     request_id: str = ""
@@ -42,6 +43,7 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     previous_turn: TurnId = TurnId("")
     last_event_id: int | None = None
+    resumed_request: str = ""
 
 
 class ClientRequest(msgspec.Struct, frozen=True):
@@ -112,7 +114,7 @@
     """An upstream's entry in the platform's registry.
 
     ``born_ms`` is the start time in Unix milliseconds, 0 if unknown; it distinguishes two processes
-    started under one id.
+    started under one id.  ``software_version`` is empty if unknown.
     """
 
     upstream: UpstreamId
@@ -122,3 +124,4 @@
     slots: int
     is_leaving: bool
     born_ms: int = 0
+    software_version: str = ""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_log.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_log.py
@@ -45,5 +45,6 @@
             address=entry.address,
             domain=entry.failure_domain,
             born_ms=entry.born_ms,
+            version=entry.software_version,
             **fields,
         )
--- a/tests/platform_adapter/test_codec.py
+++ b/tests/platform_adapter/test_codec.py
@@ -23,12 +23,13 @@
             (b"skylarkferry-token-usage", b"1840,572"),
             (b"skylarkferry-prompt-prefix", b"5c1e:800,91bd:410"),
             (b"last-event-id", b"12"),
+            (b"resumes", b"first"),
         ]
     )
     found = (metadata.time_left_s, metadata.token_budget, metadata.output_tokens)
     assert_that(found, Equals((1.5, 4576, 572)))
     assert_that(metadata.prompt_parts, Equals((PromptPart("5c1e", 800), PromptPart("91bd", 410))))
-    assert_that(metadata.last_event_id, Equals(12))
+    assert_that((metadata.last_event_id, metadata.resumed_request), Equals((12, "first")))
 
 
 @pytest.mark.parametrize(
