--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -42,6 +42,13 @@
         "maxAttempts": 2,
         "resumable": True,
     },
+    "/resume-once/": {
+        "kind": "streaming",
+        "service": "engine",
+        "retentionS": 60.0,
+        "maxAttempts": 1,
+        "resumable": True,
+    },
     "/kept/": {
         "kind": "streaming",
         "service": "engine",
