Continue a stream only at the software version that began it

Cause: nothing knew that upstreams of one service may differ. The entry's version was not decoded, the relay chose any upstream to continue a stream, and a client that resumes a stream at another gateway brought no fact about it: the state that the resumption needs was in the memory of one process, for as long as its response lasted.

Now the first event fixes the version of all further attempts; a gateway that gets a resumed stream finds its origin in its memory, in the upstream list if the service has had one version only, in the store or at other gateways, and rejects it otherwise.

The others of test_stream_versions.py cover gateways that ended, the store silent, refusing or losing responses before and after the begin, streams resumed twice, versions without an upstream that takes requests, ids that nobody knows, a version that comes later or under the id of another, and services with one version, which store nothing.

--- a/packages/skylarkferry-core/src/skylarkferry_core/errors.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/errors.py
@@ -43,6 +43,7 @@
     NO_CONFIGURATION = "no_configuration"
     UNKNOWN_ROUTE = "unknown_route"
     UNKNOWN_TURN = "unknown_turn"
+    UNKNOWN_STREAM = "unknown_stream"
     HEADER_TOO_LARGE = "header_too_large"
     ANSWER_INVALID = "answer_invalid"
     ANSWER_TIMEOUT = "answer_timeout"
@@ -281,6 +282,13 @@
     status = HTTPStatus.NOT_FOUND
 
 
+class UnknownStreamError(SkylarkferryError):
+    """It is not known, or not possible any more, where the stream has to go on."""
+
+    code = ErrorCode.UNKNOWN_STREAM
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
 class TokensSpentError(SkylarkferryError):
     """The program's token budget does not cover another turn."""
 
--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -111,6 +111,7 @@
     GATEWAY_REPORT_REFUSED = (863, Level.WARNING, "A report in a response header is malformed.")
     GATEWAY_LIMIT_REACHED = (864, Level.INFO, "All usable upstreams are at their limits.")
     GATEWAY_CRASH_DISMISSED = (865, Level.INFO, "A crash is not held against a request that works.")
+    GATEWAY_STREAM_RESUMED = (866, Level.INFO, "A client resumes a stream; which version began it.")
     GATEWAY_STORE_LOST = (870, Level.WARNING, "The store does not answer this process.")
     GATEWAY_STORE_BACK = (871, Level.INFO, "The store answers this process again.")
     GATEWAY_STORE_RETRY = (872, Level.INFO, "A store call failed and is retried.")
@@ -120,6 +121,7 @@
         "The path to the store changed: direct, or through a peer.",
     )
     GATEWAY_CONFIG_REFUSED = (873, Level.ERROR, "A configuration is unreadable; the old is used.")
+    GATEWAY_PEER_SILENT = (876, Level.INFO, "Another gateway did not answer a question.")
     BUDGET_PARTITION_CLAIMED = (880, Level.INFO, "This process now owns a budget partition.")
     BUDGET_PARTITION_LOST = (881, Level.WARNING, "A budget partition was lost without a handover.")
     BUDGET_OWNER_SILENT = (882, Level.WARNING, "A partition's owner did not answer as its owner.")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -26,6 +26,7 @@
 
     ``ambiguous_error`` is the error of an attempt whose request the upstream may have executed;
     ``refusal`` is the reason why no further attempt is allowed although time is left.
+    ``required_version`` is the software version at which a stream that has begun must go on.
     """
 
     def __init__(
@@ -42,6 +43,13 @@
         self.ambiguous_error: SkylarkferryError | None = None
         self.refusal: SkylarkferryError | None = None
         self.last_reply: tuple[Reply, bytes] | None = None
+        self.required_version: str | None = None
+
+    def accepts(self, upstream: Upstream) -> bool:
+        """Return whether the request may be sent to the upstream, which takes new requests."""
+        if upstream in self.tried_upstreams:
+            return False
+        return self.required_version in (None, upstream.entry.software_version)
 
     @property
     def engine(self) -> EngineSpec | None:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -104,6 +104,13 @@
 for contact.
 """
 
+STREAM_KEEP_S = 60.0
+"""Time for which a stream can be resumed; clients wait for a fraction of it in all."""
+STREAM_KEEP_MARGIN_S = 5.0
+"""Time by which what other gateways need is kept longer, as their upstream lists may differ."""
+STREAMS_SWEEP_S = 60.0
+"""Interval between sweeps for rows of streams whose gateways ended."""
+
 ACCOUNT_IDLE_S = 3_600.0
 """Time after which an unused account is deleted; sixty times the usual retention of turns."""
 ACCOUNTS_SWEEP_S = 60.0
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
@@ -8,8 +8,10 @@
     PlatformUnavailableError,
     SkylarkferryError,
     UnknownRouteError,
+    UnknownStreamError,
 )
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.ids import ServiceName
 from skylarkferry_core.routes import ClientLimits, Route, RoutingTable
 from skylarkferry_daemon.log import NO_PROGRAM
 from skylarkferry_gateway import defaults
@@ -112,9 +114,10 @@
         if refusal is not None:
             raise refusal
         service = self.context.placer.choose_service(request, route)
-        attempts = Attempts(request, route, table, service)
         if not route.is_streamed:
+            attempts = Attempts(request, route, table, service)
             return await self.buffered_relay.relay(attempts, client)
+        attempts = await self._stream_attempts(request, route, table, service)
         store_deadline = attempts.deadline + defaults.DEADLINE_SLACK_S
         work = ActiveTurn(request, route, attempts.engine, self.turn_services, store_deadline)
         body = await work.begin()
@@ -127,6 +130,21 @@
             self.metrics.first_event.observe(relay.first_event_at - request.received_at)
         return status
 
+    async def _stream_attempts(
+        self, request: ClientRequest, route: Route, table: RoutingTable, service: ServiceName
+    ) -> Attempts:
+        """Return the attempts for a stream; those of a resumed one keep its service and version."""
+        if not request.metadata.is_resumption:
+            return Attempts(request, route, table, service)
+        origin = await self.context.resumptions.find(request, service)
+        if origin.service not in {share.service for share in route.shares}:
+            raise UnknownStreamError(
+                "the route does not lead to the service of the stream any more"
+            )
+        attempts = Attempts(request, route, table, origin.service)
+        attempts.required_version = origin.version
+        return attempts
+
     async def _respond_with_error(self, error: SkylarkferryError, client: ClientConnection) -> None:
         if client.response_state is not ResponseState.NONE:
             return
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
@@ -55,6 +55,10 @@
         gateways = len(self.nodes)
         return TimeSlots((self.nodes.index(self.node) + offset) % gateways, gateways)
 
+    def is_first(self) -> bool:
+        """Return whether this gateway does what one gateway does for all."""
+        return bool(self.nodes) and self.nodes[0] == self.node
+
     async def send_heartbeat(self) -> None:
         """Update the row of this gateway and read those of all gateways."""
         deadline_at = anyio.current_time() + defaults.GATEWAY_HEARTBEAT_S / 2
@@ -117,7 +121,7 @@
 
     async def _delete_old_rows(self) -> None:
         """Delete the rows of gateways that ended long ago; the first gateway does it for all."""
-        if self.nodes[0] != self.node:
+        if not self.is_first():
             return
         for key, seen in self.sightings.items():
             if seen.unchanged_reads < _DELETE_AFTER_READS:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
@@ -45,6 +45,11 @@
     last_event_id: int | None = None
     resumed_request: str = ""
 
+    @property
+    def is_resumption(self) -> bool:
+        """Return whether the client has events of the stream already."""
+        return self.last_event_id is not None or bool(self.resumed_request)
+
 
 class ClientRequest(msgspec.Struct, frozen=True):
     """A completely received request; ``received_at`` is the monotonic time of its last byte."""
@@ -77,6 +82,13 @@
     tokens: int
 
 
+class StreamOrigin(msgspec.Struct, frozen=True):
+    """Service and software version whose upstream sent the first event of a stream."""
+
+    service: ServiceName
+    version: str
+
+
 class ReportedLoad(msgspec.Struct, frozen=True):
     """Load that an upstream reports in a response."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -102,6 +102,18 @@
             "Attempts not made because all usable upstreams had reached their request limits.",
             registry=self.registry,
         )
+        self.stream_resumptions = Counter(
+            "skylarkferry_gateway_stream_resumptions",
+            "Streams that clients resumed, by where the version that began them was found.",
+            ["source"],
+            registry=self.registry,
+        )
+        self.stream_records = Counter(
+            "skylarkferry_gateway_stream_records",
+            "Rows of streams for other gateways by outcome of their write.",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.dropped_lines = Counter(
             "skylarkferry_gateway_dropped_log_lines",
             "Log lines dropped to stay within the bound.",
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -18,12 +18,14 @@
 from skylarkferry_gateway.http_client import HttpConnection, connect
 from skylarkferry_gateway.http_server import ClientConnection, ReceivedRequest
 from skylarkferry_gateway.interfaces import Store
-from skylarkferry_gateway.messages import Reservation
+from skylarkferry_gateway.messages import Reservation, StreamOrigin
 from skylarkferry_gateway.relayed_calls import RelayedCall, RelayedReply, perform_call
+from skylarkferry_gateway.stream_origins import StreamOrigins
 
 _RESERVE = b"/reserve"
 _SETTLE = b"/settle"
 _STORE = b"/store"
+_STREAM = b"/stream"
 
 
 class Verdict(Enum):
@@ -65,9 +67,10 @@
 class PeerServer:
     """Serve calls from other gateways."""
 
-    def __init__(self, accounts: AccountManager, store: Store) -> None:
+    def __init__(self, accounts: AccountManager, store: Store, origins: StreamOrigins) -> None:
         self.accounts = accounts
         self.store = store
+        self.origins = origins
 
     async def handle(self, received: ReceivedRequest, client: ClientConnection) -> None:
         """Serve one call."""
@@ -81,6 +84,10 @@
             answer = await perform_call(self.store, call)
             await client.respond(200, [], msgspec.json.encode(answer))
             return
+        if received.target == _STREAM:
+            stream = msgspec.json.decode(received.body, type=str)
+            await client.respond(200, [], msgspec.json.encode(self.origins.get(stream)))
+            return
         reply = await self._reserve(msgspec.json.decode(received.body, type=Reservation))
         await client.respond(200, [], msgspec.json.encode(reply))
 
@@ -121,6 +128,11 @@
         )
         return msgspec.json.decode(body, type=RelayedReply)
 
+    async def stream_origin(self, address: str, stream: str) -> StreamOrigin | None:
+        """Return what a peer knows of a stream; raise ``PeerSilentError`` or ``PeerDownError``."""
+        body = await self._call(address, _STREAM, msgspec.json.encode(stream))
+        return msgspec.json.decode(body, type=StreamOrigin | None)
+
     async def _call(
         self, address: str, target: bytes, body: bytes, timeout_s: float = defaults.PEER_TIMEOUT_S
     ) -> bytes:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement.py
@@ -29,6 +29,7 @@
 from skylarkferry_gateway.attempts import Attempts
 from skylarkferry_gateway.limit_shares import LimitShares
 from skylarkferry_gateway.messages import ClientRequest
+from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.upstreams import Upstream, Upstreams
 
 _DOMAIN_CROSSING_S = 0.008
@@ -50,9 +51,15 @@
     """Select upstreams: engines by estimated completion time, others by load or affinity."""
 
     def __init__(
-        self, upstreams: Upstreams, limits: LimitShares, domain: FailureDomain, rng: random.Random
+        self,
+        upstreams: Upstreams,
+        versions: ServiceVersions,
+        limits: LimitShares,
+        domain: FailureDomain,
+        rng: random.Random,
     ) -> None:
         self.upstreams = upstreams
+        self.versions = versions
         self.limits = limits
         self.domain = domain
         self.speeds = SpeedEstimates(
@@ -69,7 +76,8 @@
         if len(route.shares) == 1:
             return route.shares[0].service
         metadata = request.metadata
-        key = metadata.program_id or metadata.affinity_key or metadata.request_id
+        attempt = metadata.resumed_request or metadata.request_id
+        key = metadata.program_id or metadata.affinity_key or attempt
         weights = {PoolName(share.service): share.weight for share in route.shares}
         chosen = pool_for_new_program(ProgramId(key), weights)
         return ServiceName(chosen) if chosen is not None else route.shares[0].service
@@ -80,6 +88,8 @@
         usable = [item for item in self._untried(attempts) if self.limits.allows_request(item)]
         if not usable:
             return None
+        if route.is_resumable and attempts.required_version is None:
+            usable = self.versions.without_new(usable, now)
         suspects = self.upstreams.suspects(attempts.service, now)
         cached = self._cached_tokens(attempts, usable, now)
         candidates = [
@@ -116,7 +126,7 @@
         return [
             upstream
             for upstream in self.upstreams.for_service(attempts.service)
-            if upstream.accepts_requests and upstream not in attempts.tried_upstreams
+            if upstream.accepts_requests and attempts.accepts(upstream)
         ]
 
     def _cached_tokens(
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -22,6 +22,7 @@
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.placement import PlacementDecision, Placer
 from skylarkferry_gateway.response_memory import ResponseMemory
+from skylarkferry_gateway.stream_resumptions import StreamResumptions
 from skylarkferry_gateway.upstream_log import UpstreamLog
 from skylarkferry_gateway.upstream_reports import UpstreamReports
 from skylarkferry_gateway.upstreams import Upstream
@@ -42,6 +43,7 @@
         codec: HeaderCodec,
         placer: Placer,
         crashes: CrashWatch,
+        resumptions: StreamResumptions,
         response_memory: ResponseMemory,
         *,
         log: EventLog,
@@ -50,6 +52,7 @@
         self.codec = codec
         self.response_memory = response_memory
         self.crashes = crashes
+        self.resumptions = resumptions
         self.reports = UpstreamReports(placer.limits, UpstreamLog(log, metrics), log)
         self.tasks: TaskGroup | None = None
         self.placer = placer
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -31,7 +31,10 @@
 from skylarkferry_gateway.process_checks import ProcessChecker
 from skylarkferry_gateway.relay_context import RelayContext
 from skylarkferry_gateway.response_memory import ResponseMemory
+from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.settings import GatewaySettings
+from skylarkferry_gateway.stream_origins import StreamOrigins
+from skylarkferry_gateway.stream_resumptions import StreamResumptions
 from skylarkferry_gateway.turns import TurnServices, TurnStore
 from skylarkferry_gateway.upstream_log import UpstreamLog
 from skylarkferry_gateway.upstreams import Upstreams
@@ -58,7 +61,12 @@
         self.upstreams = Upstreams()
         self.gateways = GatewayList(store, settings.node, log)
         limits = LimitShares(self.gateways, time.time)
-        placer = Placer(self.upstreams, limits, settings.failure_domain, rng)
+        versions = ServiceVersions(self.upstreams)
+        placer = Placer(self.upstreams, versions, limits, settings.failure_domain, rng)
+        self.origins = StreamOrigins(store, self.gateways, time.time, log, metrics)
+        resumptions = StreamResumptions(
+            self.origins, versions, store, rng, log=log, metrics=metrics
+        )
         cache = TurnCache(int(settings.memory_bytes * defaults.TURN_CACHE_MEMORY_SHARE))
         self.owners = OwnerTable(store, settings.incarnation, settings.peer_listen, log)
         self.accounts = AccountManager(store, self.owners, log)
@@ -68,11 +76,15 @@
         self.crashes = CrashWatch(store, checker, log, metrics)
         self.config = ConfigWatcher(directory, log, metrics)
         self.upstream_watcher = UpstreamWatcher(
-            directory, self.upstreams, UpstreamLog(log, metrics), metrics
+            directory,
+            self.upstreams,
+            resumptions,
+            log=UpstreamLog(log, metrics),
+            metrics=metrics,
         )
         memory = ResponseMemory(int(settings.memory_bytes * defaults.RESPONSE_MEMORY_SHARE))
         self.context = context = RelayContext(
-            platform.codec, placer, self.crashes, memory, log=log, metrics=metrics
+            platform.codec, placer, self.crashes, resumptions, memory, log=log, metrics=metrics
         )
         self.gateway = Gateway(context, self.config, turn_services, store)
         self.is_listening = False
@@ -92,16 +104,20 @@
             self.budgets.tasks = self.context.tasks = tasks
             tasks.start_soon(self.crashes.reports.follow)
             tasks.start_soon(self.crashes.reports.write)
+            tasks.start_soon(self.origins.write)
+            self.timers.every(defaults.STREAMS_SWEEP_S, self.origins.delete_old)
+            self.timers.every(defaults.STREAMS_SWEEP_S, self.origins.delete_rows_of_ended_gateways)
             self.timers.every(defaults.OWNERS_POLL_S, self._read_owners)
             self.timers.every(defaults.UPSTREAMS_POLL_S, self.store.probe)
             self.timers.every(defaults.ACCOUNTS_SWEEP_S, self.accounts.delete_idle_accounts)
             tasks.start_soon(self._read_owners)
             self.timers.every(defaults.GATEWAY_HEARTBEAT_S, self.gateways.send_heartbeat)
             tasks.start_soon(self.gateways.send_heartbeat)
+            peer_server = PeerServer(self.accounts, self.store.direct, self.origins)
             local = [
                 (self.settings.ready_listen, self._answer_ready),
                 (self.settings.metrics_listen, self._answer_metrics),
-                (self.settings.peer_listen, PeerServer(self.accounts, self.store.direct).handle),
+                (self.settings.peer_listen, peer_server.handle),
             ]
             for address, handler in local:
                 await self._listen(stack, tasks, address, self._internal_server(handler))
--- /dev/null
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/service_versions.py
@@ -0,0 +1,87 @@
+"""Software versions that the upstreams of each service have had lately."""
+
+from skylarkferry_core.ids import ServiceName
+from skylarkferry_gateway import defaults
+from skylarkferry_gateway.upstreams import Upstream, Upstreams
+
+_LIST_FRESH_S = 1.5
+"""Age up to which the upstream list counts as current: one poll and the timeout of its call."""
+_NEW_VERSION_S = 2.0
+"""Time after which every gateway with a current list has seen a version that this one has seen."""
+
+
+class ServiceVersions:
+    """When each version of a service was first and last listed, in monotonic time."""
+
+    def __init__(self, upstreams: Upstreams) -> None:
+        self.upstreams = upstreams
+        self.began_at: float | None = None
+        self.first_listed: dict[ServiceName, dict[str, float]] = {}
+        self.last_listed: dict[ServiceName, dict[str, float]] = {}
+
+    def update(self, now: float) -> set[ServiceName]:
+        """Apply the latest upstream list; return the services that have a version more than before.
+
+        Versions that were listed when this process started do not count as new.
+        """
+        first_at = now if self.began_at is not None else now - _NEW_VERSION_S
+        if self.began_at is None:
+            self.began_at = now
+        grown: set[ServiceName] = set()
+        for service, members in self.upstreams.by_service.items():
+            first = self.first_listed.setdefault(service, {})
+            last = self.last_listed.setdefault(service, {})
+            for upstream in members:
+                version = upstream.entry.software_version
+                if version not in last and last:
+                    grown.add(service)
+                first.setdefault(version, first_at)
+                last[version] = now
+        self._forget_old(now)
+        return grown
+
+    def _forget_old(self, now: float) -> None:
+        for service, last in self.last_listed.items():
+            for version, listed_at in list(last.items()):
+                if now - listed_at > defaults.STREAM_KEEP_S + defaults.STREAM_KEEP_MARGIN_S:
+                    del last[version], self.first_listed[service][version]
+
+    def needs_record(self, service: ServiceName, now: float) -> bool:
+        """Return whether another gateway may not know which version begins a stream now.
+
+        This holds for longer than ``sole_version`` needs, so that gateways may differ a little.
+        """
+        return not self._is_current(now) or len(self.last_listed.get(service, {})) != 1
+
+    def sole_version(self, service: ServiceName, now: float) -> str | None:
+        """Return the only version that any stream of the service can have begun at.
+
+        Return ``None`` if there may have been several since the oldest stream that can be resumed.
+        """
+        if self.began_at is None or now - self.began_at < defaults.STREAM_KEEP_S:
+            return None
+        return self.sole_version_since_start(service, now, defaults.STREAM_KEEP_S)
+
+    def sole_version_since_start(
+        self, service: ServiceName, now: float, since_s: float = float("inf")
+    ) -> str | None:
+        """Return the only version listed since this process started, or in the last seconds."""
+        if not self._is_current(now):
+            return None
+        last = self.last_listed.get(service, {})
+        versions = [version for version, at in last.items() if now - at <= since_s]
+        return versions[0] if len(versions) == 1 else None
+
+    def without_new(self, upstreams: list[Upstream], now: float) -> list[Upstream]:
+        """Return the upstreams whose version other gateways know too, or all if there are none."""
+        known = [item for item in upstreams if not self._is_new(item, now)]
+        return known or upstreams
+
+    def _is_new(self, upstream: Upstream, now: float) -> bool:
+        entry = upstream.entry
+        first = self.first_listed.get(entry.service, {})
+        return now - first.get(entry.software_version, now) < _NEW_VERSION_S
+
+    def _is_current(self, now: float) -> bool:
+        read_at = self.upstreams.read_at
+        return read_at is not None and now - read_at <= _LIST_FRESH_S
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -15,7 +15,7 @@
 from skylarkferry_gateway.attempts import Attempts
 from skylarkferry_gateway.exchanges import Exchange, Reply
 from skylarkferry_gateway.http_server import ClientConnection, ResponseState
-from skylarkferry_gateway.messages import UpstreamRequestMetadata
+from skylarkferry_gateway.messages import StreamOrigin, UpstreamEntry, UpstreamRequestMetadata
 from skylarkferry_gateway.placement import PlacementDecision
 from skylarkferry_gateway.relay_context import RelayContext, idle_limit_s
 from skylarkferry_gateway.stream_events import EventSplitter, StreamEvent
@@ -133,7 +133,7 @@
             if reply.status != HTTPStatus.OK:
                 return await self._relay_other_status(exchange, decision, reply)
             self._record_prompt(decision)
-            await self._relay_events(exchange, reply)
+            await self._relay_events(exchange, decision, reply)
             ended_at = anyio.current_time()
             self.context.count_success(decision.upstream)
             self.context.crashes.on_completed(attempts.request)
@@ -183,7 +183,9 @@
             return await self._respond(reply, body)
         raise AnswerInvalidError("the response body was not complete in time")
 
-    async def _relay_events(self, exchange: Exchange, reply: Reply) -> None:
+    async def _relay_events(
+        self, exchange: Exchange, decision: PlacementDecision, reply: Reply
+    ) -> None:
         """Send complete events to the client until the upstream ends the stream."""
         splitter = EventSplitter()
         while True:
@@ -193,11 +195,13 @@
                 raise AnswerInvalidError("the stream was silent for too long")
             if data is None:
                 break
-            await self._send(reply, splitter.feed(data))
+            await self._send(decision, reply, splitter.feed(data))
         if splitter.has_partial_event:
             raise AnswerInvalidError("the stream ended inside an event")
 
-    async def _send(self, reply: Reply, events: list[StreamEvent]) -> None:
+    async def _send(
+        self, decision: PlacementDecision, reply: Reply, events: list[StreamEvent]
+    ) -> None:
         if not events:
             return
         self._check_order(events)
@@ -208,9 +212,17 @@
             await self.client.send_data(data)
             return
         self.first_event_at = anyio.current_time()
+        self._fix_version(decision.upstream.entry)
         headers = self.context.codec.client_headers(reply.headers)
         await self.client.start_response(reply.status, headers, data)
 
+    def _fix_version(self, entry: UpstreamEntry) -> None:
+        """Require the version that begins the stream of all upstreams that continue it."""
+        self.attempts.required_version = entry.software_version
+        if self.attempts.route.is_resumable:
+            origin = StreamOrigin(entry.service, entry.software_version)
+            self.context.resumptions.on_first_event(self.attempts.request, origin)
+
     def _check_order(self, events: list[StreamEvent]) -> None:
         """Raise ``AnswerInvalidError`` unless event ids increase."""
         for event in events:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -204,4 +204,8 @@
 
 
 def _is_restarted(old: UpstreamEntry, new: UpstreamEntry) -> bool:
-    return old.born_ms != new.born_ms or old.service != new.service
+    return (
+        old.born_ms != new.born_ms
+        or old.service != new.service
+        or old.software_version != new.software_version
+    )
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
@@ -10,6 +10,7 @@
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.interfaces import Directory
 from skylarkferry_gateway.metrics import GatewayMetrics
+from skylarkferry_gateway.stream_resumptions import StreamResumptions
 from skylarkferry_gateway.upstream_log import LeavingSource, UpstreamLog
 from skylarkferry_gateway.upstreams import Upstreams
 
@@ -18,10 +19,17 @@
     """Read the upstream list periodically and log its changes."""
 
     def __init__(
-        self, directory: Directory, upstreams: Upstreams, log: UpstreamLog, metrics: GatewayMetrics
+        self,
+        directory: Directory,
+        upstreams: Upstreams,
+        resumptions: StreamResumptions,
+        *,
+        log: UpstreamLog,
+        metrics: GatewayMetrics,
     ) -> None:
         self.directory = directory
         self.upstreams = upstreams
+        self.resumptions = resumptions
         self.log = log
         self.metrics = metrics
         self.has_read = False
@@ -40,6 +48,7 @@
         before = {key: item.entry for key, item in self.upstreams.upstreams.items()}
         leaving = {key for key, item in self.upstreams.upstreams.items() if item.is_leaving}
         gone = self.upstreams.update(entries, anyio.current_time())
+        self.resumptions.on_list_read()
         self.has_read = True
         for upstream in gone:
             self.log.on_gone(upstream)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -5,19 +5,27 @@
 import httpx
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, Not
 
-from gateway_rig import send, turn_headers
+from gateway_rig import headers, send, wait_until
+from skylarkferry_gateway import defaults, stream_origins
 from skylarkferry_standins.replica import Behaviour
+from skylarkferry_standins.row_store import StoreFault
 
 pytestmark = pytest.mark.anyio
 
 PATH = "/resume/1"
+ONE_ATTEMPT = "/resume-once/1"
 STREAMS = 16
 VERSIONS = {"a1": "v1", "a2": "v1", "b1": "v2", "b2": "v2", "b3": "v2"}
 ids = (f"s-{number}" for number in itertools.count())
 
 
+def stream_headers(request_id):
+    """Return the headers of a stream's request, without a budget that needs the store."""
+    return headers(request_id, Token_Usage="50,100")
+
+
 def cut_first_attempt(request):
     """Cut streams in the middle of an event, but not those that are resumed."""
     is_resumed = "last-event-id" in request.headers
@@ -32,12 +40,12 @@
         replica.work_s = 0.05
 
 
-async def begin_streams(rig, path=PATH, count=STREAMS, **options):
+async def begin_streams(rig, path=ONE_ATTEMPT, count=STREAMS, **options):
     """Begin streams side by side that are cut, and return their request ids."""
     started = [next(ids) for _ in range(count)]
 
     async def begin(request_id):
-        fields = turn_headers(request_id, program=request_id)
+        fields = stream_headers(request_id)
         with suppress(httpx.RemoteProtocolError, httpx.ReadError):
             await send(rig, path, fields, b"prompt", **options)
 
@@ -47,9 +55,9 @@
     return started
 
 
-async def resume(rig, request_id, path=PATH, last_event_id=4, **options):
+async def resume(rig, request_id, path=ONE_ATTEMPT, last_event_id=4, **options):
     """Resume a stream under a new request id and return the response."""
-    fields = turn_headers(next(ids), program=request_id)
+    fields = stream_headers(next(ids))
     resumption = {"Last-Event-Id": str(last_event_id), "Resumes": request_id}
     return await send(rig, path, {**fields, **resumption}, b"prompt", **options)
 
@@ -69,6 +77,22 @@
     return [item for item in started if len(versions_of(rig, item)) > 1]
 
 
+def stored_streams(rig):
+    """Return the number of streams whose origin is in the store."""
+    return sum(
+        table == "streams" and not row.deleted for (table, _, _), row in rig.store.rows.items()
+    )
+
+
+async def stop_abruptly(gateway):
+    gateway.scope.cancel()
+    await gateway.ended.wait()
+
+
+def fail_store(rig, fault):
+    rig.store.fault = lambda request: fault
+
+
 async def resume_all(rig, started, **options):
     """Resume streams side by side and return the statuses."""
     statuses = []
@@ -91,7 +115,7 @@
 async def test_stream_that_fails_continues_at_the_version_that_began_it(rig):
     await add_versions(rig)
     await rig.add_gateway()
-    started = await begin_streams(rig)
+    started = await begin_streams(rig, PATH)
     runs = [versions_of(rig, item) for item in started]
     assert_that((runs.count({"v1"}) + runs.count({"v2"})), Equals(STREAMS))
 
@@ -99,12 +123,175 @@
 async def test_stream_resumed_at_the_same_gateway_continues_at_its_version(rig):
     await add_versions(rig)
     await rig.add_gateway()
-    started = await begin_streams(rig, "/resume-once/1")
-    await assert_resumed_at_their_versions(rig, started, path="/resume-once/1")
+    started = await begin_streams(rig)
+    await assert_resumed_at_their_versions(rig, started)
 
 
 async def test_stream_resumed_at_another_gateway_continues_at_its_version(rig):
     await add_versions(rig)
     first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
-    started = await begin_streams(rig, "/resume-once/1", gateway=first)
-    await assert_resumed_at_their_versions(rig, started, path="/resume-once/1", gateway=second)
+    started = await begin_streams(rig, gateway=first)
+    await assert_resumed_at_their_versions(rig, started, gateway=second)
+
+
+async def test_stream_continues_at_its_version_after_its_gateway_ended(rig):
+    await add_versions(rig)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    started = await begin_streams(rig, gateway=first)
+    await wait_until(lambda: stored_streams(rig) == STREAMS)
+    await stop_abruptly(first)
+    await assert_resumed_at_their_versions(rig, started, gateway=second)
+
+
+async def test_stream_resumed_twice_stays_at_the_version_that_began_it(rig):
+    await add_versions(rig)
+    gateways = [await rig.add_gateway(f"g{number}") for number in range(3)]
+    started = await begin_streams(rig, gateway=gateways[0])
+    for replica in rig.replicas.values():
+        replica.behaviour = lambda request: Behaviour.CUT_IN_EVENT
+    for item in started:
+        with suppress(httpx.RemoteProtocolError, httpx.ReadError):
+            await resume(rig, item, last_event_id=2, gateway=gateways[1])
+    for replica in rig.replicas.values():
+        replica.behaviour = cut_first_attempt
+    await assert_resumed_at_their_versions(rig, started, gateway=gateways[2])
+
+
+@pytest.mark.parametrize("fault", [StoreFault.SILENT, StoreFault.REFUSED, StoreFault.LOST])
+@pytest.mark.parametrize("fails_before", [True, False])
+async def test_no_stream_changes_its_version_while_the_store_is_away(rig, fault, fails_before):
+    await add_versions(rig)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    await wait_until(lambda: second.owners.read_at is not None)
+    if fails_before:
+        fail_store(rig, fault)
+    started = await begin_streams(rig, gateway=first)
+    fail_store(rig, fault)
+    statuses = await resume_all(rig, started, gateway=second)
+    assert_that(set(statuses) <= {200, 503}, Equals(True))
+    assert_that(mixed_streams(rig, started), Equals([]))
+
+
+async def test_stream_begun_while_the_store_was_away_goes_on_once_it_is_back(rig):
+    await add_versions(rig)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    fail_store(rig, StoreFault.REFUSED)
+    started = await begin_streams(rig, gateway=first)
+    fail_store(rig, StoreFault.NONE)
+    await wait_until(lambda: stored_streams(rig) == STREAMS)
+    await stop_abruptly(first)
+    await assert_resumed_at_their_versions(rig, started, gateway=second)
+
+
+async def test_other_gateways_tell_of_streams_that_the_store_does_not_have(rig):
+    await add_versions(rig)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    second.store.peer_addresses = lambda: {first.settings.peer_listen}
+    started = await begin_streams(rig, gateway=first)
+    await wait_until(lambda: stored_streams(rig) == STREAMS)
+    for key in [key for key in rig.store.rows if key[0] == "streams"]:
+        rig.store.delete(*key)
+    await assert_resumed_at_their_versions(rig, started, gateway=second)
+
+
+@pytest.mark.parametrize("state", ["gone", "draining", "full"])
+async def test_stream_whose_version_takes_no_request_is_rejected(rig, state):
+    await add_versions(rig)
+    gateway = await rig.add_gateway("g1")
+    started = await begin_streams(rig)
+    for name in ("a1", "a2"):
+        if state == "gone":
+            rig.store.delete("servers", "", name)
+        elif state == "draining":
+            rig.register_replica(name, "engine", state="draining", version="v1")
+        else:
+            rig.replicas[name].behaviour = lambda request: Behaviour.SHED
+    upstreams = gateway.upstreams.upstreams
+    if state != "full":
+        await wait_until(
+            lambda: sum(item.accepts_requests for item in upstreams.values()) == len(VERSIONS) - 2
+        )
+    lost = [item for item in started if versions_of(rig, item) == {"v1"}]
+    assert_that(set(await resume_all(rig, lost)), Equals({503}))
+    assert_that(mixed_streams(rig, started), Equals([]))
+
+
+@pytest.mark.parametrize("resumed", ["nobody-knows", "", "\x7f/..;,", "x" * 500])
+async def test_resumption_of_an_unknown_stream_is_rejected(rig, resumed):
+    await add_versions(rig)
+    await rig.add_gateway()
+    response = await resume(rig, resumed)
+    assert_that((response.status_code, rig.arrivals()), Equals((503, 0)))
+
+
+async def test_attempt_without_an_event_binds_no_stream_to_a_version(rig):
+    await add_versions(rig)
+    await rig.add_gateway()
+    for replica in rig.replicas.values():
+        replica.behaviour = lambda request: Behaviour.SERVE
+    rig.replicas["a1"].behaviour = lambda request: Behaviour.LOSE_ANSWER
+    started = await begin_streams(rig, PATH)
+    lost = {run.request_id for run in rig.replicas.pop("a1").runs}
+    assert_that(lost, Not(Equals(set())))
+    assert_that(min(len(versions_of(rig, item)) for item in started), Equals(1))
+
+
+async def test_streams_of_a_service_with_one_version_are_not_stored(rig):
+    await add_versions(rig, {"a1": "v1", "a2": "v1"})
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    started = await begin_streams(rig, gateway=first)
+    await assert_resumed_at_their_versions(rig, started, gateway=second)
+    assert_that(stored_streams(rig), Equals(0))
+
+
+async def test_stream_that_began_before_another_version_came_continues_at_its_version(rig):
+    await add_versions(rig, {"a1": "v1", "a2": "v1"})
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    started = await begin_streams(rig, gateway=first)
+    await add_versions(rig, {"b1": "v2", "b2": "v2", "b3": "v2"})
+    await wait_until(lambda: stored_streams(rig) == STREAMS)
+    await wait_until(lambda: len(second.upstreams.upstreams) == len(VERSIONS))
+    await stop_abruptly(first)
+    await assert_resumed_at_their_versions(rig, started, gateway=second)
+
+
+async def test_stream_is_not_continued_by_an_upstream_that_restarted_with_another_version(rig):
+    await add_versions(rig, {"a1": "v1", "b1": "v2"})
+    gateway = await rig.add_gateway("g1")
+    started = await begin_streams(rig)
+    rig.register_replica("a1", "engine", version="v2")
+    entries = gateway.upstreams.upstreams
+    await wait_until(lambda: entries["a1"].entry.software_version == "v2")
+    lost = [item for item in started if versions_of(rig, item) == {"v1"}]
+    assert_that(set(await resume_all(rig, lost)), Equals({503}))
+
+
+async def test_no_stream_begins_at_a_version_that_other_gateways_may_not_know(rig):
+    await add_versions(rig, {"a1": "v1"})
+    gateway = await rig.add_gateway("g1")
+    await add_versions(rig, {"b1": "v2"})
+    await wait_until(lambda: len(gateway.upstreams.upstreams) == 2)
+    started = await begin_streams(rig)
+    assert_that({*map(str, map(versions_of, [rig] * STREAMS, started))}, Equals({"{'v1'}"}))
+
+
+async def test_origins_of_old_streams_are_deleted(rig, monkeypatch):
+    await add_versions(rig)
+    gateway = await rig.add_gateway("g1")
+    await begin_streams(rig)
+    await wait_until(lambda: stored_streams(rig) == STREAMS)
+    monkeypatch.setattr(defaults, "STREAM_KEEP_S", -defaults.STREAM_KEEP_MARGIN_S)
+    await gateway.origins.delete_old()
+    await wait_until(lambda: stored_streams(rig) == 0)
+
+
+async def test_origins_of_streams_whose_gateway_ended_are_deleted(rig, monkeypatch):
+    await add_versions(rig)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    await begin_streams(rig, gateway=first)
+    await wait_until(lambda: stored_streams(rig) == STREAMS)
+    await stop_abruptly(first)
+    second.gateways.nodes = (second.settings.node,)
+    monkeypatch.setattr(stream_origins, "_DELETE_AFTER_MS", -1_000)
+    await second.origins.delete_rows_of_ended_gateways()
+    await wait_until(lambda: stored_streams(rig) == 0)
