Check in the soak that streams keep the software version that began them

Engines of two versions, streams that all engines cut in the middle of an event, callers that resume them at any gateway, and a kind of request with one attempt, which only callers can resume.

--- a/packages/skylarkferry-soak/src/skylarkferry_soak/callers.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/callers.py
@@ -20,6 +20,9 @@
 """Interval of readiness probes: half of the platform's interval."""
 _REQUEST_ID = b"skylarkferry-request-id"
 _SIGNATURE = b"skylarkferry-response-signature"
+_SIGNER_PREFIX = "signed by "
+RESUMABLE = (RoutePrefix.RESUME, RoutePrefix.RESUME_ONCE)
+_MAX_RESUMPTIONS = 2
 _LEAVING = b"server-leaving"
 _LIMIT = b"server-limit"
 
@@ -115,6 +118,7 @@
                 attempt.status = event.status_code
                 attempt.response_request_id = fields.get(_REQUEST_ID, b"").decode()
                 attempt.is_signed = _SIGNATURE in fields
+                attempt.signer = fields.get(_SIGNATURE, b"").decode().removeprefix(_SIGNER_PREFIX)
                 attempt.says_leaving = _LEAVING in fields
                 attempt.says_limited = _LIMIT in fields
             elif isinstance(event, h11.Data):
@@ -159,9 +163,7 @@
             await anyio.sleep(self.rng.uniform(0.0, 0.2))
 
     async def _run_program(self, program: str) -> None:
-        route = self.rng.choice(
-            (RoutePrefix.TURN, RoutePrefix.KEPT, RoutePrefix.KEPT, RoutePrefix.RESUME)
-        )
+        route = self.rng.choice((RoutePrefix.TURN, RoutePrefix.KEPT, RoutePrefix.KEPT, *RESUMABLE))
         budget = self.rng.choice((MAX_TURN_TOKENS, 300, 1_000, 5_000))
         previous = ""
         for _ in range(self.rng.randint(1, 8)):
@@ -186,6 +188,22 @@
             headers.append(("Skylarkferry-Previous-Turn", previous))
         attempt = self._new_attempt(route, program=program, budget=budget, previous=previous)
         await self._send(attempt, f"{route.value}1", headers)
+        for _ in range(_MAX_RESUMPTIONS):
+            last_event_id = attempt.last_event_id + attempt.response_body.count(b"\n\n")
+            if route not in RESUMABLE or attempt.is_complete or not last_event_id:
+                break
+            attempt = await self._resume(attempt, last_event_id, headers)
+        return attempt
+
+    async def _resume(
+        self, broken: Attempt, last_event_id: int, headers: list[tuple[str, str]]
+    ) -> Attempt:
+        """Resume a stream that broke after an event, at any gateway."""
+        attempt = self._new_attempt(broken.route, program=broken.program, budget=broken.budget)
+        attempt.resumes = broken.resumes or broken.request_id
+        attempt.last_event_id = last_event_id
+        resumption = [("Last-Event-Id", str(last_event_id)), ("Resumes", attempt.resumes)]
+        await self._send(attempt, f"{broken.route.value}1", [*headers, *resumption])
         return attempt
 
     async def _call_tool(self, program: str) -> None:
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/checks.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/checks.py
@@ -97,7 +97,23 @@
 def _expected(attempt: Attempt) -> bytes:
     if attempt.route in (RoutePrefix.ORDER, RoutePrefix.GET, RoutePrefix.PROBE):
         return b"answer to " + attempt.body
-    return b"".join(f"id: {n}\ndata: token {n}\n\n".encode() for n in range(1, EVENTS_PER_TURN + 1))
+    numbers = range(attempt.last_event_id + 1, EVENTS_PER_TURN + 1)
+    return b"".join(f"id: {n}\ndata: token {n}\n\n".encode() for n in numbers)
+
+
+def streams_keep_their_version(observations: Observations) -> Iterator[Finding]:
+    """Find streams that went on at another software version than the one that began them."""
+    versions = {run.upstream: run.version for run in observations.runs}
+    attempts = {attempt.request_id: attempt for attempt in observations.attempts}
+    for run in observations.runs:
+        attempt = attempts[run.request_id]
+        begun = attempts[attempt.resumes] if attempt.resumes else attempt
+        if run.is_resumption and begun.signer and run.version != versions[begun.signer]:
+            yield Finding(
+                "streams_keep_their_version",
+                f"{begun.request_id} began at {begun.signer}, {run.request_id} ran it at "
+                f"{run.upstream} ({run.version})",
+            )
 
 
 def histories_are_kept(observations: Observations) -> Iterator[Finding]:
@@ -324,6 +340,7 @@
     stops_cut_nothing,
     crashing_requests_are_contained,
     versions_never_go_back,
+    streams_keep_their_version,
 )
 
 
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/injection.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/injection.py
@@ -87,6 +87,7 @@
             FaultKind.LINK_DEAF: lambda fault: self._disturb_link(fault, LinkState.DEAF),
             FaultKind.LINK_RESET: self._link_reset,
             FaultKind.CONFIG: self._config,
+            FaultKind.STREAMS_CUT: self._cut_streams,
         }
 
     async def run(self, plan: list[Fault]) -> None:
@@ -206,6 +207,19 @@
         upstream.replica.behaviour = lambda request: Behaviour.SERVE
         disturbance.ended_at = anyio.current_time()
 
+    async def _cut_streams(self, fault: Fault) -> None:
+        """Make all engines cut a share of their streams in the middle of an event."""
+        disturbance = self._start_disturbance("", fault)
+        engines = [item for item in self.testbed.upstreams.values() if item.service == "engine"]
+        for engine in engines:
+            engine.replica.behaviour = lambda request: (
+                Behaviour.CUT_IN_EVENT if self.rng.random() < _FAULT_SHARE else Behaviour.SERVE
+            )
+        await anyio.sleep(fault.duration_s)
+        for engine in engines:
+            engine.replica.behaviour = lambda request: Behaviour.SERVE
+        disturbance.ended_at = anyio.current_time()
+
     async def _upstream_down(self, fault: Fault) -> None:
         upstream = self._target_upstream(fault)
         disturbance = self._start_disturbance("", fault)
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/observations.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/observations.py
@@ -12,6 +12,8 @@
     GET = "/get/"
     TURN = "/turn/"
     RESUME = "/resume/"
+    RESUME_ONCE = "/resume-once/"
+    """Resumable streams with one attempt, which only callers can resume."""
     KEPT = "/kept/"
     PROBE = "/added-"
 
@@ -23,7 +25,9 @@
 class Attempt(msgspec.Struct):
     """A request as its caller observed it; ``status`` is 0 if no response header arrived.
 
-    ``says_leaving`` and ``says_limited`` tell what the upstream reported about itself.
+    ``says_leaving`` and ``says_limited`` tell what the upstream reported about itself, ``signer``
+    which upstream signed the response.  An attempt that resumes a stream has the id of the attempt
+    that began it in ``resumes``.
 
     ``is_sent`` is True once the whole request is written to a connection, ``is_complete`` once the
     response has ended correctly.  Times are monotonic seconds.
@@ -44,18 +48,26 @@
     says_leaving: bool = False
     says_limited: bool = False
     is_signed: bool = False
+    signer: str = ""
+    resumes: str = ""
+    last_event_id: int = 0
     is_complete: bool = False
     ended_at: float = 0.0
     config_version: int = 0
 
 
 class UpstreamRun(msgspec.Struct, frozen=True):
-    """One run of a request as its upstream observed it."""
+    """One run of a request as its upstream, of a software version, observed it.
+
+    ``is_resumption`` tells whether the run continues a stream.
+    """
 
     request_id: str
     upstream: str
     body: bytes
     ran_at: float
+    version: str = ""
+    is_resumption: bool = False
 
 
 class FaultInterval(msgspec.Struct):
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/plans.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/plans.py
@@ -32,6 +32,7 @@
     LINK_DEAF = "link_deaf"
     LINK_RESET = "link_reset"
     CONFIG = "config"
+    STREAMS_CUT = "streams_cut"
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -54,6 +55,7 @@
     FaultKind.RELOAD: 1,
     FaultKind.CONFIG: 4,
     FaultKind.UPSTREAM_MISBEHAVES: 4,
+    FaultKind.STREAMS_CUT: 4,
 }
 
 
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
@@ -27,6 +27,7 @@
 """Grace period of the processes: shorter than the platform's 8 s to fit more stops into a run."""
 _ENGINES = 4
 _TOOLS = 3
+_ENGINE_VERSIONS = ("v1", "v2")
 _REQUEST_WORK_S = 0.02
 """Time an upstream works on a request; the time of a turn on the users' data sheets."""
 _EXIT_TIMEOUT_S = 10.0
@@ -37,6 +38,13 @@
     "/get/": {"kind": "idempotent", "service": "tools"},
     "/turn/": {"kind": "streaming", "service": "engine", "retentionS": 60.0},
     "/resume/": {"kind": "streaming", "service": "engine", "retentionS": 60.0, "resumable": True},
+    "/resume-once/": {
+        "kind": "streaming",
+        "service": "engine",
+        "retentionS": 60.0,
+        "resumable": True,
+        "maxAttempts": 1,
+    },
     "/kept/": {
         "kind": "streaming",
         "service": "engine",
@@ -49,9 +57,10 @@
 class Upstream:
     """A stand-in replica with its listener and the link in front of it."""
 
-    def __init__(self, name: str, service: str, observations: Observations) -> None:
+    def __init__(self, name: str, service: str, version: str, observations: Observations) -> None:
         self.name = name
         self.service = service
+        self.version = version
         self.observations = observations
         self.replica = Replica(name)
         self.replica.work_s = _REQUEST_WORK_S
@@ -68,7 +77,10 @@
         new_runs = self.replica.runs[before:]
         now = anyio.current_time()
         for run in new_runs:
-            self.observations.runs.append(UpstreamRun(run.request_id, self.name, run.body, now))
+            is_resumption = "last-event-id" in run.headers
+            self.observations.runs.append(
+                UpstreamRun(run.request_id, self.name, run.body, now, self.version, is_resumption)
+            )
         if new_runs and self.crash is not None and CRASH_MARKER in request.body:
             return await self.crash(self)
         return reply
@@ -214,7 +226,8 @@
 
     async def add_upstream(self, name: str, service: str, link: Link | None = None) -> Upstream:
         """Start an upstream behind a new link, or behind an existing ``link``, and register it."""
-        upstream = self.upstreams[name] = Upstream(name, service, self.observations)
+        version = _ENGINE_VERSIONS[len(self.upstreams) % 2] if service == "engine" else "v1"
+        upstream = self.upstreams[name] = Upstream(name, service, version, self.observations)
         upstream.crash = self.crash
         await upstream.listen(self.tasks)
         if link is None:
@@ -237,7 +250,7 @@
             "service": upstream.service,
             "address": upstream.link.address,
             "zone": "a",
-            "version": "v1",
+            "version": upstream.version,
             "slots": 8,
             "state": upstream.state,
             "coldLeftMs": 0,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -70,6 +70,21 @@
     assert_that(find_violations(observations), Equals([]))
 
 
+def test_stream_resumed_at_another_version_is_found(observations):
+    begun = served_attempt("s1", RoutePrefix.RESUME, b"s ", EVENT_STREAM[:40], signer="e1")
+    begun.is_complete = False
+    rest = EVENT_STREAM.split(b"\n\n", 2)[2]
+    resumed = served_attempt(
+        "s2", RoutePrefix.RESUME, b"s ", rest, resumes="s1", last_event_id=2, signer="e2"
+    )
+    observations.attempts += [begun, resumed]
+    observations.runs.append(UpstreamRun("s1", "e1", b"s ", 10.1, "v1"))
+    observations.runs.append(UpstreamRun("s2", "e2", b"s ", 10.2, "v1", is_resumption=True))
+    assert_that(violated_checks(observations), Equals(set()))
+    observations.runs[-1] = UpstreamRun("s2", "e2", b"s ", 10.2, "v2", is_resumption=True)
+    assert_that(violated_checks(observations), Equals({"streams_keep_their_version"}))
+
+
 def test_repeated_run_is_found(observations):
     observations.runs.append(UpstreamRun("order", "u2", b"o ", 10.2))
     assert_that(violated_checks(observations), Equals({"runs_once"}))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,7 +16,7 @@
     assert_that(fault_plan(7, 20.0), Equals(fault_plan(7, 20.0)))
 
 
-@pytest.mark.parametrize("seed", [1, 6])
+@pytest.mark.parametrize("seed", [1, 6, 37])
 async def test_guarantees_hold_under_a_short_series_of_faults(seed, tmp_path):
     report = await run_seed(seed, SHORT, tmp_path)
     assert_that(report.findings, Equals([]))
