--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/completed_requests.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/completed_requests.py
@@ -6,7 +6,7 @@
 
 _MAX_REQUESTS = 4_096
 _KEEP_S = 60.0
-"""Time for which a completion speaks for a request; a crash of many upstreams lasts seconds."""
+"""Time for which a completion clears a request of crashes; hosts of one rack end together."""
 
 
 class CompletedRequests:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/service_versions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/service_versions.py
@@ -5,7 +5,7 @@
 from skylarkferry_gateway.upstreams import Upstream, Upstreams
 
 _LIST_FRESH_S = 1.5
-"""Age up to which the upstream list counts as current: one poll and the timeout of its call."""
+"""Age up to which the upstream list counts as current; a poll and its call take 1.3 s at most."""
 _NEW_VERSION_S = 2.0
 """Time after which every gateway with a current list has seen a version that this one has seen."""
 
@@ -20,7 +20,7 @@
         self.last_listed: dict[ServiceName, dict[str, float]] = {}
 
     def update(self, now: float) -> set[ServiceName]:
-        """Apply the latest upstream list; return the services that have a version more than before.
+        """Apply the latest upstream list and return the services that gained a version.
 
         Versions that were listed when this process started do not count as new.
         """
@@ -49,28 +49,21 @@
     def needs_record(self, service: ServiceName, now: float) -> bool:
         """Return whether another gateway may not know which version begins a stream now.
 
-        This holds for longer than ``sole_version`` needs, so that gateways may differ a little.
+        Versions count for longer here than for ``sole_version``, as gateways differ a little.
         """
         return not self._is_current(now) or len(self.last_listed.get(service, {})) != 1
 
     def sole_version(self, service: ServiceName, now: float) -> str | None:
-        """Return the only version that any stream of the service can have begun at.
-
-        Return ``None`` if there may have been several since the oldest stream that can be resumed.
-        """
-        if self.began_at is None or now - self.began_at < defaults.STREAM_KEEP_S:
-            return None
-        return self.sole_version_since_start(service, now, defaults.STREAM_KEEP_S)
-
-    def sole_version_since_start(
-        self, service: ServiceName, now: float, since_s: float = float("inf")
-    ) -> str | None:
-        """Return the only version listed since this process started, or in the last seconds."""
+        """Return the only version that this process has seen lately, if its list is current."""
         if not self._is_current(now):
             return None
         last = self.last_listed.get(service, {})
-        versions = [version for version, at in last.items() if now - at <= since_s]
-        return versions[0] if len(versions) == 1 else None
+        recent = [version for version, at in last.items() if now - at <= defaults.STREAM_KEEP_S]
+        return recent[0] if len(recent) == 1 else None
+
+    def covers_all_streams(self, now: float) -> bool:
+        """Return whether this process has followed the list for longer than any stream lasts."""
+        return self.began_at is not None and now - self.began_at >= defaults.STREAM_KEEP_S
 
     def without_new(self, upstreams: list[Upstream], now: float) -> list[Upstream]:
         """Return the upstreams whose version other gateways know too, or all if there are none."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
@@ -25,9 +25,9 @@
 """Rows that wait for the store; beyond that, the oldest are dropped."""
 _ROWS_PER_CALL = 100
 _CALLS_PER_S = 100.0
-"""Write calls of all gateways together, a part of the store's rate for one part."""
+"""Write calls of all gateways together; one part of the store takes 250 a second."""
 _DELETE_AFTER_MS = 600_000
-"""Age at which rows of gateways that ended are deleted, well beyond errors of clocks."""
+"""Age at which rows of ended gateways are deleted; clocks of gateways differ by seconds."""
 _MS_PER_S = 1_000
 
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
@@ -29,7 +29,7 @@
 
     MEMORY = "memory"
     LIST = "list"
-    """The service has had one version for longer than any stream lasts."""
+    """The service has had one version only."""
     STORE = "store"
     PEER = "peer"
     UNKNOWN = "unknown"
@@ -63,8 +63,7 @@
     def on_first_event(self, request: ClientRequest, origin: StreamOrigin) -> None:
         """Record that a stream sends its first event to a client."""
         stream = request.metadata.resumed_request or request.metadata.request_id
-        known = self.origins.get(stream)
-        if known is None:
+        if self.origins.get(stream) is None:
             is_shared = self.versions.needs_record(origin.service, anyio.current_time())
             self.origins.record(stream, origin, is_shared=is_shared)
 
@@ -98,9 +97,11 @@
         known = self.origins.get(stream)
         if known is not None:
             return known, OriginSource.MEMORY
-        sole = self.versions.sole_version(service, anyio.current_time())
-        if sole is not None:
-            return StreamOrigin(service, sole), OriginSource.LIST
+        now = anyio.current_time()
+        if self.versions.covers_all_streams(now):
+            sole = self.versions.sole_version(service, now)
+            if sole is not None:
+                return StreamOrigin(service, sole), OriginSource.LIST
         is_certain = True
         if stream:
             try:
@@ -109,8 +110,8 @@
                 stored, is_certain = None, False
             if stored is not None:
                 return self._remembered(stream, stored), OriginSource.STORE
-        # Streams of a service with one version have no row.
-        sole = self.versions.sole_version_since_start(service, anyio.current_time())
+        sole = self.versions.sole_version(service, anyio.current_time())
+        # Without a row, the stream began while the service had one version.
         if is_certain and sole is not None:
             return StreamOrigin(service, sole), OriginSource.LIST
         told = await self._ask_peers(stream) if stream else None
