Keep a sidecar's HTTP clients open until its tasks have ended

Cause: Sidecar.run closed its HTTP clients before it cancelled its tasks. Ruled out: the entry, which cancels its tasks before it closes its client.

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
@@ -49,22 +49,28 @@
     async def run(self) -> None:
         """Serve until ``stop`` is set, then drain."""
         log = self.state.log
-        async with anyio.create_task_group() as tasks, AsyncExitStack() as stack:
-            runner = await self._start(stack, tasks)
+        async with (
+            AsyncExitStack() as clients,
+            anyio.create_task_group() as tasks,
+            AsyncExitStack() as servers,
+        ):
+            runner = await self._start(clients, servers, tasks)
             log.emit(EventKind.PROCESS_STARTED, incarnation=self.state.incarnation)
             await self.stop.wait()
             await self._drain(runner)
-            await stack.aclose()
+            await servers.aclose()
             tasks.cancel_scope.cancel()
         log.emit(EventKind.PROCESS_STOPPED)
 
-    async def _start(self, stack: AsyncExitStack, tasks: TaskGroup) -> CallRunner:
-        """Build the components and open the servers."""
+    async def _start(
+        self, clients: AsyncExitStack, servers: AsyncExitStack, tasks: TaskGroup
+    ) -> CallRunner:
+        """Build the components and open the servers; tasks may use the clients until they end."""
         state = self.state
         url = self.settings.upstream_url
-        client = await stack.enter_async_context(self._new_client())
+        client = await clients.enter_async_context(self._new_client())
         report_client = new_client(url, idle_connections=IDLE_REPORT_CONNECTIONS)
-        await stack.enter_async_context(report_client)
+        await clients.enter_async_context(report_client)
         holds = KvHolds(self.settings.kv_unclaimed_s)
         kv_retention = KvRetention(report_client, holds, state)
         adapter = adapter_for(self.settings.kind, client)
@@ -73,8 +79,8 @@
         tasks.start_soon(state.timers.run, tasks)
         self._subscribe(runner, kv_retention, EnginePoller(report_client, state))
         app = metrics_app(SidecarCollector(state))
-        serve_metrics(app, self.settings.metrics_listen, stack, tasks)
-        await self._serve_rpc(SidecarService(state, runner, kv_retention, self.stop), stack)
+        serve_metrics(app, self.settings.metrics_listen, servers, tasks)
+        await self._serve_rpc(SidecarService(state, runner, kv_retention, self.stop), servers)
         return runner
 
     def _new_client(self) -> httpx.AsyncClient:
--- a/tests/sidecar_fakes.py
+++ b/tests/sidecar_fakes.py
@@ -71,12 +71,17 @@
 
 
 class FakeUpstream:
-    """An engine and tool service in one; responses wait until ``gate`` is set."""
+    """An engine and tool service in one; responses wait until ``gate`` is set.
+
+    Cache releases are answered once ``release_gate`` is set.
+    """
 
     def __init__(self):
         self.address = free_address()
         self.gate = anyio.Event()
         self.gate.set()
+        self.release_gate = anyio.Event()
+        self.release_gate.set()
         self.started = anyio.Event()
         self.calls = []
         self.headers = []
@@ -118,6 +123,7 @@
     async def release(self, request):
         body = await request.json()
         self.released.append(body["prompt_cache_key"])
+        await self.release_gate.wait()
         return JSONResponse({})
 
     async def listing(self, _):
@@ -152,6 +158,7 @@
                 yield self
             finally:
                 self.gate.set()
+                self.release_gate.set()
                 stopped.set()
 
 
