Let one gateway choose the engine for the requests of all

Cause: each pair of gateway and engine met once in about nine seconds, so that a gateway knew neither load nor caches nor failures. Change: the upstreams of a service are divided into shards of at most 64; one gateway a shard, the same for all by rendezvous hashing, chooses the upstream of each engine request from the attempts, prompts and failures of all gateways. Only the decision travels, in datagrams; a gateway without an answer within 50 ms chooses by itself as before. A reported load now ages.

--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -122,6 +122,16 @@
     )
     GATEWAY_CONFIG_REFUSED = (873, Level.ERROR, "A configuration is unreadable; the old is used.")
     GATEWAY_PEER_SILENT = (876, Level.INFO, "Another gateway did not answer a question.")
+    GATEWAY_COORDINATOR_AVOIDED = (
+        877,
+        Level.WARNING,
+        "A coordinator of placements is not asked for a while; why.",
+    )
+    GATEWAY_DATAGRAM_DROPPED = (
+        878,
+        Level.WARNING,
+        "A datagram of another gateway was not understood, or one to it could not be sent.",
+    )
     BUDGET_PARTITION_CLAIMED = (880, Level.INFO, "This process now owns a budget partition.")
     BUDGET_PARTITION_LOST = (881, Level.WARNING, "A budget partition was lost without a handover.")
     BUDGET_OWNER_SILENT = (882, Level.WARNING, "A partition's owner did not answer as its owner.")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
@@ -13,8 +13,8 @@
 from skylarkferry_gateway.attempts import Attempts
 from skylarkferry_gateway.exchanges import Reply
 from skylarkferry_gateway.http_server import ClientConnection
-from skylarkferry_gateway.placement import PlacementDecision
 from skylarkferry_gateway.relay_context import RelayContext, idle_limit_s
+from skylarkferry_gateway.selection import Selection
 
 
 class BufferedRelay:
@@ -39,7 +39,7 @@
             now = anyio.current_time()
             decision = None
             if attempts.can_attempt(now) and not client.is_disconnected:
-                decision = self.context.choose_upstream(attempts, now)
+                decision = await self.context.choose_upstream(attempts, now)
             if decision is None:
                 if attempts.last_reply is not None:
                     return attempts.last_reply
@@ -48,34 +48,33 @@
             if response is not None:
                 return response
 
-    async def _attempt(
-        self, attempts: Attempts, decision: PlacementDecision
-    ) -> tuple[Reply, bytes] | None:
+    async def _attempt(self, attempts: Attempts, decision: Selection) -> tuple[Reply, bytes] | None:
         """Return an accepted response, or ``None`` if another attempt may follow."""
         upstream = decision.upstream
         now = anyio.current_time()
-        upstream.breaker.begin(now)
+        upstream.local.breaker.begin(now)
         attempts.tried_upstreams.add(upstream)
         attempts_before = attempts.attempts_made
         try:
             reply, body = await self._exchange(attempts, decision)
         except SkylarkferryError as error:
-            self.context.count_failure(upstream, error)
+            self.context.count_failure(decision, error)
             self.context.report_failed_attempt(attempts, decision, error)
             if error.word is not FinalWord.NOT_RUN:
                 attempts.ambiguous_error = error
                 self.context.check_for_crash(attempts, decision)
             return None
         except BaseException:
-            upstream.breaker.interrupted()
+            self.context.count_abandoned(decision)
             if attempts.attempts_made > attempts_before:
                 self.context.check_for_crash(attempts, decision)
             raise
-        return self._evaluate(attempts, decision, reply, body)
+        else:
+            return self._evaluate(attempts, decision, reply, body)
+        finally:
+            self.context.selector.on_attempt_ended(decision)
 
-    async def _exchange(
-        self, attempts: Attempts, decision: PlacementDecision
-    ) -> tuple[Reply, bytes]:
+    async def _exchange(self, attempts: Attempts, decision: Selection) -> tuple[Reply, bytes]:
         context = self.context
         async with context.exchange(decision.upstream) as exchange:
             await exchange.connect(idle_limit_s(attempts))
@@ -87,38 +86,38 @@
                 reply = await exchange.send(
                     attempts.request, attempts.request.body, request_metadata
                 )
-                context.on_reply(decision.upstream, reply)
+                context.on_reply(decision, reply)
                 body = await exchange.body()
                 await exchange.finish()
                 return reply, body
             raise AnswerInvalidError("no response in time")
 
     def _evaluate(
-        self, attempts: Attempts, decision: PlacementDecision, reply: Reply, body: bytes
+        self, attempts: Attempts, decision: Selection, reply: Reply, body: bytes
     ) -> tuple[Reply, bytes] | None:
         upstream = decision.upstream
         if reply.metadata.not_executed or reply.status == HTTPStatus.MISDIRECTED_REQUEST:
-            self.context.count_refusal(upstream)
+            self.context.count_refusal(decision)
             if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
                 upstream.is_misdirected = True
             error = UpstreamLostError(f"refused with status {reply.status}")
             self.context.report_failed_attempt(attempts, decision, error)
             return None
         if not reply.is_trusted:
-            self.context.count_failure(upstream)
+            self.context.count_failure(decision)
             attempts.ambiguous_error = AnswerInvalidError(
                 f"untrusted response with status {reply.status}"
             )
             self.context.report_failed_attempt(attempts, decision, attempts.ambiguous_error)
             return None
         if reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            self.context.on_failure_status(upstream, reply)
+            self.context.on_failure_status(decision, reply)
             if attempts.route.is_repeatable:
                 attempts.last_reply = (reply, body)
                 failure = AnswerInvalidError(f"failed with status {reply.status}")
                 self.context.report_failed_attempt(attempts, decision, failure)
                 return None
             return reply, body
-        self.context.count_success(upstream)
+        self.context.count_success(decision)
         self.context.crashes.on_completed(attempts.request)
         return reply, body
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -116,6 +116,13 @@
 ACCOUNTS_SWEEP_S = 60.0
 """Interval between sweeps for unused accounts."""
 
+PLACEMENT_TIMEOUT_S = 0.05
+"""Longest wait for a coordinator: twice the round trip between regions, and a pause of its host."""
+COORDINATOR_BACKOFF_S = 2.0
+"""Time without questions to a coordinator that does not answer or cannot choose."""
+ATTEMPTS_SWEEP_S = 0.5
+"""Interval between sweeps for attempts whose end was not reported to the coordinator."""
+
 PEER_TIMEOUT_S = 0.4
 """Timeout of a call to another gateway; a store write and two round trips fit on a slow host."""
 PEER_STORE_TIMEOUT_S = 0.6
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
@@ -74,7 +74,7 @@
 
     async def __aenter__(self) -> "Exchange":
         """Add the request to the upstream's requests in flight."""
-        self.upstream.in_flight += 1
+        self.upstream.local.in_flight += 1
         return self
 
     async def __aexit__(
@@ -84,7 +84,7 @@
         traceback: TracebackType | None,
     ) -> None:
         """Remove the request from those in flight and close a connection that was not released."""
-        self.upstream.in_flight -= 1
+        self.upstream.local.in_flight -= 1
         self.held.release()
         if self.connection is not None:
             await self.connection.abort()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
@@ -113,7 +113,7 @@
         refusal = self.context.crashes.refusal(request)
         if refusal is not None:
             raise refusal
-        service = self.context.placer.choose_service(request, route)
+        service = self.context.selector.choose_service(request, route)
         if not route.is_streamed:
             attempts = Attempts(request, route, table, service)
             return await self.buffered_relay.relay(attempts, client)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
@@ -15,7 +15,6 @@
 from skylarkferry_gateway.store_calls import retry_until, row_key
 
 _PREFIX = row_key("gateways", "", "")
-_VALUE = b"1"
 _MAX_UNCHANGED_READS = 3
 """Reads without an update of its row after which a gateway counts as gone."""
 _DELETE_AFTER_READS = 120
@@ -25,6 +24,13 @@
 """Heartbeats after which all other gateways have read a new row."""
 
 
+class GatewayMember(msgspec.Struct, frozen=True, array_like=True):
+    """A gateway's row: its address for other gateways, and the processor cores of its host."""
+
+    address: str
+    cores: float
+
+
 class _Sighting(msgspec.Struct):
     """Version of a gateway's row, and the number of later reads that found the same version."""
 
@@ -38,9 +44,11 @@
     While the store is away, the last list stays in use: reads are counted, not seconds.
     """
 
-    def __init__(self, store: Store, node: NodeId, log: EventLog) -> None:
+    def __init__(self, store: Store, node: NodeId, member: GatewayMember, log: EventLog) -> None:
         self.store = store
         self.node = node
+        self.member = member
+        self.members: dict[NodeId, GatewayMember] = {}
         self.log = log
         self.sightings: dict[str, _Sighting] = {}
         self.nodes: tuple[NodeId, ...] = ()
@@ -88,7 +96,7 @@
         return await retry_until(lambda: self.store.scan(_PREFIX), deadline_at)
 
     async def _update_row(self, deadline_at: float) -> None:
-        write = Write(_PREFIX + self.node, _VALUE)
+        write = Write(_PREFIX + self.node, msgspec.msgpack.encode(self.member))
         await retry_until(lambda: self.store.transact([], [write]), deadline_at)
 
     def _apply(self, rows: list[Row]) -> None:
@@ -106,6 +114,11 @@
             for key, seen in sightings.items()
             if seen.unchanged_reads < _MAX_UNCHANGED_READS
         }
+        self.members = {self.node: self.member}
+        for row in rows:
+            node = NodeId(row.key.removeprefix(_PREFIX))
+            if node in running and node != self.node:
+                self.members[node] = msgspec.msgpack.decode(row.value, type=GatewayMember)
         self._set_nodes(tuple(sorted(running | {self.node})))
 
     def _set_nodes(self, nodes: tuple[NodeId, ...]) -> None:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -3,6 +3,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 _LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0)
+_PLACEMENT_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05)
 
 
 class GatewayMetrics:
@@ -114,6 +115,29 @@
             ["outcome"],
             registry=self.registry,
         )
+        self.placements = Counter(
+            "skylarkferry_gateway_placements",
+            "Attempts by who chose the upstream: a coordinator, or this gateway's own view.",
+            ["source"],
+            registry=self.registry,
+        )
+        self.placement_latency = Histogram(
+            "skylarkferry_gateway_placement_seconds",
+            "Time from a question to a coordinator to its answer.",
+            buckets=_PLACEMENT_BUCKETS,
+            registry=self.registry,
+        )
+        self.coordinated_attempts = Gauge(
+            "skylarkferry_gateway_coordinated_attempts",
+            "Attempts of all gateways that this one follows as a coordinator.",
+            registry=self.registry,
+        )
+        self.datagrams_dropped = Counter(
+            "skylarkferry_gateway_datagrams_dropped",
+            "Datagrams between gateways that were not sent or not understood, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.dropped_lines = Counter(
             "skylarkferry_gateway_dropped_log_lines",
             "Log lines dropped to stay within the bound.",
--- /dev/null
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement_calls.py
@@ -0,0 +1,134 @@
+"""Datagrams between gateways that ask for placements and the coordinators that answer."""
+
+import itertools
+import time
+
+import anyio
+import msgspec
+from anyio.abc import UDPSocket
+
+from skylarkferry_core.events import EventKind
+from skylarkferry_daemon.log import EventLog
+from skylarkferry_gateway import defaults, placement_messages
+from skylarkferry_gateway.coordinator import PlacementCoordinator
+from skylarkferry_gateway.metrics import GatewayMetrics
+from skylarkferry_gateway.placement_messages import Answer, Ask, Ended, Message, PlacementQuery
+from skylarkferry_gateway.upstream_views import AttemptOutcome
+
+_MAX_DATAGRAM_BYTES = 8_192
+"""Longest datagram that is sent; the path fragments larger ones into many packets."""
+_MAX_UNSENT = 1_000
+_NS_PER_MS = 1_000_000
+
+
+class _Waiting:
+    """A question that waits for its answer."""
+
+    def __init__(self) -> None:
+        self.answer: Answer | None = None
+        self.answered = anyio.Event()
+
+
+class PlacementCalls:
+    """Ask coordinators at other gateways, and answer for the coordinator in this one.
+
+    A lost datagram costs the asker a timeout, and the coordinator the end of an attempt, which it
+    then forgets at the attempt's deadline.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        coordinator: PlacementCoordinator,
+        log: EventLog,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self.address = address
+        self.coordinator = coordinator
+        self.log = log
+        self.metrics = metrics
+        # Numbers of an earlier process at this address are not used again.
+        self.numbers = itertools.count(time.time_ns() // _NS_PER_MS << 20)
+        self.waiting: dict[int, _Waiting] = {}
+        self.unsent, self.queued = anyio.create_memory_object_stream[tuple[str, bytes]](_MAX_UNSENT)
+
+    async def run(self) -> None:
+        """Send and receive datagrams until cancelled."""
+        host, _, port = self.address.rpartition(":")
+        socket = await anyio.create_udp_socket(local_host=host, local_port=int(port))
+        async with socket, anyio.create_task_group() as tasks:
+            tasks.start_soon(self._send_queued, socket)
+            await self._receive(socket)
+
+    async def _send_queued(self, socket: UDPSocket) -> None:
+        async for address, data in self.queued:
+            host, _, port = address.rpartition(":")
+            try:
+                await socket.sendto(data, host, int(port))
+            except (OSError, anyio.BrokenResourceError) as error:
+                self.metrics.datagrams_dropped.labels(reason="not_sent").inc()
+                self.log.emit(EventKind.GATEWAY_DATAGRAM_DROPPED, peer=address, detail=repr(error))
+
+    async def _receive(self, socket: UDPSocket) -> None:
+        async for data, (host, port) in socket:
+            sender = f"{host}:{port}"
+            try:
+                message = placement_messages.decode(data)
+            except msgspec.DecodeError as error:
+                self.metrics.datagrams_dropped.labels(reason="malformed").inc()
+                self.log.emit(EventKind.GATEWAY_DATAGRAM_DROPPED, peer=sender, detail=str(error))
+                continue
+            self._on_message(message, sender)
+
+    def _on_message(self, message: Message, sender: str) -> None:
+        now = anyio.current_time()
+        match message:
+            case Ask():
+                answer = self.coordinator.place(sender, message.number, message.query, now)
+                self._enqueue(sender, answer)
+            case Ended():
+                self.coordinator.end(sender, message, now)
+            case Answer():
+                waiting = self.waiting.get(message.number)
+                if waiting is not None:
+                    waiting.answer = message
+                    waiting.answered.set()
+
+    def _enqueue(self, address: str, message: Message) -> bool:
+        """Queue a message without waiting; return False if it is too long or the queue is full."""
+        data = placement_messages.encode(message)
+        if len(data) > _MAX_DATAGRAM_BYTES:
+            self.metrics.datagrams_dropped.labels(reason="too_long").inc()
+            return False
+        try:
+            self.unsent.send_nowait((address, data))
+        except anyio.WouldBlock:
+            self.metrics.datagrams_dropped.labels(reason="queue_full").inc()
+            return False
+        return True
+
+    async def ask(self, address: str, query: PlacementQuery) -> Answer | None:
+        """Return a coordinator's answer, or ``None`` if none arrives in time."""
+        number = next(self.numbers)
+        if address == self.address:
+            return self.coordinator.place(address, number, query, anyio.current_time())
+        asked_at = anyio.current_time()
+        waiting = self.waiting[number] = _Waiting()
+        try:
+            if not self._enqueue(address, Ask(number, query)):
+                return None
+            with anyio.move_on_after(defaults.PLACEMENT_TIMEOUT_S):
+                await waiting.answered.wait()
+        finally:
+            del self.waiting[number]
+            if waiting.answer is None:
+                self.end(address, Ended(number, AttemptOutcome.ABANDONED))
+        self.metrics.placement_latency.observe(anyio.current_time() - asked_at)
+        return waiting.answer
+
+    def end(self, address: str, ended: Ended) -> None:
+        """Tell a coordinator that an attempt ended."""
+        if address == self.address:
+            self.coordinator.end(address, ended, anyio.current_time())
+        else:
+            self._enqueue(address, ended)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -20,17 +20,16 @@
 from skylarkferry_gateway.interfaces import HeaderCodec
 from skylarkferry_gateway.messages import UpstreamRequestMetadata
 from skylarkferry_gateway.metrics import GatewayMetrics
-from skylarkferry_gateway.placement import PlacementDecision, Placer
 from skylarkferry_gateway.response_memory import ResponseMemory
+from skylarkferry_gateway.selection import Selection, UpstreamSelector
 from skylarkferry_gateway.stream_resumptions import StreamResumptions
 from skylarkferry_gateway.upstream_log import UpstreamLog
 from skylarkferry_gateway.upstream_reports import UpstreamReports
+from skylarkferry_gateway.upstream_views import AttemptOutcome
 from skylarkferry_gateway.upstreams import Upstream
 
 _FIRST_PRIORITY = 1
 _PRIORITY_STEP = 3
-_CONNECT_FAILURE_WEIGHT = 3.0
-"""Weight of a failed connect in the outcome counts; each further one costs a timeout."""
 _LAST_PRIORITY = 9
 """Engine priorities range from 0, the highest, to 9; routes are spaced to leave levels between."""
 
@@ -41,7 +40,7 @@
     def __init__(
         self,
         codec: HeaderCodec,
-        placer: Placer,
+        selector: UpstreamSelector,
         crashes: CrashWatch,
         resumptions: StreamResumptions,
         response_memory: ResponseMemory,
@@ -53,25 +52,27 @@
         self.response_memory = response_memory
         self.crashes = crashes
         self.resumptions = resumptions
-        self.reports = UpstreamReports(placer.limits, UpstreamLog(log, metrics), log)
+        self.reports = UpstreamReports(selector.limits, UpstreamLog(log, metrics), log)
         self.tasks: TaskGroup | None = None
-        self.placer = placer
+        self.selector = selector
         self.log = log
         self.metrics = metrics
 
-    def choose_upstream(self, attempts: Attempts, now: float) -> PlacementDecision | None:
+    async def choose_upstream(self, attempts: Attempts, now: float) -> Selection | None:
         """Return the next upstream, or ``None`` if none may be tried; log the decision."""
         attempts.refusal = self.crashes.refusal(attempts.request)
         if attempts.refusal is not None:
             return None
-        decision = self.placer.place(attempts, now)
+        decision = await self.selector.select(attempts)
         if decision is None:
-            if self.placer.is_limited(attempts):
+            if self.selector.is_limited(attempts):
                 attempts.refusal = self._refuse_beyond_limits(attempts)
             return None
         if decision.upstream.limit is not None:
-            self.placer.limits.on_request(decision.upstream)
+            self.selector.limits.on_request(decision.upstream)
             self.metrics.limited_attempts.inc()
+        source = "view" if decision.ticket is None else "coordinator"
+        self.metrics.placements.labels(source=source).inc()
         self._log_decision(attempts, decision, now)
         return decision
 
@@ -87,7 +88,7 @@
             "the upstreams accept no more requests now", retry_after_s=defaults.RETRY_AFTER_S
         )
 
-    def _log_decision(self, attempts: Attempts, decision: PlacementDecision, now: float) -> None:
+    def _log_decision(self, attempts: Attempts, decision: Selection, now: float) -> None:
         limit = decision.upstream.limit
         self.log.emit(
             EventKind.GATEWAY_PLACED,
@@ -99,6 +100,7 @@
             resumes=attempts.request.metadata.resumed_request,
             send=attempts.attempts_made + 1,
             requests=decision.requests,
+            coordinator=decision.ticket.coordinator if decision.ticket is not None else "none",
             limit=f"{limit.per_s:g}" if limit is not None else "none",
             report_age_ms=_age_text(decision.report_age_s),
             cached=decision.cached_tokens,
@@ -109,16 +111,16 @@
         """Return a new exchange with an upstream."""
         return Exchange(upstream, self.codec, self.response_memory)
 
-    def reply_deadline(self, attempts: Attempts, decision: PlacementDecision, now: float) -> float:
+    def reply_deadline(self, attempts: Attempts, decision: Selection, now: float) -> float:
         """Return the monotonic time by which the response head must arrive."""
-        has_alternatives = self.placer.has_untried(attempts)
-        is_full = decision.requests >= decision.upstream.slots
+        has_alternatives = self.selector.has_untried(attempts)
+        is_full = decision.requests >= decision.upstream.local.slots
         return attempts.reply_deadline(now, has_alternatives, is_full=is_full)
 
     def upstream_request_metadata(
         self,
         attempts: Attempts,
-        decision: PlacementDecision,
+        decision: Selection,
         now: float,
         last_event_id: int | None = None,
     ) -> UpstreamRequestMetadata:
@@ -133,44 +135,49 @@
             remaining_s, decision.upstream.entry.upstream, priority, last_event_id
         )
 
-    def on_reply(self, upstream: Upstream, reply: Reply) -> None:
+    def on_reply(self, decision: Selection, reply: Reply) -> None:
         """Apply what the upstream reports about itself in a response head."""
         if reply.status != HTTPStatus.MISDIRECTED_REQUEST:
-            self.reports.apply(upstream, reply.metadata.report, anyio.current_time())
+            now = anyio.current_time()
+            self.reports.apply(decision.upstream, reply.metadata.report, now)
+            decision.load, decision.load_at = reply.metadata.report.load, now
 
-    def on_failure_status(self, upstream: Upstream, reply: Reply) -> None:
+    def on_failure_status(self, decision: Selection, reply: Reply) -> None:
         """Count a failure against the upstream, except a timeout response sent at the deadline."""
         if reply.status == HTTPStatus.GATEWAY_TIMEOUT:
-            self.count_success(upstream)
+            self.count_success(decision)
         else:
-            self.count_failure(upstream)
-
-    def count_success(self, upstream: Upstream) -> None:
-        """Count a success for the upstream; log if its circuit breaker closes."""
-        before = upstream.breaker.state
-        upstream.breaker.succeeded()
-        upstream.outcome_counts.observe(anyio.current_time(), is_failure=False)
-        self._log_breaker(upstream, before)
-
-    def count_refusal(self, upstream: Upstream) -> None:
-        """Count a refusal; it indicates a fault only if the upstream has free slots."""
-        before = upstream.breaker.state
-        upstream.breaker.succeeded()
-        is_full = upstream.requests() >= upstream.slots
-        upstream.outcome_counts.observe(anyio.current_time(), is_failure=not is_full)
-        self._log_breaker(upstream, before)
-
-    def count_failure(self, upstream: Upstream, error: SkylarkferryError | None = None) -> None:
-        """Count a failure against the upstream; log if its circuit breaker opens."""
-        before = upstream.breaker.state
-        now = anyio.current_time()
-        upstream.breaker.failed(now)
-        weight = _CONNECT_FAILURE_WEIGHT if isinstance(error, UpstreamLostError) else 1.0
-        upstream.outcome_counts.observe(now, True, weight)
-        self._log_breaker(upstream, before)
+            self.count_failure(decision)
+
+    def count_success(self, decision: Selection) -> None:
+        """Count a success for the upstream."""
+        self._count(decision, AttemptOutcome.SERVED)
+
+    def count_refusal(self, decision: Selection) -> None:
+        """Count a refusal."""
+        self._count(decision, AttemptOutcome.REFUSED)
+
+    def count_failure(self, decision: Selection, error: SkylarkferryError | None = None) -> None:
+        """Count a failure against the upstream."""
+        is_unreachable = isinstance(error, UpstreamLostError)
+        self._count(
+            decision, AttemptOutcome.UNREACHABLE if is_unreachable else AttemptOutcome.FAILED
+        )
+
+    def count_abandoned(self, decision: Selection) -> None:
+        """Record that an attempt ended without an outcome at the upstream."""
+        self._count(decision, AttemptOutcome.ABANDONED)
+
+    def _count(self, decision: Selection, outcome: AttemptOutcome) -> None:
+        """Record the outcome of an attempt; log if the upstream's circuit breaker changes."""
+        decision.outcome = outcome
+        view = decision.upstream.local
+        before = view.breaker.state
+        view.record_outcome(outcome, anyio.current_time())
+        self._log_breaker(decision.upstream, before)
 
     def _log_breaker(self, upstream: Upstream, before: BreakerState) -> None:
-        breaker = upstream.breaker
+        breaker = upstream.local.breaker
         if breaker.state is not before:
             self.log.emit(
                 EventKind.GATEWAY_BREAKER,
@@ -181,7 +188,7 @@
             )
 
     def report_failed_attempt(
-        self, attempts: Attempts, decision: PlacementDecision, error: SkylarkferryError
+        self, attempts: Attempts, decision: Selection, error: SkylarkferryError
     ) -> None:
         """Log an attempt without a valid response."""
         upstream = decision.upstream
@@ -195,10 +202,10 @@
             code=error.code.value,
             word=error.word.value if error.word else "",
             detail=error.detail,
-            breaker=upstream.breaker.state.value,
+            breaker=upstream.local.breaker.state.value,
         )
 
-    def check_for_crash(self, attempts: Attempts, decision: PlacementDecision) -> None:
+    def check_for_crash(self, attempts: Attempts, decision: Selection) -> None:
         """Check in the background if the upstream's process ended under a lost attempt."""
         if self.tasks is not None:
             self.tasks.start_soon(self.crashes.on_attempt_lost, attempts.request, decision.upstream)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -17,20 +17,23 @@
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.accounts import AccountManager
 from skylarkferry_gateway.budgets import ProgramBudgets
+from skylarkferry_gateway.coordinator import PlacementCoordinator
+from skylarkferry_gateway.coordinators import Coordinators
 from skylarkferry_gateway.crash_watch import CrashWatch
 from skylarkferry_gateway.failover_store import FailoverStore
 from skylarkferry_gateway.gateway import Gateway
-from skylarkferry_gateway.gateway_list import GatewayList
+from skylarkferry_gateway.gateway_list import GatewayList, GatewayMember
 from skylarkferry_gateway.http_server import ClientConnection, Handler, ReceivedRequest
 from skylarkferry_gateway.interfaces import Platform
 from skylarkferry_gateway.limit_shares import LimitShares
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.ownership import OwnerTable
 from skylarkferry_gateway.peers import PeerClient, PeerServer
-from skylarkferry_gateway.placement import Placer
+from skylarkferry_gateway.placement_calls import PlacementCalls
 from skylarkferry_gateway.process_checks import ProcessChecker
 from skylarkferry_gateway.relay_context import RelayContext
 from skylarkferry_gateway.response_memory import ResponseMemory
+from skylarkferry_gateway.selection import UpstreamSelector
 from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.settings import GatewaySettings
 from skylarkferry_gateway.stream_origins import StreamOrigins
@@ -59,10 +62,11 @@
         self.metrics = metrics
         self.timers = TimerService()
         self.upstreams = Upstreams()
-        self.gateways = GatewayList(store, settings.node, log)
+        self.gateways = GatewayList(
+            store, settings.node, GatewayMember(settings.peer_listen, settings.cores), log
+        )
         limits = LimitShares(self.gateways, time.time)
         versions = ServiceVersions(self.upstreams)
-        placer = Placer(self.upstreams, versions, limits, settings.failure_domain, rng)
         self.origins = StreamOrigins(store, self.gateways, time.time, log, metrics)
         resumptions = StreamResumptions(
             self.origins, versions, store, rng, log=log, metrics=metrics
@@ -82,9 +86,20 @@
             log=UpstreamLog(log, metrics),
             metrics=metrics,
         )
+        self.coordinator = PlacementCoordinator(self.upstreams, self.config, rng)
+        self.placement_calls = PlacementCalls(settings.peer_listen, self.coordinator, log, metrics)
+        selector = UpstreamSelector(
+            self.upstreams,
+            versions,
+            limits,
+            Coordinators(self.gateways, log),
+            self.placement_calls,
+            domain=settings.failure_domain,
+            rng=rng,
+        )
         memory = ResponseMemory(int(settings.memory_bytes * defaults.RESPONSE_MEMORY_SHARE))
         self.context = context = RelayContext(
-            platform.codec, placer, self.crashes, resumptions, memory, log=log, metrics=metrics
+            platform.codec, selector, self.crashes, resumptions, memory, log=log, metrics=metrics
         )
         self.gateway = Gateway(context, self.config, turn_services, store)
         self.is_listening = False
@@ -105,6 +120,8 @@
             tasks.start_soon(self.crashes.reports.follow)
             tasks.start_soon(self.crashes.reports.write)
             tasks.start_soon(self.origins.write)
+            tasks.start_soon(self.placement_calls.run)
+            self.timers.every(defaults.ATTEMPTS_SWEEP_S, self._forget_expired_attempts)
             self.timers.every(defaults.STREAMS_SWEEP_S, self.origins.delete_old)
             self.timers.every(defaults.STREAMS_SWEEP_S, self.origins.delete_rows_of_ended_gateways)
             self.timers.every(defaults.OWNERS_POLL_S, self._read_owners)
@@ -192,6 +209,10 @@
 
         return serve
 
+    async def _forget_expired_attempts(self) -> None:
+        self.coordinator.forget_expired(anyio.current_time())
+        self.metrics.coordinated_attempts.set(len(self.coordinator.attempts))
+
     def is_ready(self) -> bool:
         """Return True if this process can serve new connections; log each change."""
         is_known = self.config.current is not None and self.upstream_watcher.has_read
@@ -233,7 +254,7 @@
         """Finish requests that were read, then release the partitions, within the grace period."""
         began = anyio.current_time()
         end = began + self.settings.grace_s - defaults.STOP_MARGIN_S
-        self.is_stopping = True
+        self.is_stopping = self.coordinator.is_stopping = True
         self.log.emit(EventKind.GATEWAY_STOPPING, connections=len(self.clients))
         for client in list(self.clients):
             client.close_if_idle()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/settings.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/settings.py
@@ -8,7 +8,8 @@
 class GatewaySettings(msgspec.Struct, frozen=True):
     """Addresses and limits of one gateway process.
 
-    ``incarnation`` is new at every start.  ``grace_s`` is the time between SIGTERM and SIGKILL.
+    ``incarnation`` is new at every start.  ``grace_s`` is the time between SIGTERM and SIGKILL,
+    ``cores`` the speed of the host's processor.
     """
 
     node: NodeId
@@ -20,4 +21,5 @@
     peer_listen: str
     memory_bytes: int
     grace_s: float
+    cores: float = 1.0
     log_level: str = "INFO"
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -16,8 +16,9 @@
 from skylarkferry_gateway.exchanges import Exchange, Reply
 from skylarkferry_gateway.http_server import ClientConnection, ResponseState
 from skylarkferry_gateway.messages import StreamOrigin, UpstreamEntry, UpstreamRequestMetadata
-from skylarkferry_gateway.placement import PlacementDecision
+from skylarkferry_gateway.placement_messages import SpeedSample
 from skylarkferry_gateway.relay_context import RelayContext, idle_limit_s
+from skylarkferry_gateway.selection import Selection
 from skylarkferry_gateway.stream_events import EventSplitter, StreamEvent
 
 
@@ -65,7 +66,7 @@
             now = anyio.current_time()
             decision = None
             if self.attempts.can_attempt(now):
-                decision = self.context.choose_upstream(self.attempts, now)
+                decision = await self.context.choose_upstream(self.attempts, now)
             if decision is None:
                 return await self._finish_without_upstream(now)
             status = await self._attempt(decision)
@@ -86,10 +87,10 @@
         )
         return reply.status
 
-    async def _attempt(self, decision: PlacementDecision) -> int | None:
+    async def _attempt(self, decision: Selection) -> int | None:
         """Relay from one upstream; return the status, or ``None`` if another attempt may follow."""
         upstream = decision.upstream
-        upstream.breaker.begin(anyio.current_time())
+        upstream.local.breaker.begin(anyio.current_time())
         self.attempts.tried_upstreams.add(upstream)
         attempts_before = self.attempts.attempts_made
         try:
@@ -98,21 +99,23 @@
             self._on_failure(decision, error)
             return None
         except BaseException:
-            upstream.breaker.interrupted()
+            self.context.count_abandoned(decision)
             if self.attempts.attempts_made > attempts_before:
                 self.context.check_for_crash(self.attempts, decision)
             raise
+        finally:
+            self.context.selector.on_attempt_ended(decision)
         return status
 
-    def _on_failure(self, decision: PlacementDecision, error: SkylarkferryError) -> None:
+    def _on_failure(self, decision: Selection, error: SkylarkferryError) -> None:
         if not isinstance(error, _RefusedError):
-            self.context.count_failure(decision.upstream, error)
+            self.context.count_failure(decision, error)
         self.context.report_failed_attempt(self.attempts, decision, error)
         if error.word is not FinalWord.NOT_RUN:
             self.attempts.ambiguous_error = error
             self.context.check_for_crash(self.attempts, decision)
 
-    async def _exchange(self, decision: PlacementDecision) -> int | None:
+    async def _exchange(self, decision: Selection) -> int | None:
         context, attempts = self.context, self.attempts
         async with context.exchange(decision.upstream) as exchange:
             await exchange.connect(idle_limit_s(attempts))
@@ -123,7 +126,7 @@
             )
             reply_deadline = context.reply_deadline(attempts, decision, sent_at)
             reply = await self._send_request(exchange, request_metadata, reply_deadline)
-            context.on_reply(decision.upstream, reply)
+            context.on_reply(decision, reply)
             rejection = self._rejection(decision, reply)
             if rejection is not None:
                 with anyio.move_on_after(1):
@@ -135,7 +138,7 @@
             self._record_prompt(decision)
             await self._relay_events(exchange, decision, reply)
             ended_at = anyio.current_time()
-            self.context.count_success(decision.upstream)
+            self.context.count_success(decision)
             self.context.crashes.on_completed(attempts.request)
             self._observe_speed(decision, sent_at, ended_at)
             await exchange.finish()
@@ -152,19 +155,19 @@
             return await exchange.send(self.attempts.request, self.body, request_metadata)
         raise AnswerInvalidError("no response in time")
 
-    def _rejection(self, decision: PlacementDecision, reply: Reply) -> SkylarkferryError | None:
+    def _rejection(self, decision: Selection, reply: Reply) -> SkylarkferryError | None:
         """Return the error of a refused or untrusted response, else ``None``."""
         if reply.metadata.not_executed or reply.status == HTTPStatus.MISDIRECTED_REQUEST:
             if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
                 decision.upstream.is_misdirected = True
-            self.context.count_refusal(decision.upstream)
+            self.context.count_refusal(decision)
             return _RefusedError(f"refused with status {reply.status}")
         if not reply.is_trusted:
             return AnswerInvalidError(f"untrusted response with status {reply.status}")
         return None
 
     async def _relay_other_status(
-        self, exchange: Exchange, decision: PlacementDecision, reply: Reply
+        self, exchange: Exchange, decision: Selection, reply: Reply
     ) -> int | None:
         """Pass a non-200 response to the client, or return ``None`` for a failure to retry."""
         with anyio.move_on_at(self.attempts.event_deadline(anyio.current_time())):
@@ -172,9 +175,9 @@
             await exchange.finish()
             is_failure = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
             if is_failure:
-                self.context.on_failure_status(decision.upstream, reply)
+                self.context.on_failure_status(decision, reply)
             else:
-                self.context.count_success(decision.upstream)
+                self.context.count_success(decision)
             if self.client.response_state is ResponseState.STREAMING:
                 raise AnswerInvalidError(f"resumption failed with status {reply.status}")
             if is_failure and self.attempts.route.is_repeatable:
@@ -183,9 +186,7 @@
             return await self._respond(reply, body)
         raise AnswerInvalidError("the response body was not complete in time")
 
-    async def _relay_events(
-        self, exchange: Exchange, decision: PlacementDecision, reply: Reply
-    ) -> None:
+    async def _relay_events(self, exchange: Exchange, decision: Selection, reply: Reply) -> None:
         """Send complete events to the client until the upstream ends the stream."""
         splitter = EventSplitter()
         while True:
@@ -199,9 +200,7 @@
         if splitter.has_partial_event:
             raise AnswerInvalidError("the stream ended inside an event")
 
-    async def _send(
-        self, decision: PlacementDecision, reply: Reply, events: list[StreamEvent]
-    ) -> None:
+    async def _send(self, decision: Selection, reply: Reply, events: list[StreamEvent]) -> None:
         if not events:
             return
         self._check_order(events)
@@ -247,13 +246,13 @@
             await self.client.start_response(reply.status, headers, b"")
         await self.client.end_response()
 
-    def _record_prompt(self, decision: PlacementDecision) -> None:
+    def _record_prompt(self, decision: Selection) -> None:
         engine = self.attempts.engine
         if engine is not None:
             parts = self.attempts.request.metadata.prompt_parts
-            decision.upstream.record_prompt(parts, engine.kv_tokens)
+            decision.upstream.local.record_prompt(parts, engine.kv_tokens)
 
-    def _observe_speed(self, decision: PlacementDecision, sent_at: float, ended_at: float) -> None:
+    def _observe_speed(self, decision: Selection, sent_at: float, ended_at: float) -> None:
         """Update the engine's speed estimate from a stream that it served from start to end."""
         engine = self.attempts.engine
         if engine is None or self.first_event_at is None or self.first_event_at < sent_at:
@@ -262,13 +261,19 @@
         uncached -= decision.cached_tokens
         if decision.requests >= engine.slots:
             uncached = 0
-        self.context.placer.speeds.observe(
-            decision.upstream.entry.upstream,
+        decision.speed = sample = SpeedSample(
             uncached,
             self.first_event_at - sent_at,
             (self.events - 1) * engine.tokens_per_event,
             ended_at - self.first_event_at,
         )
+        self.context.selector.placer.speeds.observe(
+            decision.upstream.entry.upstream,
+            sample.prefill_tokens,
+            sample.prefill_s,
+            sample.output_tokens,
+            sample.decode_s,
+        )
 
 
 class _RefusedError(UpstreamLostError):
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_reports.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_reports.py
@@ -20,9 +20,8 @@
 
     def apply(self, upstream: Upstream, report: UpstreamReport, now: float) -> None:
         """Apply the report of an upstream's latest response."""
-        upstream.reported_at = now
         if report.load is not None:
-            upstream.update_load(report.load)
+            upstream.local.update_load(report.load, upstream.local.in_flight, now)
         if report.is_leaving:
             self._apply_leaving(upstream)
         if not isinstance(report.limit_per_s, UnsetType):
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -1,63 +1,34 @@
-"""Upstreams as one process sees them: entries, load, cached prompts and idle connections."""
+"""Upstreams as one process sees them: entries, load and idle connections."""
 
-from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
-from skylarkferry_core.breakers import Breaker
+from skylarkferry_core.coordination import shard_count, shard_of
 from skylarkferry_core.ids import ServiceName, UpstreamId
-from skylarkferry_core.outcome_counts import OutcomeCounts, suspects
 from skylarkferry_core.request_limits import UpstreamLimit
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.http_client import HttpConnection, connect
-from skylarkferry_gateway.messages import PromptPart, ReportedLoad, UpstreamEntry
+from skylarkferry_gateway.messages import UpstreamEntry
+from skylarkferry_gateway.upstream_views import UpstreamView
 
 _REMOVED_KEEP_S = 60.0
 """Time for which a removed upstream is kept; entries that lapse return within seconds."""
-_PROMPT_CACHE_SHARE = 0.8
-"""Share of an engine's KV memory assumed to cache prompts; running requests use the rest."""
-
-
-class PromptCacheEstimate:
-    """Estimate of the prompt parts in an engine's cache, as an LRU bounded by its KV tokens."""
-
-    def __init__(self) -> None:
-        self.parts: OrderedDict[str, int] = OrderedDict()
-        self.tokens = 0
-
-    def add(self, parts: Iterable[PromptPart], limit_tokens: int) -> None:
-        """Record the parts of a request as the most recently used ones."""
-        for part in parts:
-            self.tokens += part.tokens - self.parts.pop(part.part_id, 0)
-            self.parts[part.part_id] = part.tokens
-        while self.tokens > limit_tokens and self.parts:
-            self.tokens -= self.parts.popitem(last=False)[1]
-
-    def cached(self, parts: Sequence[PromptPart]) -> int:
-        """Return the tokens in the longest run of leading parts that are cached."""
-        tokens = 0
-        for part in parts:
-            if part.part_id not in self.parts:
-                break
-            tokens += min(part.tokens, self.parts[part.part_id])
-        return tokens
 
 
 class Upstream:
-    """One upstream; ``other_requests`` is the estimated number of requests from other gateways."""
+    """One upstream, its idle connections, and what is known of its load.
+
+    ``local`` follows the attempts of this gateway, ``shared`` those that gateways report to this
+    one as the coordinator of the service.
+    """
 
     def __init__(self, entry: UpstreamEntry) -> None:
         self.entry = entry
-        self.breaker = Breaker(max_open_s=defaults.BREAKER_MAX_OPEN_S)
-        self.outcome_counts = OutcomeCounts()
+        self.local = UpstreamView(entry.slots)
+        self.shared = UpstreamView(entry.slots)
         self.idle: list[HttpConnection] = []
-        self.in_flight = 0
-        self.other_requests = 0.0
-        self.slots = max(entry.slots, 1)
         self.has_announced_leaving = False
         self.limit: UpstreamLimit | None = None
-        self.reported_at: float | None = None
         self.malformed_headers: tuple[str, ...] = ()
-        self.prompt_cache = PromptCacheEstimate()
         self.is_misdirected = False
         self.removed_at: float | None = None
 
@@ -71,19 +42,6 @@
         """Return whether its entry or one of its responses said that it is leaving."""
         return self.entry.is_leaving or self.has_announced_leaving
 
-    def update_load(self, load: ReportedLoad) -> None:
-        """Record the load reported in a response, which includes the request it responds to."""
-        self.other_requests = max(float(load.running + load.queued - self.in_flight), 0.0)
-        self.slots = max(load.slots, 1)
-
-    def requests(self) -> int:
-        """Return the estimated number of requests at the upstream, from all gateways."""
-        return self.in_flight + round(self.other_requests)
-
-    def record_prompt(self, parts: Sequence[PromptPart], kv_tokens: int) -> None:
-        """Record the prompt of a request that the upstream has accepted."""
-        self.prompt_cache.add(parts, int(kv_tokens * _PROMPT_CACHE_SHARE))
-
     async def acquire_connection(self, now: float, idle_limit_s: float) -> HttpConnection:
         """Return a reusable idle connection or a new one; raise ``UpstreamLostError``."""
         while self.idle:
@@ -123,6 +81,7 @@
         self.upstreams: dict[UpstreamId, Upstream] = {}
         self.removed: dict[UpstreamId, Upstream] = {}
         self.by_service: dict[ServiceName, list[Upstream]] = {}
+        self.by_shard: dict[ServiceName, list[list[Upstream]]] = {}
         self.read_at: float | None = None
         self.recovered_at: float | None = None
 
@@ -130,10 +89,15 @@
         """Return a service's upstreams, including draining ones."""
         return self.by_service.get(service, [])
 
-    def suspects(self, service: ServiceName, now: float) -> set[UpstreamId]:
-        """Return a service's upstreams that fail far more often than their peers."""
-        counts = {item.entry.upstream: item.outcome_counts for item in self.for_service(service)}
-        return suspects(counts, now)
+    def shards(self, service: ServiceName) -> list[list[Upstream]]:
+        """Return a service's upstreams by shard."""
+        if service not in self.by_shard:
+            members = self.for_service(service)
+            shards: list[list[Upstream]] = [[] for _ in range(shard_count(len(members)))]
+            for upstream in members:
+                shards[shard_of(upstream.entry.upstream, len(shards))].append(upstream)
+            self.by_shard[service] = shards
+        return self.by_shard[service]
 
     def update(self, entries: Sequence[UpstreamEntry], now: float) -> list[Upstream]:
         """Apply a read of the registry and return the upstreams that it removed.
@@ -199,6 +163,7 @@
 
     def _rebuild_index(self) -> None:
         self.by_service = {}
+        self.by_shard = {}
         for upstream in self.upstreams.values():
             self.by_service.setdefault(upstream.entry.service, []).append(upstream)
 
--- a/tests/gateway/test_buffered_relay.py
+++ b/tests/gateway/test_buffered_relay.py
@@ -210,7 +210,7 @@
     async with disconnecting_client(rig, "/order/1", headers("id-1")):
         await wait_until(lambda: len(replica.runs) == 1)
     upstream = rig.gateways[0].upstreams.upstreams["r1"]
-    await wait_until(lambda: upstream.in_flight == 0)
+    await wait_until(lambda: upstream.local.in_flight == 0)
     assert_that(upstream.idle, HasLength(1))
 
 
@@ -259,7 +259,8 @@
         await send(rig, "/order/1", headers(f"id-{number}"))
     recovered.behaviour = lambda request: Behaviour.SERVE
     before = len(recovered.runs)
-    gateway.upstreams.upstreams["r1"].outcome_counts.decay(anyio.current_time() + 3 * HALF_LIFE_S)
+    outcome_counts = gateway.upstreams.upstreams["r1"].local.outcome_counts
+    outcome_counts.decay(anyio.current_time() + 3 * HALF_LIFE_S)
     for number in range(9):
         await send(rig, "/order/1", headers(f"late-{number}"))
     assert_that(len(recovered.runs), GreaterThan(before))
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -104,7 +104,8 @@
             await wait_until(lambda number=number: rig.arrivals() == number + 1)
             await anyio.sleep(0.2)
         upstreams = list(first.upstreams.upstreams.values())
-        await wait_until(lambda upstreams=upstreams: not any(up.in_flight for up in upstreams))
+        views = [upstream.local for upstream in upstreams]
+        await wait_until(lambda views=views: not any(view.in_flight for view in views))
     await assert_not_sent_any_more(rig, path, second)
 
 
--- a/tests/gateway/test_gateway_list.py
+++ b/tests/gateway/test_gateway_list.py
@@ -7,7 +7,7 @@
 from skylarkferry_core.ids import NodeId
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
-from skylarkferry_gateway.gateway_list import GatewayList
+from skylarkferry_gateway.gateway_list import GatewayList, GatewayMember
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_platform.store import PlatformStore
 from skylarkferry_standins.row_store import StoreFault
@@ -17,7 +17,8 @@
 
 def gateway_list(rig, node):
     log = EventLog(NodeId(node), 100)
-    return GatewayList(PlatformStore(rig.store_address, log, GatewayMetrics()), NodeId(node), log)
+    store = PlatformStore(rig.store_address, log, GatewayMetrics())
+    return GatewayList(store, NodeId(node), GatewayMember(f"{node}.example:1", 1.0), log)
 
 
 async def test_gateway_has_no_time_slots_until_all_others_have_read_its_row(rig):
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -38,7 +38,8 @@
         await rig.add_replica(f"e{number}", "engine")
     gateways = [await rig.add_gateway(f"g{number}") for number in range(4)]
     for gateway in gateways:
-        monkeypatch.setattr(gateway.context.placer.speeds, "observe", lambda *observed: None)
+        for placer in (gateway.context.selector.placer, gateway.coordinator.placer):
+            monkeypatch.setattr(placer.speeds, "observe", lambda *observed: None)
     return gateways
 
 
--- a/tests/gateway/test_stream_relay.py
+++ b/tests/gateway/test_stream_relay.py
@@ -91,7 +91,7 @@
     async with disconnecting_client(rig, "/turn/1", turn_headers("t-1"), b"prompt"):
         await wait_until(lambda: replica.runs)
     upstream = rig.gateways[0].upstreams.upstreams["e1"]
-    await wait_until(lambda: upstream.in_flight == 0)
+    await wait_until(lambda: upstream.local.in_flight == 0)
     assert_that(upstream.idle, HasLength(0))
 
 
--- a/tests/gateway/test_upstreams.py
+++ b/tests/gateway/test_upstreams.py
@@ -4,8 +4,8 @@
 
 from skylarkferry_core.ids import FailureDomain, ServiceName, UpstreamId
 from skylarkferry_gateway import defaults
-from skylarkferry_gateway.messages import PromptPart, ReportedLoad, UpstreamEntry
-from skylarkferry_gateway.upstreams import PromptCacheEstimate, Upstream, Upstreams
+from skylarkferry_gateway.messages import UpstreamEntry
+from skylarkferry_gateway.upstreams import Upstream, Upstreams
 
 pytestmark = pytest.mark.anyio
 
@@ -65,19 +65,3 @@
     upstreams.update([entry("u1", is_leaving=True)], 0.0)
     assert_that(upstreams.for_service(ServiceName("s"))[0].accepts_requests, Equals(False))
     assert_that(len(upstreams.update([], 10.0)), Equals(1))
-
-
-async def test_other_requests_are_reported_load_minus_own_requests():
-    upstream = Upstream(entry())
-    upstream.in_flight = 2
-    upstream.update_load(ReportedLoad(running=4, queued=3, slots=4))
-    assert_that((upstream.other_requests, upstream.requests()), Equals((5.0, 7)))
-
-
-async def test_only_leading_prompt_parts_count_and_the_oldest_are_evicted():
-    parts = PromptCacheEstimate()
-    parts.add([PromptPart("a", 100), PromptPart("b", 50)], 1_000)
-    wanted = [PromptPart("a", 100), PromptPart("x", 10), PromptPart("b", 50)]
-    assert_that(parts.cached(wanted), Equals(100))
-    parts.add([PromptPart("c", 900)], 1_000)
-    assert_that(parts.cached(wanted), Equals(0))
