Assign streams to software versions, so that a missing row tells the version

What callers saw: after all gateways were killed, resumed streams joined from two versions (16 of 16 where all upstreams were replaced), or refused although their version serves (0 of 16 went on where some were replaced). Cause: a gateway that found no row took the only listed version for the one that began the stream. The list says what serves now; a row came after the first event and not at all while the service had one version or the store was away. Fix: a row a service assigns each program's streams to a version by weighted hashing of the slots listed when it was made. A stream that begins there needs no row, any other has its row before its first event (0.8 s at most). Without the store, streams begin at their assigned version. An assignment is replaced in two steps, 120 s apart, longer than a stream lasts. Shown to fail: without the wait for the row test_first_event_waits_until_the_row_of_its_stream_is_stored (16 of 16 refused), without the choice by assignment three cases with the silent store.

--- a/packages/skylarkferry-core/src/skylarkferry_core/shifts.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/shifts.py
@@ -4,11 +4,10 @@
 from collections.abc import Mapping
 
 import msgspec
-import xxhash
 
 from skylarkferry_core.ids import PoolName, ProgramId
+from skylarkferry_core.rendezvous import weighted_choice
 
-_HASH_RANGE = float(1 << 64)
 _MAX_MOVE_FRACTION = 0.1
 
 
@@ -43,10 +42,7 @@
     If one pool's share grows, programs move only to that pool; if it shrinks, programs move only
     away from that pool.
     """
-    open_pools = [pool for pool, share in shares.items() if share > 0]
-    if not open_pools:
-        return None
-    return max(open_pools, key=lambda pool: (_score(program_id, pool, shares[pool]), pool))
+    return weighted_choice(program_id, shares)
 
 
 def pool_for_running_program(
@@ -71,8 +67,3 @@
     if move_s <= _MAX_MOVE_FRACTION * cost.remaining_s:
         return ShiftDecision(target, move_kv)
     return ShiftDecision(current)
-
-
-def _score(program_id: ProgramId, pool: PoolName, share: float) -> float:
-    digest = xxhash.xxh64_intdigest(f"{program_id}\x00{pool}".encode())
-    return -share / math.log((digest + 0.5) / _HASH_RANGE)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -26,7 +26,8 @@
 
     ``ambiguous_error`` is the error of an attempt whose request the upstream may have executed;
     ``refusal`` is the reason why no further attempt is allowed although time is left.
-    ``required_version`` is the software version at which a stream that has begun must go on.
+    ``required_version`` is the software version at which a stream that has begun must go on;
+    ``has_stream_row`` tells whether the version of an attempt was recorded in the store.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         self.refusal: SkylarkferryError | None = None
         self.last_reply: tuple[Reply, bytes] | None = None
         self.required_version: str | None = None
+        self.has_stream_row = False
 
     def accepts(self, upstream: Upstream) -> bool:
         """Return whether the request may be sent to the upstream, which takes new requests."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -108,6 +108,8 @@
 """Time for which a stream can be resumed; clients wait for a fraction of it in all."""
 STREAM_KEEP_MARGIN_S = 5.0
 """Time by which what other gateways need is kept longer, as their upstream lists may differ."""
+ASSIGNMENTS_POLL_S = 5.0
+"""Interval between reads of an assignment of streams to versions that is about to change."""
 STREAMS_SWEEP_S = 60.0
 """Interval between sweeps for rows of streams whose gateways ended."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
@@ -50,6 +50,16 @@
         """Return whether the client has events of the stream already."""
         return self.last_event_id is not None or bool(self.resumed_request)
 
+    @property
+    def stream(self) -> str:
+        """Return the id of the attempt that began, or would begin, the stream."""
+        return self.resumed_request or self.request_id
+
+    @property
+    def assignment_key(self) -> str:
+        """Return what assigns the stream to a version: a program's streams share one."""
+        return self.program_id or self.stream
+
 
 class ClientRequest(msgspec.Struct, frozen=True):
     """A completely received request; ``received_at`` is the monotonic time of its last byte."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -41,6 +41,7 @@
 from skylarkferry_gateway.turns import TurnServices, TurnStore
 from skylarkferry_gateway.upstream_log import UpstreamLog
 from skylarkferry_gateway.upstreams import Upstreams
+from skylarkferry_gateway.version_assignments import VersionAssignments
 from skylarkferry_gateway.watchers import ConfigWatcher, UpstreamWatcher
 
 _INTERNAL_LIMITS = ClientLimits(idle_s=30.0)
@@ -68,8 +69,9 @@
         limits = LimitShares(self.gateways, time.time)
         versions = ServiceVersions(self.upstreams)
         self.origins = StreamOrigins(store, self.gateways, time.time, log, metrics)
+        self.assignments = VersionAssignments(store, versions, self.gateways, log)
         resumptions = StreamResumptions(
-            self.origins, versions, store, rng, log=log, metrics=metrics
+            self.origins, versions, self.assignments, store, rng, log=log, metrics=metrics
         )
         cache = TurnCache(int(settings.memory_bytes * defaults.TURN_CACHE_MEMORY_SHARE))
         self.owners = OwnerTable(store, settings.incarnation, settings.peer_listen, log)
@@ -82,7 +84,8 @@
         self.upstream_watcher = UpstreamWatcher(
             directory,
             self.upstreams,
-            resumptions,
+            versions,
+            self.assignments,
             log=UpstreamLog(log, metrics),
             metrics=metrics,
         )
@@ -90,7 +93,7 @@
         self.placement_calls = PlacementCalls(settings.peer_listen, self.coordinator, log, metrics)
         selector = UpstreamSelector(
             self.upstreams,
-            versions,
+            self.assignments,
             limits,
             Coordinators(self.gateways, log),
             self.placement_calls,
@@ -122,6 +125,7 @@
             tasks.start_soon(self.origins.write)
             tasks.start_soon(self.placement_calls.run)
             self.timers.every(defaults.ATTEMPTS_SWEEP_S, self._forget_expired_attempts)
+            self.timers.every(defaults.ASSIGNMENTS_POLL_S, self.assignments.follow)
             self.timers.every(defaults.STREAMS_SWEEP_S, self.origins.delete_old)
             self.timers.every(defaults.STREAMS_SWEEP_S, self.origins.delete_rows_of_ended_gateways)
             self.timers.every(defaults.OWNERS_POLL_S, self._read_owners)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/selection.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/selection.py
@@ -31,9 +31,9 @@
     PlacementQuery,
     SpeedSample,
 )
-from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.upstream_views import AttemptOutcome
 from skylarkferry_gateway.upstreams import Upstream, Upstreams
+from skylarkferry_gateway.version_assignments import VersionAssignments
 
 _SAMPLE = 8
 """Engines that this gateway compares without a coordinator, among those with an old load report."""
@@ -68,7 +68,7 @@
     def __init__(
         self,
         upstreams: Upstreams,
-        versions: ServiceVersions,
+        assignments: VersionAssignments,
         limits: LimitShares,
         coordinators: Coordinators,
         calls: PlacementCalls,
@@ -77,7 +77,7 @@
         rng: random.Random,
     ) -> None:
         self.upstreams = upstreams
-        self.versions = versions
+        self.assignments = assignments
         self.limits = limits
         self.coordinators = coordinators
         self.calls = calls
@@ -89,8 +89,7 @@
         if len(route.shares) == 1:
             return route.shares[0].service
         metadata = request.metadata
-        attempt = metadata.resumed_request or metadata.request_id
-        key = metadata.program_id or metadata.affinity_key or attempt
+        key = metadata.program_id or metadata.affinity_key or metadata.stream
         weights = {PoolName(share.service): share.weight for share in route.shares}
         chosen = pool_for_new_program(ProgramId(key), weights)
         return ServiceName(chosen) if chosen is not None else route.shares[0].service
@@ -131,7 +130,9 @@
         untried = _untried(attempts, members)
         usable = [item for item in untried if self.limits.allows_request(item)]
         if attempts.route.is_resumable and attempts.required_version is None:
-            return self.versions.without_new(usable, now)
+            return self.assignments.suitable(
+                attempts.service, attempts.request.metadata, usable, now
+            )
         return usable
 
     async def _ask_coordinator(
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/service_versions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/service_versions.py
@@ -1,7 +1,10 @@
 """Software versions that the upstreams of each service have had lately."""
 
+from collections.abc import Iterable, Mapping
+
 from skylarkferry_core.ids import ServiceName
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.messages import UpstreamEntry
 from skylarkferry_gateway.upstreams import Upstream, Upstreams
 
 _LIST_FRESH_S = 1.5
@@ -10,35 +13,50 @@
 """Time after which every gateway with a current list has seen a version that this one has seen."""
 
 
+_NO_SHARES: Mapping[str, int] = {}
+
+
+def shares_by_service(entries: Iterable[UpstreamEntry]) -> dict[ServiceName, dict[str, int]]:
+    """Return the slots by software version of each service's upstreams that are not leaving."""
+    shares: dict[ServiceName, dict[str, int]] = {}
+    for entry in entries:
+        if not entry.is_leaving:
+            slots = shares.setdefault(entry.service, {})
+            slots[entry.software_version] = slots.get(entry.software_version, 0) + entry.slots
+    return shares
+
+
 class ServiceVersions:
-    """When each version of a service was first and last listed, in monotonic time."""
+    """When each version of a service was first and last listed, in monotonic time.
+
+    ``listed_shares`` holds the slots by version of each service, as of the latest list.
+    """
 
     def __init__(self, upstreams: Upstreams) -> None:
         self.upstreams = upstreams
         self.began_at: float | None = None
         self.first_listed: dict[ServiceName, dict[str, float]] = {}
         self.last_listed: dict[ServiceName, dict[str, float]] = {}
+        self.listed_shares: dict[ServiceName, dict[str, int]] = {}
 
-    def update(self, now: float) -> set[ServiceName]:
-        """Apply the latest upstream list and return the services that gained a version.
+    def update(self, now: float) -> None:
+        """Apply the latest upstream list.
 
         Versions that were listed when this process started do not count as new.
         """
         first_at = now if self.began_at is not None else now - _NEW_VERSION_S
         if self.began_at is None:
             self.began_at = now
-        grown: set[ServiceName] = set()
         for service, members in self.upstreams.by_service.items():
             first = self.first_listed.setdefault(service, {})
             last = self.last_listed.setdefault(service, {})
             for upstream in members:
                 version = upstream.entry.software_version
-                if version not in last and last:
-                    grown.add(service)
                 first.setdefault(version, first_at)
                 last[version] = now
+        entries = (upstream.entry for upstream in self.upstreams.upstreams.values())
+        self.listed_shares = shares_by_service(entries)
         self._forget_old(now)
-        return grown
 
     def _forget_old(self, now: float) -> None:
         for service, last in self.last_listed.items():
@@ -46,12 +64,9 @@
                 if now - listed_at > defaults.STREAM_KEEP_S + defaults.STREAM_KEEP_MARGIN_S:
                     del last[version], self.first_listed[service][version]
 
-    def needs_record(self, service: ServiceName, now: float) -> bool:
-        """Return whether another gateway may not know which version begins a stream now.
-
-        Versions count for longer here than for ``sole_version``, as gateways differ a little.
-        """
-        return not self._is_current(now) or len(self.last_listed.get(service, {})) != 1
+    def shares(self, service: ServiceName) -> Mapping[str, int]:
+        """Return the slots by version of a service's upstreams that are not leaving."""
+        return self.listed_shares.get(service, _NO_SHARES)
 
     def sole_version(self, service: ServiceName, now: float) -> str | None:
         """Return the only version that this process has seen lately, if its list is current."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
@@ -1,4 +1,4 @@
-"""Service and software version that began each resumable stream, shared through the store."""
+"""Service and software version that began resumable streams, shared through the store."""
 
 from collections import OrderedDict, deque
 from collections.abc import Callable
@@ -8,7 +8,6 @@
 
 from skylarkferry_core.errors import PlatformUnavailableError
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.ids import ServiceName
 from skylarkferry_core.interfaces import Write
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
@@ -39,18 +38,25 @@
 
 
 class _Known(msgspec.Struct, frozen=True):
-    """An origin in memory; ``is_stored`` if its row was queued or read from the store."""
+    """An origin in memory, and the monotonic time at which it became known."""
 
     origin: StreamOrigin
     known_at: float
-    is_stored: bool
+
+
+class _Pending(msgspec.Struct, frozen=True):
+    """The latest write of a row that is not in the store yet; ``stored`` is set when it is."""
+
+    write: Write
+    stored: anyio.Event
 
 
 class StreamOrigins:
     """Origins of the streams that this gateway has relayed, by the id of the attempt that began it.
 
-    Rows are written in batches, at a rate that all gateways share, and deleted when the streams
-    cannot be resumed any more.
+    Only streams whose version does not follow from their assignment have rows. These are written in
+    batches, at a rate that all gateways share, and deleted when the streams cannot be resumed any
+    more.
     """
 
     def __init__(
@@ -68,36 +74,37 @@
         self.metrics = metrics
         self.known: OrderedDict[str, _Known] = OrderedDict()
         self.unsent: deque[Write] = deque()
+        self.pending: dict[str, _Pending] = {}
         self.stored: deque[tuple[float, str]] = deque()
         self.added = anyio.Event()
 
-    def record(self, stream: str, origin: StreamOrigin, *, is_shared: bool) -> None:
-        """Record the origin of a stream that is about to send its first event here.
-
-        ``is_shared`` tells whether other gateways need it.
-        """
-        self._remember(stream, origin, is_shared)
-        if is_shared:
-            self._enqueue(stream, origin)
-
     def remember(self, stream: str, origin: StreamOrigin) -> None:
-        """Keep an origin that was read from the store or told by another gateway."""
-        self._remember(stream, origin, True)
-
-    def _remember(self, stream: str, origin: StreamOrigin, is_stored: bool) -> None:
+        """Keep the origin of a stream that this gateway relays."""
         now = anyio.current_time()
-        self.known[stream] = _Known(origin, now, is_stored)
+        self.known[stream] = _Known(origin, now)
         self.known.move_to_end(stream)
         oldest = next(iter(self.known.values()))
         if len(self.known) > _MAX_STREAMS or now - oldest.known_at > defaults.STREAM_KEEP_S:
             self.known.popitem(last=False)
 
-    def share(self, service: ServiceName) -> None:
-        """Store the origins of a service's streams that only this gateway knows."""
-        for stream, known in self.known.items():
-            if known.origin.service == service and not known.is_stored:
-                self.known[stream] = msgspec.structs.replace(known, is_stored=True)
-                self._enqueue(stream, known.origin)
+    def store_row(self, stream: str, origin: StreamOrigin) -> None:
+        """Queue the row of a stream; a later row of the same stream replaces it."""
+        key = _key(stream)
+        row = _Row(origin, int(self.wall_clock() * _MS_PER_S))
+        write = Write(key, msgspec.msgpack.encode(row))
+        self.pending[key] = _Pending(write, anyio.Event())
+        self.stored.append((anyio.current_time(), key))
+        self._enqueue(write)
+
+    def has_pending_row(self, stream: str) -> bool:
+        """Return whether a row of the stream is queued and not in the store yet."""
+        return _key(stream) in self.pending
+
+    async def wait_until_stored(self, stream: str) -> None:
+        """Wait until the latest queued row of a stream is in the store."""
+        pending = self.pending.get(_key(stream))
+        if pending is not None:
+            await pending.stored.wait()
 
     def get(self, stream: str) -> StreamOrigin | None:
         """Return the origin of a stream as far as this gateway has relayed it."""
@@ -111,16 +118,15 @@
             return None
         return msgspec.msgpack.decode(row.value, type=_Row).origin
 
-    def _enqueue(self, stream: str, origin: StreamOrigin) -> None:
-        row = _Row(origin, int(self.wall_clock() * _MS_PER_S))
-        self.unsent.append(Write(_key(stream), msgspec.msgpack.encode(row)))
-        self.stored.append((anyio.current_time(), _key(stream)))
+    def _enqueue(self, write: Write) -> None:
+        self.unsent.append(write)
         if len(self.unsent) > _MAX_UNSENT:
             self._on_dropped(self.unsent.popleft())
         self.added.set()
 
     def _on_dropped(self, write: Write) -> None:
         self.metrics.stream_records.labels(outcome="dropped").inc()
+        self._forget_pending(write)
         self.log.emit(
             EventKind.GATEWAY_STORE_RETRY,
             call=_TABLE,
@@ -150,13 +156,23 @@
             await anyio.sleep(defaults.STORE_RETRY_MAX_S)
             return
         self.metrics.stream_records.labels(outcome="stored").inc(len(batch))
+        for write in latest.values():
+            pending = self._forget_pending(write)
+            if pending is not None:
+                pending.stored.set()
+
+    def _forget_pending(self, write: Write) -> _Pending | None:
+        """Forget a row that needs no more waiting, unless a later one was queued meanwhile."""
+        pending = self.pending.get(write.key)
+        if pending is None or pending.write is not write:
+            return None
+        return self.pending.pop(write.key)
 
     async def delete_old(self) -> None:
         """Queue the deletion of the rows whose streams cannot be resumed any more."""
         limit = anyio.current_time() - defaults.STREAM_KEEP_S - defaults.STREAM_KEEP_MARGIN_S
         while self.stored and self.stored[0][0] < limit:
-            self.unsent.append(Write(self.stored.popleft()[1], None))
-            self.added.set()
+            self._enqueue(Write(self.stored.popleft()[1], None))
 
     async def delete_rows_of_ended_gateways(self) -> None:
         """Queue the deletion of rows that nobody deleted; the first gateway does it for all."""
@@ -169,8 +185,7 @@
         limit_ms = int(self.wall_clock() * _MS_PER_S) - _DELETE_AFTER_MS
         for row in rows:
             if msgspec.msgpack.decode(row.value, type=_Row).began_ms < limit_ms:
-                self.unsent.append(Write(row.key, None))
-                self.added.set()
+                self._enqueue(Write(row.key, None))
 
 
 def _key(stream: str) -> str:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -121,6 +121,8 @@
             await exchange.connect(attempts.idle_limit_s)
             sent_at = anyio.current_time()
             attempts.attempts_made += 1
+            if attempts.route.is_resumable:
+                context.resumptions.on_attempt(attempts, _origin(decision.upstream.entry))
             request_metadata = context.upstream_request_metadata(
                 attempts, decision, sent_at, self.last_event_id
             )
@@ -211,16 +213,15 @@
             await self.client.send_data(data)
             return
         self.first_event_at = anyio.current_time()
-        self._fix_version(decision.upstream.entry)
+        await self._fix_version(decision.upstream.entry)
         headers = self.context.codec.client_headers(reply.headers)
         await self.client.start_response(reply.status, headers, data)
 
-    def _fix_version(self, entry: UpstreamEntry) -> None:
+    async def _fix_version(self, entry: UpstreamEntry) -> None:
         """Require the version that begins the stream of all upstreams that continue it."""
         self.attempts.required_version = entry.software_version
         if self.attempts.route.is_resumable:
-            origin = StreamOrigin(entry.service, entry.software_version)
-            self.context.resumptions.on_first_event(self.attempts.request, origin)
+            await self.context.resumptions.on_first_event(self.attempts.request, _origin(entry))
 
     def _check_order(self, events: list[StreamEvent]) -> None:
         """Raise ``AnswerInvalidError`` unless event ids increase."""
@@ -276,5 +277,9 @@
         )
 
 
+def _origin(entry: UpstreamEntry) -> StreamOrigin:
+    return StreamOrigin(entry.service, entry.software_version)
+
+
 class _RefusedError(UpstreamLostError):
     """The upstream responded that it did not execute the request."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
@@ -14,14 +14,18 @@
 from skylarkferry_core.ids import ServiceName
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.attempts import Attempts
 from skylarkferry_gateway.failover_store import FailoverStore
-from skylarkferry_gateway.messages import ClientRequest, StreamOrigin
+from skylarkferry_gateway.messages import ClientRequest, RequestMetadata, StreamOrigin
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.stream_origins import StreamOrigins
+from skylarkferry_gateway.version_assignments import VersionAssignments
 
 _MAX_PEERS = 16
 """Other gateways that are asked for a stream."""
+_ROW_TIMEOUT_S = defaults.STORE_TIMEOUT_S
+"""Longest delay of a first event for the row of its stream."""
 
 
 class OriginSource(Enum):
@@ -31,6 +35,8 @@
     LIST = "list"
     """The service has had one version only."""
     STORE = "store"
+    ASSIGNMENT = "assignment"
+    """The stream has no row."""
     PEER = "peer"
     UNKNOWN = "unknown"
 
@@ -42,6 +48,7 @@
         self,
         origins: StreamOrigins,
         versions: ServiceVersions,
+        assignments: VersionAssignments,
         store: FailoverStore,
         rng: random.Random,
         *,
@@ -50,29 +57,47 @@
     ) -> None:
         self.origins = origins
         self.versions = versions
+        self.assignments = assignments
         self.store = store
         self.rng = rng
         self.log = log
         self.metrics = metrics
 
-    def on_list_read(self) -> None:
-        """Apply the latest upstream list; share streams that began before a version came."""
-        for service in self.versions.update(anyio.current_time()):
-            self.origins.share(service)
-
-    def on_first_event(self, request: ClientRequest, origin: StreamOrigin) -> None:
-        """Record that a stream sends its first event to a client."""
-        stream = request.metadata.resumed_request or request.metadata.request_id
-        if self.origins.get(stream) is None:
-            is_shared = self.versions.needs_record(origin.service, anyio.current_time())
-            self.origins.record(stream, origin, is_shared=is_shared)
+    def on_attempt(self, attempts: Attempts, origin: StreamOrigin) -> None:
+        """Queue the row of a stream that may begin at an upstream, if it needs one."""
+        metadata = attempts.request.metadata
+        if metadata.is_resumption:
+            return
+        is_needed = self.assignments.needs_row(origin.service, metadata, origin.version)
+        if is_needed or attempts.has_stream_row:
+            attempts.has_stream_row = True
+            self.origins.store_row(metadata.stream, origin)
+
+    async def on_first_event(self, request: ClientRequest, origin: StreamOrigin) -> None:
+        """Record a stream before its first event is sent to a client."""
+        stream = request.metadata.stream
+        self.origins.remember(stream, origin)
+        if self.assignments.is_store_lost() or not self.origins.has_pending_row(stream):
+            return
+        with anyio.move_on_after(_ROW_TIMEOUT_S):
+            await self.origins.wait_until_stored(stream)
+            return
+        self.metrics.stream_records.labels(outcome="late").inc()
+        self.log.emit(
+            EventKind.GATEWAY_STREAM_UNRECORDED,
+            request.metadata.program_id,
+            request=request.metadata.request_id,
+            service=origin.service,
+            version=origin.version,
+            waited_ms=round(_ROW_TIMEOUT_S * 1_000),
+        )
 
     async def find(self, request: ClientRequest, service: ServiceName) -> StreamOrigin:
         """Return where a resumed stream has to go on; raise ``UnknownStreamError``.
 
         ``service`` is the one that the request would be sent to if it began a stream.
         """
-        origin, source = await self._find(request.metadata.resumed_request, service)
+        origin, source = await self._find(request.metadata, service)
         self.metrics.stream_resumptions.labels(source=source.value).inc()
         self.log.emit(
             EventKind.GATEWAY_STREAM_RESUMED,
@@ -92,29 +117,22 @@
         return origin
 
     async def _find(
-        self, stream: str, service: ServiceName
+        self, metadata: RequestMetadata, service: ServiceName
     ) -> tuple[StreamOrigin | None, OriginSource]:
+        stream = metadata.resumed_request
         known = self.origins.get(stream)
         if known is not None:
             return known, OriginSource.MEMORY
         now = anyio.current_time()
-        if self.versions.covers_all_streams(now):
-            sole = self.versions.sole_version(service, now)
-            if sole is not None:
-                return StreamOrigin(service, sole), OriginSource.LIST
-        is_certain = True
-        if stream:
-            try:
-                stored = await self._read(stream)
-            except PlatformUnavailableError:
-                stored, is_certain = None, False
-            if stored is not None:
-                return self._remembered(stream, stored), OriginSource.STORE
-        sole = self.versions.sole_version(service, anyio.current_time())
-        # Without a row, the stream began while the service had one version.
-        if is_certain and sole is not None:
+        sole = self.versions.sole_version(service, now)
+        if sole is not None and self.versions.covers_all_streams(now):
             return StreamOrigin(service, sole), OriginSource.LIST
-        told = await self._ask_peers(stream) if stream else None
+        if not stream and not self.assignments.is_sole(service, sole):
+            return None, OriginSource.UNKNOWN
+        try:
+            return await self._read(metadata, service)
+        except PlatformUnavailableError:
+            told = await self._ask_peers(stream)
         if told is not None:
             return self._remembered(stream, told), OriginSource.PEER
         return None, OriginSource.UNKNOWN
@@ -123,11 +141,21 @@
         self.origins.remember(stream, origin)
         return origin
 
-    async def _read(self, stream: str) -> StreamOrigin | None:
-        if self.store.unavailable_s() > defaults.STORE_LOST_AFTER_S:
+    async def _read(
+        self, metadata: RequestMetadata, service: ServiceName
+    ) -> tuple[StreamOrigin | None, OriginSource]:
+        """Find the origin in the store; raise ``PlatformUnavailableError``."""
+        if self.assignments.is_store_lost():
             raise PlatformUnavailableError("the store does not answer")
         with anyio.move_on_after(defaults.STORE_TIMEOUT_S):
-            return await self.origins.read(stream)
+            stored = await self.origins.read(metadata.resumed_request)
+            if stored is not None:
+                return self._remembered(metadata.resumed_request, stored), OriginSource.STORE
+            assignment = await self.assignments.read(service)
+            version = assignment.version(metadata.assignment_key) if assignment else None
+            if version is None:
+                return None, OriginSource.UNKNOWN
+            return StreamOrigin(service, version), OriginSource.ASSIGNMENT
         raise PlatformUnavailableError("the store did not answer in time")
 
     async def _ask_peers(self, stream: str) -> StreamOrigin | None:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
@@ -10,9 +10,10 @@
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.interfaces import Directory
 from skylarkferry_gateway.metrics import GatewayMetrics
-from skylarkferry_gateway.stream_resumptions import StreamResumptions
+from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.upstream_log import LeavingSource, UpstreamLog
 from skylarkferry_gateway.upstreams import Upstreams
+from skylarkferry_gateway.version_assignments import VersionAssignments
 
 
 class UpstreamWatcher:
@@ -22,14 +23,16 @@
         self,
         directory: Directory,
         upstreams: Upstreams,
-        resumptions: StreamResumptions,
+        versions: ServiceVersions,
+        assignments: VersionAssignments,
         *,
         log: UpstreamLog,
         metrics: GatewayMetrics,
     ) -> None:
         self.directory = directory
         self.upstreams = upstreams
-        self.resumptions = resumptions
+        self.versions = versions
+        self.assignments = assignments
         self.log = log
         self.metrics = metrics
         self.has_read = False
@@ -45,10 +48,11 @@
             entries = await self.directory.upstreams()
         except PlatformUnavailableError:
             return
+        await self.assignments.establish(entries)
         before = {key: item.entry for key, item in self.upstreams.upstreams.items()}
         leaving = {key for key, item in self.upstreams.upstreams.items() if item.is_leaving}
         gone = self.upstreams.update(entries, anyio.current_time())
-        self.resumptions.on_list_read()
+        self.versions.update(anyio.current_time())
         self.has_read = True
         for upstream in gone:
             self.log.on_gone(upstream)
--- a/tests/gateway/test_version_assignments.py
+++ b/tests/gateway/test_version_assignments.py
@@ -1,20 +1,24 @@
 import anyio
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, HasLength
 
 from gateway_rig import wait_until
-from skylarkferry_gateway import defaults
+from skylarkferry_core.version_assignments import Assignment
+from skylarkferry_gateway import defaults, version_assignments
 from skylarkferry_standins.row_store import StoreFault
 from stream_clients import (
     STREAMS,
     VERSION_OF,
     add_versions,
+    assert_resumed_at_their_versions,
+    assign_streams,
     begin_streams,
     fail_store,
     mixed_streams,
     resume,
     stop_abruptly,
+    stored_streams,
     versions_of,
 )
 
@@ -109,3 +113,90 @@
     await stop_abruptly(rig.gateways.pop())
     await rig.add_gateway("g1")
     assert_that(await resume_by_version(rig, later), Equals({"v2": {200}}))
+
+
+async def test_stream_elsewhere_than_assigned_is_recorded_before_its_first_event(rig):
+    assign_streams(rig, {"v0": 1})
+    started = await begin_then_kill(rig, "both_stay")
+    statuses = await resume_by_version(rig, started)
+    assert_that((statuses, mixed_streams(rig, started)), Equals(({"v1": {200}, "v2": {200}}, [])))
+
+
+async def test_first_event_waits_until_the_row_of_its_stream_is_stored(rig):
+    assign_streams(rig, {"v0": 1})
+    await add_versions(rig)
+    gateway = await rig.add_gateway("g1")
+    refused = []
+
+    def refuse_first_rows(request):
+        if b'"streams"' not in request.body or refused:
+            return StoreFault.NONE
+        refused.append(request)
+        return StoreFault.THROTTLED
+
+    rig.store.fault = refuse_first_rows
+    started = await begin_streams(rig)
+    await stop_abruptly(gateway)
+    rig.gateways.clear()
+    await rig.add_gateway("g2")
+    assert_that(refused, HasLength(1))
+    await assert_resumed_at_their_versions(rig, started)
+
+
+async def test_streams_at_their_assigned_versions_are_not_stored(rig):
+    await begin_then_kill(rig, "both_stay")
+    assert_that(stored_streams(rig), Equals(0))
+
+
+async def test_first_event_is_delivered_though_its_stream_cannot_be_recorded(rig):
+    assign_streams(rig, {"v0": 1})
+    await add_versions(rig)
+    await rig.add_gateway()
+    fail_store(rig, StoreFault.SILENT)
+    started = await begin_streams(rig)
+    assert_that([len(versions_of(rig, item)) for item in started], Equals([1] * STREAMS))
+
+
+async def test_gateways_that_start_together_agree_on_the_assignment(rig):
+    await add_versions(rig)
+    async with anyio.create_task_group() as tasks:
+        for number in range(4):
+            tasks.start_soon(rig.add_gateway, f"g{number}")
+    known = [gateway.assignments.known["engine"] for gateway in rig.gateways]
+    assert_that({item.row_version for item in known}, HasLength(1))
+    assert_that(known[0].assignment, Equals(Assignment({"v1": 8, "v2": 12})))
+
+
+async def follow_until(gateway, assignment):
+    """Let a gateway follow the assignment of the engines until it is the given one."""
+    with anyio.fail_after(10):
+        while gateway.assignments.known["engine"].assignment != assignment:
+            await gateway.assignments.follow()
+            await anyio.sleep(0.01)
+
+
+async def test_assignment_follows_the_listed_versions_in_two_steps(rig, monkeypatch):
+    await add_versions(rig, {"a1": "v1"})
+    gateway = await rig.add_gateway()
+    await wait_until(gateway.gateways.is_first)
+    await replace_engines(rig, ["a1"], ["b1"])
+    await wait_until(lambda: set(gateway.upstreams.upstreams) == {"b1"})
+    await gateway.assignments.follow()
+    assert_that(gateway.assignments.known["engine"].assignment, Equals(Assignment({"v1": 4})))
+    monkeypatch.setattr(version_assignments, "_STEADY_S", 0.0)
+    await follow_until(gateway, Assignment({"v1": 4}, {"v2": 4}))
+    await gateway.assignments.follow()
+    assert_that(gateway.assignments.known["engine"].assignment.current, Equals({"v1": 4}))
+    monkeypatch.setattr(version_assignments, "_HANDOVER_S", 0.0)
+    await follow_until(gateway, Assignment({"v2": 4}))
+
+
+async def test_streams_keep_their_versions_over_a_handover(rig):
+    assign_streams(rig, {"v1": 1}, {"v2": 1})
+    await add_versions(rig)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    started = await begin_streams(rig, gateway=first)
+    await wait_until(lambda: stored_streams(rig) == STREAMS)
+    assign_streams(rig, {"v2": 1})
+    await stop_abruptly(first)
+    await assert_resumed_at_their_versions(rig, started, gateway=second)
--- a/tests/stream_clients.py
+++ b/tests/stream_clients.py
@@ -5,10 +5,12 @@
 
 import anyio
 import httpx
+import msgspec
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
 from gateway_rig import headers, send
+from skylarkferry_core.version_assignments import Assignment
 from skylarkferry_standins.replica import Behaviour
 
 PATH = "/resume/1"
@@ -76,6 +78,12 @@
     return [item for item in started if len(versions_of(rig, item)) > 1]
 
 
+def assign_streams(rig, current, following=None):
+    """Write the assignment of the engines' streams to versions, as gateways before have left it."""
+    row = msgspec.msgpack.encode(Assignment(current, following))
+    rig.store.put("assignments", "assignments", "engine", row)
+
+
 def stored_streams(rig):
     """Return the number of streams whose origin is in the store."""
     return sum(
