Count the list of a gateway that missed reads as followed anew

A gateway that has read the list for a minute and saw one version takes it for that of every stream; a version may have come and left while the list could not be read. Change: the minute starts anew after a gap of LIST_OUTAGE_S; until then row and assignment are read.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/service_versions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/service_versions.py
@@ -34,7 +34,8 @@
 
     def __init__(self, upstreams: Upstreams) -> None:
         self.upstreams = upstreams
-        self.began_at: float | None = None
+        self.updated_at: float | None = None
+        self.followed_from: float | None = None
         self.first_listed: dict[ServiceName, dict[str, float]] = {}
         self.last_listed: dict[ServiceName, dict[str, float]] = {}
         self.listed_shares: dict[ServiceName, dict[str, int]] = {}
@@ -44,9 +45,10 @@
 
         Versions that were listed when this process started do not count as new.
         """
-        first_at = now if self.began_at is not None else now - _NEW_VERSION_S
-        if self.began_at is None:
-            self.began_at = now
+        first_at = now if self.updated_at is not None else now - _NEW_VERSION_S
+        if self.updated_at is None or now - self.updated_at > defaults.LIST_OUTAGE_S:
+            self.followed_from = now
+        self.updated_at = now
         for service, members in self.upstreams.by_service.items():
             first = self.first_listed.setdefault(service, {})
             last = self.last_listed.setdefault(service, {})
@@ -77,8 +79,12 @@
         return recent[0] if len(recent) == 1 else None
 
     def covers_all_streams(self, now: float) -> bool:
-        """Return whether this process has followed the list for longer than any stream lasts."""
-        return self.began_at is not None and now - self.began_at >= defaults.STREAM_KEEP_S
+        """Return whether this process has read the list for longer than any stream lasts.
+
+        A version may come and leave unseen while the list cannot be read.
+        """
+        followed_from = self.followed_from
+        return followed_from is not None and now - followed_from >= defaults.STREAM_KEEP_S
 
     def without_new(self, upstreams: list[Upstream], now: float) -> list[Upstream]:
         """Return the upstreams whose version other gateways know too, or all if there are none."""
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -1,5 +1,6 @@
 from contextlib import suppress
 
+import anyio
 import httpx
 import pytest
 from testtools.assertions import assert_that
@@ -220,3 +221,26 @@
     monkeypatch.setattr(stream_origins, "_DELETE_AFTER_MS", -1_000)
     await second.origins.delete_rows_of_ended_gateways()
     await wait_until(lambda: stored_streams(rig) == 0)
+
+
+async def test_stream_is_not_mixed_by_a_gateway_that_missed_its_version(rig, monkeypatch):
+    monkeypatch.setattr(defaults, "STREAM_KEEP_S", 1.0)
+    faults = {"store": StoreFault.NONE}
+    address = await rig.add_store_listener(lambda request: faults["store"])
+    await add_versions(rig, {"a1": "v1"})
+    cut_off = await rig.add_gateway("g1", store_address=address)
+    other = await rig.add_gateway("g2")
+    await anyio.sleep(2 * defaults.STREAM_KEEP_S)
+    faults["store"] = StoreFault.SILENT
+    await wait_until(lambda: cut_off.store.unavailable_s() > defaults.LIST_OUTAGE_S)
+    rig.store.delete("servers", "", "a1")
+    await add_versions(rig, {"b1": "v2"})
+    await wait_until(lambda: set(other.upstreams.upstreams) == {"b1"})
+    started = await begin_streams(rig, gateway=other)
+    rig.store.delete("servers", "", "b1")
+    rig.register_replica("a1", "engine", version="v1")
+    read_at = cut_off.upstreams.read_at
+    faults["store"] = StoreFault.NONE
+    await wait_until(lambda: cut_off.upstreams.read_at > read_at)
+    statuses = await resume_all(rig, started, gateway=cut_off)
+    assert_that((set(statuses), mixed_streams(rig, started)), Equals(({503}, [])))
