Ask the listed gateways for a resumed stream while the store is away

Cause: only owners of budget partitions were asked, and a service without budgets has none; every gateway knows all others from the list. Test: test_other_gateways_tell_of_streams_while_the_store_is_away used to set the addresses by hand; it now takes them from the list.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
@@ -63,6 +63,10 @@
         gateways = len(self.nodes)
         return TimeSlots((self.nodes.index(self.node) + offset) % gateways, gateways)
 
+    def peer_addresses(self) -> set[str]:
+        """Return the addresses of the other running gateways."""
+        return {member.address for node, member in self.members.items() if node != self.node}
+
     def is_first(self) -> bool:
         """Return whether this gateway does what one gateway does for all."""
         return bool(self.nodes) and self.nodes[0] == self.node
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -71,7 +71,14 @@
         self.origins = StreamOrigins(store, self.gateways, time.time, log, metrics)
         self.assignments = VersionAssignments(store, versions, self.gateways, log)
         resumptions = StreamResumptions(
-            self.origins, versions, self.assignments, store, rng, log=log, metrics=metrics
+            self.origins,
+            versions,
+            self.assignments,
+            peers,
+            rng,
+            gateways=self.gateways,
+            log=log,
+            metrics=metrics,
         )
         cache = TurnCache(int(settings.memory_bytes * defaults.TURN_CACHE_MEMORY_SHARE))
         self.owners = OwnerTable(store, settings.incarnation, settings.peer_listen, log)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
@@ -15,9 +15,10 @@
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.attempts import Attempts
-from skylarkferry_gateway.failover_store import FailoverStore
+from skylarkferry_gateway.gateway_list import GatewayList
 from skylarkferry_gateway.messages import ClientRequest, RequestMetadata, StreamOrigin
 from skylarkferry_gateway.metrics import GatewayMetrics
+from skylarkferry_gateway.peers import PeerClient
 from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.stream_origins import StreamOrigins
 from skylarkferry_gateway.version_assignments import VersionAssignments
@@ -49,16 +50,18 @@
         origins: StreamOrigins,
         versions: ServiceVersions,
         assignments: VersionAssignments,
-        store: FailoverStore,
+        peers: PeerClient,
         rng: random.Random,
         *,
+        gateways: GatewayList,
         log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
         self.origins = origins
         self.versions = versions
         self.assignments = assignments
-        self.store = store
+        self.peers = peers
+        self.gateways = gateways
         self.rng = rng
         self.log = log
         self.metrics = metrics
@@ -160,12 +163,12 @@
 
     async def _ask_peers(self, stream: str) -> StreamOrigin | None:
         """Ask other gateways, which know the streams that they relayed lately."""
-        addresses = sorted(self.store.peer_addresses())
+        addresses = sorted(self.gateways.peer_addresses())
         found: list[StreamOrigin] = []
 
         async def ask(address: str) -> None:
             try:
-                origin = await self.store.peers.stream_origin(address, stream)
+                origin = await self.peers.stream_origin(address, stream)
             except SkylarkferryError as error:
                 self.log.emit(
                     EventKind.GATEWAY_PEER_SILENT, peer=address, call="stream", detail=error.detail
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -104,7 +104,7 @@
 async def test_other_gateways_tell_of_streams_while_the_store_is_away(rig):
     await add_versions(rig)
     first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
-    second.store.peer_addresses = lambda: {first.settings.peer_listen}
+    await wait_until(lambda: len(second.gateways.nodes) == 2)
     started = await begin_streams(rig, gateway=first)
     fail_store(rig, StoreFault.SILENT)
     await wait_until(lambda: second.store.unavailable_s() > defaults.STORE_LOST_AFTER_S)
