Replace a software version in the soak while all gateways are killed

Up to two replacements a run: streams are cut, all gateways are killed, and all engines of one version are replaced by engines of the other. They are drawn apart from the other faults, so that the plans of earlier seeds keep theirs.

--- a/packages/skylarkferry-soak/src/skylarkferry_soak/injection.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/injection.py
@@ -16,7 +16,13 @@
 )
 from skylarkferry_soak.plans import Fault, FaultKind
 from skylarkferry_soak.proxy import Link, LinkState
-from skylarkferry_soak.testbed import GRACE_S, GatewayProcess, Testbed, Upstream
+from skylarkferry_soak.testbed import (
+    ENGINE_VERSIONS,
+    GRACE_S,
+    GatewayProcess,
+    Testbed,
+    Upstream,
+)
 from skylarkferry_standins.replica import Behaviour
 from skylarkferry_standins.row_store import StoreFault
 
@@ -88,6 +94,7 @@
             FaultKind.LINK_RESET: self._link_reset,
             FaultKind.CONFIG: self._config,
             FaultKind.STREAMS_CUT: self._cut_streams,
+            FaultKind.VERSION_REPLACED: self._replace_version,
         }
 
     async def run(self, plan: list[Fault]) -> None:
@@ -220,6 +227,21 @@
             engine.replica.behaviour = lambda request: Behaviour.SERVE
         disturbance.ended_at = anyio.current_time()
 
+    async def _replace_version(self, fault: Fault) -> None:
+        """Replace all engines of one version while streams are cut and all gateways are killed."""
+        old, new = self.rng.sample(ENGINE_VERSIONS, 2)
+        ready = [item for item in self.testbed.upstreams.values() if item.state == "ready"]
+        leaving = [item for item in ready if item.service == "engine" and item.version == old]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cut_streams, fault)
+            await anyio.sleep(fault.duration_s * fault.target_fraction)
+            tasks.start_soon(self._kill_all, fault)
+            for engine in leaving:
+                name = f"engine-{new}-{next(self.upstream_numbers)}"
+                await self.testbed.add_upstream(name, "engine", version=new)
+                engine.state = "gone"
+                self.testbed.unregister_upstream(engine)
+
     async def _upstream_down(self, fault: Fault) -> None:
         upstream = self._target_upstream(fault)
         disturbance = self._start_disturbance("", fault)
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/plans.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/plans.py
@@ -33,6 +33,7 @@
     LINK_RESET = "link_reset"
     CONFIG = "config"
     STREAMS_CUT = "streams_cut"
+    VERSION_REPLACED = "version_replaced"
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -62,7 +63,8 @@
 def fault_plan(seed: int, length_s: float, faults_per_s: float = 0.8) -> list[Fault]:
     """Return the faults of a run, sorted by time; the same seed gives the same plan."""
     rng = random.Random(seed)
-    kinds = rng.sample(list(FaultKind), rng.randint(4, len(FaultKind)))
+    common = [kind for kind in FaultKind if kind is not FaultKind.VERSION_REPLACED]
+    kinds = rng.sample(common, rng.randint(4, len(common)))
     weights = [_WEIGHTS.get(kind, 2) for kind in kinds]
     count = max(int(length_s * faults_per_s), 3)
     faults = [
@@ -74,4 +76,19 @@
         )
         for _ in range(count)
     ]
+    faults += _replaced_versions(seed, length_s)
     return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _replaced_versions(seed: int, length_s: float) -> list[Fault]:
+    """Return up to two replacements of a software version."""
+    rng = random.Random(f"versions {seed}")
+    return [
+        Fault(
+            at_s=rng.uniform(0.5, length_s),
+            kind=FaultKind.VERSION_REPLACED,
+            duration_s=rng.uniform(0.3, 2.0),
+            target_fraction=rng.random(),
+        )
+        for _ in range(rng.randint(0, 2))
+    ]
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
@@ -27,7 +27,7 @@
 """Grace period of the processes: shorter than the platform's 8 s to fit more stops into a run."""
 _ENGINES = 4
 _TOOLS = 3
-_ENGINE_VERSIONS = ("v1", "v2")
+ENGINE_VERSIONS = ("v1", "v2")
 _REQUEST_WORK_S = 0.02
 """Time an upstream works on a request; the time of a turn on the users' data sheets."""
 _EXIT_TIMEOUT_S = 10.0
@@ -224,9 +224,12 @@
         document = {"version": self.version, "routes": routes, "services": services}
         self.store.put("op", "", "config", json.dumps(document).encode())
 
-    async def add_upstream(self, name: str, service: str, link: Link | None = None) -> Upstream:
+    async def add_upstream(
+        self, name: str, service: str, link: Link | None = None, version: str | None = None
+    ) -> Upstream:
         """Start an upstream behind a new link, or behind an existing ``link``, and register it."""
-        version = _ENGINE_VERSIONS[len(self.upstreams) % 2] if service == "engine" else "v1"
+        if version is None:
+            version = ENGINE_VERSIONS[len(self.upstreams) % 2] if service == "engine" else "v1"
         upstream = self.upstreams[name] = Upstream(name, service, version, self.observations)
         upstream.crash = self.crash
         await upstream.listen(self.tasks)
