Begin no stream whose version is neither assigned nor recorded

Cause: the wait for the row was given up after 0.8 s, was skipped without the store, ignored that only the rows could not be written, and counted a dropped row as stored; and the assigned version was not kept to once its upstreams had left. An attempt holds its row, so that a dropped one never counts. Rows that nobody deleted are deleted 600 s after the first gateway saw them, by its steady clock: a wall clock an hour ahead deleted the rows of living gateways. Tests: six cases, which fail before (12, 10, 9, 7 and 5 of 16 mixed, 16 of 16 refused) and pass after. The test that demanded the delivery of unrecorded streams demanded the fault; it now demands the final answer at once, with no run.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -11,6 +11,7 @@
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.exchanges import Reply
 from skylarkferry_gateway.messages import ClientRequest
+from skylarkferry_gateway.stream_origins import StreamRow
 from skylarkferry_gateway.upstreams import Upstream
 
 _RETRYABLE_ATTEMPT_SHARE = 0.45
@@ -27,7 +28,8 @@
     ``ambiguous_error`` is the error of an attempt whose request the upstream may have executed;
     ``refusal`` is the reason why no further attempt is allowed although time is left.
     ``required_version`` is the software version at which a stream that has begun must go on;
-    ``has_stream_row`` tells whether the version of an attempt was recorded in the store.
+    ``stream_row`` is the row by which the version of the last attempt is recorded, if it is;
+    ``is_bound_to_assignment`` tells that the stream may only begin at its assigned version.
     """
 
     def __init__(
@@ -45,7 +47,8 @@
         self.refusal: SkylarkferryError | None = None
         self.last_reply: tuple[Reply, bytes] | None = None
         self.required_version: str | None = None
-        self.has_stream_row = False
+        self.stream_row: StreamRow | None = None
+        self.is_bound_to_assignment = False
 
     def accepts(self, upstream: Upstream) -> bool:
         """Return whether the request may be sent to the upstream, which takes new requests."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -8,6 +8,7 @@
 from skylarkferry_core.breakers import BreakerState
 from skylarkferry_core.errors import (
     OverloadedError,
+    PlatformUnavailableError,
     SkylarkferryError,
     UpstreamLostError,
 )
@@ -67,6 +68,10 @@
         if decision is None:
             if self.selector.is_limited(attempts):
                 attempts.refusal = self._refuse_beyond_limits(attempts)
+            elif self.selector.needs_store(attempts):
+                attempts.refusal = PlatformUnavailableError(
+                    "the version of the stream cannot be recorded"
+                )
             return None
         if decision.upstream.limit is not None:
             self.selector.limits.on_request(decision.upstream)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -68,8 +68,8 @@
         )
         limits = LimitShares(self.gateways, time.time)
         versions = ServiceVersions(self.upstreams)
-        self.origins = StreamOrigins(store, self.gateways, time.time, log, metrics)
-        self.assignments = VersionAssignments(store, versions, self.gateways, log)
+        self.origins = StreamOrigins(store, self.gateways, log, metrics)
+        self.assignments = VersionAssignments(store, versions, self.origins, self.gateways, log)
         resumptions = StreamResumptions(
             self.origins,
             versions,
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/selection.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/selection.py
@@ -130,9 +130,7 @@
         untried = _untried(attempts, members)
         usable = [item for item in untried if self.limits.allows_request(item)]
         if attempts.route.is_resumable and attempts.required_version is None:
-            return self.assignments.suitable(
-                attempts.service, attempts.request.metadata, usable, now
-            )
+            return self.assignments.suitable(attempts, usable, now)
         return usable
 
     async def _ask_coordinator(
@@ -224,6 +222,12 @@
         """Return whether untried upstreams would accept the request if not for their limits."""
         return any(not self.limits.allows_request(item) for item in self._all_untried(attempts))
 
+    def needs_store(self, attempts: Attempts) -> bool:
+        """Return whether a stream could begin if its version could be recorded."""
+        is_beginning = attempts.route.is_resumable and attempts.required_version is None
+        is_lost = is_beginning and self.assignments.is_store_lost()
+        return is_lost and bool(self._all_untried(attempts))
+
     def _all_untried(self, attempts: Attempts) -> list[Upstream]:
         return _untried(attempts, self.upstreams.for_service(attempts.service))
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
@@ -1,7 +1,7 @@
 """Service and software version that began resumable streams, shared through the store."""
 
 from collections import OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Sequence
 
 import anyio
 import msgspec
@@ -25,16 +25,8 @@
 _ROWS_PER_CALL = 100
 _CALLS_PER_S = 100.0
 """Write calls of all gateways together; one part of the store takes 250 a second."""
-_DELETE_AFTER_MS = 600_000
-"""Age at which rows of ended gateways are deleted; clocks of gateways differ by seconds."""
-_MS_PER_S = 1_000
-
-
-class _Row(msgspec.Struct, frozen=True, array_like=True):
-    """A stored origin; ``began_ms`` is the Unix time of its record."""
-
-    origin: StreamOrigin
-    began_ms: int
+_DELETE_AFTER_S = 600.0
+"""Time after which a row that nobody deleted is deleted, since it was first seen."""
 
 
 class _Known(msgspec.Struct, frozen=True):
@@ -44,11 +36,19 @@
     known_at: float
 
 
-class _Pending(msgspec.Struct, frozen=True):
-    """The latest write of a row that is not in the store yet; ``stored`` is set when it is."""
+class StreamRow:
+    """A row that is queued for the store; ``stored`` is set when it is there."""
+
+    def __init__(self, write: Write) -> None:
+        self.write = write
+        self.stored = anyio.Event()
+
 
-    write: Write
-    stored: anyio.Event
+class _Sighting(msgspec.Struct, frozen=True):
+    """Version of a row, and the monotonic time at which it was first seen."""
+
+    version: int
+    seen_at: float
 
 
 class StreamOrigins:
@@ -60,22 +60,18 @@
     """
 
     def __init__(
-        self,
-        store: Store,
-        gateways: GatewayList,
-        wall_clock: Callable[[], float],
-        log: EventLog,
-        metrics: GatewayMetrics,
+        self, store: Store, gateways: GatewayList, log: EventLog, metrics: GatewayMetrics
     ) -> None:
         self.store = store
         self.gateways = gateways
-        self.wall_clock = wall_clock
         self.log = log
         self.metrics = metrics
         self.known: OrderedDict[str, _Known] = OrderedDict()
         self.unsent: deque[Write] = deque()
-        self.pending: dict[str, _Pending] = {}
-        self.stored: deque[tuple[float, str]] = deque()
+        self.rows: dict[str, StreamRow] = {}
+        self.written: deque[tuple[float, str]] = deque()
+        self.sightings: dict[str, _Sighting] = {}
+        self.failing_since: float | None = None
         self.added = anyio.Event()
 
     def remember(self, stream: str, origin: StreamOrigin) -> None:
@@ -87,24 +83,17 @@
         if len(self.known) > _MAX_STREAMS or now - oldest.known_at > defaults.STREAM_KEEP_S:
             self.known.popitem(last=False)
 
-    def store_row(self, stream: str, origin: StreamOrigin) -> None:
+    def store_row(self, stream: str, origin: StreamOrigin) -> StreamRow:
         """Queue the row of a stream; a later row of the same stream replaces it."""
-        key = _key(stream)
-        row = _Row(origin, int(self.wall_clock() * _MS_PER_S))
-        write = Write(key, msgspec.msgpack.encode(row))
-        self.pending[key] = _Pending(write, anyio.Event())
-        self.stored.append((anyio.current_time(), key))
-        self._enqueue(write)
-
-    def has_pending_row(self, stream: str) -> bool:
-        """Return whether a row of the stream is queued and not in the store yet."""
-        return _key(stream) in self.pending
-
-    async def wait_until_stored(self, stream: str) -> None:
-        """Wait until the latest queued row of a stream is in the store."""
-        pending = self.pending.get(_key(stream))
-        if pending is not None:
-            await pending.stored.wait()
+        row = StreamRow(Write(_key(stream), msgspec.msgpack.encode(origin)))
+        self.rows[row.write.key] = row
+        self.written.append((anyio.current_time(), row.write.key))
+        self._enqueue(row.write)
+        return row
+
+    def failing_s(self) -> float:
+        """Return the seconds since rows could be written last; 0 if they can."""
+        return 0.0 if self.failing_since is None else anyio.current_time() - self.failing_since
 
     def get(self, stream: str) -> StreamOrigin | None:
         """Return the origin of a stream as far as this gateway has relayed it."""
@@ -116,7 +105,7 @@
         row = await self.store.read(_key(stream))
         if row.version == 0 or not row.value:
             return None
-        return msgspec.msgpack.decode(row.value, type=_Row).origin
+        return msgspec.msgpack.decode(row.value, type=StreamOrigin)
 
     def _enqueue(self, write: Write) -> None:
         self.unsent.append(write)
@@ -126,7 +115,7 @@
 
     def _on_dropped(self, write: Write) -> None:
         self.metrics.stream_records.labels(outcome="dropped").inc()
-        self._forget_pending(write)
+        self._forget_row(write)
         self.log.emit(
             EventKind.GATEWAY_STORE_RETRY,
             call=_TABLE,
@@ -146,8 +135,10 @@
         batch = [self.unsent.popleft() for _ in range(min(len(self.unsent), _ROWS_PER_CALL))]
         latest = {write.key: write for write in batch}
         try:
-            await self.store.transact([], list(latest.values()))
+            await self._transact(list(latest.values()))
         except PlatformUnavailableError as error:
+            if self.failing_since is None:
+                self.failing_since = anyio.current_time()
             self.unsent.extendleft(reversed(batch))
             self.metrics.stream_records.labels(outcome="failed").inc(len(batch))
             self.log.emit(
@@ -155,24 +146,28 @@
             )
             await anyio.sleep(defaults.STORE_RETRY_MAX_S)
             return
+        self.failing_since = None
         self.metrics.stream_records.labels(outcome="stored").inc(len(batch))
         for write in latest.values():
-            pending = self._forget_pending(write)
-            if pending is not None:
-                pending.stored.set()
-
-    def _forget_pending(self, write: Write) -> _Pending | None:
-        """Forget a row that needs no more waiting, unless a later one was queued meanwhile."""
-        pending = self.pending.get(write.key)
-        if pending is None or pending.write is not write:
+            row = self._forget_row(write)
+            if row is not None:
+                row.stored.set()
+
+    async def _transact(self, writes: Sequence[Write]) -> None:
+        await self.store.transact([], writes)
+
+    def _forget_row(self, write: Write) -> StreamRow | None:
+        """Forget a row that is written or dropped, unless a later one was queued meanwhile."""
+        row = self.rows.get(write.key)
+        if row is None or row.write is not write:
             return None
-        return self.pending.pop(write.key)
+        return self.rows.pop(write.key)
 
     async def delete_old(self) -> None:
         """Queue the deletion of the rows whose streams cannot be resumed any more."""
         limit = anyio.current_time() - defaults.STREAM_KEEP_S - defaults.STREAM_KEEP_MARGIN_S
-        while self.stored and self.stored[0][0] < limit:
-            self._enqueue(Write(self.stored.popleft()[1], None))
+        while self.written and self.written[0][0] < limit:
+            self._enqueue(Write(self.written.popleft()[1], None))
 
     async def delete_rows_of_ended_gateways(self) -> None:
         """Queue the deletion of rows that nobody deleted; the first gateway does it for all."""
@@ -182,9 +177,14 @@
             rows = await self.store.scan(row_key(_TABLE, _PART, ""))
         except PlatformUnavailableError:
             return  # logged by the store client
-        limit_ms = int(self.wall_clock() * _MS_PER_S) - _DELETE_AFTER_MS
+        now = anyio.current_time()
+        before, self.sightings = self.sightings, {}
         for row in rows:
-            if msgspec.msgpack.decode(row.value, type=_Row).began_ms < limit_ms:
+            seen = before.get(row.key)
+            if seen is None or seen.version != row.version:
+                seen = _Sighting(row.version, now)
+            self.sightings[row.key] = seen
+            if now - seen.seen_at >= _DELETE_AFTER_S:
                 self._enqueue(Write(row.key, None))
 
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -108,11 +108,14 @@
         return status
 
     def _on_failure(self, decision: Selection, error: SkylarkferryError) -> None:
-        if not isinstance(error, _RefusedError):
+        if isinstance(error, _UnrecordedError):
+            self.context.count_abandoned(decision)
+        elif not isinstance(error, _RefusedError):
             self.context.count_failure(decision, error)
         self.context.report_failed_attempt(self.attempts, decision, error)
         if error.word is not FinalWord.NOT_RUN:
             self.attempts.ambiguous_error = error
+        if error.word is not FinalWord.NOT_RUN and not isinstance(error, _UnrecordedError):
             self.context.check_for_crash(self.attempts, decision)
 
     async def _exchange(self, decision: Selection) -> int | None:
@@ -219,9 +222,13 @@
 
     async def _fix_version(self, entry: UpstreamEntry) -> None:
         """Require the version that begins the stream of all upstreams that continue it."""
-        self.attempts.required_version = entry.software_version
-        if self.attempts.route.is_resumable:
-            await self.context.resumptions.on_first_event(self.attempts.request, _origin(entry))
+        attempts = self.attempts
+        if attempts.route.is_resumable and attempts.required_version is None:
+            origin = _origin(entry)
+            if not await self.context.resumptions.on_first_event(attempts, origin):
+                attempts.is_bound_to_assignment = True
+                raise _UnrecordedError("the version that begins the stream cannot be recorded")
+        attempts.required_version = entry.software_version
 
     def _check_order(self, events: list[StreamEvent]) -> None:
         """Raise ``AnswerInvalidError`` unless event ids increase."""
@@ -283,3 +290,7 @@
 
 class _RefusedError(UpstreamLostError):
     """The upstream responded that it did not execute the request."""
+
+
+class _UnrecordedError(AnswerInvalidError):
+    """The upstream began the stream, but its version cannot be recorded in time."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
@@ -20,7 +20,7 @@
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.peers import PeerClient
 from skylarkferry_gateway.service_versions import ServiceVersions
-from skylarkferry_gateway.stream_origins import StreamOrigins
+from skylarkferry_gateway.stream_origins import StreamOrigins, StreamRow
 from skylarkferry_gateway.version_assignments import VersionAssignments
 
 _MAX_PEERS = 16
@@ -72,28 +72,31 @@
         if metadata.is_resumption:
             return
         is_needed = self.assignments.needs_row(origin.service, metadata, origin.version)
-        if is_needed or attempts.has_stream_row:
-            attempts.has_stream_row = True
-            self.origins.store_row(metadata.stream, origin)
-
-    async def on_first_event(self, request: ClientRequest, origin: StreamOrigin) -> None:
-        """Record a stream before its first event is sent to a client."""
-        stream = request.metadata.stream
-        self.origins.remember(stream, origin)
-        if self.assignments.is_store_lost() or not self.origins.has_pending_row(stream):
-            return
-        with anyio.move_on_after(_ROW_TIMEOUT_S):
-            await self.origins.wait_until_stored(stream)
-            return
-        self.metrics.stream_records.labels(outcome="late").inc()
-        self.log.emit(
-            EventKind.GATEWAY_STREAM_UNRECORDED,
-            request.metadata.program_id,
-            request=request.metadata.request_id,
-            service=origin.service,
-            version=origin.version,
-            waited_ms=round(_ROW_TIMEOUT_S * 1_000),
-        )
+        if is_needed or attempts.stream_row is not None:
+            attempts.stream_row = self.origins.store_row(metadata.stream, origin)
+
+    async def on_first_event(self, attempts: Attempts, origin: StreamOrigin) -> bool:
+        """Record a stream before its first event is sent; return False if that is not possible."""
+        request = attempts.request
+        if attempts.stream_row is not None and not await self._is_stored(attempts.stream_row):
+            self.metrics.stream_records.labels(outcome="late").inc()
+            self.log.emit(
+                EventKind.GATEWAY_STREAM_UNRECORDED,
+                request.metadata.program_id,
+                request=request.metadata.request_id,
+                service=origin.service,
+                version=origin.version,
+                store_lost=self.assignments.is_store_lost(),
+            )
+            return False
+        self.origins.remember(request.metadata.stream, origin)
+        return True
+
+    async def _is_stored(self, row: StreamRow) -> bool:
+        if not self.assignments.is_store_lost():
+            with anyio.move_on_after(_ROW_TIMEOUT_S):
+                await row.stored.wait()
+        return row.stored.is_set()
 
     async def find(self, request: ClientRequest, service: ServiceName) -> StreamOrigin:
         """Return where a resumed stream has to go on; raise ``UnknownStreamError``.
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
@@ -1,6 +1,6 @@
 """Each service's assignment of streams to software versions, a row of the store for all."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from contextlib import suppress
 
 import anyio
@@ -14,11 +14,13 @@
 from skylarkferry_core.version_assignments import Assignment, VersionShares, are_similar
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.attempts import Attempts
 from skylarkferry_gateway.failover_store import FailoverStore
 from skylarkferry_gateway.gateway_list import GatewayList
 from skylarkferry_gateway.messages import RequestMetadata, UpstreamEntry
 from skylarkferry_gateway.service_versions import ServiceVersions, shares_by_service
 from skylarkferry_gateway.store_calls import key_part, row_key
+from skylarkferry_gateway.stream_origins import StreamOrigins
 from skylarkferry_gateway.upstreams import Upstream
 
 _PREFIX = row_key("assignments", "assignments", "")
@@ -32,15 +34,16 @@
 stream that began before that can be resumed when the assignment is used.
 """
 _MIN_PREFERRED = 2
-"""Upstreams of a version that must be usable for its streams to be sent only there."""
+"""Healthy upstreams of a version that are needed to send its streams only there."""
 
 
 class _Known(msgspec.Struct, frozen=True):
-    """An assignment, the version of its row, and since when this process has followed that row."""
+    """An assignment as of the last read of its row, and since when reads have found this row."""
 
     assignment: Assignment
     row_version: int
     followed_from: float
+    read_at: float
 
 
 class VersionAssignments:
@@ -54,11 +57,13 @@
         self,
         store: FailoverStore,
         versions: ServiceVersions,
+        origins: StreamOrigins,
         gateways: GatewayList,
         log: EventLog,
     ) -> None:
         self.store = store
         self.versions = versions
+        self.origins = origins
         self.gateways = gateways
         self.log = log
         self.known: dict[ServiceName, _Known] = {}
@@ -69,26 +74,23 @@
         known = self.known.get(service)
         return known is None or known.assignment.needs_row(metadata.assignment_key, version)
 
-    def suitable(
-        self, service: ServiceName, metadata: RequestMetadata, usable: list[Upstream], now: float
-    ) -> list[Upstream]:
+    def suitable(self, attempts: Attempts, usable: list[Upstream], now: float) -> list[Upstream]:
         """Return the upstreams at which a stream should begin.
 
         With the store, these are those of the version to which the listed shares lead, as few
-        streams need a row then. Without it, they are those of the assigned version, unless that
-        version has left: a stream elsewhere could not be told from the others after a restart.
+        streams need a row then. Without it, they are those of the assigned version: a stream
+        elsewhere could not be told from the others after a restart.
         """
-        key = metadata.assignment_key
-        listed = self.versions.shares(service)
         usable = self.versions.without_new(usable, now)
-        if not self.is_store_lost():
-            if len(listed) <= 1:
-                return usable
-            preferred = _of_version(usable, weighted_choice(key, listed))
-            return preferred if len(preferred) >= _MIN_PREFERRED else usable
-        known = self.known.get(service)
-        version = known.assignment.version(key) if known is not None else None
-        return _of_version(usable, version) if version in listed else usable
+        service, key = attempts.service, attempts.request.metadata.assignment_key
+        listed = self.versions.shares(service)
+        if self.is_store_lost() or attempts.is_bound_to_assignment:
+            known = self.known.get(service)
+            return _of_version(usable, known.assignment.version(key)) if known is not None else []
+        if len(listed) <= 1:
+            return usable
+        preferred = _of_version(usable, weighted_choice(key, listed))
+        return preferred if len(preferred) >= _MIN_PREFERRED else usable
 
     def is_sole(self, service: ServiceName, version: str | None) -> bool:
         """Return whether all streams of a service belong to one version."""
@@ -97,7 +99,8 @@
 
     def is_store_lost(self) -> bool:
         """Return whether rows cannot be written now."""
-        return self.store.unavailable_s() > defaults.STORE_LOST_AFTER_S
+        lost_s = max(self.store.unavailable_s(), self.origins.failing_s())
+        return lost_s > defaults.STORE_LOST_AFTER_S
 
     async def read(self, service: ServiceName) -> Assignment | None:
         """Return the assignment in the store, or ``None``; raise ``PlatformUnavailableError``."""
@@ -105,7 +108,8 @@
         if row.version == 0:
             return None
         self._apply(service, row)
-        return self.known[service].assignment
+        known = self.known.get(service)
+        return known.assignment if known is not None else None
 
     async def establish(self, entries: Sequence[UpstreamEntry]) -> None:
         """Read the assignments, and create those of services that have none.
@@ -124,9 +128,9 @@
             except PlatformUnavailableError:
                 return  # logged by the store client
 
-    async def _read_all(self, shares: dict[ServiceName, dict[str, int]]) -> None:
+    async def _read_all(self, services: Iterable[ServiceName]) -> None:
         rows = {row.key: row for row in await self.store.scan(_PREFIX)}
-        for service in shares:
+        for service in services:
             row = rows.get(_key(service))
             if row is not None:
                 self._apply(service, row)
@@ -144,44 +148,39 @@
         await self._read_all(shares)
 
     async def follow(self) -> None:
-        """Read the assignments that do not match the list; the first gateway replaces them."""
+        """Read the assignments; the first gateway replaces those that do not match the list."""
+        if all(self._matches(service) for service in self.versions.listed_shares):
+            return
+        try:
+            await self._read_all(self.versions.listed_shares)
+        except PlatformUnavailableError:
+            return  # logged by the store client
         for service, listed in list(self.versions.listed_shares.items()):
-            known = self.known.get(service)
-            if not listed or known is None:
-                continue
-            assignment = known.assignment
-            if assignment.following is None and are_similar(assignment.current, listed):
-                self.listed_from.pop(service, None)
-                continue
             await self._follow(service, listed)
 
+    def _matches(self, service: ServiceName) -> bool:
+        known = self.known.get(service)
+        if known is None or known.assignment.following is not None:
+            return False
+        return are_similar(known.assignment.current, self.versions.shares(service))
+
     async def _follow(self, service: ServiceName, listed: VersionShares) -> None:
         now = anyio.current_time()
         before, since = self.listed_from.get(service, (listed, now))
         if not are_similar(before, listed):
             before, since = listed, now
         self.listed_from[service] = (before, since)
-        try:
-            assignment = await self.read(service)
-        except PlatformUnavailableError:
-            self._restart_following(service, now)
-            return
-        if assignment is None or not self.gateways.is_first():
+        known = self.known.get(service)
+        if known is None or not self.gateways.is_first():
             return
-        known = self.known[service]
-        successor = assignment.successor(
+        successor = known.assignment.successor(
             listed,
             is_steady=now - since >= _STEADY_S,
-            is_known_everywhere=now - known.followed_from >= _HANDOVER_S,
+            is_known_everywhere=known.read_at - known.followed_from >= _HANDOVER_S,
         )
         if successor is not None:
             await self._replace(service, known, successor)
 
-    def _restart_following(self, service: ServiceName, now: float) -> None:
-        """Count the handover anew: other gateways may not reach the store either."""
-        known = self.known[service]
-        self.known[service] = msgspec.structs.replace(known, followed_from=now)
-
     async def _replace(self, service: ServiceName, known: _Known, successor: Assignment) -> None:
         condition = Condition(_key(service), known.row_version)
         write = Write(_key(service), msgspec.msgpack.encode(successor))
@@ -194,11 +193,15 @@
             )
 
     def _apply(self, service: ServiceName, row: Row) -> None:
+        now = anyio.current_time()
         known = self.known.get(service)
-        if known is not None and known.row_version >= row.version:
+        if known is not None and known.row_version > row.version:
+            return
+        if known is not None and known.row_version == row.version:
+            self.known[service] = msgspec.structs.replace(known, read_at=now)
             return
         assignment = msgspec.msgpack.decode(row.value, type=Assignment)
-        self.known[service] = _Known(assignment, row.version, anyio.current_time())
+        self.known[service] = _Known(assignment, row.version, now, now)
         self.log.emit(
             EventKind.GATEWAY_STREAMS_ASSIGNED,
             service=service,
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -218,7 +218,7 @@
     await wait_until(lambda: stored_streams(rig) == STREAMS)
     await stop_abruptly(first)
     second.gateways.nodes = (second.settings.node,)
-    monkeypatch.setattr(stream_origins, "_DELETE_AFTER_MS", -1_000)
+    monkeypatch.setattr(stream_origins, "_DELETE_AFTER_S", 0.0)
     await second.origins.delete_rows_of_ended_gateways()
     await wait_until(lambda: stored_streams(rig) == 0)
 
--- a/tests/gateway/test_version_assignments.py
+++ b/tests/gateway/test_version_assignments.py
@@ -17,8 +17,10 @@
     fail_store,
     mixed_streams,
     resume,
+    resume_all,
     stop_abruptly,
     stored_streams,
+    try_to_begin_streams,
     versions_of,
 )
 
@@ -27,6 +29,7 @@
 ALL_OLD = ("a1", "a2", "a3", "a4", "a5")
 SOME_NEW = ("a1", "a2", "b1", "b2", "b3")
 ALL_NEW = ("b1", "b2", "b3", "b4", "b5")
+ONE_OLD = {"a1": "v1", "b1": "v2", "b2": "v2", "b3": "v2", "b4": "v2"}
 CHANGES = {
     "unchanged": (ALL_OLD, ALL_OLD),
     "all_replaced": (ALL_OLD, ALL_NEW),
@@ -37,6 +40,47 @@
 }
 
 
+def fault_in_part(part, fault):
+    """Return a fault of the calls that concern one part of the store."""
+
+    def select(request):
+        text = request.target.encode() + request.body
+        is_hit = f'"part":"{part}"'.encode() in text or f"part={part}".encode() in text
+        return fault if is_hit else StoreFault.NONE
+
+    return select
+
+
+async def kill_all(rig):
+    for gateway in rig.gateways:
+        await stop_abruptly(gateway)
+    rig.gateways.clear()
+
+
+async def lose_store(rig, fault=StoreFault.SILENT):
+    fail_store(rig, fault)
+    # A feed that was called before is still answered, and clears the loss.
+    await anyio.sleep(defaults.CRASHES_POLL_TIMEOUT_S + 0.5)
+    for gateway in rig.gateways:
+        await wait_until(
+            lambda item=gateway: item.store.unavailable_s() > defaults.STORE_LOST_AFTER_S
+        )
+
+
+async def begun_streams(rig, *args, **options):
+    """Begin streams side by side and return those whose first event reached the client."""
+    statuses = await try_to_begin_streams(rig, *args, **options)
+    return [item for item, status in statuses.items() if status == 200]
+
+
+async def restart_and_resume(rig, started):
+    """Kill all gateways, bring the store back, resume at a new gateway; return the statuses."""
+    await kill_all(rig)
+    fail_store(rig, StoreFault.NONE)
+    await rig.add_gateway("g9")
+    return await resume_all(rig, started)
+
+
 async def replace_engines(rig, before, after):
     """Remove the engines that leave, and add those that come."""
     for name in set(before) - set(after):
@@ -148,13 +192,13 @@
     assert_that(stored_streams(rig), Equals(0))
 
 
-async def test_first_event_is_delivered_though_its_stream_cannot_be_recorded(rig):
+async def test_stream_that_cannot_be_recorded_gets_its_final_answer_at_once(rig):
     assign_streams(rig, {"v0": 1})
     await add_versions(rig)
     await rig.add_gateway()
-    fail_store(rig, StoreFault.SILENT)
-    started = await begin_streams(rig)
-    assert_that([len(versions_of(rig, item)) for item in started], Equals([1] * STREAMS))
+    await lose_store(rig)
+    statuses = await try_to_begin_streams(rig)
+    assert_that((set(statuses.values()), rig.arrivals()), Equals(({503}, 0)))
 
 
 async def test_gateways_that_start_together_agree_on_the_assignment(rig):
@@ -200,3 +244,68 @@
     assign_streams(rig, {"v2": 1})
     await stop_abruptly(first)
     await assert_resumed_at_their_versions(rig, started, gateway=second)
+
+
+async def test_streams_of_a_rollout_begun_as_the_store_goes_away_do_not_mix(rig):
+    assign_streams(rig, {"v1": 1})
+    await add_versions(rig)
+    await rig.add_gateway("g1")
+    fail_store(rig, StoreFault.SILENT)
+    started = await begun_streams(rig)
+    await restart_and_resume(rig, started)
+    assert_that(len(mixed_streams(rig, started)), Equals(0))
+
+
+@pytest.mark.parametrize("fault", [StoreFault.REFUSED, StoreFault.SILENT])
+async def test_streams_of_a_rollout_do_not_mix_if_only_their_rows_cannot_be_written(rig, fault):
+    assign_streams(rig, {"v1": 1})
+    await add_versions(rig)
+    await rig.add_gateway("g1")
+    rig.store.fault = fault_in_part("streams", fault)
+    await anyio.sleep(3.0)
+    started = await begun_streams(rig)
+    await restart_and_resume(rig, started)
+    assert_that(len(mixed_streams(rig, started)), Equals(0))
+
+
+async def test_streams_begun_without_the_store_after_their_version_left_go_on(rig):
+    assign_streams(rig, {"v1": 1})
+    await add_versions(rig, {"b1": "v2", "b2": "v2", "b3": "v2"})
+    await rig.add_gateway("g1")
+    await lose_store(rig)
+    started = await begun_streams(rig)
+    statuses = await restart_and_resume(rig, started)
+    assert_that((set(statuses) <= {200}, mixed_streams(rig, started)), Equals((True, [])))
+
+
+async def test_streams_begun_before_there_is_an_assignment_do_not_mix(rig):
+    rig.store.fault = fault_in_part("assignments", StoreFault.REFUSED)
+    await add_versions(rig)
+    gateway = await rig.add_gateway("g1")
+    assert_that(gateway.assignments.known, Equals({}))
+    await lose_store(rig)
+    started = await begun_streams(rig)
+    await restart_and_resume(rig, started)
+    assert_that(len(mixed_streams(rig, started)), Equals(0))
+
+
+@pytest.mark.parametrize("after", ["all_new", "some_new"])
+async def test_streams_begun_in_a_release_without_the_store_go_on_at_their_versions(rig, after):
+    """Engines are replaced while the gateways run, then the store goes away until the kill."""
+    old = [f"a{number}" for number in range(1, 6)]
+    left = old[:2] if after == "some_new" else []
+    await add_versions(rig, dict.fromkeys(old, "v1"))
+    gateways = [await rig.add_gateway(f"g{number}") for number in range(2)]
+    now = {*left, "b1", "b2", "b3"}
+    for name in set(old) - set(left):
+        rig.store.delete("servers", "", name)
+    await add_versions(rig, dict.fromkeys(("b1", "b2", "b3"), "v2"))
+    for gateway in gateways:
+        await wait_until(lambda item=gateway: set(item.upstreams.upstreams) == now)
+    await anyio.sleep(2.2)
+    fail_store(rig, StoreFault.SILENT)
+    started = await begun_streams(rig, count=8)  # before the loss is noticed
+    await lose_store(rig)
+    started += await begun_streams(rig, count=8)
+    statuses = await restart_and_resume(rig, started)
+    assert_that((set(statuses) <= {200}, mixed_streams(rig, started)), Equals((True, [])))
--- a/tests/stream_clients.py
+++ b/tests/stream_clients.py
@@ -43,17 +43,22 @@
 
 async def begin_streams(rig, path=ONE_ATTEMPT, count=STREAMS, **options):
     """Begin streams side by side that are cut, and return their request ids."""
-    started = [next(ids) for _ in range(count)]
+    return list(await try_to_begin_streams(rig, path, count, **options))
+
+
+async def try_to_begin_streams(rig, path=ONE_ATTEMPT, count=STREAMS, **options):
+    """Begin streams side by side, and return the status by request id: 200 also for one cut."""
+    statuses = {next(ids): 200 for _ in range(count)}
 
     async def begin(request_id):
         fields = stream_headers(request_id)
         with suppress(httpx.RemoteProtocolError, httpx.ReadError):
-            await send(rig, path, fields, b"prompt", **options)
+            statuses[request_id] = (await send(rig, path, fields, b"prompt", **options)).status_code
 
     async with anyio.create_task_group() as tasks:
-        for request_id in started:
+        for request_id in statuses:
             tasks.start_soon(begin, request_id)
-    return started
+    return statuses
 
 
 async def resume(rig, request_id, path=ONE_ATTEMPT, last_event_id=4, **options):
