Keep a gateway running that reads a malformed row of a stream or an assignment

Cause: the decoder's error ended the task that read the row. Test: fails before for both tables, passes after.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
@@ -105,7 +105,11 @@
         row = await self.store.read(_key(stream))
         if row.version == 0 or not row.value:
             return None
-        return msgspec.msgpack.decode(row.value, type=StreamOrigin)
+        try:
+            return msgspec.msgpack.decode(row.value, type=StreamOrigin)
+        except msgspec.DecodeError as error:
+            self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=str(error))
+            raise PlatformUnavailableError("the row of the stream is malformed") from error
 
     def _enqueue(self, write: Write) -> None:
         self.unsent.append(write)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
@@ -200,7 +200,11 @@
         if known is not None and known.row_version == row.version:
             self.known[service] = msgspec.structs.replace(known, read_at=now)
             return
-        assignment = msgspec.msgpack.decode(row.value, type=Assignment)
+        try:
+            assignment = msgspec.msgpack.decode(row.value, type=Assignment)
+        except msgspec.DecodeError as error:
+            self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=str(error))
+            return
         self.known[service] = _Known(assignment, row.version, now, now)
         self.log.emit(
             EventKind.GATEWAY_STREAMS_ASSIGNED,
--- a/tests/gateway/test_version_assignments.py
+++ b/tests/gateway/test_version_assignments.py
@@ -289,6 +289,17 @@
     assert_that(len(mixed_streams(rig, started)), Equals(0))
 
 
+@pytest.mark.parametrize("table", ["assignments", "streams"])
+async def test_malformed_row_does_not_end_a_gateway(rig, table):
+    await add_versions(rig)
+    rig.store.put(table, table, "engine", b"\xc1malformed")
+    gateway = await rig.add_gateway("g1")
+    gateway.gateways.nodes = (gateway.settings.node,)
+    await gateway.origins.delete_rows_of_ended_gateways()
+    await anyio.sleep(1.0)
+    assert_that(gateway.ended.is_set(), Equals(False))
+
+
 @pytest.mark.parametrize("after", ["all_new", "some_new"])
 async def test_streams_begun_in_a_release_without_the_store_go_on_at_their_versions(rig, after):
     """Engines are replaced while the gateways run, then the store goes away until the kill."""
