Read assignments in each poll, and count a handover in reads that follow each other

What callers would see: streams of up to a tenth of the programs mix, as a gateway goes by an assignment that was replaced. Cause: a gateway whose list resembled its own assignment did not read it, so that it never learned of one that was announced and replaced meanwhile; and a gateway that was frozen over a handover completed it at once when it woke. Change: every poll reads all assignments in one call, unless each service has one version to which all its streams belong; reads that are more than two polls apart begin the handover anew. Tests: both fail before, pass after.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
@@ -33,6 +33,8 @@
 Gateways learn of it within a few seconds, or within ``STREAM_KEEP_S`` if the store is away; no
 stream that began before that can be resumed when the assignment is used.
 """
+_MAX_READ_GAP_S = 2 * defaults.ASSIGNMENTS_POLL_S
+"""Longest time between two reads of a row that counts as following it."""
 _MIN_PREFERRED = 2
 """Healthy upstreams of a version that are needed to send its streams only there."""
 
@@ -149,7 +151,7 @@
 
     async def follow(self) -> None:
         """Read the assignments; the first gateway replaces those that do not match the list."""
-        if all(self._matches(service) for service in self.versions.listed_shares):
+        if all(self._is_settled(service) for service in self.versions.listed_shares):
             return
         try:
             await self._read_all(self.versions.listed_shares)
@@ -158,11 +160,10 @@
         for service, listed in list(self.versions.listed_shares.items()):
             await self._follow(service, listed)
 
-    def _matches(self, service: ServiceName) -> bool:
-        known = self.known.get(service)
-        if known is None or known.assignment.following is not None:
-            return False
-        return are_similar(known.assignment.current, self.versions.shares(service))
+    def _is_settled(self, service: ServiceName) -> bool:
+        """Return whether the service has one version, to which all its streams belong."""
+        listed = self.versions.shares(service)
+        return len(listed) == 1 and self.is_sole(service, next(iter(listed)))
 
     async def _follow(self, service: ServiceName, listed: VersionShares) -> None:
         now = anyio.current_time()
@@ -198,7 +199,12 @@
         if known is not None and known.row_version > row.version:
             return
         if known is not None and known.row_version == row.version:
-            self.known[service] = msgspec.structs.replace(known, read_at=now)
+            # After a gap other gateways may have missed the announcement too.
+            is_followed = now - known.read_at <= _MAX_READ_GAP_S
+            followed_from = known.followed_from if is_followed else now
+            self.known[service] = msgspec.structs.replace(
+                known, followed_from=followed_from, read_at=now
+            )
             return
         try:
             assignment = msgspec.msgpack.decode(row.value, type=Assignment)
--- a/tests/gateway/test_version_assignments.py
+++ b/tests/gateway/test_version_assignments.py
@@ -1,4 +1,5 @@
 import anyio
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
@@ -278,6 +279,33 @@
     assert_that((set(statuses) <= {200}, mixed_streams(rig, started)), Equals((True, [])))
 
 
+async def test_gateway_learns_of_an_assignment_that_resembles_its_own(rig, monkeypatch):
+    monkeypatch.setattr(version_assignments, "_STEADY_S", 0.0)
+    monkeypatch.setattr(version_assignments, "_HANDOVER_S", 0.0)
+    await add_versions(rig)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    first.gateways.nodes = (first.settings.node, second.settings.node)
+    second.gateways.nodes = first.gateways.nodes
+    rig.store.delete("servers", "", "a1")
+    await wait_until(lambda: len(first.upstreams.upstreams) == 4)
+    await first.assignments.follow()
+    assert_that(first.assignments.known["engine"].assignment.following, Equals({"v1": 4, "v2": 12}))
+    rig.register_replica("a1", "engine", version="v1", born=2)
+    await add_versions(rig, {"a3": "v1"})
+    await wait_until(lambda: len(first.upstreams.upstreams) == 6)
+    await wait_until(lambda: len(second.upstreams.upstreams) == 6)
+    await first.assignments.follow()
+    await first.assignments.follow()
+    await second.assignments.follow()
+    assert_that(
+        first.assignments.known["engine"].assignment, Equals(Assignment({"v1": 12, "v2": 12}))
+    )
+    assert_that(
+        second.assignments.known["engine"].assignment,
+        Equals(first.assignments.known["engine"].assignment),
+    )
+
+
 async def test_streams_begun_before_there_is_an_assignment_do_not_mix(rig):
     rig.store.fault = fault_in_part("assignments", StoreFault.REFUSED)
     await add_versions(rig)
@@ -300,6 +328,24 @@
     assert_that(gateway.ended.is_set(), Equals(False))
 
 
+async def test_gateway_frozen_over_a_handover_does_not_complete_it(rig):
+    """The first gateway is frozen for 130 s in which the other one cannot read the store."""
+    assign_streams(rig, {"v1": 8}, {"v1": 8, "v2": 12})
+    await add_versions(rig)
+    first = await rig.add_gateway("g1")
+    await wait_until(lambda: bool(first.gateways.nodes))
+    known = first.assignments.known["engine"]
+    frozen = msgspec.structs.replace(
+        known, followed_from=known.followed_from - 130.0, read_at=known.read_at - 130.0
+    )
+    first.assignments.known["engine"] = frozen
+    await first.assignments.follow()
+    assert_that(
+        first.assignments.known["engine"].assignment,
+        Equals(Assignment({"v1": 8}, {"v1": 8, "v2": 12})),
+    )
+
+
 @pytest.mark.parametrize("after", ["all_new", "some_new"])
 async def test_streams_begun_in_a_release_without_the_store_go_on_at_their_versions(rig, after):
     """Engines are replaced while the gateways run, then the store goes away until the kill."""
