Prefer a version for a stream only while its upstreams are healthy

Cause: the choice among the upstreams of the preferred version had no others to compare them with. Test: fails before, passes after, with failures and with lost responses.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
@@ -6,10 +6,12 @@
 import anyio
 import msgspec
 
+from skylarkferry_core.breakers import BreakerState
 from skylarkferry_core.errors import PlatformUnavailableError, WriteConflictError
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import ServiceName
 from skylarkferry_core.interfaces import Condition, Row, Write
+from skylarkferry_core.outcome_counts import suspects
 from skylarkferry_core.rendezvous import weighted_choice
 from skylarkferry_core.version_assignments import Assignment, VersionShares, are_similar
 from skylarkferry_daemon.log import EventLog
@@ -92,7 +94,15 @@
         if len(listed) <= 1:
             return usable
         preferred = _of_version(usable, weighted_choice(key, listed))
-        return preferred if len(preferred) >= _MIN_PREFERRED else usable
+        healthy = self._healthy(service, preferred, now)
+        return healthy if len(healthy) >= _MIN_PREFERRED else usable
+
+    def _healthy(
+        self, service: ServiceName, upstreams: list[Upstream], now: float
+    ) -> list[Upstream]:
+        members = self.versions.upstreams.for_service(service)
+        suspected = suspects({item: item.local.outcome_counts for item in members}, now)
+        return [item for item in upstreams if _is_serving(item) and item not in suspected]
 
     def is_sole(self, service: ServiceName, version: str | None) -> bool:
         """Return whether all streams of a service belong to one version."""
@@ -221,6 +231,11 @@
         )
 
 
+def _is_serving(upstream: Upstream) -> bool:
+    is_failing = upstream.local.breaker.state is BreakerState.OPEN
+    return upstream.accepts_requests and not is_failing
+
+
 def _of_version(upstreams: list[Upstream], version: str | None) -> list[Upstream]:
     return [item for item in upstreams if item.entry.software_version == version]
 
--- a/tests/gateway/test_version_assignments.py
+++ b/tests/gateway/test_version_assignments.py
@@ -401,3 +401,22 @@
     started += await begun_streams(rig, count=8)
     statuses = await restart_and_resume(rig, started)
     assert_that((set(statuses) <= {200}, mixed_streams(rig, started)), Equals((True, [])))
+
+
+@pytest.mark.parametrize("failing", [Behaviour.FAIL, Behaviour.LOSE_ANSWER])
+async def test_streams_avoid_a_version_whose_upstreams_all_fail(rig, failing):
+    await add_versions(
+        rig, {"a1": "v1", "a2": "v1", "a3": "v1", "b1": "v2", "b2": "v2", "b3": "v2"}
+    )
+    await rig.add_gateway("g1")
+    for name, replica in rig.replicas.items():
+        behaviour = failing if name.startswith("b") else Behaviour.SERVE
+        replica.behaviour = lambda request, chosen=behaviour: chosen
+    served = 0
+    for _ in range(12):  # the first ones show that the version fails
+        await begun_streams(rig, PATH, 4)
+    for _ in range(8):
+        started = await begun_streams(rig, PATH, 4)
+        by_old = {run.request_id for name in ("a1", "a2", "a3") for run in rig.replicas[name].runs}
+        served += len(by_old & set(started))
+    assert_that((served, served >= 30), Equals((served, True)))
