Cut no attempt for an alternative at which the stream may not begin

Cause: the limit of an attempt that may be repeated counted upstreams of other versions as alternatives, which are not used without the store. Change: alternatives are those that the selection would use. Test: fails before (502), passes after.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/selection.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/selection.py
@@ -216,7 +216,8 @@
 
     def has_untried(self, attempts: Attempts) -> bool:
         """Return whether an untried upstream accepts requests now."""
-        return any(self.limits.allows_request(item) for item in self._all_untried(attempts))
+        members = self.upstreams.for_service(attempts.service)
+        return bool(self._usable(attempts, members, anyio.current_time()))
 
     def is_limited(self, attempts: Attempts) -> bool:
         """Return whether untried upstreams would accept the request if not for their limits."""
--- a/tests/gateway/test_version_assignments.py
+++ b/tests/gateway/test_version_assignments.py
@@ -4,7 +4,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from gateway_rig import wait_until
+from gateway_rig import send, wait_until
 from skylarkferry_core.version_assignments import Assignment
 from skylarkferry_gateway import defaults, version_assignments
 from skylarkferry_standins.replica import Behaviour
@@ -18,11 +18,13 @@
     assign_streams,
     begin_streams,
     fail_store,
+    ids,
     mixed_streams,
     resume,
     resume_all,
     stop_abruptly,
     stored_streams,
+    stream_headers,
     try_to_begin_streams,
     versions_of,
 )
@@ -308,6 +310,17 @@
     )
 
 
+async def test_attempt_is_not_cut_for_an_alternative_that_may_not_be_used(rig):
+    assign_streams(rig, {"v1": 1})
+    await add_versions(rig, ONE_OLD)
+    await rig.add_gateway("g1")
+    rig.replicas["a1"].work_s = 1.0
+    rig.replicas["a1"].behaviour = lambda request: Behaviour.SERVE
+    await lose_store(rig)
+    response = await send(rig, PATH, stream_headers(next(ids)), b"prompt")
+    assert_that(response.status_code, Equals(200))
+
+
 async def test_row_written_late_does_not_replace_a_later_one(rig):
     assign_streams(rig, {"v0": 1})
     await add_versions(rig, {"a1": "v1", "b1": "v2"})
