Leave no trace of events of a stream that could not be recorded

Cause: the row was awaited after the events were counted; and the second attempt could not succeed anyway, as the first row may still be written. Change: the row is awaited first, and a stream that cannot be recorded gets its final answer at once (502, as it may have run); the client's next attempt has another id, for which no row is queued, and begins at its assigned version. Origins of resumed streams are remembered wherever they were found.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -28,8 +28,7 @@
     ``ambiguous_error`` is the error of an attempt whose request the upstream may have executed;
     ``refusal`` is the reason why no further attempt is allowed although time is left.
     ``required_version`` is the software version at which a stream that has begun must go on;
-    ``stream_row`` is the row by which the version of the last attempt is recorded, if it is;
-    ``is_bound_to_assignment`` tells that the stream may only begin at its assigned version.
+    ``stream_row`` is the row by which the version of the last attempt is recorded, if it is.
     """
 
     def __init__(
@@ -48,7 +47,6 @@
         self.last_reply: tuple[Reply, bytes] | None = None
         self.required_version: str | None = None
         self.stream_row: StreamRow | None = None
-        self.is_bound_to_assignment = False
 
     def accepts(self, upstream: Upstream) -> bool:
         """Return whether the request may be sent to the upstream, which takes new requests."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -95,6 +95,11 @@
         attempts_before = self.attempts.attempts_made
         try:
             status = await self._exchange(decision)
+        except _UnrecordedError as error:
+            # Its row may still be written: the client has to begin another stream.
+            self.context.count_abandoned(decision)
+            self.context.report_failed_attempt(self.attempts, decision, error)
+            raise
         except SkylarkferryError as error:
             self._on_failure(decision, error)
             return None
@@ -108,14 +113,11 @@
         return status
 
     def _on_failure(self, decision: Selection, error: SkylarkferryError) -> None:
-        if isinstance(error, _UnrecordedError):
-            self.context.count_abandoned(decision)
-        elif not isinstance(error, _RefusedError):
+        if not isinstance(error, _RefusedError):
             self.context.count_failure(decision, error)
         self.context.report_failed_attempt(self.attempts, decision, error)
         if error.word is not FinalWord.NOT_RUN:
             self.attempts.ambiguous_error = error
-        if error.word is not FinalWord.NOT_RUN and not isinstance(error, _UnrecordedError):
             self.context.check_for_crash(self.attempts, decision)
 
     async def _exchange(self, decision: Selection) -> int | None:
@@ -208,6 +210,7 @@
     async def _send(self, decision: Selection, reply: Reply, events: list[StreamEvent]) -> None:
         if not events:
             return
+        await self._fix_version(decision.upstream.entry)
         self._check_order(events)
         self.listener.on_events(events)
         self.events += len(events)
@@ -216,17 +219,17 @@
             await self.client.send_data(data)
             return
         self.first_event_at = anyio.current_time()
-        await self._fix_version(decision.upstream.entry)
         headers = self.context.codec.client_headers(reply.headers)
         await self.client.start_response(reply.status, headers, data)
 
     async def _fix_version(self, entry: UpstreamEntry) -> None:
         """Require the version that begins the stream of all upstreams that continue it."""
         attempts = self.attempts
-        if attempts.route.is_resumable and attempts.required_version is None:
+        if attempts.required_version is not None:
+            return
+        if attempts.route.is_resumable:
             origin = _origin(entry)
             if not await self.context.resumptions.on_first_event(attempts, origin):
-                attempts.is_bound_to_assignment = True
                 raise _UnrecordedError("the version that begins the stream cannot be recorded")
         attempts.required_version = entry.software_version
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
@@ -120,6 +120,7 @@
                 "the version that began the stream is not known",
                 retry_after_s=defaults.RETRY_AFTER_S,
             )
+        self.origins.remember(request.metadata.resumed_request, origin)
         return origin
 
     async def _find(
@@ -140,13 +141,9 @@
         except PlatformUnavailableError:
             told = await self._ask_peers(stream)
         if told is not None:
-            return self._remembered(stream, told), OriginSource.PEER
+            return told, OriginSource.PEER
         return None, OriginSource.UNKNOWN
 
-    def _remembered(self, stream: str, origin: StreamOrigin) -> StreamOrigin:
-        self.origins.remember(stream, origin)
-        return origin
-
     async def _read(
         self, metadata: RequestMetadata, service: ServiceName
     ) -> tuple[StreamOrigin | None, OriginSource]:
@@ -156,7 +153,7 @@
         with anyio.move_on_after(defaults.STORE_TIMEOUT_S):
             stored = await self.origins.read(metadata.resumed_request)
             if stored is not None:
-                return self._remembered(metadata.resumed_request, stored), OriginSource.STORE
+                return stored, OriginSource.STORE
             assignment = await self.assignments.read(service)
             version = assignment.version(metadata.assignment_key) if assignment else None
             if version is None:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
@@ -88,7 +88,7 @@
         usable = self.versions.without_new(usable, now)
         service, key = attempts.service, attempts.request.metadata.assignment_key
         listed = self.versions.shares(service)
-        if self.is_store_lost() or attempts.is_bound_to_assignment:
+        if self.is_store_lost():
             known = self.known.get(service)
             return _of_version(usable, known.assignment.version(key)) if known is not None else []
         if len(listed) <= 1:
--- a/tests/gateway/test_version_assignments.py
+++ b/tests/gateway/test_version_assignments.py
@@ -7,7 +7,7 @@
 from gateway_rig import send, wait_until
 from skylarkferry_core.version_assignments import Assignment
 from skylarkferry_gateway import defaults, version_assignments
-from skylarkferry_standins.replica import Behaviour
+from skylarkferry_standins.replica import EVENT_COUNT, Behaviour
 from skylarkferry_standins.row_store import StoreFault
 from stream_clients import (
     PATH,
@@ -433,3 +433,24 @@
         by_old = {run.request_id for name in ("a1", "a2", "a3") for run in rig.replicas[name].runs}
         served += len(by_old & set(started))
     assert_that((served, served >= 30), Equals((served, True)))
+
+
+async def test_stream_that_cannot_be_recorded_has_no_event(rig):
+    assign_streams(rig, {"v1": 1})
+    await add_versions(rig)
+    for replica in rig.replicas.values():
+        replica.behaviour = lambda request: Behaviour.SERVE
+    await rig.add_gateway("g1")
+    rig.store.fault = fault_in_part("streams", StoreFault.SILENT)
+
+    async def begin(results):
+        response = await send(rig, PATH, stream_headers(next(ids)), b"prompt")
+        results.append((response.status_code, response.text.count("id: ")))
+
+    first, later = [], []
+    for results in (first, later):
+        async with anyio.create_task_group() as tasks:
+            for _ in range(STREAMS):
+                tasks.start_soon(begin, results)
+    assert_that(set(first), Equals({(200, EVENT_COUNT), (502, 0)}))
+    assert_that(set(later), Equals({(200, EVENT_COUNT)}))
