Answer a request that arrives while an idle client connection is closed

Callers saw: a persistent connection ends without an answer to a request that the gateway already had, either when the connection's idle limit ended or at a planned stop. The window is as long as the event loop is late, so that it is longest on slow hosts, and at changes of the idle limit, when clients use connections that the gateway is about to close.

Cause: the wait for the next request ended on a timer or on the stop alone. Bytes that were in the socket, or that the event loop had read but the reader task had not passed on, were dropped with the connection. A request that was in the socket when a planned stop began was always dropped.

Now the end of the wait looks at the socket and lets the reader pass on what the loop has read. If there is nothing, the client sees the end of the connection in the same step; else the request is served.

Ruled out: the order of a timer and of a readable socket in one turn of the event loop, which serves the readable socket first.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
@@ -1,6 +1,5 @@
 """HTTP/1.1 client connections: one exchange at a time, with a distinct error for each failure."""
 
-import select
 import socket
 from collections.abc import Callable
 from contextlib import suppress
@@ -16,6 +15,7 @@
 )
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.messages import Headers
+from skylarkferry_gateway.sockets import is_readable
 
 _MAX_HEAD_BYTES = 65_536
 _MAX_INTERIM_RESPONSES = 8
@@ -176,9 +176,7 @@
         """Return whether an idle connection is open, without unread bytes and within its limits."""
         if not self.is_within_limits(now, limit_s):
             return False
-        poller = select.poll()
-        poller.register(self.stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN)
-        return not poller.poll(0)
+        return not is_readable(self.stream)
 
     async def abort(self) -> None:
         """Close at once, which makes the server stop the current request."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
@@ -9,6 +9,7 @@
 import h11
 import msgspec
 from anyio.abc import SocketStream
+from anyio.lowlevel import checkpoint
 
 from skylarkferry_core.errors import (
     BadRequestError,
@@ -21,6 +22,7 @@
 from skylarkferry_core.routes import ClientLimits
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.messages import Headers
+from skylarkferry_gateway.sockets import is_readable
 
 
 class ClientLeftError(Exception):
@@ -175,7 +177,7 @@
         while not self.is_disconnected:
             remaining_s = wait_started_at + self.limits().idle_s - anyio.current_time()
             if remaining_s <= 0 or (self.is_stopping() and self.requests > 0):
-                return False
+                return await self._end_wait()
             with anyio.move_on_after(remaining_s) as self.idle_scope:
                 self.input_available = anyio.Event()
                 await self.input_available.wait()
@@ -184,6 +186,27 @@
                 return True
         return False
 
+    async def _end_wait(self) -> bool:
+        """End the wait for a request; return whether one has arrived in the last moment.
+
+        A client must not lose a request that it sent before it could see the end of the connection,
+        also if the event loop was late and has not read the request yet.
+        """
+        if not self._has_input():
+            # The reader passes on what the event loop has already read from the socket.
+            await checkpoint()
+        if not self._has_input():
+            # Nothing is read between this check and the end that the client sees.
+            await self.stream.send_eof()
+            return False
+        while not self.input_chunks and not self.is_disconnected:
+            self.input_available = anyio.Event()
+            await self.input_available.wait()
+        return bool(self.input_chunks)
+
+    def _has_input(self) -> bool:
+        return bool(self.input_chunks) or self.is_disconnected or is_readable(self.stream)
+
     def close_if_idle(self) -> None:
         """Stop waiting for another request; a new connection may still send its first request."""
         if self.idle_scope is not None and self.requests > 0:
--- /dev/null
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/sockets.py
@@ -0,0 +1,15 @@
+"""State of a connection's socket that the event loop has not seen yet."""
+
+import select
+
+from anyio.abc import SocketAttribute, SocketStream
+
+
+def is_readable(stream: SocketStream) -> bool:
+    """Return whether bytes, the end of the stream or an error wait in the socket."""
+    descriptor = stream.extra(SocketAttribute.raw_socket).fileno()
+    if descriptor < 0:
+        return True  # closed after an error
+    poller = select.poll()
+    poller.register(descriptor, select.POLLIN)
+    return bool(poller.poll(0))
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -1,3 +1,5 @@
+import socket
+
 import anyio
 import pytest
 from testtools.assertions import assert_that
@@ -40,3 +42,104 @@
     with anyio.fail_after(5):
         await client.serve()
     assert_that((client.is_disconnected, stream.is_closed), Equals((True, True)))
+
+
+TIMEOUT_S = 20.0
+
+
+def request_bytes(body):
+    """Return a request whose body has four bytes."""
+    return b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n" + body
+
+
+class ServedConnection:
+    """A persistent connection whose client sends a request in the very step that ends the wait.
+
+    The client is a blocking socket, so that its bytes are in the socket's buffer before the server
+    runs on: as after a pause of the event loop.
+    """
+
+    def __init__(self, stream, client):
+        self.client = client
+        self.served = []
+        self.is_stopping = False
+        self.idle_s = TIMEOUT_S
+        self.sends_when_idle_limit_ends = False
+        self.answered_at = None
+        self.connection = ClientConnection(
+            stream, self.limits, self.answer, lambda: self.is_stopping
+        )
+
+    def limits(self):
+        """Return the limits, which the server reads when a wait begins and when it ends."""
+        has_waited = self.answered_at is not None and (
+            anyio.current_time() - self.answered_at > self.idle_s / 2
+        )
+        if self.sends_when_idle_limit_ends and has_waited:
+            self.sends_when_idle_limit_ends = False
+            self.client.sendall(request_bytes(b"late"))
+        return ClientLimits(idle_s=self.idle_s)
+
+    async def answer(self, received, client):
+        self.served.append(received.body)
+        await client.respond(200, [], received.body)
+        self.answered_at = anyio.current_time()
+
+    async def send_first_request(self):
+        self.client.sendall(request_bytes(b"body"))
+        assert_that((await self.receive()).endswith(b"body"), Equals(True))
+
+    def send_and_stop(self):
+        """Send a request, then stop the server before it reads the request."""
+        self.client.sendall(request_bytes(b"late"))
+        self.is_stopping = True
+        self.connection.close_if_idle()
+
+    async def receive(self):
+        """Return the next bytes that the client receives, empty if the connection ended."""
+        try:
+            return await anyio.to_thread.run_sync(self.client.recv, 65_536)
+        except ConnectionResetError:
+            return b""
+
+
+@pytest.fixture
+async def served_connection(anyio_backend):
+    """Serve a connection on loopback."""
+    async with (
+        await anyio.create_tcp_listener(local_host="127.0.0.1") as listener,
+        anyio.create_task_group() as tasks,
+    ):
+        address = listener.extra(anyio.abc.SocketAttribute.local_address)
+        with socket.create_connection(address) as client:
+            client.settimeout(TIMEOUT_S)
+            served = ServedConnection(await listener.listeners[0].accept(), client)
+            tasks.start_soon(served.connection.serve)
+            yield served
+            tasks.cancel_scope.cancel()
+
+
+async def test_request_that_arrives_when_the_idle_limit_ends_is_answered(served_connection):
+    served_connection.idle_s = 0.2
+    served_connection.sends_when_idle_limit_ends = True
+    await served_connection.send_first_request()
+    received = await served_connection.receive()
+    assert_that(received.endswith(b"late"), Equals(True))
+    assert_that(served_connection.served, Equals([b"body", b"late"]))
+
+
+async def test_request_that_arrived_before_a_planned_stop_is_answered(served_connection):
+    await served_connection.send_first_request()
+    served_connection.send_and_stop()
+    received = await served_connection.receive()
+    assert_that(received.endswith(b"late"), Equals(True))
+    assert_that(b"connection: close" in received.lower(), Equals(True))
+    assert_that(await served_connection.receive(), Equals(b""))
+
+
+async def test_idle_connection_is_closed_at_once_by_a_planned_stop(served_connection):
+    await served_connection.send_first_request()
+    served_connection.is_stopping = True
+    served_connection.connection.close_if_idle()
+    assert_that(await served_connection.receive(), Equals(b""))
+    assert_that(served_connection.served, Equals([b"body"]))
