Answer requests that have no deadline at all

Callers saw: a request without a deadline on a route without a timeout ends with the connection, unanswered, buffered and streamed alike.

Cause: the remaining time is infinite then; it was converted to whole milliseconds for the upstream's header and for the log line of the placement (OverflowError, 104 task_failed).

Ruled out as the cause of the reported LOST: the users' clients name a deadline in each request.

Test, before the change: pytest tests/gateway/test_buffered_relay.py -k without_any: 2 failed; after it both pass, with the rest of that file and of tests/platform_adapter/test_codec.py.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
@@ -65,7 +65,7 @@
 
 
 class UpstreamRequestMetadata(msgspec.Struct, frozen=True):
-    """Metadata that the gateway adds to a request to an upstream."""
+    """Metadata that the gateway adds to a request; ``time_left_s`` may be infinite."""
 
     time_left_s: float
     upstream: UpstreamId
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -1,5 +1,6 @@
 """Functions shared by the relays: placement, request metadata, health accounting and logging."""
 
+import math
 from http import HTTPStatus
 
 import anyio
@@ -102,9 +103,9 @@
             requests=decision.requests,
             coordinator=decision.ticket.coordinator if decision.ticket is not None else "none",
             limit=f"{limit.per_s:g}" if limit is not None else "none",
-            report_age_ms=_age_text(decision.report_age_s),
+            report_age_ms=_ms_text(decision.report_age_s),
             cached=decision.cached_tokens,
-            left_ms=round(attempts.remaining_s(now) * 1_000),
+            left_ms=_ms_text(attempts.remaining_s(now)),
         )
 
     def exchange(self, upstream: Upstream) -> Exchange:
@@ -211,6 +212,8 @@
             self.tasks.start_soon(self.crashes.on_attempt_lost, attempts.request, decision.upstream)
 
 
-def _age_text(age_s: float | None) -> str:
-    """Format an age for the log; ``none`` if the upstream has not responded yet."""
-    return "none" if age_s is None else str(round(age_s * 1_000))
+def _ms_text(duration_s: float | None) -> str:
+    """Format a duration for the log; ``none`` if it is not known or has no end."""
+    if duration_s is None or math.isinf(duration_s):
+        return "none"
+    return str(round(duration_s * 1_000))
--- a/tests/gateway/test_buffered_relay.py
+++ b/tests/gateway/test_buffered_relay.py
@@ -9,6 +9,7 @@
     disconnecting_client,
     headers,
     send,
+    turn_headers,
     wait_until,
 )
 from skylarkferry_core.outcome_counts import HALF_LIFE_S
@@ -18,6 +19,11 @@
 pytestmark = pytest.mark.anyio
 
 
+def without_deadline(fields):
+    """Return the headers of a client that waits for any time."""
+    return {name: value for name, value in fields.items() if name != "Skylarkferry-Deadline-Ms"}
+
+
 def behave(replica, first, then=Behaviour.SERVE):
     """Set a replica's behaviour for its first request and for all later ones."""
     pending = [first]
@@ -294,3 +300,16 @@
     connections = gateway.metrics.upstream_connections
     assert_that(connections.labels(state="new")._value.get(), Equals(1.0))
     assert_that(connections.labels(state="reused")._value.get(), Equals(9.0))
+
+
+@pytest.mark.parametrize(
+    ("path", "kind", "service"),
+    [("/get/", "idempotent", "tools"), ("/turn/", "streaming", "engine")],
+)
+async def test_request_without_any_deadline_is_answered(rig, path, kind, service):
+    rig.configure(config(2, {path: {"kind": kind, "service": service, "timeoutMs": 0}}))
+    replica = await rig.add_replica("r1", service)
+    await rig.add_gateway()
+    response = await send(rig, f"{path}1", without_deadline(turn_headers("id-1")))
+    assert_that(response.status_code, Equals(200))
+    assert_that(replica.runs[0].headers, Not(Contains("skylarkferry-deadline-ms")))
