Reject integers in headers that cannot be passed on

Callers saw: a request with a token count beyond 64 bits ends with the connection, unanswered, at two of three gateways: all but the coordinator.

Cause: since the choice of engines by one gateway, counts of a request's headers are encoded as MessagePack for the coordinator, which has no larger integers (OverflowError, 104 task_failed). The same holds for the load that an upstream reports.

Now such a header counts as invalid: 400 for a client, no report for an upstream.

--- a/tests/platform_adapter/test_codec.py
+++ b/tests/platform_adapter/test_codec.py
@@ -40,6 +40,10 @@
         (b"skylarkferry-token-usage", b"1"),
         (b"skylarkferry-token-budget", b"many"),
         (b"skylarkferry-prompt-prefix", b"5c1e"),
+        (b"skylarkferry-prompt-prefix", b"5c1e:99999999999999999999"),
+        (b"skylarkferry-token-usage", b"99999999999999999999,1"),
+        (b"skylarkferry-token-budget", b"99999999999999999999"),
+        (b"last-event-id", b"99999999999999999999"),
     ],
 )
 def test_invalid_values_are_rejected(name, value):
@@ -81,8 +85,9 @@
     metadata = CODEC.decode_reply(fields)
     found = (metadata.is_signed, metadata.report.load, metadata.idle_s)
     assert_that(found, Equals((True, ReportedLoad(3, 1, 8), 5.0)))
-    invalid = CODEC.decode_reply([(b"skylarkferry-server-load", b"full"), (b"keep-alive", b"x")])
-    assert_that((invalid.report.load, invalid.idle_s), Equals((None, None)))
+    for load in (b"full", b"99999999999999999999,1,8"):
+        invalid = CODEC.decode_reply([(b"skylarkferry-server-load", load), (b"keep-alive", b"x")])
+        assert_that((invalid.report.load, invalid.idle_s), Equals((None, None)))
     assert_that(CODEC.client_headers(fields), Not(Contains(fields[1])))
 
 
