--- a/tests/gateway/test_buffered_relay.py
+++ b/tests/gateway/test_buffered_relay.py
@@ -1,3 +1,5 @@
+import json
+
 import anyio
 import pytest
 from testtools.assertions import assert_that
@@ -5,8 +7,10 @@
 
 from gateway_rig import (
     ROUTES,
+    AfterCrash,
     config,
     disconnecting_client,
+    entry,
     headers,
     send,
     turn_headers,
@@ -313,3 +317,21 @@
     response = await send(rig, f"{path}1", without_deadline(turn_headers("id-1")))
     assert_that(response.status_code, Equals(200))
     assert_that(replica.runs[0].headers, Not(Contains("skylarkferry-deadline-ms")))
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["127.0.0.1:70000", "127.0.0.1:0", "127.0.0.400:80", "a.b.c.d:80", "127.0.0.1:\u00b2"],
+)
+async def test_entry_with_an_invalid_address_neither_gets_requests_nor_ends_the_gateway(
+    rig, address
+):
+    rig.store.put("servers", "", "bad", json.dumps(entry("bad", "engine", address)).encode())
+    await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER, AfterCrash.SILENT)
+    gateway = await rig.add_gateway()
+    assert_that(set(gateway.upstreams.upstreams), Equals({"r1"}))
+    answer = await send(rig, "/turn/1", turn_headers("t-1"))
+    assert_that(answer.status_code, Equals(503))
+    await send(rig, "/once/crash", headers("id-1"))  # its check connects to other upstreams
+    await wait_until(lambda: gateway.ended.is_set() or gateway.crashes.undecided)
+    assert_that(gateway.ended.is_set(), Equals(False))
