Do not repeat a peer's write that it may have performed

Callers saw, at a gateway that the store turns away: the stream of a turn that retains context breaks off after its last event, at a sound upstream, when the peer that stores the turn ends before it answers. The turn is stored, yet no client knows it (804, "a turn with this request id is already stored").

Cause: ConnectionLostError is an UpstreamLostError, so that a connection that ended during a call was taken for one that could not be opened. The write was repeated through the next peer, met its own row, and counted as a conflict of another writer's; or, without a next peer, it was reported as certainly not made. Such writes are those of turns, budgets and claims.

Now only a connection that could not be opened means that nothing was sent. The caller repeats any other write and recognizes its own row, as it does on the direct path. A peer that resets a connection does not count as silent any more.

It takes a store that turns some gateways away and a gateway that ends at the same moment.

Tests, before the change: pytest tests/gateway/test_peers.py: both failed (True != False; incomplete chunked read); after it both pass, with tests/gateway/test_failover_store.py.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from skylarkferry_core.errors import (
+    AnswerInvalidError,
+    ConnectionLostError,
     NotOwnerError,
     PlatformUnavailableError,
     SkylarkferryError,
@@ -57,7 +59,10 @@
 
 
 class PeerDownError(SkylarkferryError):
-    """No process listens at a peer's address, or it ended during the call."""
+    """A peer's process does not listen, ended during the call or gave no valid answer.
+
+    It may have performed the call.
+    """
 
 
 class PeerUnreachableError(PeerDownError):
@@ -141,11 +146,11 @@
                 answer = await self._exchange(address, target, body)
                 self.answered_at = anyio.current_time()
                 return answer
+            except (ConnectionLostError, AnswerInvalidError) as error:
+                raise PeerDownError(f"{address}: {error.detail}") from error
             except UpstreamLostError as error:
                 self.silent_at = anyio.current_time()
                 raise PeerUnreachableError(f"{address}: {error.detail}") from error
-            except SkylarkferryError as error:
-                raise PeerDownError(f"{address}: {error.detail}") from error
         self.silent_at = anyio.current_time()
         raise PeerSilentError(f"{address} did not answer in {timeout_s:g} s")
 
