Treat a peer's answer of another kind as a failed call

Callers saw nothing yet: a peer that answers a call with an error status, as after a pause in the middle of a request (408), raised an untyped error in the caller. In a request, that ends the client's connection unanswered; in a task of the gateway (configuration, budgets, crash reports), it ends the process.

Now any status but 200 and any body that cannot be decoded is PeerDownError, which all callers handle.

Test, before the change: pytest tests/gateway/test_peers.py -k another_kind: 2 failed (msgspec.ValidationError: missing required field `verdict`); after it both pass.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -1,6 +1,8 @@
 """Calls between gateways: token reservations at a partition's owner, and relayed store calls."""
 
 from enum import Enum
+from http import HTTPStatus
+from typing import TypeVar
 
 import anyio
 import msgspec
@@ -24,6 +26,8 @@
 from skylarkferry_gateway.relayed_calls import RelayedCall, RelayedReply, perform_call
 from skylarkferry_gateway.stream_origins import StreamOrigins
 
+Reply = TypeVar("Reply")
+
 _RESERVE = b"/reserve"
 _SETTLE = b"/settle"
 _STORE = b"/store"
@@ -54,6 +58,11 @@
     tokens: int
 
 
+_RESERVE_REPLY = msgspec.json.Decoder(ReserveReply)
+_RELAYED_REPLY = msgspec.json.Decoder(RelayedReply)
+_STREAM_REPLY: msgspec.json.Decoder[StreamOrigin | None] = msgspec.json.Decoder(StreamOrigin | None)
+
+
 class PeerSilentError(SkylarkferryError):
     """A peer did not answer in time; it may have performed the call."""
 
@@ -120,7 +129,7 @@
     async def reserve(self, address: str, reservation: Reservation) -> ReserveReply:
         """Reserve tokens at an owner; raise ``PeerSilentError`` or ``PeerDownError``."""
         body = await self._call(address, _RESERVE, msgspec.json.encode(reservation))
-        return msgspec.json.decode(body, type=ReserveReply)
+        return _decode(address, body, _RESERVE_REPLY)
 
     async def settle(self, address: str, settlement: Settlement) -> None:
         """Report a turn's use to the owner; raise ``PeerSilentError`` or ``PeerDownError``."""
@@ -131,12 +140,12 @@
         body = await self._call(
             address, _STORE, msgspec.json.encode(call), defaults.PEER_STORE_TIMEOUT_S
         )
-        return msgspec.json.decode(body, type=RelayedReply)
+        return _decode(address, body, _RELAYED_REPLY)
 
     async def stream_origin(self, address: str, stream: str) -> StreamOrigin | None:
         """Return what a peer knows of a stream; raise ``PeerSilentError`` or ``PeerDownError``."""
         body = await self._call(address, _STREAM, msgspec.json.encode(stream))
-        return msgspec.json.decode(body, type=StreamOrigin | None)
+        return _decode(address, body, _STREAM_REPLY)
 
     async def _call(
         self, address: str, target: bytes, body: bytes, timeout_s: float = defaults.PEER_TIMEOUT_S
@@ -159,11 +168,13 @@
         is_kept = False
         try:
             await connection.send(b"POST", target, [(b"host", address.encode())], body)
-            await connection.read_head()
+            head = await connection.read_head()
             data = await connection.body(defaults.MAX_ANSWER_BYTES)
             is_kept = connection.finish(None)
             if is_kept:
                 self.idle.setdefault(address, []).append(connection)
+            if head.status_code != HTTPStatus.OK:
+                raise AnswerInvalidError(f"status {head.status_code}: {data[:200]!r}")
             return data
         finally:
             if not is_kept:
@@ -177,3 +188,10 @@
                 return connection
             await connection.abort()
         return await connect(address)
+
+
+def _decode(address: str, body: bytes, decoder: msgspec.json.Decoder[Reply]) -> Reply:
+    try:
+        return decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise PeerDownError(f"{address}: invalid answer: {error}") from error
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,11 +1,14 @@
 import anyio
 import msgspec
 import pytest
+from testtools import ExpectedException
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Not
 
 from gateway_rig import MAX_OUTPUT_TOKENS, TIMEOUT_S, headers, send, wait_until
+from skylarkferry_core.ids import ProgramId, TurnId
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.messages import Reservation
 from skylarkferry_gateway.peers import PeerClient, PeerDownError, PeerUnreachableError
 from skylarkferry_gateway.relayed_calls import CallKind, RelayedCall, perform_call
 from skylarkferry_standins.ports import free_address
@@ -14,6 +17,7 @@
 
 pytestmark = pytest.mark.anyio
 
+PROBLEM = b'{"type": "about:blank", "code": "body_timeout"}'
 ENDED = WireReply(200, {}, b"", raw=b"", ending=Ending.RESET)
 """A peer whose process ends before it answers."""
 
@@ -29,6 +33,20 @@
     return address
 
 
+@pytest.mark.parametrize("status", [200, 408])
+async def test_peer_answer_of_another_kind_is_a_typed_error(rig, status):
+    address = await listen(rig, WireReply(status, {}, PROBLEM))
+    peers = PeerClient()
+    reservation = Reservation(ProgramId("p"), 10, TurnId("t"), 1)
+    for call in (
+        lambda: peers.reserve(address, reservation),
+        lambda: peers.store(address, RelayedCall(CallKind.READ, "turns/t/0000")),
+        lambda: peers.stream_origin(address, "s"),
+    ):
+        with ExpectedException(PeerDownError):
+            await call()
+
+
 async def test_call_that_a_peer_may_have_performed_is_not_reported_as_never_sent(rig):
     peers = PeerClient()
     lost = await listen(rig, ENDED)
