Answer a request that meets an unexpected error

Callers saw: an untyped error in the handling of a request closes the client's connection without an answer; docs/OPERATIONS.md says that callers are told `unknown`.

Test, before the change: pytest tests/gateway/test_role.py -k unexpected: 1 failed (server disconnected without sending a response); after it the file passes.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
@@ -4,7 +4,9 @@
 
 from skylarkferry_core.errors import (
     BadRequestError,
+    ErrorCode,
     NoConfigurationError,
+    OutcomeUnknownError,
     PlatformUnavailableError,
     SkylarkferryError,
     UnknownRouteError,
@@ -76,6 +78,16 @@
         except SkylarkferryError as error:
             outcome = f"{int(error.status)} {error.code.value}"
             await self._respond_with_error(error, client)
+        except Exception as error:
+            self.log.emit(
+                EventKind.TASK_FAILED,
+                request=_request_id(request),
+                code=ErrorCode.INTERNAL.value,
+                detail=repr(error),
+            )
+            # An upstream may have executed the request before the error.
+            unknown = OutcomeUnknownError("internal error of the gateway")
+            await self._respond_with_error(unknown, client)
         finally:
             self.metrics.requests_under_way.dec()
             self._log_outcome(request, route, outcome, received_at)
--- a/tests/gateway/test_role.py
+++ b/tests/gateway/test_role.py
@@ -267,3 +267,23 @@
     replica.work_s = GRACE_S / 2 + 0.4
     answer = await send(rig, "/order/1", headers("id-2", 10_000))
     assert_that(answer.status_code, Equals(200))
+
+
+async def test_unexpected_error_is_answered_and_leaves_the_connection_open(rig, monkeypatch):
+    await rig.add_replica("r1")
+    gateway = await rig.add_gateway()
+    select = gateway.context.selector.select
+    errors = [RuntimeError("unexpected")]
+
+    async def failing_select(attempts):
+        if errors:
+            raise errors.pop()
+        return await select(attempts)
+
+    monkeypatch.setattr(gateway.context.selector, "select", failing_select)
+    async with httpx.AsyncClient(timeout=TIMEOUT_S, verify=False) as client:
+        found = [
+            (await client.post(rig.url("/order/1"), headers=headers(f"id-{number}"))).status_code
+            for number in range(2)
+        ]
+    assert_that((found, gateway.ended.is_set()), Equals(([502, 200], False)))
