Stay with a silent upstream if no other can continue its stream

Callers saw: a resumable stream whose upstream pauses for 1.2 s is broken off, at a sound upstream that is still at work, if no other upstream can continue it: during a release or a scale-in, when no other one of the stream's version takes requests.

Cause: the limit on silence, after which a stream moves on, did not ask if it can move.

Now the stream is given up only if another upstream can continue it, or at its deadline; until then it is asked again after each such silence.

Found by reading.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -64,6 +64,11 @@
             return defaults.POOL_IDLE_S
         return defaults.NON_IDEMPOTENT_IDLE_S
 
+    @property
+    def reply_limit(self) -> float:
+        """Return the monotonic time after which no upstream is waited for."""
+        return self.deadline + defaults.DEADLINE_SLACK_S
+
     def remaining_s(self, now: float) -> float:
         """Return the seconds until the earlier of the client's deadline and the route's timeout."""
         return self.deadline - now
@@ -86,7 +91,7 @@
             and has_alternatives
             and self.attempts_made < self.route.max_attempts
         ):
-            return self.deadline + defaults.DEADLINE_SLACK_S
+            return self.reply_limit
         timeout_s = self.remaining_s(now) * _RETRYABLE_ATTEMPT_SHARE
         if not is_full:
             timeout_s = min(timeout_s, _HANG_LATENCY_FACTOR * self.route.target_latency_s)
@@ -94,10 +99,9 @@
 
     def event_deadline(self, now: float) -> float:
         """Return the monotonic time by which the next bytes of a stream must arrive."""
-        limit = self.deadline + defaults.DEADLINE_SLACK_S
         if self.route.is_resumable and self.attempts_made < self.route.max_attempts:
-            return min(now + _STREAM_SILENCE_S, limit)
-        return limit
+            return min(now + _STREAM_SILENCE_S, self.reply_limit)
+        return self.reply_limit
 
     def final_error(self, now: float) -> SkylarkferryError:
         """Return the error for the client when no attempt is left.
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -189,17 +189,25 @@
     async def _relay_events(self, exchange: Exchange, decision: Selection, reply: Reply) -> None:
         """Send complete events to the client until the upstream ends the stream."""
         splitter = EventSplitter()
-        while True:
-            with anyio.move_on_at(self.attempts.event_deadline(anyio.current_time())) as scope:
-                data = await exchange.read()
-            if scope.cancelled_caught:
-                raise AnswerInvalidError("the stream was silent for too long")
-            if data is None:
-                break
+        while (data := await self._read(exchange)) is not None:
             await self._send(decision, reply, splitter.feed(data))
         if splitter.has_partial_event:
             raise AnswerInvalidError("the stream ended inside an event")
 
+    async def _read(self, exchange: Exchange) -> bytes | None:
+        """Return the next bytes of the stream, or ``None`` at its end.
+
+        Raise ``AnswerInvalidError`` after a silence if the deadline has passed or another upstream
+        may be able to continue; until then, a silent upstream is the best one.
+        """
+        while True:
+            deadline = self.attempts.event_deadline(anyio.current_time())
+            with anyio.move_on_at(deadline):
+                return await exchange.read()
+            has_alternatives = self.context.selector.has_untried(self.attempts)
+            if has_alternatives or deadline >= self.attempts.reply_limit:
+                raise AnswerInvalidError("the stream was silent for too long")
+
     async def _send(self, decision: Selection, reply: Reply, events: list[StreamEvent]) -> None:
         if not events:
             return
--- a/tests/gateway/test_stream_relay.py
+++ b/tests/gateway/test_stream_relay.py
@@ -1,10 +1,16 @@
+from contextlib import suppress
+
+import anyio
 import httpx
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, HasLength, Not
 
 from gateway_rig import TIMEOUT_S, disconnecting_client, send, turn_headers, wait_until
-from skylarkferry_standins.replica import EVENT_COUNT, Behaviour
+from skylarkferry_gateway import attempts
+from skylarkferry_standins.ports import free_address
+from skylarkferry_standins.replica import EVENT_COUNT, Behaviour, Replica
+from skylarkferry_standins.wire_server import WireRequest, encode_reply
 
 pytestmark = pytest.mark.anyio
 
@@ -114,3 +120,72 @@
     run = rig.replicas["e1"].runs[0]
     for name in ("kv-from", "skylarkferry-pin-ms", "kv-fetch"):
         assert_that(run.headers, Not(Contains(name)))
+
+
+class PausingEngine:
+    """An engine that pauses after the first event of each stream."""
+
+    def __init__(self, replica, pause_s):
+        self.replica = replica
+        self.pause_s = pause_s
+
+    async def serve(self, stream):
+        with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            request = await read_request(stream)
+            data = encode_reply(await self.replica.handle(request))
+            head, separator, rest = data.partition(b"token 1\n\n")
+            await stream.send(head + separator)
+            await anyio.sleep(self.pause_s)
+            await stream.send(rest)
+            await anyio.sleep_forever()
+
+
+async def read_request(stream):
+    """Read a request and return it with its headers only."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += await stream.receive()
+    lines = data.partition(b"\r\n\r\n")[0].decode().split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    fields = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines[1:])}
+    return WireRequest(method, target, fields, b"")
+
+
+async def add_pausing_engine(rig, name, pause_s):
+    """Add an engine that pauses after the first event, and return its replica."""
+    replica = rig.replicas[name] = Replica(name)
+    rig.addresses[name] = free_address()
+    await rig.listen(rig.addresses[name], PausingEngine(replica, pause_s))
+    rig.register_replica(name, "engine")
+    return replica
+
+
+async def test_silent_stream_is_not_broken_off_if_no_other_upstream_can_continue_it(
+    rig, monkeypatch
+):
+    monkeypatch.setattr(attempts, "_STREAM_SILENCE_S", 0.2)
+    replica = await add_pausing_engine(rig, "e1", 0.7)
+    await rig.add_replica("e2", "engine", version="v2")
+    gateway = await rig.add_gateway()
+    rig.register_replica("e2", "engine", version="v2", state="draining")
+    await wait_until(lambda: gateway.upstreams.upstreams["e2"].entry.is_leaving)
+    response = await send(rig, "/resume/1", turn_headers("t-1"), b"prompt")
+    assert_that((response.status_code, response.content), Equals((200, COMPLETE_STREAM)))
+    assert_that(replica.runs, HasLength(1))
+
+
+async def test_silent_stream_moves_to_an_upstream_that_can_continue_it(rig, monkeypatch):
+    monkeypatch.setattr(attempts, "_STREAM_SILENCE_S", 0.2)
+    replica = await add_pausing_engine(rig, "e1", TIMEOUT_S)
+    await rig.add_gateway()
+    other = None
+
+    async def add_other():
+        nonlocal other
+        await wait_until(lambda: replica.runs)
+        other = await rig.add_replica("e2", "engine")
+
+    rig.tasks.start_soon(add_other)
+    response = await send(rig, "/resume/1", turn_headers("t-1"), b"prompt")
+    assert_that((response.status_code, response.content), Equals((200, COMPLETE_STREAM)))
+    assert_that((len(replica.runs), len(other.runs)), Equals((1, 1)))
