--- a/tests/gateway/test_buffered_relay.py
+++ b/tests/gateway/test_buffered_relay.py
@@ -1,3 +1,5 @@
+import json
+
 import anyio
 import pytest
 from testtools.assertions import assert_that
@@ -5,10 +7,13 @@
 
 from gateway_rig import (
     ROUTES,
+    AfterCrash,
     config,
     disconnecting_client,
+    entry,
     headers,
     send,
+    turn_headers,
     wait_until,
 )
 from skylarkferry_core.outcome_counts import HALF_LIFE_S
@@ -18,6 +23,11 @@
 pytestmark = pytest.mark.anyio
 
 
+def without_deadline(fields):
+    """Return the headers of a client that waits for any time."""
+    return {name: value for name, value in fields.items() if name != "Skylarkferry-Deadline-Ms"}
+
+
 def behave(replica, first, then=Behaviour.SERVE):
     """Set a replica's behaviour for its first request and for all later ones."""
     pending = [first]
@@ -294,3 +304,34 @@
     connections = gateway.metrics.upstream_connections
     assert_that(connections.labels(state="new")._value.get(), Equals(1.0))
     assert_that(connections.labels(state="reused")._value.get(), Equals(9.0))
+
+
+@pytest.mark.parametrize(
+    ("path", "kind", "service"),
+    [("/get/", "idempotent", "tools"), ("/turn/", "streaming", "engine")],
+)
+async def test_request_without_any_deadline_is_answered(rig, path, kind, service):
+    rig.configure(config(2, {path: {"kind": kind, "service": service, "timeoutMs": 0}}))
+    replica = await rig.add_replica("r1", service)
+    await rig.add_gateway()
+    response = await send(rig, f"{path}1", without_deadline(turn_headers("id-1")))
+    assert_that(response.status_code, Equals(200))
+    assert_that(replica.runs[0].headers, Not(Contains("skylarkferry-deadline-ms")))
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["127.0.0.1:70000", "127.0.0.1:0", "127.0.0.400:80", "a.b.c.d:80", "127.0.0.1:\u00b2"],
+)
+async def test_entry_with_an_invalid_address_neither_gets_requests_nor_ends_the_gateway(
+    rig, address
+):
+    rig.store.put("servers", "", "bad", json.dumps(entry("bad", "engine", address)).encode())
+    await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER, AfterCrash.SILENT)
+    gateway = await rig.add_gateway()
+    assert_that(set(gateway.upstreams.upstreams), Equals({"r1"}))
+    answer = await send(rig, "/turn/1", turn_headers("t-1"))
+    assert_that(answer.status_code, Equals(503))
+    await send(rig, "/once/crash", headers("id-1"))  # its check connects to other upstreams
+    await wait_until(lambda: gateway.ended.is_set() or gateway.crashes.undecided)
+    assert_that(gateway.ended.is_set(), Equals(False))
