Answer for a budget's owner while a slow store raises an allowance

The owner bounded it by the asker's timeout, 0.4 s: it was cancelled each time, one allowance was raised in 4.5 s where 150 were needed. The asker took the owner for silent (234 lines 882 "did not answer in 0.4 s" in these 4.5 s, none before) and claimed the partition of a live owner. All claims write to one part of the store, which answered 429 (870: 214 lines, rows of streams among them, and 735 after 29 s), and each claim was cancelled at the end of its turn's 0.8 s although it could still take effect. The owners named then did not know it ("partition not owned", 16 lines while the store was slow, 2,151 after); so it went on after the store was fast again at 29 s: 255 turns got 503 before that, 1,220 after. Ruled out: chains (the store's reads took 0.25 s, turns were kept all the time), upstreams at limits or full (one 503 overloaded), coordinators (none silent after 16 s), connects (none among the untried), busy gateways (0.19 cores at most). Change: the write that raises an allowance belongs to the owner and goes on after the turn that needed it has given up; all turns of the program wait for the same write. An owner that waits for the store says so after 0.3 s, before the asker's timeout, and is asked again instead of replaced. If the write still lasts, the turn ends after 0.6 s with 503 and Retry-After 0.2; it has not run. A reservation that waited is made only if the partition is still owned, so that none is made after a handover counted the reservations. Tests: test_turn_is_served_while_a_slow_store_raises_the_allowance and test_allowance_grows_for_the_retry_of_a_turn_that_was_refused fail before (one false claim with a loss; no growth). tests/gateway, core and platform_adapter pass.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -4,12 +4,14 @@
 
 import anyio
 import msgspec
+from anyio.abc import TaskGroup
 
 from skylarkferry_core.accounts import Account, AccountRow, budget_partition
 from skylarkferry_core.errors import (
     BudgetExhaustedError,
     NotOwnerError,
     PlatformUnavailableError,
+    SkylarkferryError,
     TokensSpentError,
     WriteConflictError,
 )
@@ -27,13 +29,25 @@
 """Rows written per call at a handover; the store accepts 100 entries per call."""
 
 
+class AllowancePendingError(PlatformUnavailableError):
+    """The store has not yet confirmed the write that raises the program's allowance."""
+
+
+class Growth:
+    """A write that raises an allowance; it outlasts the requests that wait for it."""
+
+    def __init__(self) -> None:
+        self.ended = anyio.Event()
+        self.error: SkylarkferryError | None = None
+
+
 class ProgramAccount:
-    """One program's account, the key of its row, and a lock held while its allowance changes."""
+    """One program's account, the key of its row, and the growth of its allowance under way."""
 
     def __init__(self, account: Account, key: str, now: float) -> None:
         self.account = account
         self.key = key
-        self.lock = anyio.Lock()
+        self.growth: Growth | None = None
         self.used_at = now
 
 
@@ -94,6 +108,7 @@
         self.partitions: dict[PartitionNumber, PartitionAccounts] = {}
         self.claim_locks: dict[PartitionNumber, anyio.Lock] = {}
         self.is_closed = False
+        self.tasks: TaskGroup | None = None
 
     def owns(self, number: PartitionNumber) -> bool:
         """Return True if this process owns the partition and has not noticed its loss."""
@@ -113,17 +128,18 @@
         """Reserve the maximum number of tokens that a turn may generate.
 
         Raise ``TokensSpentError``, ``NotOwnerError`` if another process now owns the partition,
-        or ``PlatformUnavailableError``.
+        ``AllowancePendingError`` if the store answers too late, or ``PlatformUnavailableError``.
         """
         number = budget_partition(reservation.program_id)
         owned = self.partitions.get(number)
         if owned is None:
             raise NotOwnerError(f"partition {number} is not owned by this process")
         program = owned.account(reservation, anyio.current_time())
-        async with program.lock:
-            while not program.account.fits(reservation.tokens):
-                await self._grow_allowance(owned, program, reservation, deadline_at)
-            program.account.reserve(reservation.turn, reservation.tokens)
+        while not program.account.fits(reservation.tokens):
+            await self._wait_for_growth(owned, program, reservation, deadline_at)
+            if self.partitions.get(number) is not owned:
+                raise NotOwnerError(f"partition {number} is no longer owned by this process")
+        program.account.reserve(reservation.turn, reservation.tokens)
 
     def settle(self, program_id: ProgramId, turn: TurnId, used: int) -> None:
         """Replace a turn's reservation with the number of tokens sent to the client."""
@@ -132,13 +148,33 @@
         if program is not None:
             program.account.settle(turn, used)
 
-    async def _grow_allowance(
+    async def _wait_for_growth(
         self,
         owned: PartitionAccounts,
         program: ProgramAccount,
         reservation: Reservation,
         deadline_at: float,
     ) -> None:
+        """Wait until a larger allowance was written or its write failed; it may be tried again."""
+        growth = program.growth or self._start_growth(owned, program, reservation)
+        try:
+            with anyio.fail_after(max(deadline_at - anyio.current_time(), 0)):
+                await growth.ended.wait()
+        except TimeoutError as error:
+            raise AllowancePendingError(
+                "the store has not confirmed a larger allowance yet",
+                retry_after_s=defaults.RETRY_AFTER_S,
+            ) from error
+        if growth.error is None:
+            return
+        is_final = not isinstance(growth.error, PlatformUnavailableError)
+        if is_final or anyio.current_time() + defaults.STORE_RETRY_S >= deadline_at:
+            raise growth.error
+        await anyio.sleep(defaults.STORE_RETRY_S)
+
+    def _start_growth(
+        self, owned: PartitionAccounts, program: ProgramAccount, reservation: Reservation
+    ) -> Growth:
         account = program.account
         try:
             allowance = account.next_allowance(reservation.tokens)
@@ -147,21 +183,43 @@
             raise TokensSpentError(error.detail) from error
         if self.store.unavailable_s() > defaults.STORE_LOST_AFTER_S:
             raise PlatformUnavailableError("the store does not answer; the allowance cannot grow")
+        assert self.tasks is not None
+        program.growth = growth = Growth()
+        self.tasks.start_soon(self._grow, owned, program, reservation, allowance, growth)
+        return growth
+
+    async def _grow(
+        self,
+        owned: PartitionAccounts,
+        program: ProgramAccount,
+        reservation: Reservation,
+        allowance: int,
+        growth: Growth,
+    ) -> None:
+        try:
+            await self._write_allowance(owned, program, reservation, allowance)
+        except SkylarkferryError as error:
+            growth.error = error
+        finally:
+            program.growth = None
+            growth.ended.set()
+
+    async def _write_allowance(
+        self,
+        owned: PartitionAccounts,
+        program: ProgramAccount,
+        reservation: Reservation,
+        allowance: int,
+    ) -> None:
+        account = program.account
         conditions = [owned.partition.fence(), Condition(program.key, account.version)]
         row = msgspec.msgpack.encode(account.row_for(allowance))
         try:
-            with anyio.fail_after(max(deadline_at - anyio.current_time(), 0)):
-                version = await self.store.transact(conditions, [Write(program.key, row)])
+            version = await self.store.transact(conditions, [Write(program.key, row)])
         except WriteConflictError:
+            deadline_at = anyio.current_time() + defaults.RESERVE_TIMEOUT_S
             await self._resolve_conflict(owned, program, deadline_at)
             return
-        except TimeoutError as error:
-            raise PlatformUnavailableError("the store did not answer in time") from error
-        except PlatformUnavailableError:
-            if anyio.current_time() + defaults.STORE_RETRY_S >= deadline_at:
-                raise
-            await anyio.sleep(defaults.STORE_RETRY_S)
-            return
         account.version, account.allowance = version, allowance
         self._log_granted(reservation, account)
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
@@ -14,7 +14,7 @@
 from skylarkferry_core.ids import Incarnation, PartitionNumber, ProgramId, TurnId
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
-from skylarkferry_gateway.accounts import AccountManager
+from skylarkferry_gateway.accounts import AccountManager, AllowancePendingError
 from skylarkferry_gateway.failover_store import FailoverStore
 from skylarkferry_gateway.messages import Reservation
 from skylarkferry_gateway.ownership import OwnerTable
@@ -106,7 +106,10 @@
     async def _reserve_remotely(
         self, number: PartitionNumber, reservation: Reservation, deadline_at: float
     ) -> bool:
-        """Reserve at the owner; return False after marking it silent or claiming its partition."""
+        """Reserve at the owner; return False if the reservation is to be tried again.
+
+        Before, a silent owner is marked as such, and the partition of an ended one claimed.
+        """
         ownership = self.owner_table.owners[number]
         asked_at = anyio.current_time()
         try:
@@ -123,6 +126,10 @@
             return True
         if reply.verdict is Verdict.SPENT:
             raise TokensSpentError(reply.detail)
+        if reply.verdict is Verdict.PENDING:
+            if anyio.current_time() + defaults.OWNER_WAIT_S > deadline_at:
+                raise AllowancePendingError(reply.detail, retry_after_s=defaults.RETRY_AFTER_S)
+            return False  # the owner answers: it is asked again, and its partition not claimed
         self._log_owner_failure(number, ownership.owner, reply.detail)
         await self._claim(number, deadline_at)
         return False
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -125,6 +125,11 @@
 
 PEER_TIMEOUT_S = 0.4
 """Timeout of a call to another gateway; a store write and two round trips fit on a slow host."""
+OWNER_WAIT_S = 0.3
+"""Longest wait of a budget's owner for the store before it answers the gateway that asked.
+
+The answer must arrive within ``PEER_TIMEOUT_S``: a silent owner counts as lost.
+"""
 PEER_STORE_TIMEOUT_S = 0.6
 """Timeout of a store call through another gateway: a slow store's answer and two round trips."""
 RELAY_BACKOFF_S = 1.0
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -14,7 +14,7 @@
 )
 from skylarkferry_core.ids import ProgramId, TurnId
 from skylarkferry_gateway import defaults
-from skylarkferry_gateway.accounts import AccountManager
+from skylarkferry_gateway.accounts import AccountManager, AllowancePendingError
 from skylarkferry_gateway.http_client import HttpConnection, connect
 from skylarkferry_gateway.http_server import ClientConnection, ReceivedRequest
 from skylarkferry_gateway.interfaces import Store
@@ -33,6 +33,7 @@
 
     GRANTED = "granted"
     SPENT = "spent"
+    PENDING = "pending"
     NOT_OWNER = "not_owner"
     NO_STORE = "no_store"
 
@@ -92,13 +93,15 @@
         await client.respond(200, [], msgspec.json.encode(reply))
 
     async def _reserve(self, reservation: Reservation) -> ReserveReply:
-        deadline_at = anyio.current_time() + defaults.PEER_TIMEOUT_S
+        deadline_at = anyio.current_time() + defaults.OWNER_WAIT_S
         try:
             await self.accounts.reserve(reservation, deadline_at)
         except TokensSpentError as error:
             return ReserveReply(Verdict.SPENT, error.detail)
         except NotOwnerError as error:
             return ReserveReply(Verdict.NOT_OWNER, error.detail)
+        except AllowancePendingError as error:
+            return ReserveReply(Verdict.PENDING, error.detail)
         except PlatformUnavailableError as error:
             return ReserveReply(Verdict.NO_STORE, error.detail)
         return ReserveReply(Verdict.GRANTED)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -116,7 +116,7 @@
             tasks.start_soon(self.upstream_watcher.read)
             self.upstream_watcher.subscribe(self.timers)
             self.crashes.subscribe(self.timers)
-            self.budgets.tasks = self.context.tasks = tasks
+            self.budgets.tasks = self.accounts.tasks = self.context.tasks = tasks
             tasks.start_soon(self.crashes.reports.follow)
             tasks.start_soon(self.crashes.reports.write)
             tasks.start_soon(self.origins.write)
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -3,12 +3,20 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from gateway_rig import MAX_OUTPUT_TOKENS, TOKENS_PER_EVENT, send, turn_headers, wait_until
+from gateway_rig import (
+    MAX_OUTPUT_TOKENS,
+    TOKENS_PER_EVENT,
+    free_address,
+    send,
+    turn_headers,
+    wait_until,
+)
 from skylarkferry_core.accounts import BUDGET_PARTITIONS, budget_partition
 from skylarkferry_core.ids import ProgramId
 from skylarkferry_gateway import defaults
 from skylarkferry_standins.replica import EVENT_COUNT, Behaviour
 from skylarkferry_standins.row_store import StoreFault
+from skylarkferry_standins.wire_server import WireServer
 
 pytestmark = pytest.mark.anyio
 
@@ -153,3 +161,69 @@
     await gateway.accounts.delete_idle_accounts()
     assert_that(len(gateway.accounts.partitions[number].programs), Equals(0))
     assert_that(rig.store.value("accounts", str(number), "program.program"), Equals(None))
+
+
+SLOW_WRITE_S = 0.5
+"""A store that is sixty times as slow as usual needs this long for an allowance's write."""
+
+
+class SlowAccounts:
+    """A store whose writes of allowances take effect and are answered late."""
+
+    def __init__(self, store):
+        self.store = store
+        self.writes = 0
+        self.claims = 0
+        self.delay = lambda: anyio.sleep(SLOW_WRITE_S)
+
+    async def handle(self, request):
+        if request.target == "/api/rows-tx":
+            if b"account-owners" in request.body:
+                self.claims += 1
+            elif b"program." in request.body:
+                self.writes += 1
+                await self.delay()
+        return await self.store.handle(request)
+
+
+async def slow_store_gateways(rig):
+    """Return two gateways at a store with slow allowances; the first owns all that is used."""
+    accounts = SlowAccounts(rig.store)
+    address = free_address()
+    await rig.listen(address, WireServer(accounts.handle))
+    owner = await rig.add_gateway("g1", address)
+    assert_that(await spend(rig, "program", 1_000, 1, [owner]), Equals([200]))
+    other = await rig.add_gateway("g2", address)
+    accounts.claims = accounts.writes = 0
+    return owner, other, accounts
+
+
+async def test_turn_is_served_while_a_slow_store_raises_the_allowance(rig, monkeypatch):
+    monkeypatch.setattr(defaults, "RESERVE_TIMEOUT_S", 1.5)  # even on a busy machine
+    await rig.add_replica("e1", "engine")
+    owner, other, accounts = await slow_store_gateways(rig)
+    statuses = await spend(rig, "program", 1_000, 5, [other])
+    assert_that(statuses, Equals([200] * 5))
+    assert_that(accounts.writes, GreaterThan(0))
+    assert_that(accounts.claims, Equals(0))
+    assert_that(owner.accounts.owns(budget_partition(ProgramId("program"))), Equals(True))
+
+
+async def test_allowance_grows_for_the_retry_of_a_turn_that_was_refused(rig, monkeypatch):
+    monkeypatch.setattr(defaults, "RESERVE_TIMEOUT_S", 0.4)
+    replica = await rig.add_replica("e1", "engine")
+    owner, other, accounts = await slow_store_gateways(rig)
+    answered = anyio.Event()
+    accounts.delay = answered.wait
+    statuses = await spend(rig, "program", 1_000, 4, [other])
+    fields = turn_headers("refused", "program", 1_000)
+    response = await send(rig, "/turn/1", fields, b"p", gateway=other)
+    assert_that((statuses, response.status_code), Equals(([200] * 4, 503)))
+    assert_that(response.headers["retry-after"], Equals(f"{defaults.RETRY_AFTER_S:g}"))
+    answered.set()
+    partition = owner.accounts.partitions[budget_partition(ProgramId("program"))]
+    await wait_until(lambda: partition.programs[ProgramId("program")].account.version > 0)
+    fields = turn_headers("again", "program", 1_000)
+    response = await send(rig, "/turn/1", fields, b"p", gateway=other)
+    assert_that((response.status_code, accounts.writes, accounts.claims), Equals((200, 1, 0)))
+    assert_that("refused" in {run.request_id for run in replica.runs}, Equals(False))
