Resume streams while only rows cannot be written

What callers would see: streams resumed at other gateways are rejected while the store's part of stream rows takes no writes, though it can be read. Cause: the search for an origin asked whether rows can be written. Test: fails before (16 of 16 rejected).

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -74,7 +74,7 @@
             self.origins,
             versions,
             self.assignments,
-            peers,
+            store,
             rng,
             gateways=self.gateways,
             log=log,
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
@@ -15,10 +15,10 @@
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.attempts import Attempts
+from skylarkferry_gateway.failover_store import FailoverStore
 from skylarkferry_gateway.gateway_list import GatewayList
 from skylarkferry_gateway.messages import ClientRequest, RequestMetadata, StreamOrigin
 from skylarkferry_gateway.metrics import GatewayMetrics
-from skylarkferry_gateway.peers import PeerClient
 from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.stream_origins import StreamOrigins, StreamRow
 from skylarkferry_gateway.version_assignments import VersionAssignments
@@ -50,7 +50,7 @@
         origins: StreamOrigins,
         versions: ServiceVersions,
         assignments: VersionAssignments,
-        peers: PeerClient,
+        store: FailoverStore,
         rng: random.Random,
         *,
         gateways: GatewayList,
@@ -60,7 +60,7 @@
         self.origins = origins
         self.versions = versions
         self.assignments = assignments
-        self.peers = peers
+        self.store = store
         self.gateways = gateways
         self.rng = rng
         self.log = log
@@ -148,7 +148,7 @@
         self, metadata: RequestMetadata, service: ServiceName
     ) -> tuple[StreamOrigin | None, OriginSource]:
         """Find the origin in the store; raise ``PlatformUnavailableError``."""
-        if self.assignments.is_store_lost():
+        if self.store.unavailable_s() > defaults.STORE_LOST_AFTER_S:
             raise PlatformUnavailableError("the store does not answer")
         with anyio.move_on_after(defaults.STORE_TIMEOUT_S):
             stored = await self.origins.read(metadata.resumed_request)
@@ -168,7 +168,7 @@
 
         async def ask(address: str) -> None:
             try:
-                origin = await self.peers.stream_origin(address, stream)
+                origin = await self.store.peers.stream_origin(address, stream)
             except SkylarkferryError as error:
                 self.log.emit(
                     EventKind.GATEWAY_PEER_SILENT, peer=address, call="stream", detail=error.detail
--- a/tests/gateway/test_version_assignments.py
+++ b/tests/gateway/test_version_assignments.py
@@ -460,3 +460,12 @@
                 tasks.start_soon(begin, results)
     assert_that(set(first), Equals({(200, EVENT_COUNT), (502, 0)}))
     assert_that(set(later), Equals({(200, EVENT_COUNT)}))
+
+
+async def test_streams_are_resumed_while_rows_cannot_be_written(rig):
+    await add_versions(rig)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    started = await begin_streams(rig, gateway=first)
+    await stop_abruptly(first)
+    second.origins.failing_since = anyio.current_time() - 10.0
+    await assert_resumed_at_their_versions(rig, started, gateway=second)
