Take resumptions without the id of their stream for no stream at all

What callers would see: a stream resumed without an id goes on at the version of another one that was resumed so before. Cause: origins are remembered under the id, which may be empty. Found by reading the change once more. Test: fails before (200 at a service that has two versions meanwhile, 503 after).

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
@@ -120,7 +120,8 @@
                 "the version that began the stream is not known",
                 retry_after_s=defaults.RETRY_AFTER_S,
             )
-        self.origins.remember(request.metadata.resumed_request, origin)
+        if request.metadata.resumed_request:
+            self.origins.remember(request.metadata.resumed_request, origin)
         return origin
 
     async def _find(
--- a/tests/gateway/test_version_assignments.py
+++ b/tests/gateway/test_version_assignments.py
@@ -469,3 +469,12 @@
     await stop_abruptly(first)
     second.origins.failing_since = anyio.current_time() - 10.0
     await assert_resumed_at_their_versions(rig, started, gateway=second)
+
+
+async def test_resumptions_without_an_id_are_not_taken_for_one_stream(rig):
+    await add_versions(rig, {"a1": "v1", "a2": "v1"})
+    gateway = await rig.add_gateway("g1")
+    assert_that((await resume(rig, "")).status_code, Equals(200))
+    await add_versions(rig, {"b1": "v2", "b2": "v2"})
+    await wait_until(lambda: len(gateway.upstreams.upstreams) == 4)
+    assert_that((await resume(rig, "")).status_code, Equals(503))
