Create the other assignments although one row is malformed

What callers would see: no service gets an assignment, and every stream needs a row, as long as the row of one service is malformed; the store is read for it twice a second. Cause: the call that creates the missing rows has a condition for each, and the malformed one, taken for missing, made all of them fail. Change: a malformed row counts as refused and is left alone until a restart. The call has 50 rows, as conditions count towards the store's 100 entries. Test: fails before (the second service never gets an assignment).

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
@@ -26,7 +26,8 @@
 from skylarkferry_gateway.upstreams import Upstream
 
 _PREFIX = row_key("assignments", "assignments", "")
-_MAX_ROWS_PER_CALL = 100
+_MAX_ROWS_PER_CALL = 50
+"""Rows of one call, which has at most 100 entries: a condition and a write for each."""
 _STEADY_S = 10.0
 """Time for which new shares are listed before streams are assigned by them."""
 _HANDOVER_S = 2 * defaults.STREAM_KEEP_S
@@ -71,6 +72,8 @@
         self.gateways = gateways
         self.log = log
         self.known: dict[ServiceName, _Known] = {}
+        self.refused: set[ServiceName] = set()
+        """Services whose rows were malformed when they were read."""
         self.listed_from: dict[ServiceName, tuple[VersionShares, float]] = {}
 
     def needs_row(self, service: ServiceName, metadata: RequestMetadata, version: str) -> bool:
@@ -129,12 +132,12 @@
         Until this succeeds, each stream of the service needs a row.
         """
         shares = shares_by_service(entries)
-        if self.known.keys() >= shares.keys():
+        if self.known.keys() | self.refused >= shares.keys():
             return
         with anyio.move_on_after(defaults.STORE_TIMEOUT_S):
             try:
                 await self._read_all(shares)
-                missing = [name for name in shares if name not in self.known]
+                missing = [name for name in shares if name not in self.known.keys() | self.refused]
                 if missing:
                     await self._create(missing[:_MAX_ROWS_PER_CALL], shares)
             except PlatformUnavailableError:
@@ -219,6 +222,7 @@
         try:
             assignment = msgspec.msgpack.decode(row.value, type=Assignment)
         except msgspec.DecodeError as error:
+            self.refused.add(service)
             self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=str(error))
             return
         self.known[service] = _Known(assignment, row.version, now, now)
--- a/tests/gateway/test_version_assignments.py
+++ b/tests/gateway/test_version_assignments.py
@@ -478,3 +478,17 @@
     await add_versions(rig, {"b1": "v2", "b2": "v2"})
     await wait_until(lambda: len(gateway.upstreams.upstreams) == 4)
     assert_that((await resume(rig, "")).status_code, Equals(503))
+
+
+async def test_malformed_assignment_keeps_no_other_service_from_having_one(rig):
+    rig.store.put("assignments", "assignments", "engine", b"\xc1malformed")
+    await add_versions(rig, {"a1": "v1"})
+    await rig.add_replica("t1")
+    gateway = await rig.add_gateway()
+    await wait_until(lambda: "tools" in gateway.assignments.known)
+    assert_that("engine" in gateway.assignments.known, Equals(False))
+    calls = len(rig.store.calls)
+    await gateway.assignments.establish(
+        [item.entry for item in gateway.upstreams.upstreams.values()]
+    )
+    assert_that(len(rig.store.calls), Equals(calls))
