Count rows as failing from the start of the call that failed

Cause: the time without rows was counted from the end of the failed call; the test began its second round right then. Change: it is counted from the start, and the test waits until the gateway knows.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
@@ -139,11 +139,12 @@
     async def _write_batch(self) -> None:
         batch = [self.unsent.popleft() for _ in range(min(len(self.unsent), _ROWS_PER_CALL))]
         latest = {write.key: write for write in batch}
+        began = anyio.current_time()
         try:
             await self._transact(list(latest.values()))
         except (PlatformUnavailableError, WriteConflictError) as error:
             if self.failing_since is None:
-                self.failing_since = anyio.current_time()
+                self.failing_since = began
             self.unsent.extendleft(reversed(batch))
             self.metrics.stream_records.labels(outcome="failed").inc(len(batch))
             self.log.emit(
--- a/tests/gateway/test_version_assignments.py
+++ b/tests/gateway/test_version_assignments.py
@@ -446,7 +446,7 @@
     await add_versions(rig)
     for replica in rig.replicas.values():
         replica.behaviour = lambda request: Behaviour.SERVE
-    await rig.add_gateway("g1")
+    gateway = await rig.add_gateway("g1")
     rig.store.fault = fault_in_part("streams", StoreFault.SILENT)
 
     async def begin(results):
@@ -458,6 +458,7 @@
         async with anyio.create_task_group() as tasks:
             for _ in range(STREAMS):
                 tasks.start_soon(begin, results)
+        await wait_until(gateway.assignments.is_store_lost)
     assert_that(set(first), Equals({(200, EVENT_COUNT), (502, 0)}))
     assert_that(set(later), Equals({(200, EVENT_COUNT)}))
 
