Hold a program at each step at which a test kills its driver

Cause: the test, not the product. A program with a budget of 8,000 tokens ends by itself within two to three seconds. If the test is late between the step and the kill, the program has ended, the killed entry takes the only log line that names its driver along, and nobody drives an ended program again: find_driver waits for an event that cannot come. Ruled out: a program under way that nobody takes over. Its end is in the log before the kill.

The stand-in of a tool service can now hold requests beyond a number of idempotency keys, and the test holds the program at each step until its driver is killed, so that each kill meets a program under way. Checks and bounds are unchanged; it is stricter in that each kill now counts. The other tests that ask for a program's driver do so before any kill.

--- a/packages/skylarkferry-standins/src/skylarkferry_standins/service.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/service.py
@@ -38,12 +38,14 @@
 class ServiceFaults(msgspec.Struct, forbid_unknown_fields=True):
     """Injected faults; a new body replaces all of them, an empty body clears them.
 
-    Counts apply to the next requests; ``delay_s`` is slept before the effect. If ``path`` is set,
-    the faults apply to requests for that path only.
+    Counts apply to the next requests; ``delay_s`` is slept before the effect. Once ``max_keys``
+    idempotency keys have effects, requests with other keys wait until the faults are replaced. If
+    ``path`` is set, the faults apply to requests for that path only.
     """
 
     path: str = ""
     delay_s: float = 0.0
+    max_keys: int | None = None
     fail: int = 0
     hang_before_effect: int = 0
     hang_after_effect: int = 0
@@ -85,6 +87,7 @@
         self.honour_keys = honour_keys
         self.fencing = fencing
         self.faults = ServiceFaults()
+        self.faults_replaced = anyio.Event()
         self.ledger = Ledger()
         self.responses: dict[str, bytes] = {}
 
@@ -96,21 +99,30 @@
         body = (await request.body()).decode(errors="replace")
         path = "/" + request.path_params["path"]
         scripted = self.script.answers.get(path, ScriptedAnswer(result=None))
-        await self._simulate_work(path, scripted.seconds)
+        key = request.headers.get("idempotency-key", "")
+        await self._simulate_work(path, key, scripted.seconds)
         if failure := await self.fail_before_effect(request, path, body):
             return failure
-        key = request.headers.get("idempotency-key", "")
         content = self.stored_response(key) or self.execute(request, path, key, body, scripted)
         return await self.respond(request, path, content)
 
-    async def _simulate_work(self, path: str, seconds: float) -> None:
-        """Sleep for the scripted duration plus the injected delay."""
+    async def _simulate_work(self, path: str, key: str, seconds: float) -> None:
+        """Sleep for the scripted duration plus the injected delay, and wait while held."""
         self.ledger.under_way.append(path)
         try:
             await anyio.sleep(seconds + self._faults_for(path).delay_s)
+            while self._is_held(path, key):
+                await self.faults_replaced.wait()
         finally:
             self.ledger.under_way.remove(path)
 
+    def _is_held(self, path: str, key: str) -> bool:
+        max_keys = self._faults_for(path).max_keys
+        if max_keys is None:
+            return False
+        executed = {effect.idempotency_key for effect in self.ledger.effects}
+        return key not in executed and len(executed) >= max_keys
+
     def _faults_for(self, path: str) -> ServiceFaults:
         """Return the faults that apply to requests for ``path``."""
         return self.faults if self.faults.path in ("", path) else ServiceFaults()
@@ -172,6 +184,8 @@
         """Handle ``GET`` and ``POST /control/faults``."""
         if request.method == "POST":
             self.faults = await read_body(request, ServiceFaults)
+            self.faults_replaced.set()
+            self.faults_replaced = anyio.Event()
         return json_response(self.faults)
 
 
--- a/tests/processes/test_limits.py
+++ b/tests/processes/test_limits.py
@@ -42,14 +42,19 @@
 
 def test_killed_drivers_do_not_let_a_program_exceed_its_budget(arusha):
     entry = arusha.entries["entry-1"]
+    tools = arusha.upstreams["shop-tools-1"]
+    tools.set_faults(max_keys=KILL_STEPS[0] // 2)
     with entry.client() as client:
         program_id = start_program(client, "crashes", agent="endless-search", budget=SMALL_BUDGET)
     for step in KILL_STEPS:
+        # Held at this step, the program cannot end before its driver is killed.
+        tools.set_faults(max_keys=step // 2)
         owner = driving_entry(arusha, entry, program_id)
         entry = other_entry(arusha, owner)
         with entry.client() as client:
             wait_for_step(client, program_id, step)
             arusha.entries[owner].process.restart()
+    tools.set_faults()
     with entry.client() as client:
         view = wait_for_answer(client, program_id)
     assert_that(["budget_exhausted", "turn_limit"], Contains(view["error"]))
--- a/tests/standins/test_service.py
+++ b/tests/standins/test_service.py
@@ -1,3 +1,7 @@
+from functools import partial
+
+import anyio
+import anyio.lowlevel
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
@@ -47,3 +51,19 @@
             response = await client.post("/send_quote", json={}, headers=headers)
         assert_that(response.status_code, Equals(409))
         assert_that(await executed_keys(client), Equals(["call-1"]))
+
+
+@pytest.mark.anyio
+async def test_request_beyond_the_allowed_keys_waits_until_the_faults_are_replaced(service_client):
+    async with service_client() as client, anyio.create_task_group() as tasks:
+        await client.post("/control/faults", json={"max_keys": 1})
+        await client.post("/send_quote", json={}, headers=KEY)
+        other = KEY | {"Idempotency-Key": "call-2"}
+        tasks.start_soon(partial(client.post, "/send_quote", json={}, headers=other))
+        for _ in range(2):
+            await client.post("/send_quote", json={}, headers=KEY)
+        assert_that(await executed_keys(client), Equals(["call-1"] * 3))
+        await client.post("/control/faults", json={})
+        while len(await executed_keys(client)) < 4:
+            await anyio.lowlevel.checkpoint()
+        assert_that((await executed_keys(client))[-1], Equals("call-2"))
