Resume a stream by the upstream list only if store and peers do not know it

Callers saw: a stream that began at a version which replaced the other one at once (all upstreams of v1 draining, those of v2 new) went on at v1 when the client resumed it at a gateway whose list was one read older: 16 of 16 mixed.

Cause: a gateway that had followed the list for a minute and saw one version took it for that of the stream without looking for a row. A stream may begin at a version that other gateways have not read yet, if no other version takes requests; it has its row then, but nobody read it.

Ruled out: a missing row (the row was stored before the first event). Not chosen: beginning no stream for 2 s after a complete replacement (refuses all streams for that time).

The store is now read first, peers are asked if it is away, and the list comes last. A resumption without memory of the stream costs one or two reads, as it did already after a restart.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
@@ -34,7 +34,7 @@
 
     MEMORY = "memory"
     LIST = "list"
-    """The service has had one version only."""
+    """The service has had one version only, and neither store nor peers tell of another."""
     STORE = "store"
     ASSIGNMENT = "assignment"
     """The stream has no row."""
@@ -133,17 +133,19 @@
             return known, OriginSource.MEMORY
         now = anyio.current_time()
         sole = self.versions.sole_version(service, now)
+        listed: StreamOrigin | None = None
         if sole is not None and self.versions.covers_all_streams(now):
-            return StreamOrigin(service, sole), OriginSource.LIST
-        if not stream and not self.assignments.is_sole(service, sole):
-            return None, OriginSource.UNKNOWN
+            listed = StreamOrigin(service, sole)
+        if not stream and (listed is not None or not self.assignments.is_sole(service, sole)):
+            return _listed_or_unknown(listed)
         try:
-            return await self._read(metadata, service)
+            told, source = await self._read(metadata, service)
         except PlatformUnavailableError:
-            told = await self._ask_peers(stream)
+            told, source = await self._ask_peers(stream), OriginSource.PEER
         if told is not None:
-            return told, OriginSource.PEER
-        return None, OriginSource.UNKNOWN
+            return told, source
+        # The list comes last: another gateway may have begun the stream by a later one.
+        return _listed_or_unknown(listed)
 
     async def _read(
         self, metadata: RequestMetadata, service: ServiceName
@@ -183,3 +185,9 @@
             for address in self.rng.sample(addresses, min(_MAX_PEERS, len(addresses))):
                 tasks.start_soon(ask, address)
         return found[0] if found else None
+
+
+def _listed_or_unknown(
+    listed: StreamOrigin | None,
+) -> tuple[StreamOrigin | None, OriginSource]:
+    return listed, OriginSource.LIST if listed is not None else OriginSource.UNKNOWN
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -6,10 +6,11 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Not
 
-from gateway_rig import wait_until
+from gateway_rig import free_address, wait_until
 from skylarkferry_gateway import defaults, stream_origins
 from skylarkferry_standins.replica import Behaviour
 from skylarkferry_standins.row_store import StoreFault
+from skylarkferry_standins.wire_server import WireServer
 from stream_clients import (
     PATH,
     STREAMS,
@@ -244,3 +245,32 @@
     await wait_until(lambda: cut_off.upstreams.read_at > read_at)
     statuses = await resume_all(rig, started, gateway=cut_off)
     assert_that((set(statuses), mixed_streams(rig, started)), Equals(({503}, [])))
+
+
+async def test_stream_is_not_mixed_by_a_gateway_whose_list_is_older(rig, monkeypatch):
+    monkeypatch.setattr(defaults, "STREAM_KEEP_S", 1.0)
+    address = free_address()
+    answers = {"pause_s": 0.0}
+
+    async def handle(request):
+        response = await rig.store.handle(request)
+        if "table=servers" in request.target:
+            await anyio.sleep(answers["pause_s"])
+        return response
+
+    await rig.listen(address, WireServer(handle))
+    await add_versions(rig, {"a1": "v1", "a2": "v1"})
+    behind = await rig.add_gateway("g1", store_address=address)
+    other = await rig.add_gateway("g2")
+    await wait_until(lambda: behind.gateways.peer_addresses() and other.gateways.peer_addresses())
+    await anyio.sleep(2 * defaults.STREAM_KEEP_S)
+    answers["pause_s"] = 0.55
+    await anyio.sleep(2 * defaults.UPSTREAMS_POLL_S)
+    for name in ("a1", "a2"):
+        rig.register_replica(name, "engine", state="draining", version="v1")
+    await add_versions(rig, {"b1": "v2", "b2": "v2", "b3": "v2"})
+    await wait_until(lambda: {"b1", "b2", "b3"} <= set(other.upstreams.upstreams))
+    started = await begin_streams(rig, gateway=other)
+    assert_that([versions_of(rig, item) for item in started], Equals([{"v2"}] * STREAMS))
+    await resume_all(rig, started, gateway=behind)
+    assert_that(mixed_streams(rig, started), Equals([]))
