Keep a gateway running that reads a malformed row of an account

Callers saw: the gateway process ended with all its requests when the write that raises an allowance met a row that cannot be decoded; each retry at another owner would end that one too.

An untyped error is now logged and refuses the requests that wait with 503; nothing is granted.

Ruled out: a waiter that hangs (`ended` is set in any case), and a grant without a confirmed row.

Before, `pytest tests/gateway/test_budgets.py -k malformed_row_of`: F, the rig's tasks are cancelled with the gateway (asyncio.exceptions.CancelledError in the test; the run did not come to its end within 30 s and was ended by its time limit). After: 1 passed; test_budgets.py passes.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -9,6 +9,7 @@
 from skylarkferry_core.accounts import Account, AccountRow, budget_partition
 from skylarkferry_core.errors import (
     BudgetExhaustedError,
+    ErrorCode,
     NotOwnerError,
     PlatformUnavailableError,
     SkylarkferryError,
@@ -200,6 +201,14 @@
             await self._write_allowance(owned, program, reservation, allowance)
         except SkylarkferryError as error:
             growth.error = error
+        except Exception as error:
+            self.log.emit(
+                EventKind.TASK_FAILED,
+                reservation.program_id,
+                code=ErrorCode.INTERNAL.value,
+                detail=repr(error),
+            )
+            growth.error = PlatformUnavailableError("the allowance cannot grow")
         finally:
             program.growth = None
             growth.ended.set()
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -227,3 +227,15 @@
     response = await send(rig, "/turn/1", fields, b"p", gateway=other)
     assert_that((response.status_code, accounts.writes, accounts.claims), Equals((200, 1, 0)))
     assert_that("refused" in {run.request_id for run in replica.runs}, Equals(False))
+
+
+async def test_gateway_goes_on_after_a_malformed_row_of_an_account(rig):
+    await rig.add_replica("e1", "engine")
+    gateway = await rig.add_gateway()
+    assert_that(await spend(rig, "program", 1_000, 1, [gateway]), Equals([200]))
+    number = budget_partition(ProgramId("program"))
+    rig.store.put("accounts", str(number), "program.program", b"malformed")
+    statuses = await spend(rig, "program", 1_000, 6, [gateway])
+    statuses += await spend(rig, "program-2", 1_000, 1, [gateway])
+    assert_that((set(statuses), statuses[-1]), Equals(({200, 503}, 200)))
+    assert_that(gateway.ended.is_set(), Equals(False))
