Accept the connections that have arrived before a listener is closed

Callers saw: connection reset, without an answer, for a request sent on a new connection in the moment in which a stopping gateway closes its listener, 3 s after SIGTERM.

Cause: the kernel completes connections, and takes their first request, before the event loop accepts them; closing the listener resets all that wait in its queue. The window is as long as the event loop is late. The same class as the losses of persistent connections: a decision to end something was made on what this process had seen and not on what had arrived.

Ruled out: a connection that is being accepted when the listener closes (anyio does not cancel an accept whose socket is there).

The listener is now closed once no connection waits in its queue, 0.5 s later at most. Connections that arrive between this check and the close (one step of the event loop) are still reset.

Before, `pytest tests/gateway/test_role.py -k closing_listener`: ConnectionResetError: [Errno 104] Connection reset by peer After: passes; test_role.py, test_http_server.py, test_peers.py and test_budgets.py pass.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -7,6 +7,8 @@
 
 import anyio
 from anyio.abc import Listener, SocketStream, TaskGroup
+from anyio.lowlevel import checkpoint
+from anyio.streams.stapled import MultiListener
 
 from skylarkferry_core.errors import ErrorCode, PlatformUnavailableError
 from skylarkferry_core.events import EventKind
@@ -36,6 +38,7 @@
 from skylarkferry_gateway.selection import UpstreamSelector
 from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.settings import GatewaySettings
+from skylarkferry_gateway.sockets import is_readable
 from skylarkferry_gateway.stream_origins import StreamOrigins
 from skylarkferry_gateway.stream_resumptions import StreamResumptions
 from skylarkferry_gateway.turns import TurnServices, TurnStore
@@ -46,6 +49,8 @@
 
 _INTERNAL_LIMITS = ClientLimits(idle_s=30.0)
 _LISTEN_BACKLOG = 1_024
+_MAX_ACCEPT_S = 0.5
+"""Longest time for which a closing listener accepts connections that have arrived."""
 
 
 class GatewayRole:
@@ -150,7 +155,10 @@
             for address, handler in local:
                 await self._listen(stack, tasks, address, self._internal_server(handler))
             clients = await stack.enter_async_context(AsyncExitStack())
-            await self._listen(clients, tasks, self.settings.client_listen, self._serve_client)
+            listener = await self._listen(
+                clients, tasks, self.settings.client_listen, self._serve_client
+            )
+            clients.push_async_callback(_accept_waiting, listener)
             self.is_listening = True
             self.log.emit(
                 EventKind.GATEWAY_STARTED,
@@ -168,13 +176,14 @@
         tasks: TaskGroup,
         address: str,
         serve: Callable[[SocketStream], Awaitable[None]],
-    ) -> None:
+    ) -> MultiListener[SocketStream]:
         host, _, port = address.rpartition(":")
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port), backlog=_LISTEN_BACKLOG
         )
         await stack.enter_async_context(listener)
         tasks.start_soon(self._accept, listener, serve, tasks)
+        return listener
 
     async def _accept(
         self,
@@ -280,5 +289,12 @@
         self.log.emit(EventKind.GATEWAY_STOPPED, connections=len(self.clients))
 
 
+async def _accept_waiting(listener: MultiListener[SocketStream]) -> None:
+    """Let the connections that have arrived be accepted; closing the listener would reset them."""
+    with anyio.move_on_after(_MAX_ACCEPT_S):
+        while any(is_readable(item) for item in listener.listeners):
+            await checkpoint()
+
+
 def _never() -> bool:
     return False
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/sockets.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/sockets.py
@@ -2,11 +2,12 @@
 
 import select
 
-from anyio.abc import SocketAttribute, SocketStream
+from anyio import TypedAttributeProvider
+from anyio.abc import SocketAttribute
 
 
-def is_readable(stream: SocketStream) -> bool:
-    """Return whether bytes, the end of the stream or an error wait in the socket."""
+def is_readable(stream: TypedAttributeProvider) -> bool:
+    """Return whether bytes, a connection, the end of the stream or an error wait in the socket."""
     descriptor = stream.extra(SocketAttribute.raw_socket).fileno()
     if descriptor < 0:
         return True  # closed after an error
--- a/tests/gateway/test_role.py
+++ b/tests/gateway/test_role.py
@@ -8,7 +8,7 @@
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan
 
 from gateway_rig import GRACE_S, TIMEOUT_S, config, headers, send, wait_until
-from skylarkferry_gateway import defaults
+from skylarkferry_gateway import defaults, role
 from skylarkferry_standins.replica import Behaviour
 from skylarkferry_standins.row_store import StoreFault
 
@@ -287,3 +287,27 @@
             for number in range(2)
         ]
     assert_that((found, gateway.ended.is_set()), Equals(([502, 200], False)))
+
+
+async def test_request_that_waits_for_a_closing_listener_is_answered(rig, monkeypatch):
+    monkeypatch.setattr(defaults, "STOP_ACCEPTING_AFTER_S", 0.2)
+    await rig.add_replica("r1")
+    gateway = await rig.add_gateway()
+    host, _, port = gateway.settings.client_listen.rpartition(":")
+    clients = []
+
+    async def sleep_and_send(delay_s, sleep=anyio.sleep):
+        """Let clients send requests in the very step in which the stopping gateway goes on."""
+        await sleep(delay_s)
+        if delay_s == defaults.STOP_ACCEPTING_AFTER_S:
+            for number in range(4):
+                client = rig.stack.enter_context(socket.create_connection((host, int(port))))
+                client.settimeout(TIMEOUT_S)
+                client.sendall(request_head(b"id-%d" % number, b"Content-Length: 0\r\n") + b"\r\n")
+                clients.append(client)
+
+    monkeypatch.setattr(role.anyio, "sleep", sleep_and_send)
+    gateway.stop.set()
+    await wait_until(lambda: len(clients) == 4)
+    found = [await anyio.to_thread.run_sync(client.recv, 65_536) for client in clients]
+    assert_that([item.split(b" ")[1] for item in found], Equals([b"200"] * 4))
