Go on after a connection could not be accepted

Callers saw: a gateway process ended with all requests under way when accept() failed once, as it does while no descriptor or memory is left for another connection (EMFILE, ENFILE, ENOBUFS), or when a waiting connection was aborted.

Cause: only the end of the listener was handled where connections are accepted; any other error left the task group of the role.

The error is now logged, and connections are accepted again after 0.1 s; until then they wait in the queue of the listener.

Before, `pytest tests/gateway/test_role.py -k could_not`: F, the rig's tasks are cancelled with the gateway (asyncio.exceptions.CancelledError in the test; the run did not come to its end within 30 s and was ended by its time limit). After: passes; test_role.py passes.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -49,6 +49,8 @@
 
 _INTERNAL_LIMITS = ClientLimits(idle_s=30.0)
 _LISTEN_BACKLOG = 1_024
+_ACCEPT_RETRY_S = 0.1
+"""Pause after a connection could not be accepted; it waits in the queue of the listener."""
 _MAX_ACCEPT_S = 0.5
 """Longest time for which a closing listener accepts connections that have arrived."""
 
@@ -192,10 +194,19 @@
         tasks: TaskGroup,
     ) -> None:
         """Accept connections until the listener is closed; open connections continue after that."""
-        try:
-            await listener.serve(self._contain_errors(serve), task_group=tasks)
-        except* anyio.ClosedResourceError:
-            pass
+        is_open = True
+        while is_open:
+            try:
+                await listener.serve(self._contain_errors(serve), task_group=tasks)
+            except* anyio.ClosedResourceError:
+                is_open = False
+            except* OSError as errors:  # no descriptor or memory is left for a connection
+                self.log.emit(
+                    EventKind.TASK_FAILED,
+                    code=ErrorCode.INTERNAL.value,
+                    detail=repr(errors.exceptions),
+                )
+                await anyio.sleep(_ACCEPT_RETRY_S)
 
     def _contain_errors(
         self, serve: Callable[[SocketStream], Awaitable[None]]
--- a/tests/gateway/test_role.py
+++ b/tests/gateway/test_role.py
@@ -1,3 +1,5 @@
+import asyncio
+import errno
 import json
 import socket
 
@@ -311,3 +313,24 @@
     await wait_until(lambda: len(clients) == 4)
     found = [await anyio.to_thread.run_sync(client.recv, 65_536) for client in clients]
     assert_that([item.split(b" ")[1] for item in found], Equals([b"200"] * 4))
+
+
+async def test_gateway_goes_on_after_a_connection_could_not_be_accepted(rig, monkeypatch):
+    await rig.add_replica("r1")
+    gateway = await rig.add_gateway()
+    port = gateway.settings.client_listen.rpartition(":")[2]
+    errors = [OSError(errno.EMFILE, "too many open files")]
+    loop = asyncio.get_running_loop()
+    accept = loop.sock_accept
+
+    async def failing_accept(listener):
+        if listener.getsockname()[1] == int(port) and errors:
+            raise errors.pop()
+        return await accept(listener)
+
+    monkeypatch.setattr(loop, "sock_accept", failing_accept)
+    statuses = [
+        (await send(rig, "/order/1", headers(f"id-{number}"))).status_code for number in range(3)
+    ]
+    assert_that((statuses, errors), Equals(([200] * 3, [])))
+    assert_that(gateway.ended.is_set(), Equals(False))
