Keep a partition that was claimed again when a write of the lost one ends

If another process has claimed the partition, the failed write dropped whatever this process held under the partition's number, also a later claim of its own. Accounts of that claim were forgotten; the next claim by the same process counts no loss (`Ownership.claimed` assumes that nothing was granted under the earlier one), so that first allowances, which have no row, could be granted again.

Only the lost partition itself is dropped now.

Before, `pytest tests/gateway/test_budgets.py -k claimed_again`: MismatchError: False != True After: passes; all of test_budgets.py passes.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -239,7 +239,7 @@
         number = owned.partition.number
         fence = await retry_until(lambda: self.store.read(owner_key(number)), deadline_at)
         if fence.version != owned.partition.version:
-            self._drop_partition(number)
+            self._drop_partition(owned)
             raise NotOwnerError(f"partition {number} was claimed by another process")
         row = await retry_until(lambda: self.store.read(program.key), deadline_at)
         account = program.account
@@ -248,8 +248,11 @@
             account.version = row.version
             account.allowance = written.granted_tokens - account.base
 
-    def _drop_partition(self, number: PartitionNumber) -> None:
-        if self.partitions.pop(number, None) is not None:
+    def _drop_partition(self, owned: PartitionAccounts) -> None:
+        """Forget a partition, unless this process has claimed it again meanwhile."""
+        number = owned.partition.number
+        if self.partitions.get(number) is owned:
+            del self.partitions[number]
             self.log.emit(EventKind.BUDGET_PARTITION_LOST, partition=number)
 
     def _log_granted(self, reservation: Reservation, account: Account) -> None:
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -11,9 +11,15 @@
     turn_headers,
     wait_until,
 )
-from skylarkferry_core.accounts import BUDGET_PARTITIONS, budget_partition
-from skylarkferry_core.ids import ProgramId
+from skylarkferry_core.accounts import BUDGET_PARTITIONS, Ownership, budget_partition
+from skylarkferry_core.errors import NotOwnerError, WriteConflictError
+from skylarkferry_core.ids import NodeId, ProgramId, TurnId
+from skylarkferry_core.interfaces import Row
+from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.accounts import AccountManager, PartitionAccounts
+from skylarkferry_gateway.messages import Reservation
+from skylarkferry_gateway.ownership import OwnedPartition
 from skylarkferry_standins.replica import EVENT_COUNT, Behaviour
 from skylarkferry_standins.row_store import StoreFault
 from skylarkferry_standins.wire_server import WireServer
@@ -239,3 +245,51 @@
     statuses += await spend(rig, "program-2", 1_000, 1, [gateway])
     assert_that((set(statuses), statuses[-1]), Equals(({200, 503}, 200)))
     assert_that(gateway.ended.is_set(), Equals(False))
+
+
+class FencedStore:
+    """A store in which the partition was claimed since; reads are answered once ``is_open``."""
+
+    def __init__(self):
+        self.is_open = anyio.Event()
+        self.reads = 0
+
+    def unavailable_s(self):
+        return 0.0
+
+    async def transact(self, conditions, writes):
+        raise WriteConflictError("the partition has another version")
+
+    async def read(self, key):
+        self.reads += 1
+        await self.is_open.wait()
+        return Row(key, b"", 2)
+
+
+async def test_partition_claimed_again_is_kept_when_a_write_of_the_lost_one_ends():
+    number = budget_partition(ProgramId("program"))
+    store = FencedStore()
+    manager = AccountManager(store, None, EventLog(NodeId("g1"), 100))
+    lost, claimed = (
+        PartitionAccounts(OwnedPartition(number, Ownership(), version), []) for version in (1, 2)
+    )
+    manager.partitions[number] = lost
+    errors = []
+
+    async def reserve():
+        try:
+            await manager.reserve(
+                Reservation(ProgramId("program"), 1_000, TurnId("turn"), 900),
+                anyio.current_time() + defaults.RESERVE_TIMEOUT_S,
+            )
+        except NotOwnerError as error:
+            errors.append(error)
+
+    async with anyio.create_task_group() as tasks:
+        manager.tasks = tasks
+        tasks.start_soon(reserve)
+        await wait_until(lambda: store.reads)
+        manager.partitions[number] = claimed
+        store.is_open.set()
+        await wait_until(lambda: errors)
+    assert_that(manager.partitions.get(number) is claimed, Equals(True))
