Answer all pipelined requests that were read before a planned stop

Callers saw: of several requests sent on one connection without waiting for the responses, only the first was answered if the gateway began a planned stop meanwhile; its response said `Connection: close`, and the requests behind it, which this process had read, were dropped.

Cause: the header was set by the stop alone. The same class as: the decision to end a connection did not look at what had arrived.

The response now announces the end of the connection only if nothing read is left; the last one does. Ruled out (tests that passed before, added here): a body that follows a stop, with `Expect: 100-continue`, of known length or in chunks.

A client that always has another request on the way is not told until the grace period ends.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
@@ -286,8 +286,9 @@
         await self.respond(error.status, headers, msgspec.json.encode(details_of(error)))
 
     def _with_connection_header(self, headers: Headers) -> Headers:
-        if not self.is_stopping() or any(name == b"connection" for name, _ in headers):
-            return headers
+        has_next = bool(self.input_chunks or self.http.trailing_data[0])
+        if not self.is_stopping() or has_next or any(name == b"connection" for name, _ in headers):
+            return headers  # what was read already is answered before the connection ends
         return [*headers, (b"connection", b"close")]
 
     async def _send(self, data: bytes | None) -> None:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -5,6 +5,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
+from gateway_rig import wait_until
 from skylarkferry_core.routes import ClientLimits
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.http_server import ClientConnection
@@ -143,3 +144,40 @@
     served_connection.connection.close_if_idle()
     assert_that(await served_connection.receive(), Equals(b""))
     assert_that(served_connection.served, Equals([b"body"]))
+
+
+async def test_requests_that_were_read_before_a_planned_stop_are_all_answered(served_connection):
+    answer = served_connection.connection.handler
+
+    async def answer_while_stopping(received, client):
+        await wait_until(lambda: len(client.input_chunks) or client.http.trailing_data[0])
+        served_connection.is_stopping = True
+        client.handler = answer
+        await answer(received, client)
+
+    served_connection.connection.handler = answer_while_stopping
+    for body in (b"one.", b"two.", b"last"):
+        served_connection.client.sendall(request_bytes(body))
+    received = b""
+    while part := await served_connection.receive():
+        received += part
+    assert_that(served_connection.served, Equals([b"one.", b"two.", b"last"]))
+    heads = received.lower().split(b"http/1.1 ")[1:]
+    assert_that(
+        [(item[:3], b"connection: close" in item) for item in heads],
+        Equals([(b"200", False), (b"200", False), (b"200", True)]),
+    )
+
+
+@pytest.mark.parametrize("extra", [b"Content-Length: 4", b"Transfer-Encoding: chunked"])
+async def test_request_whose_body_comes_after_a_planned_stop_is_answered(served_connection, extra):
+    await served_connection.send_first_request()
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n" + extra + b"\r\n\r\n"
+    served_connection.client.sendall(head)
+    assert_that((await served_connection.receive()).split(b" ")[1], Equals(b"100"))
+    served_connection.is_stopping = True
+    served_connection.connection.close_if_idle()
+    is_chunked = extra.endswith(b"chunked")
+    served_connection.client.sendall(b"4\r\nlate\r\n0\r\n\r\n" if is_chunked else b"late")
+    received = await served_connection.receive()
+    assert_that((received.endswith(b"late"), served_connection.served[-1]), Equals((True, b"late")))
