--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -9,6 +9,7 @@
 from skylarkferry_core.accounts import Account, AccountRow, budget_partition
 from skylarkferry_core.errors import (
     BudgetExhaustedError,
+    ErrorCode,
     NotOwnerError,
     PlatformUnavailableError,
     SkylarkferryError,
@@ -200,6 +201,14 @@
             await self._write_allowance(owned, program, reservation, allowance)
         except SkylarkferryError as error:
             growth.error = error
+        except Exception as error:
+            self.log.emit(
+                EventKind.TASK_FAILED,
+                reservation.program_id,
+                code=ErrorCode.INTERNAL.value,
+                detail=repr(error),
+            )
+            growth.error = PlatformUnavailableError("the allowance cannot grow")
         finally:
             program.growth = None
             growth.ended.set()
@@ -230,7 +239,7 @@
         number = owned.partition.number
         fence = await retry_until(lambda: self.store.read(owner_key(number)), deadline_at)
         if fence.version != owned.partition.version:
-            self._drop_partition(number)
+            self._drop_partition(owned)
             raise NotOwnerError(f"partition {number} was claimed by another process")
         row = await retry_until(lambda: self.store.read(program.key), deadline_at)
         account = program.account
@@ -239,8 +248,11 @@
             account.version = row.version
             account.allowance = written.granted_tokens - account.base
 
-    def _drop_partition(self, number: PartitionNumber) -> None:
-        if self.partitions.pop(number, None) is not None:
+    def _drop_partition(self, owned: PartitionAccounts) -> None:
+        """Forget a partition, unless this process has claimed it again meanwhile."""
+        number = owned.partition.number
+        if self.partitions.get(number) is owned:
+            del self.partitions[number]
             self.log.emit(EventKind.BUDGET_PARTITION_LOST, partition=number)
 
     def _log_granted(self, reservation: Reservation, account: Account) -> None:
