Write the list of budget owners apart from claims

Cause: a claim wrote the partition's own row and its row in the owner list in one transaction. All rows of the list lie in one part of the store, and a transaction across parts takes twice as long, so that all gateways together made at most 125 claims a second, counting those that another gateway's claim had made void. 28 gateways claimed 128 partitions. Of the claims, 74 were logged in the first 1.1 s, then none for 12 s: the list's part answered 429 (3,120 changes to "store lost" in the log), claims outlasted the 0.8 s that a turn waits, and a gateway whose claim took effect after it had given up did not know that it owned the partition. Others asked it, were told "not owned by this process" (7,680 times), and claimed the partition again.

A claim and a release now write rows of one partition only. A task of each gateway writes new owners to the list, one call at a time; claims made during a call share the next. The list is a hint, as before: whoever finds an owner gone reads the partition's own row before it claims. A list row older than what a process knows is not used, and an owner that finds an older row for its partition writes it again. Fencing is unchanged: claims, allowances and releases are conditional on the version of the partition's own row. Rows keep their format; older code that reads the list late asks an earlier owner first.

Test: test_claims_of_partitions_do_not_wait_for_each_other fails on: of 12 turns 3 got 200 and 9 got 503 platform_unavailable. SlowAccounts counted claims by the name of the list in the request; it now counts transactions that write a partition's own row, which also counts claims without a list row.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -286,6 +286,7 @@
         async with anyio.create_task_group() as tasks:
             for accounts in owned:
                 tasks.start_soon(self._release, accounts, deadline_at)
+        await self.owner_table.write_unlisted()
 
     async def _release(self, owned: PartitionAccounts, deadline_at: float) -> None:
         writes = owned.handover_writes()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
@@ -11,6 +11,7 @@
 from skylarkferry_core.ids import Incarnation, PartitionNumber, ProgramId
 from skylarkferry_core.interfaces import Condition, Row, Write
 from skylarkferry_daemon.log import EventLog
+from skylarkferry_gateway import defaults
 from skylarkferry_gateway.interfaces import Store
 from skylarkferry_gateway.store_calls import key_part, retry_until, row_key
 
@@ -19,6 +20,8 @@
 _OWNER = "owner"
 _PROGRAM = "program."
 """Row names: a partition's own row, and the prefix of program ids in its program rows."""
+_LISTED_PER_CALL = 100
+"""Rows of the list written per call; the store accepts 100 entries per call."""
 
 
 class OwnedPartition:
@@ -35,7 +38,11 @@
 
 
 class OwnerTable:
-    """Owners of all partitions as last read from the store; claims and releases partitions."""
+    """Owners of all partitions as last read from the store; claims and releases partitions.
+
+    A partition's own row decides who owns it.  The owner list only tells other processes whom to
+    ask first; it is one part of the store, so it is written apart from claims, many rows per call.
+    """
 
     def __init__(self, store: Store, incarnation: Incarnation, address: str, log: EventLog) -> None:
         self.store = store
@@ -43,6 +50,8 @@
         self.address = address
         self.log = log
         self.owners: dict[PartitionNumber, Ownership] = {}
+        self.unlisted: set[PartitionNumber] = set()
+        self.added = anyio.Event()
         self.read_at: float | None = None
         self.lock = anyio.Lock()
 
@@ -55,9 +64,49 @@
             rows = await retry_until(lambda: self.store.scan(row_key(_LIST, "", "")), deadline_at)
             for row in rows:
                 number = PartitionNumber(int(row.key.rpartition("/")[2]))
-                self.owners[number] = msgspec.msgpack.decode(row.value, type=Ownership)
+                self._add_listed(number, msgspec.msgpack.decode(row.value, type=Ownership))
             self.read_at = began
 
+    def _add_listed(self, number: PartitionNumber, listed: Ownership) -> None:
+        """Use a row of the list unless this process knows a newer owner."""
+        known = self.owners.get(number, Ownership())
+        if listed.generation >= known.generation:
+            self.owners[number] = listed
+        elif known.owner == self.incarnation:
+            self._add_unlisted(number)  # a late write of an earlier owner replaced the row
+
+    def _add_unlisted(self, number: PartitionNumber) -> None:
+        self.unlisted.add(number)
+        self.added.set()
+
+    async def write_list(self) -> None:
+        """Write new owners to the list until cancelled; claims during a write share the next."""
+        delay_s = defaults.STORE_RETRY_S
+        while True:
+            if not self.unlisted:
+                self.added = anyio.Event()
+                await self.added.wait()
+            if await self.write_unlisted():
+                delay_s = defaults.STORE_RETRY_S
+                continue
+            await anyio.sleep(delay_s)
+            delay_s = min(delay_s * 2, defaults.STORE_RETRY_MAX_S)
+
+    async def write_unlisted(self) -> bool:
+        """Write what this process claimed or released to the list; return whether it succeeded."""
+        numbers = sorted(self.unlisted)
+        self.unlisted.difference_update(numbers)
+        rows = {list_key(number): self.owners[number] for number in numbers}
+        writes = [Write(key, msgspec.msgpack.encode(row)) for key, row in rows.items()]
+        try:
+            for first in range(0, len(writes), _LISTED_PER_CALL):
+                await self.store.transact([], writes[first : first + _LISTED_PER_CALL])
+        except PlatformUnavailableError as error:
+            self.unlisted.update(numbers)
+            self.log.emit(EventKind.GATEWAY_STORE_RETRY, call=_LIST, detail=error.detail)
+            return False
+        return True
+
     def peers(self) -> set[str]:
         """Return the addresses of the other owners."""
         return {ownership.address for ownership in self.owners.values()} - {"", self.address}
@@ -83,6 +132,7 @@
         if version is None:
             return None
         self.owners[number] = claimed
+        self._add_unlisted(number)
         rows: Sequence[Row] = []
         if current.generation:
             rows = await retry_until(
@@ -103,8 +153,7 @@
         self, row: Row, number: PartitionNumber, claimed: Ownership, deadline_at: float
     ) -> int | None:
         """Write a claim and return its version, or ``None`` if another claim came first."""
-        value = msgspec.msgpack.encode(claimed)
-        writes = [Write(row.key, value), Write(list_key(number), value)]
+        writes = [Write(row.key, msgspec.msgpack.encode(claimed))]
         try:
             with anyio.fail_after(max(deadline_at - anyio.current_time(), 0)):
                 return await self.store.transact([Condition(row.key, row.version)], writes)
@@ -118,13 +167,11 @@
 
         Raise ``WriteConflictError`` if another process claimed it, ``PlatformUnavailableError``.
         """
-        released = msgspec.msgpack.encode(partition.ownership.released())
-        writes = [
-            *rows,
-            Write(owner_key(partition.number), released),
-            Write(list_key(partition.number), released),
-        ]
-        await self.store.transact([partition.fence()], writes)
+        released = partition.ownership.released()
+        write = Write(owner_key(partition.number), msgspec.msgpack.encode(released))
+        await self.store.transact([partition.fence()], [*rows, write])
+        self.owners[partition.number] = released
+        self._add_unlisted(partition.number)
 
 
 def owner_key(number: PartitionNumber) -> str:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -139,6 +139,7 @@
             self.timers.every(defaults.UPSTREAMS_POLL_S, self.store.probe)
             self.timers.every(defaults.ACCOUNTS_SWEEP_S, self.accounts.delete_idle_accounts)
             tasks.start_soon(self._read_owners)
+            tasks.start_soon(self.owners.write_list)
             self.timers.every(defaults.GATEWAY_HEARTBEAT_S, self.gateways.send_heartbeat)
             tasks.start_soon(self.gateways.send_heartbeat)
             peer_server = PeerServer(self.accounts, self.store.direct, self.origins)
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -1,4 +1,9 @@
+import contextlib
+import json
+from base64 import b64decode
+
 import anyio
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
@@ -11,7 +16,7 @@
     turn_headers,
     wait_until,
 )
-from skylarkferry_core.accounts import BUDGET_PARTITIONS, budget_partition
+from skylarkferry_core.accounts import BUDGET_PARTITIONS, Ownership, budget_partition
 from skylarkferry_core.ids import ProgramId
 from skylarkferry_gateway import defaults
 from skylarkferry_standins.replica import EVENT_COUNT, Behaviour
@@ -163,6 +168,132 @@
     assert_that(rig.store.value("accounts", str(number), "program.program"), Equals(None))
 
 
+PART_WRITE_S = 0.1
+"""Time for which a part is busy with a transaction; twice as long across parts."""
+
+
+class PartQueues:
+    """A store that performs the transactions of each part one after another."""
+
+    def __init__(self, store):
+        self.store = store
+        self.locks = {}
+
+    async def handle(self, request):
+        if request.target == "/api/rows-tx":
+            await self.perform(json.loads(request.body))
+        return await self.store.handle(request)
+
+    async def perform(self, call):
+        entries = [*call["expectedRev"], *call["writes"], *call["remove"]]
+        parts = sorted({entry["part"] for entry in entries})
+        async with contextlib.AsyncExitStack() as stack:
+            for part in parts:
+                await stack.enter_async_context(self.locks.setdefault(part, anyio.Lock()))
+            await anyio.sleep(PART_WRITE_S * min(len(parts), 2))
+
+
+def programs_by_partition(count):
+    """Return the names of programs in as many different partitions."""
+    names = {budget_partition(ProgramId(f"p{n}")): f"p{n}" for n in range(100 * count)}
+    return list(names.values())[:count]
+
+
+async def test_claims_of_partitions_do_not_wait_for_each_other(rig):
+    await rig.add_replica("e1", "engine")
+    address = free_address()
+    await rig.listen(address, WireServer(PartQueues(rig.store).handle))
+    gateways = [await rig.add_gateway(f"g{n}", address) for n in range(2)]
+    statuses = []
+
+    async def send_turn(program, gateway):
+        statuses.extend(await spend(rig, program, 1_000, 1, [gateway]))
+
+    async with anyio.create_task_group() as tasks:
+        for number, program in enumerate(programs_by_partition(12)):
+            tasks.start_soon(send_turn, program, gateways[number % 2])
+    assert_that(statuses, Equals([200] * 12))
+
+
+def listed(rig):
+    """Return the owners by partition as the list names them."""
+    rows = rig.store.get({"table": "account-owners", "part": ""})["rows"]
+    return {
+        int(row["key"]): msgspec.msgpack.decode(b64decode(row["value"]), type=Ownership)
+        for row in rows
+    }
+
+
+async def test_owners_are_listed_again_after_failed_and_late_writes_of_the_list(rig):
+    await rig.add_replica("e1", "engine")
+    failures = [StoreFault.REFUSED, StoreFault.LOST, StoreFault.LATE]
+
+    def fault_of(request):
+        is_list = "rows-tx" in request.target and b"account-owners" in request.body
+        return failures.pop() if is_list and failures else StoreFault.NONE
+
+    rig.store.fault = fault_of
+    first = await rig.add_gateway("g1")
+    number = budget_partition(ProgramId("program"))
+    assert_that(await spend(rig, "program", 1_000, 1, [first]), Equals([200]))
+    await wait_until(lambda: not failures and not first.owners.unlisted)
+    assert_that(listed(rig)[number].owner, Equals(first.settings.incarnation))
+    first.scope.cancel()
+    await first.ended.wait()
+    second = await rig.add_gateway("g2")
+    assert_that(await spend(rig, "program", 1_000, 1, [second]), Equals([200]))
+    await wait_until(lambda: listed(rig)[number].owner == second.settings.incarnation)
+    rig.store.perform_late()
+    assert_that(listed(rig)[number].owner, Equals(first.settings.incarnation))
+    await wait_until(lambda: listed(rig)[number].owner == second.settings.incarnation)
+    assert_that(second.owners.owners[number].owner, Equals(second.settings.incarnation))
+
+
+async def test_unused_budget_remains_after_a_stop_that_is_not_listed(rig):
+    await rig.add_replica("e1", "engine")
+    first = await rig.add_gateway("g1")
+    assert_that(await spend(rig, "program", 1_000, 2, [first]), Equals([200, 200]))
+    number = budget_partition(ProgramId("program"))
+    await wait_until(lambda: number in listed(rig))
+    rig.store.fault = lambda request: (
+        StoreFault.REFUSED if b"account-owners" in request.body else StoreFault.NONE
+    )
+    first.stop.set()
+    await first.ended.wait()
+    assert_that(listed(rig)[number].owner, Equals(first.settings.incarnation))
+    second = await rig.add_gateway("g2")
+    statuses = await spend(rig, "program", 1_000, 30, [second])
+    assert_that(generated_tokens(rig), GreaterThan(1_000 - 2 * MAX_OUTPUT_TOKENS))
+    assert_that(generated_tokens(rig), LessThan(1_001))
+    assert_that(statuses[-1], Equals(402))
+    assert_that(second.owners.owners[number].losses, Equals(0))
+
+
+async def test_turn_is_served_although_the_list_names_an_earlier_owner(rig):
+    await rig.add_replica("e1", "engine")
+    first = await rig.add_gateway("g1")
+    number = budget_partition(ProgramId("program"))
+    await spend(rig, "program", 1_000, 1, [first])
+    await wait_until(lambda: number in listed(rig))
+    old = rig.store.value("account-owners", "", f"{number:04d}")
+    first.scope.cancel()
+    await first.ended.wait()
+    second = await rig.add_gateway("g2")
+    await spend(rig, "program", 1_000, 1, [second])
+    await wait_until(lambda: listed(rig)[number].owner == second.settings.incarnation)
+    rig.store.put("account-owners", "", f"{number:04d}", old)
+    third = await rig.add_gateway("g3")
+    assert_that(await spend(rig, "program", 1_000, 2, [third]), Equals([200, 200]))
+    assert_that(second.accounts.owns(number), Equals(True))
+    assert_that(third.accounts.owns(number), Equals(False))
+
+
+def is_claim(request):
+    """Return whether a transaction writes the row that decides who owns a partition."""
+    writes = json.loads(request.body)["writes"]
+    return any((row["table"], row["key"]) == ("accounts", "owner") for row in writes)
+
+
 SLOW_WRITE_S = 0.5
 """A store that is sixty times as slow as usual needs this long for an allowance's write."""
 
@@ -178,7 +309,7 @@
 
     async def handle(self, request):
         if request.target == "/api/rows-tx":
-            if b"account-owners" in request.body:
+            if is_claim(request):
                 self.claims += 1
             elif b"program." in request.body:
                 self.writes += 1
