Tell other gateways at a planned stop which version began each stream

What callers saw: two versions serve, a gateway is stopped in order and the store does not answer; each stream that was cut and is resumed at another gateway ends with 503 unknown_stream, though its version serves.

Cause: without the store only the gateway that relayed a stream knows its origin. Others ask it as a peer, and it has ended.

Change: a stopping gateway tells the streams of the last 60 s to the first two gateways by rendezvous hashing of the stream's id, with the next two in place of those that fail: all when it closes its listener, what began since at the end (waiting for clients first would leave 0.35 s for it). A resumption asks the first eight in rank and eight others at random (before: 16 at random). What was told is kept apart with its age, is told on at the receiver's own stop, and replaces no origin that the receiver has. A gateway in its last run refuses.

Ruled out: rows written at the stop (the store is away); telling all gateways (a hundred calls, and memory at all); ranks for each stream (800,000 hashes for 8,192 streams and 100 gateways; 256 buckets instead).

Open: a stream whose first event comes during the last run, at most 0.35 s before the process ends, is told to nobody. A gateway that has not read the list since another joined (5 s) does not tell that one.

--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -124,6 +124,13 @@
         "The path to the store changed: direct, or through a peer.",
     )
     GATEWAY_CONFIG_REFUSED = (873, Level.ERROR, "A configuration is unreadable; the old is used.")
+    GATEWAY_STREAMS_TOLD = (
+        897,
+        Level.INFO,
+        "A planned stop: the versions of streams were told to other gateways.",
+    )
+    GATEWAY_STREAMS_TAKEN = (898, Level.INFO, "A gateway that ends told the versions of streams.")
+    GATEWAY_STREAMS_REFUSED = (899, Level.WARNING, "What a gateway told of streams is not used.")
     GATEWAY_PEER_SILENT = (876, Level.INFO, "Another gateway did not answer a question.")
     GATEWAY_COORDINATOR_AVOIDED = (
         877,
--- a/packages/skylarkferry-core/src/skylarkferry_core/rendezvous.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/rendezvous.py
@@ -1,7 +1,7 @@
 """Weighted rendezvous hashing: which of several names a key belongs to."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import TypeVar
 
 import xxhash
@@ -22,6 +22,14 @@
     return max(open_names, key=lambda name: (_score(key, name, shares[name]), name))
 
 
+def ranked_names(key: str, names: Iterable[Name]) -> list[Name]:
+    """Return names in the order of preference for a key; a name that leaves changes no other."""
+    return sorted(names, key=lambda name: (_digest(key, name), name), reverse=True)
+
+
 def _score(key: str, name: str, share: float) -> float:
-    digest = xxhash.xxh64_intdigest(f"{key}\x00{name}".encode("utf-8", "surrogateescape"))
-    return -share / math.log((digest + 0.5) / _HASH_RANGE)
+    return -share / math.log((_digest(key, name) + 0.5) / _HASH_RANGE)
+
+
+def _digest(key: str, name: str) -> int:
+    return xxhash.xxh64_intdigest(f"{key}\x00{name}".encode("utf-8", "surrogateescape"))
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
@@ -1,6 +1,7 @@
 """Requests, responses and upstream entries, independent of their names on the wire."""
 
 import math
+from typing import Annotated
 
 import msgspec
 
@@ -15,6 +16,10 @@
 
 Headers = list[tuple[bytes, bytes]]
 """Header fields in wire order, with names in lower case."""
+MAX_TOLD_STREAMS = 500
+"""Streams of one call between gateways; some 50 KB."""
+MAX_STREAM_CHARS = 128
+"""Longest id of a stream between gateways, which is part of a row key."""
 
 
 class PromptPart(msgspec.Struct, frozen=True):
@@ -99,6 +104,23 @@
     version: str
 
 
+class ToldStream(msgspec.Struct, frozen=True, array_like=True):
+    """A stream that a gateway tells another one of when it ends.
+
+    ``stream`` is its id as in a row key; ``age_s`` is the time since its origin became known.
+    """
+
+    stream: Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_STREAM_CHARS)]
+    origin: StreamOrigin
+    age_s: Annotated[float, msgspec.Meta(ge=0)]
+
+
+class ToldStreams(msgspec.Struct, frozen=True):
+    """Streams of one call from a gateway that ends."""
+
+    streams: Annotated[list[ToldStream], msgspec.Meta(max_length=MAX_TOLD_STREAMS)]
+
+
 class ReportedLoad(msgspec.Struct, frozen=True):
     """Load that an upstream reports in a response."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -121,6 +121,12 @@
             ["outcome"],
             registry=self.registry,
         )
+        self.told_streams = Counter(
+            "skylarkferry_gateway_told_streams",
+            "Streams told between gateways at planned stops by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.placements = Counter(
             "skylarkferry_gateway_placements",
             "Attempts by who chose the upstream: a coordinator, or this gateway's own view.",
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -9,6 +9,7 @@
 
 from skylarkferry_core.errors import (
     AnswerInvalidError,
+    BadRequestError,
     ConnectionLostError,
     NotOwnerError,
     PlatformUnavailableError,
@@ -22,7 +23,7 @@
 from skylarkferry_gateway.http_client import HttpConnection, connect
 from skylarkferry_gateway.http_server import ClientConnection, ReceivedRequest
 from skylarkferry_gateway.interfaces import Store
-from skylarkferry_gateway.messages import Reservation, StreamOrigin
+from skylarkferry_gateway.messages import Reservation, StreamOrigin, ToldStream, ToldStreams
 from skylarkferry_gateway.relayed_calls import RelayedCall, RelayedReply, perform_call
 from skylarkferry_gateway.stream_origins import StreamOrigins
 
@@ -32,6 +33,7 @@
 _SETTLE = b"/settle"
 _STORE = b"/store"
 _STREAM = b"/stream"
+_STREAMS = b"/streams"
 
 
 class Verdict(Enum):
@@ -59,8 +61,15 @@
     tokens: int
 
 
+class ToldReply(msgspec.Struct, frozen=True):
+    """Reply to a gateway that tells its streams: how many of them were new."""
+
+    taken: int
+
+
 _RESERVE_REPLY = msgspec.json.Decoder(ReserveReply)
 _RELAYED_REPLY = msgspec.json.Decoder(RelayedReply)
+_TOLD_REPLY = msgspec.json.Decoder(ToldReply)
 _STREAM_REPLY: msgspec.json.Decoder[StreamOrigin | None] = msgspec.json.Decoder(StreamOrigin | None)
 
 
@@ -103,9 +112,28 @@
             stream = msgspec.json.decode(received.body, type=str)
             await client.respond(200, [], msgspec.json.encode(self.origins.get(stream)))
             return
+        if received.target == _STREAMS:
+            await self._take_streams(received.body, client)
+            return
         reply = await self._reserve(msgspec.json.decode(received.body, type=Reservation))
         await client.respond(200, [], msgspec.json.encode(reply))
 
+    async def _take_streams(self, body: bytes, client: ClientConnection) -> None:
+        """Keep the streams of a gateway that ends, unless this one has told its own already."""
+        if self.origins.has_told:
+            await client.send_error(
+                PlatformUnavailableError("this gateway ends too"), closes_connection=True
+            )
+            return
+        try:
+            told = msgspec.json.decode(body, type=ToldStreams)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            self.origins.refuse(str(error))
+            await client.send_error(BadRequestError(str(error)), closes_connection=True)
+            return
+        taken = self.origins.take(told.streams)
+        await client.respond(200, [], msgspec.json.encode(ToldReply(taken)))
+
     async def _reserve(self, reservation: Reservation) -> ReserveReply:
         deadline_at = anyio.current_time() + defaults.OWNER_WAIT_S
         try:
@@ -150,6 +178,11 @@
         body = await self._call(address, _STREAM, msgspec.json.encode(stream))
         return _decode(address, body, _STREAM_REPLY)
 
+    async def tell_streams(self, address: str, streams: list[ToldStream]) -> None:
+        """Tell a peer of streams; raise ``PeerSilentError`` or ``PeerDownError``."""
+        body = await self._call(address, _STREAMS, msgspec.json.encode(ToldStreams(streams)))
+        _decode(address, body, _TOLD_REPLY)
+
     async def _call(
         self, address: str, target: bytes, body: bytes, timeout_s: float = defaults.PEER_TIMEOUT_S
     ) -> bytes:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -36,6 +36,7 @@
 from skylarkferry_gateway.selection import UpstreamSelector
 from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.settings import GatewaySettings
+from skylarkferry_gateway.stream_handover import StreamHandover
 from skylarkferry_gateway.stream_origins import StreamOrigins
 from skylarkferry_gateway.stream_resumptions import StreamResumptions
 from skylarkferry_gateway.turns import TurnServices, TurnStore
@@ -69,6 +70,7 @@
         limits = LimitShares(self.gateways, time.time)
         versions = ServiceVersions(self.upstreams)
         self.origins = StreamOrigins(store, self.gateways, log, metrics)
+        self.handover = StreamHandover(self.origins, self.gateways, peers, log, metrics)
         self.assignments = VersionAssignments(store, versions, self.origins, self.gateways, log)
         resumptions = StreamResumptions(
             self.origins,
@@ -262,7 +264,7 @@
             return
 
     async def _stop(self, clients: AsyncExitStack) -> None:
-        """Finish requests that were read, then release the partitions, within the grace period."""
+        """Finish requests that were read, hand over streams and partitions, within the grace."""
         began = anyio.current_time()
         end = began + self.settings.grace_s - defaults.STOP_MARGIN_S
         self.is_stopping = self.coordinator.is_stopping = True
@@ -272,11 +274,17 @@
         await anyio.sleep(min(defaults.STOP_ACCEPTING_AFTER_S, self.settings.grace_s / 2))
         await clients.aclose()
         with anyio.move_on_at(end):
+            await self.handover.run()
             while self.clients:
                 self.client_left = anyio.Event()
                 await self.client_left.wait()
-        with anyio.move_on_at(end + defaults.STOP_MARGIN_S / 2):
-            await self.accounts.release_all(end + defaults.STOP_MARGIN_S / 2)
+        release_end = end + defaults.STOP_MARGIN_S / 2
+        with anyio.move_on_at(release_end):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.accounts.release_all, release_end)
+                # Streams may have begun since, and other ending gateways may have told theirs.
+                self.origins.has_told = True
+                await self.handover.run()
         self.log.emit(EventKind.GATEWAY_STOPPED, connections=len(self.clients))
 
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
@@ -13,13 +13,15 @@
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.gateway_list import GatewayList
 from skylarkferry_gateway.interfaces import Store
-from skylarkferry_gateway.messages import StreamOrigin
+from skylarkferry_gateway.messages import StreamOrigin, ToldStream
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.store_calls import key_part, row_key
 
 _TABLE = "streams"
 _PART = "streams"
 _MAX_STREAMS = 8_192
+_MAX_TOLD = 8_192
+"""Streams of other gateways in memory; beyond that, those told first are forgotten."""
 _MAX_UNSENT = 4_000
 """Rows that wait for the store; beyond that, the oldest are dropped."""
 _ROWS_PER_CALL = 50
@@ -58,6 +60,9 @@
     Only streams whose version does not follow from their assignment have rows. These are written in
     batches, at a rate that all gateways share, and deleted when the streams cannot be resumed any
     more.
+
+    ``told`` holds streams that ending gateways told this one of, by their ids as in row keys. It
+    never replaces what this gateway knows itself.
     """
 
     def __init__(
@@ -68,6 +73,8 @@
         self.log = log
         self.metrics = metrics
         self.known: OrderedDict[str, _Known] = OrderedDict()
+        self.told: OrderedDict[str, _Known] = OrderedDict()
+        self.has_told = False
         self.unsent: deque[Write] = deque()
         self.rows: dict[str, StreamRow] = {}
         self.written: deque[tuple[float, str]] = deque()
@@ -97,10 +104,48 @@
         return 0.0 if self.failing_since is None else anyio.current_time() - self.failing_since
 
     def get(self, stream: str) -> StreamOrigin | None:
-        """Return the origin of a stream as far as this gateway has relayed it."""
+        """Return the origin of a stream that this gateway has relayed or was told of."""
         known = self.known.get(stream)
+        if known is None:
+            known = self.told.get(key_part(stream))
+            if known is not None and not _can_resume(known, anyio.current_time()):
+                return None
         return known.origin if known is not None else None
 
+    def take(self, streams: Sequence[ToldStream]) -> int:
+        """Keep the origins that a gateway tells when it ends; return how many were new."""
+        now = anyio.current_time()
+        taken = 0
+        for item in streams:
+            told = _Known(item.origin, now - item.age_s)
+            known = self.known.get(item.stream) or self.told.get(item.stream)
+            if known is None and _can_resume(told, now):
+                self.told[item.stream] = told
+                taken += 1
+            elif known is not None and known.origin != item.origin:
+                self.refuse(f"{item.stream}: {item.origin} instead of {known.origin}")
+        while len(self.told) > _MAX_TOLD:
+            self.told.popitem(last=False)
+        self.metrics.told_streams.labels(outcome="taken").inc(taken)
+        self.log.emit(EventKind.GATEWAY_STREAMS_TAKEN, streams=len(streams), taken=taken)
+        return taken
+
+    def refuse(self, detail: str) -> None:
+        """Count and log what another gateway told and this one does not use."""
+        self.metrics.told_streams.labels(outcome="refused").inc()
+        self.log.emit(EventKind.GATEWAY_STREAMS_REFUSED, detail=detail)
+
+    def resumable(self) -> list[ToldStream]:
+        """Return the streams in memory that can still be resumed, the latest first."""
+        now = anyio.current_time()
+        latest = self.told | {key_part(stream): known for stream, known in self.known.items()}
+        streams = [
+            ToldStream(stream, known.origin, now - known.known_at)
+            for stream, known in latest.items()
+            if _can_resume(known, now)
+        ]
+        return sorted(streams, key=lambda item: item.age_s)
+
     async def read(self, stream: str) -> StreamOrigin | None:
         """Return the stored origin of a stream; raise ``PlatformUnavailableError``."""
         row = await self.store.read(_key(stream))
@@ -182,7 +227,10 @@
         return self.rows.pop(write.key)
 
     async def delete_old(self) -> None:
-        """Queue the deletion of the rows whose streams cannot be resumed any more."""
+        """Forget streams that cannot be resumed any more, and queue the deletion of their rows."""
+        now = anyio.current_time()
+        for stream in [item for item, told in self.told.items() if not _can_resume(told, now)]:
+            del self.told[stream]
         limit = anyio.current_time() - defaults.STREAM_KEEP_S - defaults.STREAM_KEEP_MARGIN_S
         while self.written and self.written[0][0] < limit:
             self._enqueue(Write(self.written.popleft()[1], None))
@@ -206,5 +254,9 @@
                 self._enqueue(Write(row.key, None))
 
 
+def _can_resume(known: _Known, now: float) -> bool:
+    return now - known.known_at < defaults.STREAM_KEEP_S
+
+
 def _key(stream: str) -> str:
     return row_key(_TABLE, _PART, key_part(stream))
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
@@ -20,11 +20,14 @@
 from skylarkferry_gateway.messages import ClientRequest, RequestMetadata, StreamOrigin
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.service_versions import ServiceVersions
+from skylarkferry_gateway.stream_handover import ranked_peers
 from skylarkferry_gateway.stream_origins import StreamOrigins, StreamRow
 from skylarkferry_gateway.version_assignments import VersionAssignments
 
 _MAX_PEERS = 16
 """Other gateways that are asked for a stream."""
+_MAX_RANKED_PEERS = 8
+"""Those that are asked because an ending gateway may have told them; the rest are random."""
 _ROW_TIMEOUT_S = defaults.STORE_TIMEOUT_S
 """Longest delay of a first event for the row of its stream."""
 
@@ -163,8 +166,10 @@
         raise PlatformUnavailableError("the store did not answer in time")
 
     async def _ask_peers(self, stream: str) -> StreamOrigin | None:
-        """Ask other gateways, which know the streams that they relayed lately."""
-        addresses = sorted(self.gateways.peer_addresses())
+        """Ask other gateways, which know the streams that they relayed or were told of lately."""
+        ranked = ranked_peers(self.gateways, stream)[:_MAX_RANKED_PEERS]
+        others = sorted(self.gateways.peer_addresses().difference(ranked))
+        sampled = self.rng.sample(others, min(_MAX_PEERS - len(ranked), len(others)))
         found: list[StreamOrigin] = []
 
         async def ask(address: str) -> None:
@@ -180,6 +185,6 @@
                 tasks.cancel_scope.cancel()
 
         async with anyio.create_task_group() as tasks:
-            for address in self.rng.sample(addresses, min(_MAX_PEERS, len(addresses))):
+            for address in [*ranked, *sampled]:
                 tasks.start_soon(ask, address)
         return found[0] if found else None
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -24,6 +24,7 @@
     resume,
     resume_all,
     stop_abruptly,
+    stop_in_order,
     stored_streams,
     versions_of,
 )
@@ -244,3 +245,14 @@
     await wait_until(lambda: cut_off.upstreams.read_at > read_at)
     statuses = await resume_all(rig, started, gateway=cut_off)
     assert_that((set(statuses), mixed_streams(rig, started)), Equals(({503}, [])))
+
+
+@pytest.mark.parametrize("fault", [StoreFault.SILENT, StoreFault.REFUSED, StoreFault.LOST])
+async def test_stream_continues_without_the_store_after_its_gateway_ended_in_order(rig, fault):
+    await add_versions(rig)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    await wait_until(lambda: len(first.gateways.nodes) == len(second.gateways.nodes) == 2)
+    started = await begin_streams(rig, gateway=first)
+    fail_store(rig, fault)
+    await stop_in_order(first)
+    await assert_resumed_at_their_versions(rig, started, gateway=second)
--- a/tests/stream_clients.py
+++ b/tests/stream_clients.py
@@ -22,9 +22,9 @@
 ids = (f"s-{number}" for number in itertools.count())
 
 
-def stream_headers(request_id):
+def stream_headers(request_id, **more):
     """Return the headers of a stream's request, without a budget that needs the store."""
-    return headers(request_id, Token_Usage="50,100")
+    return headers(request_id, Token_Usage="50,100", **more)
 
 
 def cut_first_attempt(request):
@@ -46,12 +46,12 @@
     return list(await try_to_begin_streams(rig, path, count, **options))
 
 
-async def try_to_begin_streams(rig, path=ONE_ATTEMPT, count=STREAMS, **options):
+async def try_to_begin_streams(rig, path=ONE_ATTEMPT, count=STREAMS, deadline_ms=2_000, **options):
     """Begin streams side by side, and return the status by request id: 200 also for one cut."""
     statuses = {next(ids): 200 for _ in range(count)}
 
     async def begin(request_id):
-        fields = stream_headers(request_id)
+        fields = stream_headers(request_id, deadline_ms=deadline_ms)
         with suppress(httpx.RemoteProtocolError, httpx.ReadError):
             statuses[request_id] = (await send(rig, path, fields, b"prompt", **options)).status_code
 
@@ -101,6 +101,14 @@
     await gateway.ended.wait()
 
 
+async def stop_in_order(*gateways):
+    """Stop gateways side by side, as a planned stop does, and wait until they have ended."""
+    for gateway in gateways:
+        gateway.stop.set()
+    for gateway in gateways:
+        await gateway.ended.wait()
+
+
 def fail_store(rig, fault):
     rig.store.fault = lambda request: fault
 
