Split the tests of assignments from the plays in which gateways are killed

test_version_assignments.py had two jobs: streams whose gateways are all killed, now in test_streams_after_kills.py, and the rows and assignments themselves.

--- a/tests/stream_clients.py
+++ b/tests/stream_clients.py
@@ -9,9 +9,11 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from gateway_rig import headers, send
+from gateway_rig import headers, send, wait_until
 from skylarkferry_core.version_assignments import Assignment
+from skylarkferry_gateway import defaults
 from skylarkferry_standins.replica import Behaviour
+from skylarkferry_standins.row_store import StoreFault
 
 PATH = "/resume/1"
 ONE_ATTEMPT = "/resume-once/1"
@@ -122,3 +124,39 @@
     """Resume streams, and assert that all complete at the version that began them."""
     statuses = await resume_all(rig, started, **options)
     assert_that((statuses, mixed_streams(rig, started)), Equals(([200] * len(started), [])))
+
+
+def fault_in_part(part, fault):
+    """Return a fault of the calls that concern one part of the store."""
+
+    def select(request):
+        text = request.target.encode() + request.body
+        is_hit = f'"part":"{part}"'.encode() in text or f"part={part}".encode() in text
+        return fault if is_hit else StoreFault.NONE
+
+    return select
+
+
+async def lose_store(rig, fault=StoreFault.SILENT):
+    fail_store(rig, fault)
+    # A feed that was called before is still answered, and clears the loss.
+    await anyio.sleep(defaults.CRASHES_POLL_TIMEOUT_S + 0.5)
+    for gateway in rig.gateways:
+        await wait_until(
+            lambda item=gateway: item.store.unavailable_s() > defaults.STORE_LOST_AFTER_S
+        )
+
+
+async def begun_streams(rig, *args, **options):
+    """Begin streams side by side and return those whose first event reached the client."""
+    statuses = await try_to_begin_streams(rig, *args, **options)
+    return [item for item, status in statuses.items() if status == 200]
+
+
+async def replace_engines(rig, before, after):
+    """Remove the engines that leave, and add those that come."""
+    for name in set(before) - set(after):
+        rig.store.delete("servers", "", name)
+    added = sorted(set(after) - set(before))
+    if added:
+        await add_versions(rig, {name: VERSION_OF[name[0]] for name in added})
