Let the choice in tests of limits depend on no connection, also on a slow machine

Cause (reproduced without load, trials on a scratch copy): since equal upstreams are chosen by idle connections. The test let these expire when it starts a client, but the client's request reaches the gateway later. If another request ended meanwhile, r2 has an idle connection and r1, which names the limit, is not chosen. Ruled out: the loop blocked for 0.1 s of every 0.12 s, 0.1 s of 0.15 s, 0.2 s of 0.5 s, 0.5 s of 0.6 s or of 1.5 s, 0.9 s of 1.9 s: passes. Blocked for 1.5 s of 2 s it fails, beyond what was asked for; that was not traced. Not the product: an idle connection is meant to break ties. Change: the choice sees no idle connection in these tests. Bounds are unchanged. Still fails on broken variants: the limit admits nothing: 0; each gateway uses the whole limit: 24 (fewer than 18 allowed); no limit: 45.

--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -5,8 +5,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from gateway_rig import forget_connections, headers, send, turn_headers, wait_until
+from gateway_rig import headers, send, turn_headers, wait_until
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.upstreams import Upstream
 from skylarkferry_standins.replica import Behaviour
 from skylarkferry_standins.row_store import StoreFault
 
@@ -24,6 +25,12 @@
     monkeypatch.setattr(defaults, "GATEWAY_HEARTBEAT_S", 0.2)
 
 
+@pytest.fixture(autouse=True)
+def choice_without_connections(monkeypatch):
+    """Prefer no upstream for an idle connection, whenever requests reach a gateway."""
+    monkeypatch.setattr(Upstream, "has_idle_connection", lambda *args: False)
+
+
 def most_in_window(limit_per_s=LIMIT_PER_S):
     """Return how many requests the platform tolerates in any window."""
     return 1.5 * limit_per_s * WINDOW_S + 5
@@ -59,7 +66,6 @@
     async with anyio.create_task_group() as tasks:
         while anyio.current_time() < ends_at:
             for gateway in rig.gateways:
-                forget_connections(gateway)
                 tasks.start_soon(send_one, request_headers(path), gateway)
                 await anyio.sleep(interval_s)
     return responses
