Count the time of a stream from the end of its relay, not from its begin

Callers whose stream was relayed for longer than STREAM_KEEP_S (60 s) and then cut got it joined from two versions when they resumed it, or refused though its version served.

Cause: row, memory and what an ending gateway tells were dropped a fixed time after the stream began, and the handover of an assignment relies on the same bound. Nothing enforces the bound: an attempt ends at the earlier of the client's deadline and the route's timeout, both of which may be absent (infinite) or above 60 s. A resumption did not renew a row either, so the gateway that wrote it deleted it while another went on.

Now a stream is kept while it is relayed, and its time counts from the end of the relay. After STREAM_RENEW_S (20 s) of relay, and each 20 s from then, its row is written, also at the assigned version, so that replacing an assignment does not change it; this also keeps the row of a stream of a living gateway from the deletion of what ended gateways left (600 s after the last renewal). A gateway that resumes a stream by the store or another gateway writes the row at once. A row is deleted only at the version that the deleting gateway wrote or saw. Streams of less than 20 s cost what they did. Memory: one entry a stream under way besides the bounds as before.

Ruled out: ending streams at the bound, or refusing older ones: streams that could go on would be lost, and a gateway that finds no row does not know the age. Renewing with each event: a stream may be silent for long.

Open: with the store away, a gateway that has followed the list for 60 s takes its only version for that of a long stream that no other gateway knows, though the stream's version may have left the list since. A stream that cannot be given its row for two minutes while others replace its assignment is not bound either.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -28,7 +28,8 @@
     ``ambiguous_error`` is the error of an attempt whose request the upstream may have executed;
     ``refusal`` is the reason why no further attempt is allowed although time is left.
     ``required_version`` is the software version at which a stream that has begun must go on;
-    ``stream_row`` is the row by which the version of the last attempt is recorded, if it is.
+    ``stream_row`` is the row by which the version of the last attempt is recorded, if it is;
+    ``is_stream_kept`` is whether the stream counts as relayed.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         self.last_reply: tuple[Reply, bytes] | None = None
         self.required_version: str | None = None
         self.stream_row: StreamRow | None = None
+        self.is_stream_kept = False
 
     def accepts(self, upstream: Upstream) -> bool:
         """Return whether the request may be sent to the upstream, which takes new requests."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -105,7 +105,12 @@
 """
 
 STREAM_KEEP_S = 60.0
-"""Time for which a stream can be resumed; clients wait for a fraction of it in all."""
+"""Time for which a stream can be resumed after its relay ended; clients wait for less."""
+STREAM_RENEW_S = 20.0
+"""Time after which the row of a stream that is still relayed is written, and written again.
+
+Two intervals and the store's usual retries fit into ``STREAM_KEEP_S``.
+"""
 STREAM_KEEP_MARGIN_S = 5.0
 """Time by which what other gateways need is kept longer, as their upstream lists may differ."""
 ASSIGNMENTS_POLL_S = 5.0
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
@@ -107,7 +107,7 @@
 class ToldStream(msgspec.Struct, frozen=True, array_like=True):
     """A stream that a gateway tells another one of when it ends.
 
-    ``stream`` is its id as in a row key; ``age_s`` is the time since its origin became known.
+    ``stream`` is its id as in a row key; ``age_s`` is the time since it was relayed last.
     """
 
     stream: Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_STREAM_CHARS)]
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -142,6 +142,7 @@
             tasks.start_soon(self.placement_calls.run)
             self.timers.every(defaults.ATTEMPTS_SWEEP_S, self._forget_expired_attempts)
             self.timers.every(defaults.ASSIGNMENTS_POLL_S, self.assignments.follow)
+            self.timers.every(defaults.STREAM_RENEW_S / 4, self.origins.renew_rows)
             self.timers.every(defaults.STREAMS_SWEEP_S, self.origins.delete_old)
             self.timers.every(defaults.STREAMS_SWEEP_S, self.origins.delete_rows_of_ended_gateways)
             self.timers.every(defaults.OWNERS_POLL_S, self._read_owners)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
@@ -8,7 +8,7 @@
 
 from skylarkferry_core.errors import PlatformUnavailableError, WriteConflictError
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.interfaces import Condition, Write
+from skylarkferry_core.interfaces import Condition, Row, Write
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.gateway_list import GatewayList
@@ -29,7 +29,7 @@
 _CALLS_PER_S = 100.0
 """Write calls of all gateways together; one part of the store takes 250 a second."""
 _DELETE_AFTER_S = 600.0
-"""Time after which a row that nobody deleted is deleted, since it was first seen."""
+"""Time after which a row that nobody deleted is deleted, since it was first seen or renewed."""
 
 
 class _Known(msgspec.Struct, frozen=True):
@@ -39,11 +39,24 @@
     known_at: float
 
 
+class _Active:
+    """A stream that is relayed now, by one or more requests."""
+
+    def __init__(self, origin: StreamOrigin, now: float) -> None:
+        self.origin = origin
+        self.renewed_at = now
+        self.relays = 0
+
+
 class StreamRow:
-    """A row that is queued for the store; ``stored`` is set when it is there."""
+    """A row that is queued for the store; ``stored`` is set when it is there.
 
-    def __init__(self, write: Write) -> None:
+    A renewal is written also if the row has the same value already.
+    """
+
+    def __init__(self, write: Write, *, is_renewal: bool = False) -> None:
         self.write = write
+        self.is_renewal = is_renewal
         self.stored = anyio.Event()
 
 
@@ -57,12 +70,14 @@
 class StreamOrigins:
     """Origins of the streams that this gateway has relayed, by the id of the attempt that began it.
 
-    Only streams whose version does not follow from their assignment have rows. These are written in
-    batches, at a rate that all gateways share, and deleted when the streams cannot be resumed any
-    more.
+    Only streams whose version does not follow from their assignment have rows, and those that are
+    relayed for long, as their assignment may be replaced meanwhile. Rows are written in batches, at
+    a rate that all gateways share, renewed while their streams are relayed, and deleted when these
+    cannot be resumed any more. The gateway that wrote a row last deletes it.
 
-    ``told`` holds streams that ending gateways told this one of, by their ids as in row keys. It
-    never replaces what this gateway knows itself.
+    ``active`` holds the streams that are relayed now, ``versions`` the versions of the rows that
+    this gateway has written. ``told`` holds streams that ending gateways told this one of, by their
+    ids as in row keys. It never replaces what this gateway knows itself.
     """
 
     def __init__(
@@ -75,9 +90,11 @@
         self.known: OrderedDict[str, _Known] = OrderedDict()
         self.told: OrderedDict[str, _Known] = OrderedDict()
         self.has_told = False
+        self.active: dict[str, _Active] = {}
         self.unsent: deque[Write] = deque()
         self.rows: dict[str, StreamRow] = {}
-        self.written: deque[tuple[float, str]] = deque()
+        self.written: OrderedDict[str, float] = OrderedDict()
+        self.versions: dict[str, int] = {}
         self.sightings: dict[str, _Sighting] = {}
         self.failing_since: float | None = None
         self.added = anyio.Event()
@@ -91,20 +108,61 @@
         if len(self.known) > _MAX_STREAMS or now - oldest.known_at > defaults.STREAM_KEEP_S:
             self.known.popitem(last=False)
 
+    def on_relayed(self, stream: str, origin: StreamOrigin) -> None:
+        """Keep a stream for as long as it is relayed."""
+        self.remember(stream, origin)
+        active = self.active.setdefault(stream, _Active(origin, anyio.current_time()))
+        active.relays += 1
+
+    def on_relay_ended(self, stream: str) -> None:
+        """Count the time for which a stream can be resumed from now on."""
+        active = self.active[stream]
+        active.relays -= 1
+        if active.relays:
+            return
+        del self.active[stream]
+        self.remember(stream, active.origin)
+        self._postpone_deletion(_key(stream))
+
     def store_row(self, stream: str, origin: StreamOrigin) -> StreamRow:
         """Queue the row of a stream; a later row of the same stream replaces it."""
-        row = StreamRow(Write(_key(stream), msgspec.msgpack.encode(origin)))
+        return self._store(StreamRow(Write(_key(stream), msgspec.msgpack.encode(origin))))
+
+    def renew_row(self, stream: str, origin: StreamOrigin) -> None:
+        """Queue the row of a stream that goes on, also if another gateway has written it."""
+        key = _key(stream)
+        if key not in self.rows:
+            self._store(StreamRow(Write(key, msgspec.msgpack.encode(origin)), is_renewal=True))
+
+    def _store(self, row: StreamRow) -> StreamRow:
         self.rows[row.write.key] = row
-        self.written.append((anyio.current_time(), row.write.key))
+        self.written[row.write.key] = anyio.current_time()
+        self.written.move_to_end(row.write.key)
         self._enqueue(row.write)
         return row
 
+    async def renew_rows(self) -> None:
+        """Queue the rows of streams that have been relayed since they were renewed last."""
+        now = anyio.current_time()
+        for stream, active in self.active.items():
+            if now - active.renewed_at >= defaults.STREAM_RENEW_S:
+                active.renewed_at = now
+                self.renew_row(stream, active.origin)
+
+    def _postpone_deletion(self, key: str) -> None:
+        if key in self.written:
+            self.written[key] = anyio.current_time()
+            self.written.move_to_end(key)
+
     def failing_s(self) -> float:
         """Return the seconds since rows could be written last; 0 if they can."""
         return 0.0 if self.failing_since is None else anyio.current_time() - self.failing_since
 
     def get(self, stream: str) -> StreamOrigin | None:
         """Return the origin of a stream that this gateway has relayed or was told of."""
+        active = self.active.get(stream)
+        if active is not None:
+            return active.origin
         known = self.known.get(stream)
         if known is None:
             known = self.told.get(key_part(stream))
@@ -139,6 +197,8 @@
         """Return the streams in memory that can still be resumed, the latest first."""
         now = anyio.current_time()
         latest = self.told | {key_part(stream): known for stream, known in self.known.items()}
+        for stream, active in self.active.items():
+            latest[key_part(stream)] = _Known(active.origin, now)
         streams = [
             ToldStream(stream, known.origin, now - known.known_at)
             for stream, known in latest.items()
@@ -166,6 +226,8 @@
     def _on_dropped(self, write: Write) -> None:
         self.metrics.stream_records.labels(outcome="dropped").inc()
         self._forget_row(write)
+        if write.value is None:
+            self.versions.pop(write.key, None)
         self.log.emit(
             EventKind.GATEWAY_STORE_RETRY,
             call=_TABLE,
@@ -205,19 +267,39 @@
                 row.stored.set()
 
     async def _transact(self, writes: Sequence[Write]) -> None:
-        """Write rows that do not exist; a call that takes effect late thus replaces no row."""
-        conditions = [Condition(write.key, 0) for write in writes if write.value is not None]
+        """Write rows that are as this gateway left them.
+
+        A call that takes effect late thus replaces no row, and a row is not deleted once another
+        gateway has renewed it.
+        """
+        conditions = [Condition(write.key, self.versions.get(write.key, 0)) for write in writes]
         try:
-            await self.store.transact(conditions, writes)
+            version = await self.store.transact(conditions, writes)
         except WriteConflictError:
             for write in writes:
-                await self._replace(write)
+                await self._write_alone(write)
+            return
+        for write in writes:
+            self._on_written(write, version)
 
-    async def _replace(self, write: Write) -> None:
-        """Write a row over that of an earlier attempt, unless it is in the store already."""
+    async def _write_alone(self, write: Write) -> None:
         row = await self.store.read(write.key)
-        if row.value != (write.value or b""):
-            await self.store.transact([Condition(write.key, row.version)], [write])
+        version = row.version
+        if self._has_to_write(write, row):
+            version = await self.store.transact([Condition(write.key, row.version)], [write])
+        self._on_written(write, version)
+
+    def _has_to_write(self, write: Write, row: Row) -> bool:
+        if write.value is None:
+            return row.version != 0 and row.version == self.versions.get(write.key)
+        queued = self.rows.get(write.key)
+        return row.value != write.value or (queued is not None and queued.is_renewal)
+
+    def _on_written(self, write: Write, version: int) -> None:
+        if write.value is not None:
+            self.versions[write.key] = version
+        else:
+            self.versions.pop(write.key, None)
 
     def _forget_row(self, write: Write) -> StreamRow | None:
         """Forget a row that is written or dropped, unless a later one was queued meanwhile."""
@@ -231,9 +313,11 @@
         now = anyio.current_time()
         for stream in [item for item, told in self.told.items() if not _can_resume(told, now)]:
             del self.told[stream]
-        limit = anyio.current_time() - defaults.STREAM_KEEP_S - defaults.STREAM_KEEP_MARGIN_S
-        while self.written and self.written[0][0] < limit:
-            self._enqueue(Write(self.written.popleft()[1], None))
+        for stream in self.active:
+            self._postpone_deletion(_key(stream))
+        limit = now - defaults.STREAM_KEEP_S - defaults.STREAM_KEEP_MARGIN_S
+        while self.written and next(iter(self.written.values())) < limit:
+            self._enqueue(Write(self.written.popitem(last=False)[0], None))
 
     async def delete_rows_of_ended_gateways(self) -> None:
         """Queue the deletion of rows that nobody deleted; the first gateway does it for all."""
@@ -251,6 +335,7 @@
                 seen = _Sighting(row.version, now)
             self.sightings[row.key] = seen
             if now - seen.seen_at >= _DELETE_AFTER_S:
+                self.versions[row.key] = row.version
                 self._enqueue(Write(row.key, None))
 
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -62,6 +62,13 @@
         Raise ``StreamBrokenError`` if it fails after the first event was sent, and the error to
         respond with if it fails earlier.
         """
+        self.context.resumptions.on_resumption(self.attempts)
+        try:
+            return await self._relay()
+        finally:
+            self.context.resumptions.on_relay_ended(self.attempts)
+
+    async def _relay(self) -> int:
         while True:
             now = anyio.current_time()
             decision = None
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
@@ -45,6 +45,10 @@
     UNKNOWN = "unknown"
 
 
+_OF_OTHER_GATEWAYS = (OriginSource.STORE, OriginSource.PEER)
+"""Sources of streams whose rows, if they have any, other gateways have written."""
+
+
 class StreamResumptions:
     """Find the origins of streams that clients resume, and record those of streams that begin."""
 
@@ -92,9 +96,25 @@
                 store_lost=self.assignments.is_store_lost(),
             )
             return False
-        self.origins.remember(request.metadata.stream, origin)
+        self._on_relayed(attempts, origin)
         return True
 
+    def on_resumption(self, attempts: Attempts) -> None:
+        """Keep a resumed stream while it is relayed."""
+        version = attempts.required_version
+        if attempts.request.metadata.resumed_request and version is not None:
+            self._on_relayed(attempts, StreamOrigin(attempts.service, version))
+
+    def _on_relayed(self, attempts: Attempts, origin: StreamOrigin) -> None:
+        self.origins.on_relayed(attempts.request.metadata.stream, origin)
+        attempts.is_stream_kept = True
+
+    def on_relay_ended(self, attempts: Attempts) -> None:
+        """Count the time for which the stream can be resumed from now on."""
+        if attempts.is_stream_kept:
+            attempts.is_stream_kept = False
+            self.origins.on_relay_ended(attempts.request.metadata.stream)
+
     async def _is_stored(self, row: StreamRow) -> bool:
         if not self.assignments.is_store_lost():
             with anyio.move_on_after(_ROW_TIMEOUT_S):
@@ -125,6 +145,9 @@
             )
         if request.metadata.resumed_request:
             self.origins.remember(request.metadata.resumed_request, origin)
+        if source in _OF_OTHER_GATEWAYS:
+            # Otherwise the gateway that wrote the row deletes it while the stream goes on here.
+            self.origins.renew_row(request.metadata.resumed_request, origin)
         return origin
 
     async def _find(
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
@@ -34,7 +34,8 @@
 """Time from the announcement of an assignment to its use.
 
 Gateways learn of it within a few seconds, or within ``STREAM_KEEP_S`` if the store is away; no
-stream that began before that can be resumed when the assignment is used.
+stream that began before that can be resumed when the assignment is used, unless it was relayed for
+longer than ``STREAM_RENEW_S`` and so has a row.
 """
 _MAX_READ_GAP_S = 2 * defaults.ASSIGNMENTS_POLL_S
 """Longest time between two reads of a row that counts as following it."""
