Answer the only request that arrives just before a planned stop closes its listener

A client whose connection was the only one, and had arrived just before a planned stop closed the client listener, was disconnected without a response. Accepting a connection takes the event loop a few steps between the kernel's accept and the entry in the set of clients; the stop closed the listener as soon as the kernel's queue was empty, found no clients and cancelled all tasks. Closing a listener now also waits until its accept loop has ended, which hands over every accepted connection first.

$PY -m pytest -q tests/gateway/test_role.py -k closing_listener

before (one request, the parameter 1; four requests passed): E IndexError: list index out of range (the connection ended without a byte) FAILED test_role.py::test_request_that_waits_for_a_closing_listener_is_answered[1] [893] gateway_stopped node=gateway-1 connections=1 after: all tests of tests/gateway/test_role.py pass.

Changed test: the existing test runs with one request as well as with four.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -186,8 +186,10 @@
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port), backlog=_LISTEN_BACKLOG
         )
+        accepted = anyio.Event()
+        stack.push_async_callback(_wait_unless_set, accepted)
         await stack.enter_async_context(listener)
-        tasks.start_soon(self._accept, listener, serve, tasks)
+        tasks.start_soon(self._accept, listener, serve, tasks, accepted)
         return listener
 
     async def _accept(
@@ -195,8 +197,23 @@
         listener: Listener[SocketStream],
         serve: Callable[[SocketStream], Awaitable[None]],
         tasks: TaskGroup,
+        ended: anyio.Event,
+    ) -> None:
+        """Accept connections until the listener is closed; open connections continue after that.
+
+        ``ended`` is set when all accepted connections are being served.
+        """
+        try:
+            await self._accept_until_closed(listener, serve, tasks)
+        finally:
+            ended.set()
+
+    async def _accept_until_closed(
+        self,
+        listener: Listener[SocketStream],
+        serve: Callable[[SocketStream], Awaitable[None]],
+        tasks: TaskGroup,
     ) -> None:
-        """Accept connections until the listener is closed; open connections continue after that."""
         is_open = True
         while is_open:
             try:
@@ -316,5 +333,11 @@
             await checkpoint()
 
 
+async def _wait_unless_set(event: anyio.Event) -> None:
+    """Wait for an event; a cancelled exit after it was set keeps the error that it is for."""
+    if not event.is_set():
+        await event.wait()
+
+
 def _never() -> bool:
     return False
--- a/tests/gateway/test_role.py
+++ b/tests/gateway/test_role.py
@@ -291,7 +291,8 @@
     assert_that((found, gateway.ended.is_set()), Equals(([502, 200], False)))
 
 
-async def test_request_that_waits_for_a_closing_listener_is_answered(rig, monkeypatch):
+@pytest.mark.parametrize("count", [1, 4])
+async def test_request_that_waits_for_a_closing_listener_is_answered(rig, monkeypatch, count):
     monkeypatch.setattr(defaults, "STOP_ACCEPTING_AFTER_S", 0.2)
     await rig.add_replica("r1")
     gateway = await rig.add_gateway()
@@ -302,7 +303,7 @@
         """Let clients send requests in the very step in which the stopping gateway goes on."""
         await sleep(delay_s)
         if delay_s == defaults.STOP_ACCEPTING_AFTER_S:
-            for number in range(4):
+            for number in range(count):
                 client = rig.stack.enter_context(socket.create_connection((host, int(port))))
                 client.settimeout(TIMEOUT_S)
                 client.sendall(request_head(b"id-%d" % number, b"Content-Length: 0\r\n") + b"\r\n")
@@ -310,9 +311,9 @@
 
     monkeypatch.setattr(role.anyio, "sleep", sleep_and_send)
     gateway.stop.set()
-    await wait_until(lambda: len(clients) == 4)
+    await wait_until(lambda: len(clients) == count)
     found = [await anyio.to_thread.run_sync(client.recv, 65_536) for client in clients]
-    assert_that([item.split(b" ")[1] for item in found], Equals([b"200"] * 4))
+    assert_that([item.split(b" ")[1] for item in found], Equals([b"200"] * count))
 
 
 async def test_gateway_goes_on_after_a_connection_could_not_be_accepted(rig, monkeypatch):
