Let a test fail when its gateway ends with an error

The rig now keeps the error, lets the test go on to its own assertions, and raises the error at its teardown, so that no test passes over a gateway that ended.

Changed check: the rig raises an ExceptionGroup at teardown where it raised at once before.

--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -122,6 +122,7 @@
         self.addresses = {}
         self.servers = {}
         self.gateways = []
+        self.errors = []
         self.births = itertools.count(2)
         self.stack = contextlib.ExitStack()
 
@@ -236,9 +237,13 @@
         return gateway
 
     async def _run(self, gateway):
-        with gateway.scope:
-            await gateway.run(gateway.stop)
-        gateway.ended.set()
+        try:
+            with gateway.scope:
+                await gateway.run(gateway.stop)
+        except Exception as error:
+            self.errors.append(error)  # raised here, it would cancel the runner of all tests
+        finally:
+            gateway.ended.set()
 
     def url(self, path, gateway=None):
         chosen = gateway or self.gateways[0]
@@ -247,13 +252,18 @@
 
 @asynccontextmanager
 async def rig():
-    """Run the stand-ins and stop them and all gateways when the context exits."""
+    """Run the stand-ins and stop them and all gateways when the context exits.
+
+    An error that ended a gateway is raised after that.
+    """
     async with anyio.create_task_group() as tasks:
         running = Rig(tasks)
         with running.stack:
             await running.start()
             yield running
             tasks.cancel_scope.cancel()
+    if running.errors:
+        raise ExceptionGroup("gateways ended with errors", running.errors)
 
 
 def headers(request_id, deadline_ms=2_000, **more):
