Keep a gateway running that reads a malformed row of the owner list

A row of the list of budget owners that cannot be decoded, or whose name is no number, ended every gateway that read it: at its start, or at the next read every 5 s, for timer callbacks run in the gateway's task group. No open request was finished and no partition released.

$PY -m pytest -q tests/gateway/test_budgets.py -k malformed_row_of_the_owner

before: 2 failed (the gateway had ended: MismatchError: True != False), 2 errors at teardown; after: 2 passed. Ruled out: other errors of write_list.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
@@ -63,8 +63,13 @@
             began = anyio.current_time()
             rows = await retry_until(lambda: self.store.scan(row_key(_LIST, "", "")), deadline_at)
             for row in rows:
-                number = PartitionNumber(int(row.key.rpartition("/")[2]))
-                self._add_listed(number, msgspec.msgpack.decode(row.value, type=Ownership))
+                try:
+                    number = PartitionNumber(int(row.key.rpartition("/")[2]))
+                    listed = msgspec.msgpack.decode(row.value, type=Ownership)
+                except ValueError as error:  # the list is a hint: other rows are still of use
+                    self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=str(error))
+                else:
+                    self._add_listed(number, listed)
             self.read_at = began
 
     def _add_listed(self, number: PartitionNumber, listed: Ownership) -> None:
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -294,6 +294,19 @@
     assert_that(third.accounts.owns(number), Equals(False))
 
 
+@pytest.mark.parametrize("name", ["0001", "not-a-number"])
+async def test_gateway_goes_on_after_a_malformed_row_of_the_owner_list(rig, monkeypatch, name):
+    monkeypatch.setattr(defaults, "OWNERS_POLL_S", 0.05)
+    await rig.add_replica("e1", "engine")
+    first = await rig.add_gateway("g1")
+    rig.store.put("account-owners", "", name, b"malformed")
+    read_at = first.owners.read_at
+    await wait_until(lambda: first.ended.is_set() or first.owners.read_at > read_at)
+    assert_that(first.ended.is_set(), Equals(False))
+    second = await rig.add_gateway("g2")
+    assert_that(await spend(rig, "program", 1_000, 2, [first, second]), Equals([200, 200]))
+
+
 def is_claim(request):
     """Return whether a transaction writes the row that decides who owns a partition."""
     writes = json.loads(request.body)["writes"]
