Tell other gateways of no version that was only concluded from the upstream list

A stream whose row names v2 was resumed at v1, at a gateway that could read the row, after another gateway had stopped in order. The stopped one had resumed the stream while the store refused the part with the rows: it concluded v1 from its list, which had one version, and kept that in memory as the stream's version although no upstream had sent an event of it. At its stop it told others so, and these use what they were told before they read the store.

What the list suggests is now remembered only when an upstream has sent an event of the stream, as for streams that begin.

$PY -m pytest -q tests/gateway/test_stream_handover.py -k concluded

before: MismatchError: 502 != 200 [898] gateway_streams_taken node=g2 streams=1 taken=1 [866] gateway_stream_resumed node=g2 resumes=begun-elsewhere version=v1 source=memory after: passes; all of test_stream_handover.py and test_stream_versions.py pass (57 tests).

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
@@ -123,7 +123,8 @@
                 "the version that began the stream is not known",
                 retry_after_s=defaults.RETRY_AFTER_S,
             )
-        if request.metadata.resumed_request:
+        # A version from the list is remembered once an upstream has sent an event of the stream.
+        if request.metadata.resumed_request and source is not OriginSource.LIST:
             self.origins.remember(request.metadata.resumed_request, origin)
         return origin
 
--- a/tests/gateway/test_stream_handover.py
+++ b/tests/gateway/test_stream_handover.py
@@ -18,6 +18,7 @@
 from skylarkferry_gateway.stream_handover import StreamHandover, ranked_peers
 from skylarkferry_gateway.stream_origins import StreamOrigins
 from skylarkferry_standins.ports import free_address
+from skylarkferry_standins.replica import Behaviour
 from skylarkferry_standins.row_store import StoreFault
 from stream_clients import (
     STREAMS,
@@ -25,9 +26,12 @@
     assert_resumed_at_their_versions,
     begin_streams,
     fail_store,
+    fault_in_part,
     mixed_streams,
+    resume,
     resume_all,
     stop_in_order,
+    versions_of,
 )
 
 pytestmark = pytest.mark.anyio
@@ -289,3 +293,25 @@
     second.origins.take(told(*started, origin=StreamOrigin(ServiceName("engine"), "v9")))
     statuses = await resume_all(rig, started, gateway=second)
     assert_that((set(statuses), mixed_streams(rig, started)), Equals(({503}, [])))
+
+
+async def test_version_that_was_concluded_from_the_list_is_told_to_no_gateway(rig, monkeypatch):
+    await add_versions(rig, {"a1": "v1"})
+    first, second = await add_gateways(rig, "g1", "g2")
+    row = msgspec.msgpack.encode(V2)
+    rig.store.put("streams", "streams", "begun-elsewhere", row)
+    rig.store.fault = fault_in_part("streams", StoreFault.REFUSED)
+    rig.replicas["a1"].behaviour = lambda request: Behaviour.LOSE_ANSWER
+    with monkeypatch.context() as patch:
+        patch.setattr(defaults, "STREAM_KEEP_S", 0.5)
+        await anyio.sleep(1.0)
+        await resume(rig, "begun-elsewhere", gateway=first)
+    assert_that(versions_of(rig, "begun-elsewhere"), Equals({"v1"}))
+    rig.replicas["a1"].runs.clear()
+    fail_store(rig, StoreFault.NONE)
+    await add_versions(rig, {"b1": "v2"})
+    await stop_in_order(first)
+    await wait_until(lambda: "b1" in second.upstreams.upstreams)
+    response = await resume(rig, "begun-elsewhere", gateway=second)
+    assert_that(response.status_code, Equals(200))
+    assert_that(versions_of(rig, "begun-elsewhere"), Equals({"v2"}))
