Let no client hold up a planned stop with requests that it goes on to send

A client that always sends its next request before it has read the response thus kept its connection, and with it the stop, until the end of the grace period, and was then cut off with a request that had been read and was not answered.

The requests that had begun to arrive before the first response after the stop are still all answered; the last of them says "Connection: close".

$PY -m pytest -q tests/gateway/test_http_server.py -k goes_on_sending

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
@@ -71,6 +71,8 @@
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits().header_bytes)
         self.input_chunks: deque[bytes] = deque()
         self.input_bytes = 0
+        self.received_bytes = 0
+        self.answered_until: int | None = None
         self.input_available = anyio.Event()
         self.input_consumed = anyio.Event()
         self.is_disconnected = False
@@ -108,6 +110,7 @@
                 data = await self.stream.receive(defaults.RECEIVE_BYTES)
                 self.input_chunks.append(data)
                 self.input_bytes += len(data)
+                self.received_bytes += len(data)
                 self.input_available.set()
                 while self.input_bytes > defaults.PIPELINED_BYTES:
                     self.input_consumed = anyio.Event()
@@ -286,10 +289,19 @@
         await self.respond(error.status, headers, msgspec.json.encode(details_of(error)))
 
     def _with_connection_header(self, headers: Headers) -> Headers:
-        has_next = bool(self.input_chunks or self.http.trailing_data[0])
-        if not self.is_stopping() or has_next or any(name == b"connection" for name, _ in headers):
-            return headers  # what was read already is answered before the connection ends
-        return [*headers, (b"connection", b"close")]
+        if not self.is_stopping() or any(name == b"connection" for name, _ in headers):
+            return headers
+        return headers if self._has_next() else [*headers, (b"connection", b"close")]
+
+    def _has_next(self) -> bool:
+        """Return whether a request is left that had begun to arrive before the first such call.
+
+        These are answered before a stop closes the connection; later ones do not hold it up.
+        """
+        if self.answered_until is None:
+            self.answered_until = self.received_bytes
+        left_bytes = self.input_bytes + len(self.http.trailing_data[0])
+        return self.received_bytes - left_bytes < self.answered_until
 
     async def _send(self, data: bytes | None) -> None:
         if not data:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -169,6 +169,26 @@
     )
 
 
+async def test_client_that_goes_on_sending_does_not_hold_up_a_planned_stop(served_connection):
+    answer = served_connection.connection.handler
+
+    async def answer_while_more_arrives(received, client):
+        served_connection.is_stopping = True
+        if len(served_connection.served) < 20:
+            served_connection.client.sendall(request_bytes(b"more"))
+            await wait_until(lambda: client.input_chunks)
+        await answer(received, client)
+
+    served_connection.connection.handler = answer_while_more_arrives
+    served_connection.client.sendall(request_bytes(b"one."))
+    received = b""
+    while part := await served_connection.receive():
+        received += part
+    assert_that(served_connection.served, Equals([b"one.", b"more"]))
+    heads = received.lower().split(b"http/1.1 ")[1:]
+    assert_that([b"connection: close" in item for item in heads], Equals([False, True]))
+
+
 @pytest.mark.parametrize("extra", [b"Content-Length: 4", b"Transfer-Encoding: chunked"])
 async def test_request_whose_body_comes_after_a_planned_stop_is_answered(served_connection, extra):
     await served_connection.send_first_request()
