Wait at a planned stop for the write of the owner list that is under way

The task that writes the list of budget owners took the released partitions as soon as the first one was added, so that the last write of release_all found nothing left and the process ended while the call was in flight: its failure would not have been seen or tried again, and two calls under way could leave the older row. Calls of the list now follow each other; the wait lies within the time for the release. No budget depended on it, as a partition's own row decides: the next gateways would have asked the ended one first.

$PY -m pytest -q tests/gateway/test_budgets.py -k release_is_listed

before: MismatchError: 'g1.0' != '' right after the gateway ended (a second later the call that had been sent had taken effect: the row was not lost in this trial, only not waited for); after: passes; all of test_budgets.py passes (21 tests).

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
@@ -54,6 +54,7 @@
         self.added = anyio.Event()
         self.read_at: float | None = None
         self.lock = anyio.Lock()
+        self.list_lock = anyio.Lock()
 
     async def refresh(self, asked_at: float, deadline_at: float) -> None:
         """Read the list of owners, unless it has been read since ``asked_at`` (monotonic time)."""
@@ -98,7 +99,14 @@
             delay_s = min(delay_s * 2, defaults.STORE_RETRY_MAX_S)
 
     async def write_unlisted(self) -> bool:
-        """Write what this process claimed or released to the list; return whether it succeeded."""
+        """Write what this process claimed or released to the list; return whether it succeeded.
+
+        A call that is under way ends first, so that no older row follows a newer one.
+        """
+        async with self.list_lock:
+            return await self._write_unlisted()
+
+    async def _write_unlisted(self) -> bool:
         numbers = sorted(self.unlisted)
         self.unlisted.difference_update(numbers)
         rows = {list_key(number): self.owners[number] for number in numbers}
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -16,7 +16,7 @@
     turn_headers,
     wait_until,
 )
-from skylarkferry_core.accounts import BUDGET_PARTITIONS, Ownership, budget_partition
+from skylarkferry_core.accounts import BUDGET_PARTITIONS, NO_OWNER, Ownership, budget_partition
 from skylarkferry_core.errors import NotOwnerError, WriteConflictError
 from skylarkferry_core.ids import NodeId, ProgramId, TurnId
 from skylarkferry_core.interfaces import Row
@@ -275,6 +275,19 @@
     assert_that(second.owners.owners[number].losses, Equals(0))
 
 
+async def test_release_is_listed_when_the_gateway_ends(rig):
+    await rig.add_replica("e1", "engine")
+    address = free_address()
+    await rig.listen(address, WireServer(PartQueues(rig.store).handle))
+    first = await rig.add_gateway("g1", address)
+    assert_that(await spend(rig, "program", 1_000, 1, [first]), Equals([200]))
+    number = budget_partition(ProgramId("program"))
+    await wait_until(lambda: number in listed(rig))
+    first.stop.set()
+    await first.ended.wait()
+    assert_that(listed(rig)[number].owner, Equals(NO_OWNER))
+
+
 async def test_turn_is_served_although_the_list_names_an_earlier_owner(rig):
     await rig.add_replica("e1", "engine")
     first = await rig.add_gateway("g1")
