Keep a resumed stream as relayed from its first event here, not from its start

A conclusion that no upstream had confirmed was told as known again.

Before, on the merge of both: tests/gateway/test_stream_handover.py:: test_version_that_was_concluded_from_the_list_is_told_to_no_gateway fails (897 streams=1 told=1, then 502 at the receiver with source=memory). Origins from the store or a peer are remembered when they are found, so nothing is lost between the start and the first event. After: test_stream_handover.py, test_long_streams.py and test_stream_relay.py pass (43).

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -62,7 +62,6 @@
         Raise ``StreamBrokenError`` if it fails after the first event was sent, and the error to
         respond with if it fails earlier.
         """
-        self.context.resumptions.on_resumption(self.attempts)
         try:
             return await self._relay()
         finally:
@@ -241,6 +240,8 @@
         """Require the version that begins the stream of all upstreams that continue it."""
         attempts = self.attempts
         if attempts.required_version is not None:
+            if not attempts.is_stream_kept:
+                self.context.resumptions.on_first_resumed_event(attempts)
             return
         if attempts.route.is_resumable:
             origin = _origin(entry)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
@@ -99,7 +99,7 @@
         self._on_relayed(attempts, origin)
         return True
 
-    def on_resumption(self, attempts: Attempts) -> None:
+    def on_first_resumed_event(self, attempts: Attempts) -> None:
         """Keep a resumed stream while it is relayed."""
         version = attempts.required_version
         if attempts.request.metadata.resumed_request and version is not None:
