--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -335,7 +335,7 @@
 
 
 async def _wait_unless_set(event: anyio.Event) -> None:
-    """Wait for an event; a cancelled exit after it was set keeps the error that it is for."""
+    """Wait for an event, without a checkpoint if it is set: a failed exit keeps its error then."""
     if not event.is_set():
         await event.wait()
 
