--- a/review/common/bed.py
+++ b/review/common/bed.py
@@ -12,6 +12,7 @@
 import shlex
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -24,6 +25,7 @@
 import anyio
 import h11
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from anyio.streams.stapled import MultiListener
 from skylarkferry_standins.row_store import RowStore
 from skylarkferry_standins.wire_server import WireReply, WireRequest, WireServer
 
@@ -36,6 +38,7 @@
 RESTART_DELAY_S = 0.5
 TOKENS_PER_EVENT = 22
 START_TIMEOUT_S = 30.0
+_CLOSED = (anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 
 class CannotRunError(Exception):
@@ -124,16 +127,45 @@
         self.sequence = 0
         self.born = int(time.time() * 1_000)
         self.work: Callable[[h11.Request, bytes], Work] = lambda request, body: Work()
+        self.is_down = False
+        self.streams: set[SocketStream] = set()
 
     async def start(self, tasks: TaskGroup) -> None:
         """Listen and register."""
-        host, _, port = self.address.rpartition(":")
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
-        tasks.start_soon(listener.serve, self._serve)
+        self.tasks = tasks
+        await self._listen()
         tasks.start_soon(self._beat)
 
+    async def _listen(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        self.listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port), backlog=1024
+        )
+        self.tasks.start_soon(self._accept, self.listener)
+
+    async def _accept(self, listener: MultiListener[SocketStream]) -> None:
+        with contextlib.suppress(*_CLOSED):
+            try:
+                await listener.serve(self._serve, task_group=self.tasks)
+            except* anyio.ClosedResourceError:
+                pass  # the replica has crashed
+
+    async def crash(self, down_s: float) -> None:
+        """End as a process that crashes; start again under the same id after ``down_s``."""
+        self.bed.record.line(f"replica {self.name} crashes, for {down_s:g} s")
+        self.is_down = True
+        await self.listener.aclose()
+        for stream in list(self.streams):
+            await reset(stream)
+        await anyio.sleep(down_s)
+        self.is_down, self.sequence, self.born = False, 0, int(time.time() * 1_000)
+        await self._listen()
+        self.bed.record.line(f"replica {self.name} is back")
+
     async def _beat(self) -> None:
         while True:
+            while self.is_down:  # noqa: ASYNC110
+                await anyio.sleep(0.05)
             self.sequence += 1
             entry = {
                 "service": self.service,
@@ -151,11 +183,15 @@
 
     async def _serve(self, stream: SocketStream) -> None:
         http = h11.Connection(h11.SERVER)
-        with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
-            async with stream:
-                while (found := await read_request(stream, http)) is not None:
-                    if not await self._answer(stream, http, *found):
-                        return
+        self.streams.add(stream)
+        try:
+            with contextlib.suppress(*_CLOSED):
+                async with stream:
+                    while (found := await read_request(stream, http)) is not None:
+                        if not await self._answer(stream, http, *found):
+                            return
+        finally:
+            self.streams.discard(stream)
 
     async def _answer(
         self, stream: SocketStream, http: h11.Connection, request: h11.Request, body: bytes
@@ -217,6 +253,14 @@
         return _next_cycle(http)
 
 
+async def reset(stream: SocketStream) -> None:
+    """Reset a connection, as the end of its process does."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    if raw.fileno() >= 0:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    await anyio.aclose_forcefully(stream)
+
+
 async def _cancel_at_end(stream: SocketStream, tasks: TaskGroup) -> None:
     """Drop the work when the connection closes, as most replicas do."""
     try:
