--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec sh "$(dirname "$0")/../run-case.sh" "$(dirname "$0")"
