--- a/review/common/bed.py
+++ b/review/common/bed.py
@@ -38,6 +38,7 @@
 RESTART_DELAY_S = 0.5
 TOKENS_PER_EVENT = 22
 START_TIMEOUT_S = 30.0
+_LINK_BYTES = 16_384
 _CLOSED = (anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 
@@ -398,9 +399,11 @@
     def __init__(self, bed: "Bed", number: int) -> None:
         self.bed = bed
         self.name = f"front-{number}"
+        self.zone = "zone-a"
         self.ip = f"127.{bed.octet}.7.{number + 10}"
         self.front = f"{self.ip}:8149"
         self.ready = f"{self.ip}:8141"
+        self.store_address = bed.store_address
         self.path = bed.folder / f"{self.name}.toml"
         self.log = bed.folder / f"{self.name}.log"
         self.process: subprocess.Popen[bytes] | None = None
@@ -415,7 +418,7 @@
 machineClass = "front"
 serves = ["front"]
 ip = "{self.ip}"
-zone = "zone-a"
+zone = "{self.zone}"
 region = "region-a"
 portRange = [7380,7395]
 seeds = []
@@ -427,6 +430,7 @@
 contracts = ["base","drain","config","cost","recover","agent","stream","engine","platform"]
 [zones]
 zone-a = "region-a"
+zone-b = "region-a"
 [listen]
 front = "{self.front}"
 ready = "{self.ready}"
@@ -435,7 +439,7 @@
 cpuCores = 3
 memoryMb = 170
 maxFds = 8200
-linkMbps = 1000.0
+linkMbps = {self.bed.link_mbps:g}
 diskMb = 0
 [bounds]
 contactMs = 3000
@@ -445,7 +449,7 @@
 configApplyMs = 2000
 recoverS = 12
 [platform]
-address = "{self.bed.store_address}"
+address = "{self.store_address}"
 form = "table"
 writesPerS = 800
 readsPerS = 2000
@@ -533,6 +537,50 @@
         return False
 
 
+class SlowLink:
+    """A proxy in front of the store that passes its answers on at the rate of a machine's link."""
+
+    def __init__(self, target: str, mbps: float) -> None:
+        self.target = target
+        self.byte_s = 8 / (mbps * 1e6)
+        self.address = free_address()
+        self.free_at = 0.0
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Listen."""
+        host, _, port = self.address.rpartition(":")
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port), backlog=1024
+        )
+        tasks.start_soon(listener.serve, self._serve)
+
+    async def _serve(self, client: SocketStream) -> None:
+        host, _, port = self.target.rpartition(":")
+        store = await anyio.connect_tcp(host, int(port))
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._copy, client, store, 0.0, tasks)
+                tasks.start_soon(self._copy, store, client, self.byte_s, tasks)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await reset(client)
+                await reset(store)
+
+    async def _copy(
+        self, source: SocketStream, sink: SocketStream, byte_s: float, tasks: TaskGroup
+    ) -> None:
+        try:
+            while True:
+                data = await source.receive(_LINK_BYTES)
+                now = anyio.current_time()
+                if byte_s:
+                    self.free_at = max(self.free_at, now) + len(data) * byte_s
+                    await anyio.sleep(self.free_at - now)
+                await sink.send(data)
+        except (anyio.EndOfStream, *_CLOSED):
+            tasks.cancel_scope.cancel()
+
+
 class Bed:
     """All processes and stand-ins of one script."""
 
@@ -547,6 +595,7 @@
         self.gateways: list[Gateway] = []
         self.runs: list[Run] = []
         self.numbers = 0
+        self.link_mbps = 1000.0
 
     def new_id(self) -> str:
         """Return a new request id."""
@@ -618,6 +667,21 @@
         for gateway in self.gateways:
             await self.wait_ready(gateway)
 
+    async def start_gateways_on_links(self, zones: list[str], mbps: float) -> None:
+        """Start a gateway in each zone, with a link of its own to the store."""
+        store, self.link_mbps = self.store_address, mbps
+        for number, zone in enumerate(zones):
+            link = SlowLink(store, mbps)
+            await link.start(self.tasks)
+            gateway = Gateway(self, number)
+            gateway.zone = zone
+            gateway.store_address = link.address
+            self.gateways.append(gateway)
+            gateway.start(first_start=True)
+            self.tasks.start_soon(gateway.supervise)
+        for gateway in self.gateways:
+            await self.wait_ready(gateway)
+
     async def wait_ready(self, gateway: Gateway) -> None:
         """Wait until a gateway is ready."""
         with anyio.move_on_after(START_TIMEOUT_S):
