--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,9 +8,9 @@
 
 _LINK_MBPS = 15.0
 """Link of the smaller front machines of the site, as played."""
-_TURNS = 10
+_TURNS = 12
 _INPUT_BYTES = 100_000
-_INPUT_TOKENS = 20_000
+_INPUT_TOKENS = 17_500
 _TRIES = 6
 """Two sends again after the first, each with one retry of the client."""
 _BOUND = 5
