--- a/review/common/bed.py
+++ b/review/common/bed.py
@@ -26,6 +26,7 @@
 import h11
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 from anyio.streams.stapled import MultiListener
+
 from skylarkferry_standins.row_store import RowStore
 from skylarkferry_standins.wire_server import WireReply, WireRequest, WireServer
 
@@ -781,7 +782,7 @@
     code = 2
     try:
         code = anyio.run(run)
-    except BaseException as error:  # noqa: BLE001
+    except BaseException as error:
         print(f"cannot run: {error!r}", file=sys.stderr)
         raise SystemExit(2) from error
     raise SystemExit(code)
