--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,71 +1,61 @@
-"""A program with a long history goes on through another zone."""
+"""Orders on connections that were open, but not yet used, when their gateway is stopped."""
 
+import signal
 from pathlib import Path
 
 import anyio
-import h11
-from bed import TROUBLE, Answer, Bed, Gateway, Work, main, send_new
+from bed import GRACE_S, TROUBLE, Answer, Bed, Connection, Work, connect, main, send_new
 
-_LINK_MBPS = 15.0
-"""Link of the smaller front machines of the site, as played."""
-_TURNS = 12
-_INPUT_BYTES = 100_000
-_INPUT_TOKENS = 17_500
-_TRIES = 6
-"""Two sends again after the first, each with one retry of the client."""
-_BOUND = 5
-_PAUSE_S = 0.3
-_CALM_S = 4.0
-
-
-def _work(request: h11.Request, body: bytes) -> Work:
-    return Work(0.02, events=10, gap_s=0.002)
-
-
-async def _turn(bed: Bed, gateway: Gateway, program: str, number: int, previous: str) -> Answer:
-    headers = {
-        "Skylarkferry-Program-Id": program,
-        "Skylarkferry-Session-Id": program,
-        "Skylarkferry-Finish-Ms": "60000",
-        "Skylarkferry-Token-Budget": "20000",
-        "Skylarkferry-Token-Usage": f"{(number + 1) * _INPUT_TOKENS},572",
-        "Skylarkferry-Deadline-Ms": "3317",
-    }
-    if previous:
-        headers["Skylarkferry-Previous-Turn"] = previous
-    body = (f"input {number} of {program} ".encode() * _INPUT_BYTES)[:_INPUT_BYTES]
-    return await send_new(bed, gateway, "POST", "/design/1", headers, body)
+_CONNECTIONS = 4
+_SENT_AFTER_S = 5.2
+"""Time from SIGTERM to the orders: later than 3 s after it, and within the idle limit of 15 s."""
+_WORK_S = 2.5
+"""Time a replica works on an order, within the client's and the route's 3 s."""
+_SLACK_S = 0.2
+_DEADLINE = {"Skylarkferry-Deadline-Ms": "3000"}
 
 
 async def case(bed: Bed) -> bool:
     """Return whether the rule was broken."""
-    route = {"prefix": "/design/", "kind": "streaming", "service": "models", "sticky": True}
-    bed.put_config([{**route, "retainContext": True, "retentionS": 60.0, "timeoutMs": 3317}])
+    bed.put_config([{"prefix": "/order/", "kind": "non_idempotent", "service": "tools"}])
     for number in range(3):
-        replica = await bed.add_replica(f"i-model{number}", "models")
-        replica.work = _work
-    await bed.start_gateways_on_links(["zone-a", "zone-b", "zone-b"], _LINK_MBPS)
-    near, *others = bed.gateways
-    program, previous = bed.new_id(), ""
-    for number in range(_TURNS):
-        answer = await _turn(bed, near, program, number, previous)
-        if answer.status != 200 or not answer.is_complete:
-            return False
-        previous = answer.request_id
-    await anyio.sleep(_CALM_S)
-    unreached = first_served = 0
-    for number in range(_TRIES):
-        gateway = others[number % len(others)] if TROUBLE else near
-        answer = await _turn(bed, gateway, program, _TURNS, previous)
-        unreached += not bed.runs_of(answer.request_id)
-        first = await _turn(bed, gateway, bed.new_id(), 0, "")
-        first_served += bool(bed.runs_of(first.request_id))
-        await anyio.sleep(_PAUSE_S)
-    bed.record.line(
-        f"the turn after {previous} reached no replica in {unreached} of {_TRIES} tries; "
-        f"first turns reached one in {first_served} of {_TRIES}"
-    )
-    return unreached >= _BOUND and first_served >= 0.9 * _TRIES
+        replica = await bed.add_replica(f"i-tool{number}", "tools")
+        replica.work = lambda request, body: Work(_WORK_S if body == b"long" else 0.02)
+    await bed.start_gateways(2)
+    gateway = bed.gateways[0]
+    await send_new(bed, gateway, "POST", "/order/1", _DEADLINE, b"short")
+    connections = [await connect(bed, gateway.front) for _ in range(_CONNECTIONS)]
+    bed.record.line(f"{_CONNECTIONS} connections to {gateway.name} are open")
+    await anyio.sleep(1.0)
+    stopped_at = bed.record.now()
+    if TROUBLE:
+        gateway.signal(signal.SIGTERM)
+    await anyio.sleep(_SENT_AFTER_S)
+    answers: list[Answer] = []
+    async with anyio.create_task_group() as tasks:
+        for connection in connections:
+            tasks.start_soon(_order, bed, connection, answers)
+    lost = [answer for answer in answers if _is_lost(bed, answer, stopped_at)]
+    bed.record.line(f"{len(lost)} of {len(answers)} orders were cut")
+    return bool(lost)
+
+
+async def _order(bed: Bed, connection: Connection, answers: list[Answer]) -> None:
+    path, request_id = "/order/1", bed.new_id()
+    answers.append(await connection.request("POST", path, request_id, _DEADLINE, b"long"))
+    await connection.close()
+
+
+def _is_lost(bed: Bed, answer: Answer, stopped_at: float) -> bool:
+    """Return whether the rule counts the attempt as lost.
+
+    It was read and passed on to a replica, its connection ended without a whole answer before its
+    time limit, and not later than 1 s after the grace period.
+    """
+    if answer.is_complete or not bed.runs_of(answer.request_id):
+        return False
+    is_in_time = answer.ended_at - answer.sent_at < 3.0
+    return is_in_time and answer.ended_at <= stopped_at + GRACE_S + 1.0
 
 
 if __name__ == "__main__":
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,61 +1,96 @@
-"""Orders on connections that were open, but not yet used, when their gateway is stopped."""
+"""Three equal sub-agent turns run at a replica that crashes once; later, their turn goes on."""
 
-import signal
 from pathlib import Path
 
 import anyio
-from bed import GRACE_S, TROUBLE, Answer, Bed, Connection, Work, connect, main, send_new
+import h11
+from bed import TROUBLE, Answer, Bed, Replica, Work, main, send_new
 
-_CONNECTIONS = 4
-_SENT_AFTER_S = 5.2
-"""Time from SIGTERM to the orders: later than 3 s after it, and within the idle limit of 15 s."""
-_WORK_S = 2.5
-"""Time a replica works on an order, within the client's and the route's 3 s."""
-_SLACK_S = 0.2
-_DEADLINE = {"Skylarkferry-Deadline-Ms": "3000"}
+_REPLICAS = 7
+_HELPERS = 3
+_DOWN_S = 2.0
+_CONTACT_S = 3.0
+_TRIES = 5
+"""The rule: a turn that reaches no replica in five tries or more."""
+_TRY_GAP_S = 0.3
+_PREFIX = "5c1e07a2:12600,91bd3f06:840"
+
+
+def _work(request: h11.Request, body: bytes) -> Work:
+    """Helpers read for a while before their first event, all others are short."""
+    return Work(1.5 if b"helper" in body else 0.02, events=6, gap_s=0.01)
+
+
+def _headers(program: str, previous: str = "") -> dict[str, str]:
+    headers = {
+        "Skylarkferry-Program-Id": program,
+        "Skylarkferry-Session-Id": program,
+        "Skylarkferry-Finish-Ms": "60000",
+        "Skylarkferry-Token-Budget": "20000",
+        "Skylarkferry-Token-Usage": "13440,572",
+        "Skylarkferry-Prompt-Prefix": _PREFIX,
+        "Skylarkferry-Deadline-Ms": "3000",
+    }
+    return {**headers, "Skylarkferry-Previous-Turn": previous} if previous else headers
 
 
 async def case(bed: Bed) -> bool:
     """Return whether the rule was broken."""
-    bed.put_config([{"prefix": "/order/", "kind": "non_idempotent", "service": "tools"}])
-    for number in range(3):
-        replica = await bed.add_replica(f"i-tool{number}", "tools")
-        replica.work = lambda request, body: Work(_WORK_S if body == b"long" else 0.02)
-    await bed.start_gateways(2)
-    gateway = bed.gateways[0]
-    await send_new(bed, gateway, "POST", "/order/1", _DEADLINE, b"short")
-    connections = [await connect(bed, gateway.front) for _ in range(_CONNECTIONS)]
-    bed.record.line(f"{_CONNECTIONS} connections to {gateway.name} are open")
-    await anyio.sleep(1.0)
-    stopped_at = bed.record.now()
-    if TROUBLE:
-        gateway.signal(signal.SIGTERM)
-    await anyio.sleep(_SENT_AFTER_S)
-    answers: list[Answer] = []
+    route = {"prefix": "/design/", "kind": "streaming", "service": "models", "sticky": True}
+    bed.put_config([{**route, "retainContext": True, "retentionS": 60.0}])
+    for number in range(_REPLICAS):
+        replica = await bed.add_replica(f"i-model{number}", "models")
+        replica.work = _work
+    await bed.start_gateways(3)
+    kept = await _turn(bed, 0, "first", "size a gear set")
+    if not kept.is_complete or kept.status != 200:
+        return False
+    helpers: list[Answer] = []
     async with anyio.create_task_group() as tasks:
-        for connection in connections:
-            tasks.start_soon(_order, bed, connection, answers)
-    lost = [answer for answer in answers if _is_lost(bed, answer, stopped_at)]
-    bed.record.line(f"{len(lost)} of {len(answers)} orders were cut")
-    return bool(lost)
+        for number in range(_HELPERS):
+            tasks.start_soon(_helper, bed, number, kept.request_id, helpers)
+        await anyio.sleep(0.8)
+        if TROUBLE:
+            await _crash_one(bed)
+    await anyio.sleep(_DOWN_S + _CONTACT_S + 1.0)
+    tries = refused = first_turns = first_served = 0
+    for number in range(_TRIES + 1):
+        first = await _turn(bed, number, f"other-{number}", f"another gear set {number}")
+        first_turns += 1
+        first_served += bool(bed.runs_of(first.request_id))
+        answer = await _turn(bed, number, "second", "helper: check strength", kept.request_id)
+        tries += 1
+        refused += not bed.runs_of(answer.request_id)
+        await anyio.sleep(_TRY_GAP_S)
+    bed.record.line(
+        f"the turn after {kept.request_id} reached no replica in {refused} of {tries} tries; "
+        f"first turns reached one in {first_served} of {first_turns}"
+    )
+    return refused >= _TRIES and first_served >= 0.9 * first_turns
 
 
-async def _order(bed: Bed, connection: Connection, answers: list[Answer]) -> None:
-    path, request_id = "/order/1", bed.new_id()
-    answers.append(await connection.request("POST", path, request_id, _DEADLINE, b"long"))
-    await connection.close()
+async def _turn(bed: Bed, number: int, program: str, text: str, previous: str = "") -> Answer:
+    gateway = bed.gateways[number % len(bed.gateways)]
+    headers = _headers(program, previous)
+    return await send_new(bed, gateway, "POST", "/design/1", headers, text.encode())
 
 
-def _is_lost(bed: Bed, answer: Answer, stopped_at: float) -> bool:
-    """Return whether the rule counts the attempt as lost.
+async def _helper(bed: Bed, number: int, previous: str, answers: list[Answer]) -> None:
+    """Send a sub-agent's turn; one that fails is sent again, at most twice."""
+    for _ in range(3):
+        answer = await _turn(bed, number, "first", "helper: check strength", previous)
+        answers.append(answer)
+        if answer.status == 200 and answer.is_complete:
+            return
+        await anyio.sleep(_TRY_GAP_S)
 
-    It was read and passed on to a replica, its connection ended without a whole answer before its
-    time limit, and not later than 1 s after the grace period.
-    """
-    if answer.is_complete or not bed.runs_of(answer.request_id):
-        return False
-    is_in_time = answer.ended_at - answer.sent_at < 3.0
-    return is_in_time and answer.ended_at <= stopped_at + GRACE_S + 1.0
+
+async def _crash_one(bed: Bed) -> None:
+    """Crash the replica that runs most helpers; it is back after some seconds."""
+    busy = [run.replica for run in bed.runs if run.ended is None]
+    bed.record.line(f"helpers run at {sorted(busy)}")
+    victim: Replica = max(bed.replicas, key=lambda replica: busy.count(replica.name))
+    await victim.crash(_DOWN_S)
 
 
 if __name__ == "__main__":
