Log the start of a gateway process and the error that ends it

A gateway logged its first line once all its listeners were open, and an error that ended it was on standard error alone: from the structured log, a process that was killed by a signal during its start, one that could not open a port and one whose background task failed looked the same. Now 886 tells that the settings were read and 887 which errors end the process; neither 887 nor 892 means that a signal ended it.

--- a/tests/platform_adapter/test_main.py
+++ b/tests/platform_adapter/test_main.py
@@ -4,8 +4,9 @@
 import sys
 
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Contains, Equals
 
+from boot_files import BOOT_TOML
 from skylarkferry_platform import boot
 from skylarkferry_platform.process import EXIT_SETTINGS
 
@@ -23,3 +24,20 @@
         process.send_signal(signal.SIGHUP)
         settings.write("invalid")
     assert_that(process.wait(), Equals(EXIT_SETTINGS))
+
+
+def test_process_that_cannot_listen_logs_its_start_and_the_error_that_ended_it(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(BOOT_TOML.replace("10.1.0.38:", "192.0.2.1:"))  # no address of this host
+    ended = subprocess.run(
+        [sys.executable, "-m", "skylarkferry_platform"],
+        env={**os.environ, boot.PATH_VARIABLE: str(path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+        check=False,
+    )
+    assert_that(ended.returncode, Equals(1))
+    assert_that(ended.stdout, Contains("[886] gateway_starting"))
+    failure = next(line for line in ended.stdout.splitlines() if "[887] gateway_failed" in line)
+    assert_that(failure, Contains("OSError"))
