Go on when background work of a process fails with an unexpected error

Callers saw a gateway end by itself, and end again after each start for as long as the cause lay in the store: all requests under way were cut.

Each piece of work caught only the errors that its author had thought of. The class of fault: one optional part failing ends the whole.

Listeners and their accept loops moved out of role.py to listeners.py, as they need the same containment.

tests/gateway/test_background_work.py failed on: 7 of 7 kinds of work ended the gateway (7 failed, 7 errors "gateways ended with errors"). The two tests of a planned stop and tests/daemon/test_background_tasks.py were written with the fix. The rig now also fails on any contained failure that a test does not announce, so that no other test became weaker. One test announces its own: a call between gateways that cannot be decoded ends its connection, as before.

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/entry.py
@@ -15,6 +15,7 @@
 from skylarkferry_core.ids import Incarnation, UpstreamId
 from skylarkferry_core.placements import DEFAULT_PLACEMENT, PLACEMENTS
 from skylarkferry_daemon.admission_control import AdmissionController
+from skylarkferry_daemon.background_tasks import BackgroundTasks
 from skylarkferry_daemon.call_placement import Placer
 from skylarkferry_daemon.context import EntryContext
 from skylarkferry_daemon.directory import ProgramDirectory
@@ -56,7 +57,7 @@
     async def run(self) -> None:
         """Serve until ``stop`` is set; then hand over partitions and finish open requests."""
         async with AsyncExitStack() as stack, anyio.create_task_group() as tasks:
-            tasks.start_soon(self.timers.run, tasks)
+            tasks.start_soon(self.timers.run, BackgroundTasks(tasks, self.log))
             client = await stack.enter_async_context(httpx.AsyncClient())
             services = connect_platform(client, self.settings.platform)
             self._build(services, await stack.enter_async_context(Peers()), tasks)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/sidecar.py
@@ -12,6 +12,7 @@
 from skylarkferry_core.kv_holds import KvHolds
 from skylarkferry_core.members import MISSED_HEARTBEATS
 from skylarkferry_core.states import PoolKind
+from skylarkferry_daemon.background_tasks import BackgroundTasks
 from skylarkferry_daemon.call_runner import CallRunner
 from skylarkferry_daemon.crash_detector import CrashDetector
 from skylarkferry_daemon.engine_poller import EnginePoller
@@ -76,7 +77,7 @@
         adapter = adapter_for(self.settings.kind, client)
         crash_detector = CrashDetector(state, UpstreamProbe(url))
         runner = CallRunner(state, adapter, crash_detector, kv_retention, tasks)
-        tasks.start_soon(state.timers.run, tasks)
+        tasks.start_soon(state.timers.run, BackgroundTasks(tasks, state.log))
         self._subscribe(runner, kv_retention, EnginePoller(report_client, state))
         app = metrics_app(SidecarCollector(state))
         serve_metrics(app, self.settings.metrics_listen, servers, tasks)
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/timers.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/timers.py
@@ -6,7 +6,8 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-from anyio.abc import TaskGroup
+
+from skylarkferry_daemon.background_tasks import TaskStarter
 
 LATE_THRESHOLD_S = 0.5
 
@@ -26,6 +27,19 @@
         """Stop the timer; a callback that is already running continues."""
         self.cancelled = True
 
+    @property
+    def name(self) -> str:
+        """Return the callback's name, for the log."""
+        return getattr(self.callback, "__qualname__", repr(self.callback))
+
+    async def run(self) -> None:
+        """Call the callback; until it ends, the timer fires no other call."""
+        self.running = True
+        try:
+            await self.callback()
+        finally:
+            self.running = False
+
 
 class TimerService:
     """Run callbacks at monotonic times, each in its own task.
@@ -60,13 +74,13 @@
             self.changed.set()
         return subscription
 
-    async def run(self, tasks: TaskGroup) -> None:
+    async def run(self, tasks: TaskStarter) -> None:
         """Fire timers until cancelled; run the callbacks in ``tasks``."""
         while True:
             self._fire_due(tasks)
             await self._wait()
 
-    def _fire_due(self, tasks: TaskGroup) -> None:
+    def _fire_due(self, tasks: TaskStarter) -> None:
         now = self.now()
         if self.heap and now - self.heap[0][0] > LATE_THRESHOLD_S:
             self.last_late_at = now
@@ -75,7 +89,7 @@
             if subscription.cancelled:
                 continue
             if not subscription.running:
-                tasks.start_soon(_call, subscription)
+                tasks.start_soon(subscription.run, name=subscription.name)
             if subscription.interval_s is not None:
                 self._add(max(due + subscription.interval_s - now, 0.0), subscription)
 
@@ -84,11 +98,3 @@
         delay_s = self.heap[0][0] - self.now() if self.heap else math.inf
         with anyio.move_on_after(delay_s):
             await self.changed.wait()
-
-
-async def _call(subscription: Subscription) -> None:
-    subscription.running = True
-    try:
-        await subscription.callback()
-    finally:
-        subscription.running = False
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -4,7 +4,6 @@
 
 import anyio
 import msgspec
-from anyio.abc import TaskGroup
 
 from skylarkferry_core.accounts import Account, AccountRow, budget_partition
 from skylarkferry_core.errors import (
@@ -19,6 +18,7 @@
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import PartitionNumber, ProgramId, TurnId
 from skylarkferry_core.interfaces import Condition, Row, Write
+from skylarkferry_daemon.background_tasks import TaskStarter
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.interfaces import Store
@@ -109,7 +109,7 @@
         self.partitions: dict[PartitionNumber, PartitionAccounts] = {}
         self.claim_locks: dict[PartitionNumber, anyio.Lock] = {}
         self.is_closed = False
-        self.tasks: TaskGroup | None = None
+        self.tasks: TaskStarter | None = None
 
     def owns(self, number: PartitionNumber) -> bool:
         """Return True if this process owns the partition and has not noticed its loss."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
@@ -1,7 +1,6 @@
 """Token budgets of programs, reserved at the owner of the program's partition."""
 
 import anyio
-from anyio.abc import TaskGroup
 
 from skylarkferry_core.accounts import NO_OWNER, budget_partition
 from skylarkferry_core.errors import (
@@ -12,6 +11,7 @@
 )
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import Incarnation, PartitionNumber, ProgramId, TurnId
+from skylarkferry_daemon.background_tasks import TaskStarter
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.accounts import AccountManager, AllowancePendingError
@@ -46,7 +46,7 @@
         self.log = log
         self.turn_owners: dict[TurnId, str] = {}
         self.silent_until: dict[Incarnation, float] = {}
-        self.tasks: TaskGroup | None = None
+        self.tasks: TaskStarter | None = None
 
     async def reserve(self, reservation: Reservation) -> None:
         """Reserve tokens for a turn.
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -150,6 +150,12 @@
             ["reason"],
             registry=self.registry,
         )
+        self.task_failures = Counter(
+            "skylarkferry_gateway_task_failures",
+            "Background tasks that failed with an unexpected error, by task.",
+            ["task"],
+            registry=self.registry,
+        )
         self.dropped_lines = Counter(
             "skylarkferry_gateway_dropped_log_lines",
             "Log lines dropped to stay within the bound.",
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -4,7 +4,6 @@
 from http import HTTPStatus
 
 import anyio
-from anyio.abc import TaskGroup
 
 from skylarkferry_core.breakers import BreakerState
 from skylarkferry_core.errors import (
@@ -14,6 +13,7 @@
     UpstreamLostError,
 )
 from skylarkferry_core.events import EventKind
+from skylarkferry_daemon.background_tasks import TaskStarter
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.attempts import Attempts
@@ -55,7 +55,7 @@
         self.crashes = crashes
         self.resumptions = resumptions
         self.reports = UpstreamReports(selector.limits, UpstreamLog(log, metrics), log)
-        self.tasks: TaskGroup | None = None
+        self.tasks: TaskStarter | None = None
         self.selector = selector
         self.log = log
         self.metrics = metrics
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -2,18 +2,16 @@
 
 import random
 import time
-from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 
 import anyio
-from anyio.abc import Listener, SocketStream, TaskGroup
-from anyio.lowlevel import checkpoint
-from anyio.streams.stapled import MultiListener
+from anyio.abc import SocketStream
 
-from skylarkferry_core.errors import ErrorCode, PlatformUnavailableError
+from skylarkferry_core.errors import PlatformUnavailableError
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.histories import TurnCache
 from skylarkferry_core.routes import ClientLimits
+from skylarkferry_daemon.background_tasks import BackgroundTasks
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_daemon.timers import TimerService
 from skylarkferry_gateway import defaults
@@ -28,6 +26,7 @@
 from skylarkferry_gateway.http_server import ClientConnection, Handler, ReceivedRequest
 from skylarkferry_gateway.interfaces import Platform
 from skylarkferry_gateway.limit_shares import LimitShares
+from skylarkferry_gateway.listeners import Listeners, Serve, accept_waiting
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.ownership import OwnerTable
 from skylarkferry_gateway.peers import PeerClient, PeerServer
@@ -38,7 +37,6 @@
 from skylarkferry_gateway.selection import UpstreamSelector
 from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.settings import GatewaySettings
-from skylarkferry_gateway.sockets import is_readable
 from skylarkferry_gateway.stream_handover import StreamHandover
 from skylarkferry_gateway.stream_origins import StreamOrigins
 from skylarkferry_gateway.stream_resumptions import StreamResumptions
@@ -49,11 +47,6 @@
 from skylarkferry_gateway.watchers import ConfigWatcher, UpstreamWatcher
 
 _INTERNAL_LIMITS = ClientLimits(idle_s=30.0)
-_LISTEN_BACKLOG = 1_024
-_ACCEPT_RETRY_S = 0.1
-"""Pause after a connection could not be accepted; it waits in the queue of the listener."""
-_MAX_ACCEPT_S = 0.5
-"""Longest time for which a closing listener accepts connections that have arrived."""
 
 
 class GatewayRole:
@@ -130,28 +123,10 @@
     async def run(self, stop: anyio.Event) -> None:
         """Serve until ``stop`` is set and the requests in progress have ended."""
         async with AsyncExitStack() as stack, anyio.create_task_group() as tasks:
-            tasks.start_soon(self.timers.run, tasks)
-            tasks.start_soon(self.config.run)
-            tasks.start_soon(self.upstream_watcher.read)
-            self.upstream_watcher.subscribe(self.timers)
-            self.crashes.subscribe(self.timers)
-            self.budgets.tasks = self.accounts.tasks = self.context.tasks = tasks
-            tasks.start_soon(self.crashes.reports.follow)
-            tasks.start_soon(self.crashes.reports.write)
-            tasks.start_soon(self.origins.write)
-            tasks.start_soon(self.placement_calls.run)
-            self.timers.every(defaults.ATTEMPTS_SWEEP_S, self._forget_expired_attempts)
-            self.timers.every(defaults.ASSIGNMENTS_POLL_S, self.assignments.follow)
-            self.timers.every(defaults.STREAM_RENEW_S / 4, self.origins.renew_rows)
-            self.timers.every(defaults.STREAMS_SWEEP_S, self.origins.delete_old)
-            self.timers.every(defaults.STREAMS_SWEEP_S, self.origins.delete_rows_of_ended_gateways)
-            self.timers.every(defaults.OWNERS_POLL_S, self._read_owners)
-            self.timers.every(defaults.UPSTREAMS_POLL_S, self.store.probe)
-            self.timers.every(defaults.ACCOUNTS_SWEEP_S, self.accounts.delete_idle_accounts)
-            tasks.start_soon(self._read_owners)
-            tasks.start_soon(self.owners.write_list)
-            self.timers.every(defaults.GATEWAY_HEARTBEAT_S, self.gateways.send_heartbeat)
-            tasks.start_soon(self.gateways.send_heartbeat)
+            self.background = background = BackgroundTasks(tasks, self.log, self._count_failure)
+            self.budgets.tasks = self.accounts.tasks = self.context.tasks = background
+            self._start_background_work(background)
+            listeners = Listeners(background, self.log)
             peer_server = PeerServer(self.accounts, self.store.direct, self.origins)
             local = [
                 (self.settings.ready_listen, self._answer_ready),
@@ -159,12 +134,12 @@
                 (self.settings.peer_listen, peer_server.handle),
             ]
             for address, handler in local:
-                await self._listen(stack, tasks, address, self._internal_server(handler))
+                await listeners.listen(stack, address, self._internal_server(handler))
             clients = await stack.enter_async_context(AsyncExitStack())
-            listener = await self._listen(
-                clients, tasks, self.settings.client_listen, self._serve_client
+            listener = await listeners.listen(
+                clients, self.settings.client_listen, self._serve_client
             )
-            clients.push_async_callback(_accept_waiting, listener)
+            clients.push_async_callback(accept_waiting, listener)
             self.is_listening = True
             self.log.emit(
                 EventKind.GATEWAY_STARTED,
@@ -173,76 +148,35 @@
                 incarnation=self.settings.incarnation,
             )
             await stop.wait()
-            await self._stop(clients)
+            await self._stop(clients, background)
             tasks.cancel_scope.cancel()
 
-    async def _listen(
-        self,
-        stack: AsyncExitStack,
-        tasks: TaskGroup,
-        address: str,
-        serve: Callable[[SocketStream], Awaitable[None]],
-    ) -> MultiListener[SocketStream]:
-        host, _, port = address.rpartition(":")
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=int(port), backlog=_LISTEN_BACKLOG
-        )
-        accepted = anyio.Event()
-        stack.push_async_callback(_wait_unless_set, accepted)
-        await stack.enter_async_context(listener)
-        tasks.start_soon(self._accept, listener, serve, tasks, accepted)
-        return listener
-
-    async def _accept(
-        self,
-        listener: Listener[SocketStream],
-        serve: Callable[[SocketStream], Awaitable[None]],
-        tasks: TaskGroup,
-        ended: anyio.Event,
-    ) -> None:
-        """Accept connections until the listener is closed; open connections continue after that.
-
-        ``ended`` is set when all accepted connections are being served.
-        """
-        try:
-            await self._accept_until_closed(listener, serve, tasks)
-        finally:
-            ended.set()
-
-    async def _accept_until_closed(
-        self,
-        listener: Listener[SocketStream],
-        serve: Callable[[SocketStream], Awaitable[None]],
-        tasks: TaskGroup,
-    ) -> None:
-        is_open = True
-        while is_open:
-            try:
-                await listener.serve(self._contain_errors(serve), task_group=tasks)
-            except* anyio.ClosedResourceError:
-                is_open = False
-            except* OSError as errors:  # no descriptor or memory is left for a connection
-                self.log.emit(
-                    EventKind.TASK_FAILED,
-                    code=ErrorCode.INTERNAL.value,
-                    detail=repr(errors.exceptions),
-                )
-                await anyio.sleep(_ACCEPT_RETRY_S)
-
-    def _contain_errors(
-        self, serve: Callable[[SocketStream], Awaitable[None]]
-    ) -> Callable[[SocketStream], Awaitable[None]]:
-        """Wrap a connection handler, so that an unexpected error does not end the process."""
+    def _start_background_work(self, background: BackgroundTasks) -> None:
+        """Start what runs beside the requests; an error in one part leaves the others running."""
+        background.keep_running(self.timers.run, background)
+        background.keep_running(self.config.run)
+        background.keep_running(self.crashes.reports.follow)
+        background.keep_running(self.crashes.reports.write)
+        background.keep_running(self.origins.write)
+        background.keep_running(self.placement_calls.run)
+        background.keep_running(self.owners.write_list)
+        background.start_soon(self.upstream_watcher.read)
+        background.start_soon(self._read_owners)
+        background.start_soon(self.gateways.send_heartbeat)
+        self.upstream_watcher.subscribe(self.timers)
+        self.crashes.subscribe(self.timers)
+        self.timers.every(defaults.ATTEMPTS_SWEEP_S, self._forget_expired_attempts)
+        self.timers.every(defaults.ASSIGNMENTS_POLL_S, self.assignments.follow)
+        self.timers.every(defaults.STREAM_RENEW_S / 4, self.origins.renew_rows)
+        self.timers.every(defaults.STREAMS_SWEEP_S, self.origins.delete_old)
+        self.timers.every(defaults.STREAMS_SWEEP_S, self.origins.delete_rows_of_ended_gateways)
+        self.timers.every(defaults.OWNERS_POLL_S, self._read_owners)
+        self.timers.every(defaults.UPSTREAMS_POLL_S, self.store.probe)
+        self.timers.every(defaults.ACCOUNTS_SWEEP_S, self.accounts.delete_idle_accounts)
+        self.timers.every(defaults.GATEWAY_HEARTBEAT_S, self.gateways.send_heartbeat)
 
-        async def contained(stream: SocketStream) -> None:
-            try:
-                await serve(stream)
-            except Exception as error:
-                self.log.emit(
-                    EventKind.TASK_FAILED, code=ErrorCode.INTERNAL.value, detail=repr(error)
-                )
-
-        return contained
+    def _count_failure(self, task: str) -> None:
+        self.metrics.task_failures.labels(task=task).inc()
 
     async def _serve_client(self, stream: SocketStream) -> None:
         client = ClientConnection(
@@ -255,7 +189,7 @@
             self.clients.discard(client)
             self.client_left.set()
 
-    def _internal_server(self, handler: Handler) -> Callable[[SocketStream], Awaitable[None]]:
+    def _internal_server(self, handler: Handler) -> Serve:
         async def serve(stream: SocketStream) -> None:
             await ClientConnection(stream, lambda: _INTERNAL_LIMITS, handler, _never).serve()
 
@@ -302,7 +236,7 @@
         except PlatformUnavailableError:
             return
 
-    async def _stop(self, clients: AsyncExitStack) -> None:
+    async def _stop(self, clients: AsyncExitStack, background: BackgroundTasks) -> None:
         """Finish requests that were read, hand over streams and partitions, within the grace."""
         began = anyio.current_time()
         end = began + self.settings.grace_s - defaults.STOP_MARGIN_S
@@ -313,32 +247,19 @@
         await anyio.sleep(min(defaults.STOP_ACCEPTING_AFTER_S, self.settings.grace_s / 2))
         await clients.aclose()
         with anyio.move_on_at(end):
-            await self.handover.run()
+            await background.contain(self.handover.run)()
             while self.clients:
                 self.client_left = anyio.Event()
                 await self.client_left.wait()
         release_end = end + defaults.STOP_MARGIN_S / 2
         with anyio.move_on_at(release_end):
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.accounts.release_all, release_end)
+                tasks.start_soon(background.contain(self.accounts.release_all), release_end)
                 # Streams may have begun since, and other ending gateways may have told theirs.
                 self.origins.has_told = True
-                await self.handover.run()
+                await background.contain(self.handover.run)()
         self.log.emit(EventKind.GATEWAY_STOPPED, connections=len(self.clients))
 
 
-async def _accept_waiting(listener: MultiListener[SocketStream]) -> None:
-    """Let the connections that have arrived be accepted; closing the listener would reset them."""
-    with anyio.move_on_after(_MAX_ACCEPT_S):
-        while any(is_readable(item) for item in listener.listeners):
-            await checkpoint()
-
-
-async def _wait_unless_set(event: anyio.Event) -> None:
-    """Wait for an event, without a checkpoint if it is set: a failed exit keeps its error then."""
-    if not event.is_set():
-        await event.wait()
-
-
 def _never() -> bool:
     return False
--- a/tests/gateway/test_stream_handover.py
+++ b/tests/gateway/test_stream_handover.py
@@ -184,6 +184,7 @@
 
 
 async def test_gateway_without_the_call_takes_it_for_no_other(rig):
+    rig.expects_task_failures = True  # the connection ends by the undecodable call
     gateway = await rig.add_gateway()
     with pytest.raises(httpx.RemoteProtocolError):
         await post(gateway, msgspec.json.encode(ToldStreams(told("s"))), "/unknown")
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -10,6 +10,7 @@
 import anyio
 import httpx
 
+from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import FailureDomain, Incarnation, NodeId
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway.interfaces import Platform
@@ -123,6 +124,7 @@
         self.servers = {}
         self.gateways = []
         self.errors = []
+        self.expects_task_failures = False
         self.births = itertools.count(2)
         self.stack = contextlib.ExitStack()
 
@@ -205,7 +207,8 @@
         await self.listen(address, WireServer(handle))
         return address
 
-    async def add_gateway(self, name="gateway-1", store_address=None):
+    async def add_gateway(self, name="gateway-1", store_address=None, prepare=lambda gateway: None):
+        """Start a gateway and wait until it knows its surroundings; ``prepare`` may change it."""
         settings = GatewaySettings(
             node=NodeId(name),
             incarnation=Incarnation(f"{name}.{len(self.gateways)}"),
@@ -226,6 +229,7 @@
         gateway.scope = anyio.CancelScope()
         gateway.ended = anyio.Event()
         self.gateways.append(gateway)
+        prepare(gateway)
         self.tasks.start_soon(self._run, gateway)
         listed = {name for name in self.replicas if self.store.value("servers", "", name)}
         await wait_until(
@@ -245,6 +249,13 @@
         finally:
             gateway.ended.set()
 
+    def add_task_failures(self):
+        """Count failed background tasks as errors of their gateways."""
+        for gateway in self.gateways:
+            for event in gateway.log.ring:
+                if event.number == EventKind.TASK_FAILED.number and "task" in event.fields:
+                    self.errors.append(AssertionError(f"{event.node}: {event.fields}"))
+
     def url(self, path, gateway=None):
         chosen = gateway or self.gateways[0]
         return f"http://{chosen.settings.client_listen}{path}"
@@ -254,7 +265,7 @@
 async def rig():
     """Run the stand-ins and stop them and all gateways when the context exits.
 
-    An error that ended a gateway is raised after that.
+    An error that ended a gateway or one of its background tasks is raised after that.
     """
     async with anyio.create_task_group() as tasks:
         running = Rig(tasks)
@@ -262,6 +273,8 @@
             await running.start()
             yield running
             tasks.cancel_scope.cancel()
+    if not running.expects_task_failures:
+        running.add_task_failures()
     if running.errors:
         raise ExceptionGroup("gateways ended with errors", running.errors)
 
