Refuse whatever another writer left that cannot be decoded or used

Cause: each decoder named the errors that it expected. msgspec raises RecursionError, which is no ValueError, for values nested too deeply, also in fields that it skips; an entry with 2**64 slots was accepted and failed later, when the assignment of its service was encoded; rows of the gateways' list were decoded without any check, and an address without a port failed when it was used. The class of fault: data of another writer trusted beyond one function.

Now one function decodes rows, messages and datagrams and raises one typed error whatever is wrong; numbers of an entry are bounded; ids that no header can carry and addresses that cannot be connected to name nobody. An unreadable row of the gateways' list names no gateway: it neither coordinates nor keeps the first gateway from its duties.

--- a/packages/skylarkferry-core/src/skylarkferry_core/errors.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/errors.py
@@ -39,6 +39,7 @@
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     PLATFORM_REFUSED = "platform_refused"
     HISTORY_LOST = "history_lost"
+    MALFORMED_DATA = "malformed_data"
     WRITE_CONFLICT = "write_conflict"
     NO_CONFIGURATION = "no_configuration"
     UNKNOWN_ROUTE = "unknown_route"
@@ -254,6 +255,12 @@
     code = ErrorCode.PLATFORM_REFUSED
 
 
+class MalformedDataError(PlatformUnavailableError):
+    """What another process wrote to the platform, or sent, cannot be decoded."""
+
+    code = ErrorCode.MALFORMED_DATA
+
+
 class HistoryLostError(SkylarkferryError):
     """The platform no longer has the changes since the requested version."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -21,11 +21,13 @@
 from skylarkferry_daemon.background_tasks import TaskStarter
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.decoding import decode
 from skylarkferry_gateway.interfaces import Store
 from skylarkferry_gateway.messages import Reservation
 from skylarkferry_gateway.ownership import OwnedPartition, OwnerTable, account_key, owner_key
 from skylarkferry_gateway.store_calls import retry_until
 
+_ACCOUNT = msgspec.msgpack.Decoder(AccountRow)
 _ROWS_PER_CALL = 90
 """Rows written per call at a handover; the store accepts 100 entries per call."""
 
@@ -67,7 +69,7 @@
         if entry is None:
             key = account_key(self.partition.number, reservation.program_id)
             row = self.rows.pop(key, None)
-            written = msgspec.msgpack.decode(row.value, type=AccountRow) if row else None
+            written = decode(_ACCOUNT.decode, row.value) if row else None
             losses = self.partition.ownership.losses
             version = row.version if row else 0
             account = Account(reservation.limit, reservation.tokens, losses, written, version)
@@ -244,7 +246,7 @@
         row = await retry_until(lambda: self.store.read(program.key), deadline_at)
         account = program.account
         if row.version != account.version:
-            written = msgspec.msgpack.decode(row.value, type=AccountRow)
+            written = decode(_ACCOUNT.decode, row.value)
             account.version = row.version
             account.allowance = written.granted_tokens - account.base
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/coordinators.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/coordinators.py
@@ -32,7 +32,7 @@
         self.gateways = gateways
         self.log = log
         self.ranked: dict[Shard, list[NodeId]] = {}
-        self.ranked_nodes: tuple[NodeId, ...] = ()
+        self.ranked_nodes: set[NodeId] = set()
         self.avoided_until: dict[NodeId, float] = {}
 
     def coordinator(self, service: ServiceName, shard: int) -> NodeId | None:
@@ -44,16 +44,16 @@
         return None
 
     def _ranked(self, service: ServiceName, shard: int) -> list[NodeId]:
-        if self.ranked_nodes != self.gateways.nodes:
-            self.ranked_nodes = self.gateways.nodes
+        members = self.gateways.members
+        if self.ranked_nodes != members.keys():
+            self.ranked_nodes = set(members)
             self.ranked = {}
-            members = self.gateways.members
             self.avoided_until = {
                 node: until for node, until in self.avoided_until.items() if node in members
             }
         key = (service, shard)
         if key not in self.ranked:
-            cores = {node: member.cores for node, member in self.gateways.members.items()}
+            cores = {node: member.cores for node, member in members.items()}
             self.ranked[key] = ranked_coordinators(service, shard, cores)[:_MAX_CANDIDATES]
         return self.ranked[key]
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
@@ -8,13 +8,14 @@
 import xxhash
 
 from skylarkferry_core.crashes import CrashRegistry
-from skylarkferry_core.errors import HistoryLostError, PlatformUnavailableError
+from skylarkferry_core.errors import HistoryLostError, MalformedDataError, PlatformUnavailableError
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import CrashId, Fingerprint
 from skylarkferry_core.interfaces import Row, Write
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.completed_requests import CompletedRequests
+from skylarkferry_gateway.decoding import decode
 from skylarkferry_gateway.interfaces import Store
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.store_calls import row_key
@@ -31,6 +32,9 @@
     crash: CrashId
 
 
+_REPORT = msgspec.msgpack.Decoder(CrashReport)
+
+
 class _Change(msgspec.Struct, frozen=True):
     """A report to write to the store, or to delete from it."""
 
@@ -157,7 +161,11 @@
     def _apply(self, rows: Sequence[Row]) -> None:
         for row in rows:
             if row.version and row.value:
-                report = msgspec.msgpack.decode(row.value, type=CrashReport)
+                try:
+                    report = decode(_REPORT.decode, row.value)
+                except MalformedDataError as error:
+                    self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=error.detail)
+                    continue
                 self._record(report)
                 if self.completed.is_recent(report.fingerprint, anyio.current_time()):
                     self._withdraw(report.fingerprint)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
@@ -1,16 +1,23 @@
 """List of the running gateways: each one updates a row of its own in the store and reads all."""
 
+from typing import Annotated
+
 import anyio
 import msgspec
 import xxhash
 
-from skylarkferry_core.errors import PlatformUnavailableError, WriteConflictError
+from skylarkferry_core.errors import (
+    MalformedDataError,
+    PlatformUnavailableError,
+    WriteConflictError,
+)
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import NodeId, UpstreamId
 from skylarkferry_core.interfaces import Condition, Row, Write
 from skylarkferry_core.request_limits import TimeSlots
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.decoding import check_address, decode
 from skylarkferry_gateway.interfaces import Store
 from skylarkferry_gateway.store_calls import retry_until, row_key
 
@@ -20,6 +27,7 @@
 _DELETE_AFTER_READS = 120
 """Reads without an update after which the row of a gateway is deleted; ten minutes."""
 _MAX_LOGGED_NAMES = 10
+_MAX_CORES = 1_024
 _JOIN_HEARTBEATS = 1.2
 """Heartbeats after which all other gateways have read a new row."""
 
@@ -28,7 +36,10 @@
     """A gateway's row: its address for other gateways, and the processor cores of its host."""
 
     address: str
-    cores: float
+    cores: Annotated[float, msgspec.Meta(gt=0, le=_MAX_CORES)]
+
+
+_MEMBER = msgspec.msgpack.Decoder(GatewayMember)
 
 
 class _Sighting(msgspec.Struct):
@@ -69,7 +80,7 @@
 
     def is_first(self) -> bool:
         """Return whether this gateway does what one gateway does for all."""
-        return bool(self.nodes) and self.nodes[0] == self.node
+        return min(self.members, default=None) == self.node
 
     async def send_heartbeat(self) -> None:
         """Update the row of this gateway and read those of all gateways."""
@@ -122,9 +133,22 @@
         for row in rows:
             node = NodeId(row.key.removeprefix(_PREFIX))
             if node in running and node != self.node:
-                self.members[node] = msgspec.msgpack.decode(row.value, type=GatewayMember)
+                member = self._decode_member(row)
+                if member is not None:
+                    self.members[node] = member
         self._set_nodes(tuple(sorted(running | {self.node})))
 
+    def _decode_member(self, row: Row) -> GatewayMember | None:
+        """Decode a row of another gateway; one that is malformed names no gateway."""
+        try:
+            member = decode(_MEMBER.decode, row.value)
+            check_address(member.address)
+        except MalformedDataError as error:
+            if self.sightings[row.key].unchanged_reads == 0:
+                self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=error.detail)
+            return None
+        return member
+
     def _set_nodes(self, nodes: tuple[NodeId, ...]) -> None:
         if nodes == self.nodes:
             return
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
@@ -6,16 +6,22 @@
 import msgspec
 
 from skylarkferry_core.accounts import NO_OWNER, Ownership
-from skylarkferry_core.errors import PlatformUnavailableError, WriteConflictError
+from skylarkferry_core.errors import (
+    MalformedDataError,
+    PlatformUnavailableError,
+    WriteConflictError,
+)
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import Incarnation, PartitionNumber, ProgramId
 from skylarkferry_core.interfaces import Condition, Row, Write
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.decoding import decode
 from skylarkferry_gateway.interfaces import Store
 from skylarkferry_gateway.store_calls import key_part, retry_until, row_key
 
 ACCOUNTS = "accounts"
+_OWNERSHIP = msgspec.msgpack.Decoder(Ownership)
 _LIST = "account-owners"
 _OWNER = "owner"
 _PROGRAM = "program."
@@ -66,8 +72,9 @@
             for row in rows:
                 try:
                     number = PartitionNumber(int(row.key.rpartition("/")[2]))
-                    listed = msgspec.msgpack.decode(row.value, type=Ownership)
-                except ValueError as error:  # the list is a hint: other rows are still of use
+                    listed = decode(_OWNERSHIP.decode, row.value)
+                except (MalformedDataError, ValueError) as error:
+                    # The list is a hint: its other rows are still of use.
                     self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=str(error))
                 else:
                     self._add_listed(number, listed)
@@ -205,4 +212,4 @@
 def _decode(row: Row) -> Ownership:
     if row.version == 0:
         return Ownership()
-    return msgspec.msgpack.decode(row.value, type=Ownership)
+    return decode(_OWNERSHIP.decode, row.value)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -11,6 +11,7 @@
     AnswerInvalidError,
     BadRequestError,
     ConnectionLostError,
+    MalformedDataError,
     NotOwnerError,
     PlatformUnavailableError,
     SkylarkferryError,
@@ -20,6 +21,7 @@
 from skylarkferry_core.ids import ProgramId, TurnId
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.accounts import AccountManager, AllowancePendingError
+from skylarkferry_gateway.decoding import decode
 from skylarkferry_gateway.http_client import HttpConnection, connect
 from skylarkferry_gateway.http_server import ClientConnection, ReceivedRequest
 from skylarkferry_gateway.interfaces import Store
@@ -67,6 +69,11 @@
     taken: int
 
 
+_SETTLEMENT = msgspec.json.Decoder(Settlement)
+_RELAYED_CALL = msgspec.json.Decoder(RelayedCall)
+_STREAM_ID = msgspec.json.Decoder(str)
+_RESERVATION = msgspec.json.Decoder(Reservation)
+_TOLD_STREAMS = msgspec.json.Decoder(ToldStreams)
 _RESERVE_REPLY = msgspec.json.Decoder(ReserveReply)
 _RELAYED_REPLY = msgspec.json.Decoder(RelayedReply)
 _TOLD_REPLY = msgspec.json.Decoder(ToldReply)
@@ -99,23 +106,23 @@
     async def handle(self, received: ReceivedRequest, client: ClientConnection) -> None:
         """Serve one call."""
         if received.target == _SETTLE:
-            settlement = msgspec.json.decode(received.body, type=Settlement)
+            settlement = decode(_SETTLEMENT.decode, received.body)
             self.accounts.settle(settlement.program_id, settlement.turn, settlement.tokens)
             await client.respond(200, [], b"{}")
             return
         if received.target == _STORE:
-            call = msgspec.json.decode(received.body, type=RelayedCall)
+            call = decode(_RELAYED_CALL.decode, received.body)
             answer = await perform_call(self.store, call)
             await client.respond(200, [], msgspec.json.encode(answer))
             return
         if received.target == _STREAM:
-            stream = msgspec.json.decode(received.body, type=str)
+            stream = decode(_STREAM_ID.decode, received.body)
             await client.respond(200, [], msgspec.json.encode(self.origins.get(stream)))
             return
         if received.target == _STREAMS:
             await self._take_streams(received.body, client)
             return
-        reply = await self._reserve(msgspec.json.decode(received.body, type=Reservation))
+        reply = await self._reserve(decode(_RESERVATION.decode, received.body))
         await client.respond(200, [], msgspec.json.encode(reply))
 
     async def _take_streams(self, body: bytes, client: ClientConnection) -> None:
@@ -126,10 +133,10 @@
             )
             return
         try:
-            told = msgspec.json.decode(body, type=ToldStreams)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            self.origins.refuse(str(error))
-            await client.send_error(BadRequestError(str(error)), closes_connection=True)
+            told = decode(_TOLD_STREAMS.decode, body)
+        except MalformedDataError as error:
+            self.origins.refuse(error.detail)
+            await client.send_error(BadRequestError(error.detail), closes_connection=True)
             return
         taken = self.origins.take(told.streams)
         await client.respond(200, [], msgspec.json.encode(ToldReply(taken)))
@@ -228,6 +235,6 @@
 
 def _decode(address: str, body: bytes, decoder: msgspec.json.Decoder[Reply]) -> Reply:
     try:
-        return decoder.decode(body)
-    except msgspec.DecodeError as error:
-        raise PeerDownError(f"{address}: invalid answer: {error}") from error
+        return decode(decoder.decode, body)
+    except MalformedDataError as error:
+        raise PeerDownError(f"{address}: invalid answer: {error.detail}") from error
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement_calls.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement_calls.py
@@ -4,9 +4,9 @@
 import time
 
 import anyio
-import msgspec
 from anyio.abc import UDPSocket
 
+from skylarkferry_core.errors import MalformedDataError
 from skylarkferry_core.events import EventKind
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults, placement_messages
@@ -74,9 +74,9 @@
             sender = f"{host}:{port}"
             try:
                 message = placement_messages.decode(data)
-            except msgspec.DecodeError as error:
+            except MalformedDataError as error:
                 self.metrics.datagrams_dropped.labels(reason="malformed").inc()
-                self.log.emit(EventKind.GATEWAY_DATAGRAM_DROPPED, peer=sender, detail=str(error))
+                self.log.emit(EventKind.GATEWAY_DATAGRAM_DROPPED, peer=sender, detail=error.detail)
                 continue
             self._on_message(message, sender)
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement_messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from skylarkferry_core.ids import FailureDomain, ProgramId, ServiceName, UpstreamId
+from skylarkferry_gateway import decoding
 from skylarkferry_gateway.messages import PromptPart, ReportedLoad
 from skylarkferry_gateway.upstream_views import AttemptOutcome
 
@@ -86,5 +87,5 @@
 
 
 def decode(datagram: bytes) -> Message:
-    """Decode a datagram; raise ``msgspec.DecodeError``."""
-    return _decoder.decode(datagram)
+    """Decode a datagram; raise ``MalformedDataError``."""
+    return decoding.decode(_decoder.decode, datagram)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
@@ -6,17 +6,23 @@
 import anyio
 import msgspec
 
-from skylarkferry_core.errors import PlatformUnavailableError, WriteConflictError
+from skylarkferry_core.errors import (
+    MalformedDataError,
+    PlatformUnavailableError,
+    WriteConflictError,
+)
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.interfaces import Condition, Row, Write
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.decoding import decode
 from skylarkferry_gateway.gateway_list import GatewayList
 from skylarkferry_gateway.interfaces import Store
 from skylarkferry_gateway.messages import StreamOrigin, ToldStream
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.store_calls import key_part, row_key
 
+_ORIGIN = msgspec.msgpack.Decoder(StreamOrigin)
 _TABLE = "streams"
 _PART = "streams"
 _MAX_STREAMS = 8_192
@@ -212,10 +218,10 @@
         if row.version == 0 or not row.value:
             return None
         try:
-            return msgspec.msgpack.decode(row.value, type=StreamOrigin)
-        except msgspec.DecodeError as error:
-            self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=str(error))
-            raise PlatformUnavailableError("the row of the stream is malformed") from error
+            return decode(_ORIGIN.decode, row.value)
+        except MalformedDataError as error:
+            self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=error.detail)
+            raise
 
     def _enqueue(self, write: Write) -> None:
         self.unsent.append(write)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/turns.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/turns.py
@@ -17,6 +17,7 @@
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.budgets import ProgramBudgets
+from skylarkferry_gateway.decoding import decode
 from skylarkferry_gateway.failover_store import FailoverStore
 from skylarkferry_gateway.messages import ClientRequest, Reservation
 from skylarkferry_gateway.store_calls import key_part, retry_until, row_key, write_once
@@ -37,6 +38,9 @@
     rows: int = 0
 
 
+_HEAD = msgspec.msgpack.Decoder(TurnHead)
+
+
 class TurnStore:
     """Completed turns, cached in memory; each is written to the store before its stream ends."""
 
@@ -115,7 +119,7 @@
         )
         if row.version == 0:
             return None
-        head = msgspec.msgpack.decode(row.value, type=TurnHead)
+        head = decode(_HEAD.decode, row.value)
         turn = head.turn
         if head.rows:
             rows = await retry_until(
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
@@ -7,7 +7,11 @@
 import msgspec
 
 from skylarkferry_core.breakers import BreakerState
-from skylarkferry_core.errors import PlatformUnavailableError, WriteConflictError
+from skylarkferry_core.errors import (
+    MalformedDataError,
+    PlatformUnavailableError,
+    WriteConflictError,
+)
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import ServiceName
 from skylarkferry_core.interfaces import Condition, Row, Write
@@ -17,6 +21,7 @@
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.attempts import Attempts
+from skylarkferry_gateway.decoding import decode
 from skylarkferry_gateway.failover_store import FailoverStore
 from skylarkferry_gateway.gateway_list import GatewayList
 from skylarkferry_gateway.messages import RequestMetadata, UpstreamEntry
@@ -25,6 +30,7 @@
 from skylarkferry_gateway.stream_origins import StreamOrigins
 from skylarkferry_gateway.upstreams import Upstream
 
+_ASSIGNMENT = msgspec.msgpack.Decoder(Assignment)
 _PREFIX = row_key("assignments", "assignments", "")
 _MAX_ROWS_PER_CALL = 50
 """Rows of one call, which has at most 100 entries: a condition and a write for each."""
@@ -221,10 +227,10 @@
             )
             return
         try:
-            assignment = msgspec.msgpack.decode(row.value, type=Assignment)
-        except msgspec.DecodeError as error:
+            assignment = decode(_ASSIGNMENT.decode, row.value)
+        except MalformedDataError as error:
             self.refused.add(service)
-            self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=str(error))
+            self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=error.detail)
             return
         self.known[service] = _Known(assignment, row.version, now, now)
         self.log.emit(
--- /dev/null
+++ b/tests/platform_adapter/test_directory.py
@@ -0,0 +1,84 @@
+import json
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from skylarkferry_core.interfaces import Row
+from skylarkferry_daemon.log import EventLog
+from skylarkferry_platform.directory import PlatformDirectory
+
+pytestmark = pytest.mark.anyio
+
+SOUND = {
+    "service": "tools",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 4,
+    "state": "ready",
+    "sequence": 1,
+    "born": 1,
+}
+
+
+def with_field(name, value):
+    """Return the bytes of a sound entry with one other field, given as JSON text."""
+    text = json.dumps({key: item for key, item in SOUND.items() if key != name})
+    return f'{text[:-1]}, "{name}": {value}}}'.encode()
+
+
+UNUSABLE = {
+    "Deeply nested unknown field": with_field("labels", "[" * 100_000),
+    "Deeply nested known field": with_field("slots", "[" * 100_000 + "]" * 100_000),
+    "Slots beyond 64 bits": with_field("slots", 1 << 64),
+    "Slots beyond any upstream": with_field("slots", 1 << 31),
+    "Negative slots": with_field("slots", -1),
+    "Infinite slots": with_field("slots", "1e999"),
+    "Start beyond 64 bits": with_field("born", 1 << 80),
+    "Sequence beyond 64 bits": with_field("sequence", 1 << 80),
+    "Port zero": with_field("address", '"10.0.0.1:0"'),
+    "Port beyond 16 bits": with_field("address", '"10.0.0.1:65536"'),
+    "Long port": with_field("address", '"10.0.0.1:' + "9" * 5_000 + '"'),
+    "Port in other digits": with_field("address", '"10.0.0.1:٨٠"'),
+    "Host name": with_field("address", '"upstream.example:80"'),
+    "Unknown state": with_field("state", '"new"'),
+    "Not UTF-8": b'{"service": "\xff"}',
+    "Half a character": with_field("service", '"\\ud800"'),
+    "Cut": with_field("zone", '"b"')[:-9],
+    "Empty": b"",
+    "List": b"[]",
+}
+
+
+class ListedRows:
+    """Rows of the upstream list, as the store returns them."""
+
+    def __init__(self, **rows):
+        self.rows = rows
+
+    async def scan(self, prefix):
+        return [Row(prefix + name, value, 1) for name, value in self.rows.items()]
+
+
+async def listed(log, **rows):
+    entries = await PlatformDirectory(ListedRows(**rows), log).upstreams()
+    return [entry.upstream for entry in entries]
+
+
+@pytest.mark.parametrize("unusable", UNUSABLE)
+async def test_entry_of_another_writer_names_no_upstream_and_the_others_hold(unusable):
+    log = EventLog("node", 100)
+    found = await listed(log, other=UNUSABLE[unusable], r1=json.dumps(SOUND).encode())
+    assert_that(found, Equals(["r1"]))
+    assert_that(
+        [(event.number, event.fields["entry"]) for event in log.ring], Equals([(855, "other")])
+    )
+
+
+@pytest.mark.parametrize("name", ["two words", "line\r\nbreak", "naïve", "\x7f"])
+async def test_id_that_cannot_be_sent_in_a_header_names_no_upstream(name):
+    log = EventLog("node", 100)
+    found = await listed(
+        log, **{name: json.dumps(SOUND).encode(), "r1": json.dumps(SOUND).encode()}
+    )
+    assert_that(found, Equals(["r1"]))
