--- a/tests/platform_adapter/test_directory.py
+++ b/tests/platform_adapter/test_directory.py
@@ -2,7 +2,7 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, LessThan
 
 from skylarkferry_core.interfaces import Row
 from skylarkferry_daemon.log import EventLog
@@ -82,3 +82,17 @@
         log, **{name: json.dumps(SOUND).encode(), "r1": json.dumps(SOUND).encode()}
     )
     assert_that(found, Equals(["r1"]))
+
+
+async def test_refused_entries_that_change_with_each_read_do_not_accumulate():
+    log = EventLog("node", 100)
+    store = ListedRows()
+    directory = PlatformDirectory(store, log)
+    for read in range(50):
+        filler = json.dumps(str(read) * 1_000)
+        store.rows = {"other": with_field("slots", f'"x", "filler": {filler}')}
+        store.rows[f"other-{read}"] = with_field("address", filler)
+        await directory.upstreams()
+    assert_that(len(repr(directory.refused)), LessThan(1_000))
+    logged = [event.fields["entry"] for event in log.ring]
+    assert_that(logged.count("other"), Equals(1))
