Keep a log line on one line whatever its values hold

Values with line breaks or control characters but without a space, such as the id of an odd entry, were written as they are: they broke the line and could pass for lines of the process. The new test failed before: one emitted event gave two lines.

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/log.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/log.py
@@ -122,5 +122,6 @@
 
 
 def _quote_value(value: str) -> str:
-    """Return a value, as a JSON string if it is empty or has spaces or quotes."""
-    return json.dumps(value) if " " in value or '"' in value or not value else value
+    """Return a value, as a JSON string unless it is printable, without spaces and quotes."""
+    is_plain = value.isprintable() and " " not in value and '"' not in value
+    return value if value and is_plain else json.dumps(value)
--- a/tests/daemon/test_log.py
+++ b/tests/daemon/test_log.py
@@ -1,10 +1,12 @@
 import os
 
+from loguru import logger
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, GreaterThan, LessThan
+from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan
 
+from skylarkferry_core.events import EventKind
 from skylarkferry_daemon import log
-from skylarkferry_daemon.log import LineWriter
+from skylarkferry_daemon.log import EventLog, LineWriter
 
 
 def read_all(descriptor):
@@ -52,3 +54,15 @@
     writer = LineWriter(descriptor)
     writer.write("a line\n")
     assert_that((writer.dropped, len(writer.pending)), Equals((1, 0)))
+
+
+def test_value_with_line_breaks_stays_on_one_line():
+    lines = []
+    sink = logger.add(lines.append, format="{message}")
+    try:
+        EventLog("node", 10).emit(EventKind.TASK_FAILED, detail="first\n[101]\tforged\x1b[0m")
+    finally:
+        logger.remove(sink)
+    assert_that(lines, HasLength(1))
+    assert_that(lines[0].splitlines(), HasLength(1))
+    assert_that(lines[0], Contains(r'detail="first\n[101]\tforged\u001b[0m"'))
