--- a/tests/platform_adapter/test_main.py
+++ b/tests/platform_adapter/test_main.py
@@ -2,14 +2,18 @@
 import signal
 import subprocess
 import sys
+import tomllib
+from pathlib import Path
 
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals
+from testtools.matchers import Contains, Equals, Not
 
 from boot_files import BOOT_TOML
 from skylarkferry_platform import boot
 from skylarkferry_platform.process import EXIT_SETTINGS
 
+ROOT = Path(__file__).resolve().parents[2]
+
 
 def test_hangup_during_the_start_does_not_end_the_process(tmp_path):
     """The settings file is a pipe, so that the process waits in its start for the settings."""
@@ -41,3 +45,23 @@
     assert_that(ended.stdout, Contains("[886] gateway_starting"))
     failure = next(line for line in ended.stdout.splitlines() if "[887] gateway_failed" in line)
     assert_that(failure, Contains("OSError"))
+
+
+def test_hangup_is_ignored_before_any_module_but_those_of_the_interpreter_is_imported(tmp_path):
+    """Until then it ends the process, so that each import before it is a risk."""
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
+    python, *words = deploy["roles"]["gateway"]["run"].split()
+    assert_that(python, Equals("python3"))
+    ended = subprocess.run(
+        [sys.executable, "-X", "importtime", *words],
+        env={"PYTHONPATH": os.pathsep.join(sys.path), boot.PATH_VARIABLE: str(tmp_path / "none")},
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        text=True,
+        check=False,
+    )
+    imported = [line.rpartition("|")[2].strip() for line in ended.stderr.splitlines()]
+    before = imported[: imported.index("signal") + 1]
+    unwanted = {name for name in before if name.partition(".")[0] not in sys.stdlib_module_names}
+    assert_that(unwanted - {"skylarkferry_platform", "imported package"}, Equals(set()))
+    assert_that(before, Not(Contains("site")))
