Start although a port is in use that the process can do without

The metrics port is a constant of ours that no settings file reserves; a port may also be held for a moment by an earlier process that is still ending.

Cause: every listener was required, and tried once. The class of fault: a condition of the surroundings that would pass is taken for final.

Now the ports for metrics and for other gateways are opened later if they can't be at the start (888 each time); those for clients and the balancer are tried for 5 s while they are in use, then the process ends with the error, as one that can't serve must.

--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -147,6 +147,7 @@
     BUDGET_OWNER_SILENT = (882, Level.WARNING, "A partition's owner did not answer as its owner.")
     GATEWAY_STARTING = (886, Level.INFO, "The process has read its settings and begins to listen.")
     GATEWAY_FAILED = (887, Level.ERROR, "The process ends by an error; which ones.")
+    GATEWAY_LISTEN_FAILED = (888, Level.WARNING, "A port could not be opened; it is tried again.")
     GATEWAY_STARTED = (890, Level.INFO, "The gateway is listening.")
     GATEWAY_RELOADED = (891, Level.INFO, "The settings file was reloaded.")
     GATEWAY_STOPPING = (892, Level.INFO, "A planned stop began.")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/listeners.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/listeners.py
@@ -1,5 +1,6 @@
 """Listening sockets of a process and the loops that accept their connections."""
 
+import errno
 from collections.abc import Callable, Coroutine
 from contextlib import AsyncExitStack
 from typing import Any
@@ -18,6 +19,10 @@
 Serve = Callable[[SocketStream], Coroutine[Any, Any, None]]
 
 _LISTEN_BACKLOG = 1_024
+_LISTEN_RETRY_S = 0.2
+_LISTEN_WAIT_S = 5.0
+"""Longest wait for a port that is in use: an earlier process may hold it until it has ended."""
+_LISTEN_RETRY_MAX_S = 5.0
 _ACCEPT_RETRY_S = 0.1
 """Pause after a connection could not be accepted; it waits in the queue of the listener."""
 _MAX_ACCEPT_S = 0.5
@@ -36,8 +41,52 @@
     ) -> MultiListener[SocketStream]:
         """Accept connections at ``ip:port`` until ``stack`` closes the listener.
 
-        Connections that are open continue after that.
+        Connections that are open continue after that.  Raise ``OSError`` if the port cannot be
+        opened, or stays in use.
         """
+        end = anyio.current_time() + _LISTEN_WAIT_S
+        while True:
+            try:
+                return await self._open(stack, address, serve)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or anyio.current_time() >= end:
+                    raise
+                self._log_failed(address, error, is_required=True)
+            await anyio.sleep(_LISTEN_RETRY_S)
+
+    async def listen_if_possible(self, stack: AsyncExitStack, address: str, serve: Serve) -> None:
+        """Accept connections as ``listen`` does; if that fails, go on and try again until it works.
+
+        This is for ports without which the process can serve.
+        """
+        try:
+            await self._open(stack, address, serve)
+        except OSError as error:
+            self._log_failed(address, error, is_required=False)
+            self.background.start_soon(self._listen_later, stack, address, serve)
+
+    async def _listen_later(self, stack: AsyncExitStack, address: str, serve: Serve) -> None:
+        delay_s = _LISTEN_RETRY_S
+        while True:
+            await anyio.sleep(delay_s)
+            try:
+                await self._open(stack, address, serve)
+                return
+            except OSError as error:
+                self._log_failed(address, error, is_required=False)
+            delay_s = min(delay_s * 2, _LISTEN_RETRY_MAX_S)
+
+    def _log_failed(self, address: str, error: OSError, *, is_required: bool) -> None:
+        self.log.emit(
+            EventKind.GATEWAY_LISTEN_FAILED,
+            address=address,
+            required=is_required,
+            detail=repr(error),
+        )
+
+    async def _open(
+        self, stack: AsyncExitStack, address: str, serve: Serve
+    ) -> MultiListener[SocketStream]:
         host, _, port = address.rpartition(":")
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port), backlog=_LISTEN_BACKLOG
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -128,13 +128,15 @@
             self._start_background_work(background)
             listeners = Listeners(background, self.log)
             peer_server = PeerServer(self.accounts, self.store.direct, self.origins)
-            local = [
-                (self.settings.ready_listen, self._answer_ready),
+            optional = [
                 (self.settings.metrics_listen, self._answer_metrics),
                 (self.settings.peer_listen, peer_server.handle),
             ]
-            for address, handler in local:
-                await listeners.listen(stack, address, self._internal_server(handler))
+            for address, handler in optional:
+                await listeners.listen_if_possible(stack, address, self._internal_server(handler))
+            await listeners.listen(
+                stack, self.settings.ready_listen, self._internal_server(self._answer_ready)
+            )
             clients = await stack.enter_async_context(AsyncExitStack())
             listener = await listeners.listen(
                 clients, self.settings.client_listen, self._serve_client
