Wait at the start for a settings file that is being written

A memory limit with a fraction ended it for good.

Cause: the file was read once, though it is written at each start and whenever the settings change. Now the start reads it again for up to 5 s, and ends with code 2 only if it stays invalid; addresses are checked when the file is read, so that a reload does not take one over that cannot be connected to; the memory limit may have a fraction.

tests/platform_adapter/test_boot.py failed before in ten cases: four invalid files accepted or refused with an untyped error, the fraction, and the five of the new wait, which did not exist. The test of SIGHUP during the start removes its pipe after the first read, as the file is read again.

--- a/tests/platform_adapter/test_boot.py
+++ b/tests/platform_adapter/test_boot.py
@@ -1,3 +1,5 @@
+import threading
+
 import pytest
 from testtools import ExpectedException
 from testtools.assertions import assert_that
@@ -25,7 +27,17 @@
 
 
 @pytest.mark.parametrize(
-    "text", ["", "nodeName = 3", BOOT_TOML.replace('"10.200.1.7:8142"', "7"), "="]
+    "text",
+    [
+        "",
+        "nodeName = 3",
+        BOOT_TOML.replace('"10.200.1.7:8142"', "7"),
+        BOOT_TOML.replace("10.200.1.7:8142", "10.200.1.7"),
+        BOOT_TOML.replace("10.1.0.38:8149", "10.1.0.38:x"),
+        BOOT_TOML.replace("10.1.0.38:8141", "10.1.0.38:99999"),
+        "=",
+        "later = " + "[" * 100_000,
+    ],
 )
 def test_invalid_settings_are_rejected(settings_path, text):
     settings_path.write_text(text)
@@ -36,3 +48,37 @@
 def test_missing_settings_are_rejected(settings_path):
     with ExpectedException(SettingsInvalidError):
         boot.load()
+
+
+def test_memory_limit_may_have_a_fraction(settings_path):
+    settings_path.write_text(BOOT_TOML.replace("memoryMb = 170", "memoryMb = 170.5"))
+    assert_that(boot.load().gateway_settings().memory_bytes, Equals(341 << 19))
+
+
+@pytest.mark.parametrize("before", [None, "", BOOT_TOML[: len(BOOT_TOML) // 2]])
+def test_start_waits_for_a_settings_file_that_is_being_written(settings_path, before):
+    if before is not None:
+        settings_path.write_text(before)
+    reasons = []
+
+    def write_rest(error):
+        reasons.append(error.detail)
+        threading.Timer(0.25, settings_path.write_text, [BOOT_TOML]).start()
+
+    assert_that(boot.wait_until_valid(write_rest).node_name, Equals("front-a-1"))
+    assert_that(len(reasons), Equals(1))
+
+
+def test_start_ends_if_the_settings_stay_invalid(settings_path, monkeypatch):
+    monkeypatch.setattr(boot, "_SETTINGS_WAIT_S", 0.2)
+    settings_path.write_text("=")
+    with ExpectedException(SettingsInvalidError):
+        boot.wait_until_valid(lambda error: None)
+
+
+def test_start_ends_at_once_if_no_settings_file_is_named(monkeypatch):
+    monkeypatch.delenv(boot.PATH_VARIABLE, raising=False)
+    reasons = []
+    with ExpectedException(SettingsInvalidError):
+        boot.wait_until_valid(reasons.append)
+    assert_that(reasons, Equals([]))
--- a/tests/platform_adapter/test_main.py
+++ b/tests/platform_adapter/test_main.py
@@ -16,7 +16,10 @@
 
 
 def test_hangup_during_the_start_does_not_end_the_process(tmp_path):
-    """The settings file is a pipe, so that the process waits in its start for the settings."""
+    """The settings file is a pipe, so that the process waits in its start for the settings.
+
+    It is gone afterwards, so that the settings stay invalid.
+    """
     path = tmp_path / "boot.toml"
     os.mkfifo(path)
     process = subprocess.Popen(
@@ -26,6 +29,7 @@
     )
     with path.open("w") as settings:
         process.send_signal(signal.SIGHUP)
+        path.unlink()
         settings.write("invalid")
     assert_that(process.wait(), Equals(EXIT_SETTINGS))
 
@@ -47,14 +51,14 @@
     assert_that(failure, Contains("OSError"))
 
 
-def test_hangup_is_ignored_before_any_module_but_those_of_the_interpreter_is_imported(tmp_path):
+def test_hangup_is_ignored_before_any_module_but_those_of_the_interpreter_is_imported():
     """Until then it ends the process, so that each import before it is a risk."""
     deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
     python, *words = deploy["roles"]["gateway"]["run"].split()
     assert_that(python, Equals("python3"))
     ended = subprocess.run(
         [sys.executable, "-X", "importtime", *words],
-        env={"PYTHONPATH": os.pathsep.join(sys.path), boot.PATH_VARIABLE: str(tmp_path / "none")},
+        env={"PYTHONPATH": os.pathsep.join(sys.path)},
         cwd=ROOT,
         stderr=subprocess.PIPE,
         text=True,
