--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
@@ -63,6 +63,8 @@
         self.log = log
         self.sightings: dict[str, _Sighting] = {}
         self.nodes: tuple[NodeId, ...] = ()
+        self.unreadable: set[NodeId] = set()
+        """Listed names whose rows are malformed; no gateway of that name may run."""
         self.known_from: float | None = None
 
     def time_slots(self, upstream: UpstreamId, now: float) -> TimeSlots | None:
@@ -80,7 +82,8 @@
 
     def is_first(self) -> bool:
         """Return whether this gateway does what one gateway does for all."""
-        return min(self.members, default=None) == self.node
+        readable = (node for node in self.nodes if node not in self.unreadable)
+        return next(readable, None) == self.node
 
     async def send_heartbeat(self) -> None:
         """Update the row of this gateway and read those of all gateways."""
@@ -130,11 +133,14 @@
             if seen.unchanged_reads < _MAX_UNCHANGED_READS
         }
         self.members = {self.node: self.member}
+        self.unreadable = set()
         for row in rows:
             node = NodeId(row.key.removeprefix(_PREFIX))
             if node in running and node != self.node:
                 member = self._decode_member(row)
-                if member is not None:
+                if member is None:
+                    self.unreadable.add(node)
+                else:
                     self.members[node] = member
         self._set_nodes(tuple(sorted(running | {self.node})))
 
