Let the stand-in of replicas repeat the request id in refusals

The users' page says that replicas repeat the request id in their responses; the stand-in left it out of a 503 and a 421, so that no test could tell a refusal from one that belongs to another request. A new behaviour, `SHED_WITHOUT_ID`, keeps the form without an id for the tests that need it.

No test changes.

--- a/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
@@ -16,6 +16,8 @@
 
     SERVE = "serve"
     SHED = "shed"
+    SHED_WITHOUT_ID = "shed_without_id"
+    """Refuse the request in a response that does not repeat its id."""
     MISDIRECT = "misdirect"
     FAIL = "fail"
     BUSY_AFTER_ALL = "busy_after_all"
@@ -71,9 +73,12 @@
         self.received_at.append(anyio.current_time())
         expected = request.headers.get("skylarkferry-expect-instance", self.name)
         behaviour = self.behaviour(request)
+        identity = {"Skylarkferry-Request-Id": request_id, **self.report}
         if expected != self.name or behaviour is Behaviour.MISDIRECT:
-            return WireReply(421, {"Skylarkferry-Instance-Id": "another", **self.report})
+            return WireReply(421, {**identity, "Skylarkferry-Instance-Id": "another"})
         if behaviour is Behaviour.SHED:
+            return WireReply(503, {**identity, "Skylarkferry-Not-Executed": "1"})
+        if behaviour is Behaviour.SHED_WITHOUT_ID:
             return WireReply(503, {"Skylarkferry-Not-Executed": "1", **self.report})
         if behaviour is Behaviour.RESET_UNRUN:
             return WireReply(raw=b"", ending=Ending.RESET)
