Log and count responses that are not the request's

A response with the id of another request was read past without a trace, so that a log could not tell an upstream that repeats responses from a slow one. Line 810 and `skylarkferry_gateway_skipped_responses_total` say how often, at which upstream and why.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
@@ -13,6 +13,8 @@
     ConnectionLostError,
     SkylarkferryError,
 )
+from skylarkferry_core.events import EventKind
+from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.http_client import HttpConnection
 from skylarkferry_gateway.interfaces import HeaderCodec
@@ -71,10 +73,13 @@
         upstream: Upstream,
         codec: HeaderCodec,
         memory: ResponseMemory,
+        *,
+        log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
         self.upstream = upstream
         self.codec = codec
+        self.log = log
         self.metrics = metrics
         self.held = HeldResponse(memory)
         self.connection: HttpConnection | None = None
@@ -150,10 +155,24 @@
             if _is_response_to(request, metadata, response.status_code):
                 self.idle_s = metadata.idle_s
                 return Reply(response.status_code, headers, metadata)
+            self._report_skipped(request, response.status_code, metadata)
             await self.body()
             self.connection.discard_reply()
         raise AnswerInvalidError("received only responses to other requests")
 
+    def _report_skipped(self, request: ClientRequest, status: int, metadata: ReplyMetadata) -> None:
+        """Log a response that is not the request's."""
+        reason = "other_request" if metadata.request_id else "no_request_id"
+        self.metrics.skipped_responses.labels(reason=reason).inc()
+        self.log.emit(
+            EventKind.GATEWAY_RESPONSE_SKIPPED,
+            request.metadata.program_id,
+            request=request.metadata.request_id,
+            upstream=self.upstream.entry.upstream,
+            status=status,
+            reason=reason,
+        )
+
     async def read(self) -> bytes | None:
         """Return the next bytes of the response body, or ``None`` at its end."""
         assert self.connection is not None
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -42,6 +42,12 @@
             ["state"],
             registry=self.registry,
         )
+        self.skipped_responses = Counter(
+            "skylarkferry_gateway_skipped_responses",
+            "Responses that were read and not used, by why they are not the request's.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "skylarkferry_gateway_store_calls",
             "Calls to the platform's store by kind and outcome.",
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -115,7 +115,9 @@
 
     def exchange(self, upstream: Upstream) -> Exchange:
         """Return a new exchange with an upstream."""
-        return Exchange(upstream, self.codec, self.response_memory, self.metrics)
+        return Exchange(
+            upstream, self.codec, self.response_memory, log=self.log, metrics=self.metrics
+        )
 
     def reply_deadline(self, attempts: Attempts, decision: Selection, now: float) -> float:
         """Return the monotonic time by which the response head must arrive."""
--- a/tests/gateway/test_buffered_relay.py
+++ b/tests/gateway/test_buffered_relay.py
@@ -158,6 +158,17 @@
         assert_that((response.status_code, response.content), Equals((200, b"answer to " + body)))
 
 
+async def test_response_to_another_request_is_logged_and_counted(rig):
+    (await rig.add_replica("r1")).behaviour = lambda request: Behaviour.STALE_FIRST
+    gateway = await rig.add_gateway()
+    await send(rig, "/order/1", headers("id-1"))
+    skipped = [item for item in gateway.log.ring if item.number == 810]
+    assert_that([item.fields["reason"] for item in skipped], Equals(["other_request"]))
+    assert_that([item.fields["request"] for item in skipped], Equals(["id-1"]))
+    counter = gateway.metrics.skipped_responses.labels(reason="other_request")
+    assert_that(counter._value.get(), Equals(1.0))
+
+
 async def test_upstream_at_a_reused_address_gets_no_more_requests(rig):
     await rig.add_replica("r1")
     (await rig.add_replica("r2")).behaviour = lambda request: Behaviour.MISDIRECT
