Believe a response without the request's id only on a new connection

What callers saw: an upstream wrote an earlier refusal once more on a kept connection, without a request id, before the response to a later request. That request was called "not run" although it ran, or ran at a second upstream too.

Cause: any response with an error status counted as the response to the request at hand if it had no id, on any connection. What an earlier exchange had left over was believed. A 404 or 500 of the same kind was passed on as the response.

Fix: a response without an id counts only as the first response of its connection, where no earlier request can have caused it. Any other is read past like one with the id of another request: three responses at most, within the attempt's deadline for the response. If the true one does not follow, the outcome is unknown: no second send of what may run once, another upstream for the rest.

Ruled out: bytes that arrive while the connection is idle (such a connection was not used again before either: the three cases of an idle connection passed); an id compared with the wrong request (a response with another id was read past).

With the condition on skipped responses left out, test_refusal_without_id_after_a_response_to_another_request_is_not_believed fails.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
@@ -34,8 +34,8 @@
     HTTPStatus.TOO_MANY_REQUESTS,
     HTTPStatus.SERVICE_UNAVAILABLE,
 )
-_MAX_STALE_RESPONSES = 3
-"""Late responses to earlier requests skipped on one connection before the exchange fails."""
+_MAX_RESPONSES = 3
+"""Responses read for one request before the exchange fails."""
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -146,19 +146,20 @@
         return results[0]
 
     async def _matching_reply(self, request: ClientRequest) -> Reply:
-        """Return the response to this request; skip late responses to earlier ones."""
+        """Return the response to this request; skip those that may belong to earlier ones."""
         assert self.connection is not None
-        for _ in range(_MAX_STALE_RESPONSES):
+        for skipped in range(_MAX_RESPONSES):
             response = await self.connection.read_head()
             headers = [(bytes(name), bytes(value)) for name, value in response.headers]
             metadata = self.codec.decode_reply(headers)
-            if _is_response_to(request, metadata, response.status_code):
+            is_first = not (self.connection.exchanges or skipped)
+            if _is_response_to(request, metadata, response.status_code, is_first=is_first):
                 self.idle_s = metadata.idle_s
                 return Reply(response.status_code, headers, metadata)
             self._report_skipped(request, response.status_code, metadata)
             await self.body()
             self.connection.discard_reply()
-        raise AnswerInvalidError("received only responses to other requests")
+        raise AnswerInvalidError("received no response with the id of the request")
 
     def _report_skipped(self, request: ClientRequest, status: int, metadata: ReplyMetadata) -> None:
         """Log a response that is not the request's."""
@@ -190,11 +191,17 @@
         await self.upstream.release_connection(connection, self.idle_s)
 
 
-def _is_response_to(request: ClientRequest, metadata: ReplyMetadata, status: int) -> bool:
-    """Return whether the response is for this request; only an error may omit the request id."""
+def _is_response_to(
+    request: ClientRequest, metadata: ReplyMetadata, status: int, *, is_first: bool
+) -> bool:
+    """Return whether the response is for this request.
+
+    Only an error may omit the request id, and only as the first response of a connection: any
+    other may have been caused by an earlier request.
+    """
     if metadata.request_id:
         return metadata.request_id == request.metadata.request_id
-    return metadata.not_executed or status >= 400
+    return is_first and (metadata.not_executed or status >= 400)
 
 
 async def _send_ignoring_loss(send: Callable[[], Awaitable[None]]) -> None:
