See that the store is silent although an earlier call is pending

A gateway counted the store as silent once its oldest pending call had begun after the last answer and had waited 0.6 s. A call on a dead connection that was older than the last answer hid the calls after it: with one such call pending, a store that stopped answering was noticed only when calls timed out (0.8 s), and a call that may take longer would have hidden it for as long as it takes.

--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -2,9 +2,10 @@
 import pytest
 from testtools import ExpectedException
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, HasLength
+from testtools.matchers import Equals, GreaterThan, HasLength
 
 from gateway_rig import rig as start_rig
+from gateway_rig import wait_until
 from skylarkferry_core.errors import (
     HistoryLostError,
     PlatformRefusedError,
@@ -13,6 +14,7 @@
 )
 from skylarkferry_core.interfaces import Condition, Write
 from skylarkferry_daemon.log import EventLog
+from skylarkferry_gateway import defaults
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.store_calls import key_part, write_once
 from skylarkferry_platform.store import PlatformStore
@@ -85,6 +87,24 @@
     assert_that(rig.client.unavailable_s(), Equals(0.0))
 
 
+async def test_call_without_answer_shows_although_an_earlier_one_is_pending(rig):
+    async with anyio.create_task_group() as tasks:
+
+        async def read_small():
+            await rig.client.read("t/p/k")
+
+        rig.store.fault = lambda request: StoreFault.SILENT
+        tasks.start_soon(read_small)
+        await anyio.sleep(0.1)
+        rig.store.fault = lambda request: StoreFault.NONE
+        await rig.client.read("t/p/k")
+        rig.store.fault = lambda request: StoreFault.SILENT
+        tasks.start_soon(read_small)
+        await wait_until(lambda: rig.client.unavailable_s() > 0)
+        assert_that(rig.client.unavailable_s(), GreaterThan(defaults.STORE_SILENT_AFTER_S))
+        tasks.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize("fault", [StoreFault.LOST, StoreFault.LATE, StoreFault.REFUSED])
 async def test_write_once_verifies_an_unanswered_write(rig, fault):
     failures = [fault]
