Read answers of the store for as long as their bytes arrive

Cause: a store call had 0.8 s for its whole answer (1.8 s on the feed, of which up to 1 s is the wait for a change), however long the answer and although bytes kept arriving. The desired state is one row and comes as one answer, in base64. Once that takes longer, each try fails and starts anew, and the store counts as lost meanwhile.

Ruled out: the decoding (the requests stay refused for as long as was watched, and nothing reached the decoder), and other calls on the link (a gateway alone on its link fails too).

A call now fails after 0.8 s without a byte. Each part of an answer gives the next one its time and counts as a sign of the store; 8.9 s after the first part the call fails in any case, which is an answer of the largest accepted size on half of a link of 15 Mbit/s. A connection that goes silent within an answer is given up after 0.8 s as before, and the limit on the size stays.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -44,10 +44,14 @@
 CONFIG_POLL_TIMEOUT_S = 1.0
 """Longest wait of one poll for configuration changes; half of the shortest apply bound, 2 s."""
 STORE_TIMEOUT_S = 0.8
-"""Timeout of one store call.
+"""Longest wait for the answer to a store call, and longest pause while it arrives.
 
 A slow answer takes up to 60 times 4 ms, and twice that for a transaction across parts.
 """
+LINK_BYTES_PER_S = 937_500.0
+"""Rate that one transfer can count on: half of the smallest link, 15 Mbit/s."""
+STORE_TRANSFER_TIMEOUT_S = MAX_ANSWER_BYTES / LINK_BYTES_PER_S
+"""Longest transfer of one answer, once it has begun: one of the largest size, at that rate."""
 STORE_SILENT_AFTER_S = 0.6
 """Time without any answer after which the store counts as lost; see ``STORE_TIMEOUT_S``."""
 STORE_RETRY_S = 0.05
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -75,6 +75,13 @@
     }
 
 
+def large_config(count, version):
+    """Return a configuration with ``count`` more routes and a newest one, ``/newest/``."""
+    plain = {"kind": "idempotent", "service": "tools"}
+    more = {f"/more-{number:05d}/": plain for number in range(count)}
+    return config(version, {**ROUTES, **more, "/newest/": plain})
+
+
 def entry(replica, service, address, state="ready", **fields):
     """Return a replica's row in the registry."""
     return {
