Answer or refuse what reaches a stopping gateway before its process ends

Cause: a stop closed only connections that had served a request, and nothing compared a request's time limit with the end of the process. So any request that arrived late was sent on, however little was left: also one whose body was complete only then, or one pipelined behind a long one.

Ruled out: that closing unused connections is enough (the tests for late bodies and pipelined requests fail without unused connections).

Fix: the stop tells by when each request has to have its final answer. While clients may still open connections, requests are sent on with their time limit shortened to that; later, one whose own limit does not fit is refused as not run (503 process_stopping, Retry-After, the connection closes). A connection without a request is closed 1 s after the listener, by the same look at the socket that ends the wait for another request. Why it works: whatever is sent on ends before the process cuts connections, by its upstream or with 504.

Before, on with these tests, `pytest -q tests/gateway/test_planned_stop.py tests/gateway/test_http_server.py`, 11 failed, 9 passed: late request, unused connection (get, order, turn): ([], ['late']) != ([(503, True)], []) late body: ([(200, True)], ['late']) != ([(503, True)], []) pipelined: actual ([(200, False)], ['first', 'second']) long request during a stop (get, order, turn): ([], ['long']) != ([(504, True)], ['long']) unused connection, long grace period: TimeoutError two tests of the connection: close_if_idle() takes 1 positional argument After: all pass; `pytest -q tests/gateway`: all pass.

--- a/packages/skylarkferry-core/src/skylarkferry_core/errors.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/errors.py
@@ -41,6 +41,7 @@
     HISTORY_LOST = "history_lost"
     WRITE_CONFLICT = "write_conflict"
     NO_CONFIGURATION = "no_configuration"
+    PROCESS_STOPPING = "process_stopping"
     UNKNOWN_ROUTE = "unknown_route"
     UNKNOWN_TURN = "unknown_turn"
     UNKNOWN_STREAM = "unknown_stream"
@@ -268,6 +269,13 @@
     status = HTTPStatus.SERVICE_UNAVAILABLE
 
 
+class ProcessStoppingError(SkylarkferryError):
+    """The process stops too soon to answer the request for certain."""
+
+    code = ErrorCode.PROCESS_STOPPING
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
 class UnknownRouteError(SkylarkferryError):
     """No route matches the request's host and path."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -1,5 +1,7 @@
 """Retry state of one client request: attempts made, upstreams tried, deadlines, last error."""
 
+import math
+
 from skylarkferry_core.errors import (
     AnswerTimeoutError,
     ConnectionLostError,
@@ -22,6 +24,11 @@
 """Silence after which a resumable stream moves to another upstream; clients time out after 2 s."""
 
 
+def deadline_of(request: ClientRequest, route: Route) -> float:
+    """Return the monotonic time of the earlier of the client's deadline and the route's timeout."""
+    return request.received_at + min(request.metadata.time_left_s, route.timeout_s)
+
+
 class Attempts:
     """Attempts for one request.
 
@@ -30,16 +37,22 @@
     ``required_version`` is the software version at which a stream that has begun must go on;
     ``stream_row`` is the row by which the version of the last attempt is recorded, if it is;
     ``is_stream_kept`` is whether the stream counts as relayed.
+    ``answer_by`` bounds the deadline at a planned stop.
     """
 
     def __init__(
-        self, request: ClientRequest, route: Route, table: RoutingTable, service: ServiceName
+        self,
+        request: ClientRequest,
+        route: Route,
+        table: RoutingTable,
+        service: ServiceName,
+        answer_by: float = math.inf,
     ) -> None:
         self.request = request
         self.route = route
         self.table = table
         self.service = service
-        self.deadline = request.received_at + min(request.metadata.time_left_s, route.timeout_s)
+        self.deadline = min(deadline_of(request, route), answer_by)
         self.client_deadline = request.received_at + request.metadata.time_left_s
         self.attempts_made = 0
         self.tried_upstreams: set[Upstream] = set()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -81,6 +81,15 @@
 
 The balancer removes it after two failed checks, which take 2 s.
 """
+STOP_FIRST_REQUEST_S = 1.0
+"""Time for which a connection may send its first request once no other is accepted.
+
+Clients allow a connection as long to be established.
+"""
+STOP_ANSWER_S = 0.1
+"""Time in which a final answer reaches the client before a stopping process cuts connections."""
+STOP_RETRY_AFTER_S = 0.02
+"""Retry-After of a stopping process; another can serve the request at once."""
 STOP_MARGIN_S = 0.7
 """Time before the end of the grace period at which unfinished requests are cut off."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
@@ -17,7 +17,7 @@
 from skylarkferry_core.routes import ClientLimits, Route, RoutingTable
 from skylarkferry_daemon.log import NO_PROGRAM
 from skylarkferry_gateway import defaults
-from skylarkferry_gateway.attempts import Attempts
+from skylarkferry_gateway.attempts import Attempts, deadline_of
 from skylarkferry_gateway.buffered_relay import BufferedRelay
 from skylarkferry_gateway.failover_store import FailoverStore
 from skylarkferry_gateway.http_server import (
@@ -27,6 +27,7 @@
     ResponseState,
 )
 from skylarkferry_gateway.messages import ClientRequest
+from skylarkferry_gateway.planned_stop import PlannedStop
 from skylarkferry_gateway.relay_context import RelayContext
 from skylarkferry_gateway.stream_relay import StreamBrokenError, StreamRelay
 from skylarkferry_gateway.turns import ActiveTurn, TurnServices
@@ -49,6 +50,7 @@
         self.config = config
         self.turn_services = turn_services
         self.store = store
+        self.planned_stop = PlannedStop()
         self.log = context.log
         self.metrics = context.metrics
         self.buffered_relay = BufferedRelay(context)
@@ -123,11 +125,13 @@
         self, request: ClientRequest, route: Route, table: RoutingTable, client: ClientConnection
     ) -> int:
         refusal = self.context.crashes.refusal(request)
+        if refusal is None:
+            refusal = self.planned_stop.refusal(deadline_of(request, route))
         if refusal is not None:
             raise refusal
         service = self.context.selector.choose_service(request, route)
         if not route.is_streamed:
-            attempts = Attempts(request, route, table, service)
+            attempts = self._attempts(request, route, table, service)
             return await self.buffered_relay.relay(attempts, client)
         attempts = await self._stream_attempts(request, route, table, service)
         store_deadline = attempts.deadline + defaults.DEADLINE_SLACK_S
@@ -147,16 +151,21 @@
     ) -> Attempts:
         """Return the attempts for a stream; those of a resumed one keep its service and version."""
         if not request.metadata.is_resumption:
-            return Attempts(request, route, table, service)
+            return self._attempts(request, route, table, service)
         origin = await self.context.resumptions.find(request, service)
         if origin.service not in {share.service for share in route.shares}:
             raise UnknownStreamError(
                 "the route does not lead to the service of the stream any more"
             )
-        attempts = Attempts(request, route, table, origin.service)
+        attempts = self._attempts(request, route, table, origin.service)
         attempts.required_version = origin.version
         return attempts
 
+    def _attempts(
+        self, request: ClientRequest, route: Route, table: RoutingTable, service: ServiceName
+    ) -> Attempts:
+        return Attempts(request, route, table, service, self.planned_stop.answer_by)
+
     async def _respond_with_error(self, error: SkylarkferryError, client: ClientConnection) -> None:
         if client.response_state is not ResponseState.NONE:
             return
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server connections, which enforce the limits on client requests."""
 
+import math
 from collections import deque
 from collections.abc import Awaitable, Callable
 from enum import Enum
@@ -80,6 +81,7 @@
         self.response_state = ResponseState.NONE
         self.request_scope: anyio.CancelScope | None = None
         self.idle_scope: anyio.CancelScope | None = None
+        self.first_request_by = math.inf
 
     async def serve(self) -> None:
         """Serve requests until the client disconnects, violates a limit or the process stops."""
@@ -178,10 +180,10 @@
             return not self.is_disconnected or bool(self.input_chunks)
         wait_started_at = anyio.current_time()
         while not self.is_disconnected:
-            remaining_s = wait_started_at + self.limits().idle_s - anyio.current_time()
-            if remaining_s <= 0 or (self.is_stopping() and self.requests > 0):
+            wait_ends_at = self._wait_end(wait_started_at)
+            if wait_ends_at <= anyio.current_time():
                 return await self._end_wait()
-            with anyio.move_on_after(remaining_s) as self.idle_scope:
+            with anyio.move_on_at(wait_ends_at) as self.idle_scope:
                 self.input_available = anyio.Event()
                 await self.input_available.wait()
             self.idle_scope = None
@@ -189,6 +191,13 @@
                 return True
         return False
 
+    def _wait_end(self, wait_started_at: float) -> float:
+        """Return the monotonic time at which the wait for a request ends."""
+        idle_end = wait_started_at + self.limits().idle_s
+        if not self.is_stopping():
+            return idle_end
+        return min(idle_end, wait_started_at if self.requests > 0 else self.first_request_by)
+
     async def _end_wait(self) -> bool:
         """End the wait for a request; return whether one has arrived in the last moment.
 
@@ -210,9 +219,10 @@
     def _has_input(self) -> bool:
         return bool(self.input_chunks) or self.is_disconnected or is_readable(self.stream)
 
-    def close_if_idle(self) -> None:
-        """Stop waiting for another request; a new connection may still send its first request."""
-        if self.idle_scope is not None and self.requests > 0:
+    def close_if_idle(self, first_request_by: float = math.inf) -> None:
+        """End the wait for another request, and at the given time that for a first one."""
+        self.first_request_by = first_request_by
+        if self.idle_scope is not None:
             self.idle_scope.cancel()
 
     async def _read_body(self, request: h11.Request, limits: ClientLimits) -> bytes:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -307,11 +307,17 @@
         began = anyio.current_time()
         end = began + self.settings.grace_s - defaults.STOP_MARGIN_S
         self.is_stopping = self.coordinator.is_stopping = True
+        planned_stop = self.gateway.planned_stop
+        planned_stop.begin(end)
         self.log.emit(EventKind.GATEWAY_STOPPING, connections=len(self.clients))
         for client in list(self.clients):
             client.close_if_idle()
         await anyio.sleep(min(defaults.STOP_ACCEPTING_AFTER_S, self.settings.grace_s / 2))
         await clients.aclose()
+        planned_stop.is_accepting = False
+        first_request_by = planned_stop.first_request_by()
+        for client in list(self.clients):
+            client.close_if_idle(first_request_by)
         with anyio.move_on_at(end):
             await self.handover.run()
             while self.clients:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -201,3 +201,29 @@
     served_connection.client.sendall(b"4\r\nlate\r\n0\r\n\r\n" if is_chunked else b"late")
     received = await served_connection.receive()
     assert_that((received.endswith(b"late"), served_connection.served[-1]), Equals((True, b"late")))
+
+
+async def test_request_that_arrives_when_the_wait_for_the_first_one_ends_is_answered(
+    served_connection,
+):
+    served_connection.idle_s = 600.0
+    served_connection.is_stopping = True
+    await wait_until(lambda: served_connection.connection.idle_scope is not None)
+    served_connection.client.sendall(request_bytes(b"late"))
+    served_connection.connection.close_if_idle(anyio.current_time())
+    received = await served_connection.receive()
+    assert_that(received.endswith(b"late"), Equals(True))
+    assert_that(b"connection: close" in received.lower(), Equals(True))
+    assert_that(await served_connection.receive(), Equals(b""))
+
+
+async def test_unused_connection_is_closed_when_its_time_for_a_first_request_is_over(
+    served_connection,
+):
+    served_connection.idle_s = 600.0
+    await wait_until(lambda: served_connection.connection.idle_scope is not None)
+    served_connection.is_stopping = True
+    served_connection.connection.close_if_idle()
+    served_connection.connection.close_if_idle(anyio.current_time() + 0.1)
+    assert_that(await served_connection.receive(), Equals(b""))
+    assert_that(served_connection.served, Equals([]))
--- /dev/null
+++ b/tests/gateway/test_planned_stop.py
@@ -0,0 +1,155 @@
+"""Requests that reach a stopping gateway when little of its grace period is left."""
+
+import anyio
+import msgspec
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals
+
+from gateway_rig import GRACE_S, HOST, config, wait_until
+from skylarkferry_standins.replica import Behaviour
+
+pytestmark = pytest.mark.anyio
+
+LONG_MS = 3_000
+LONG_WORK_S = 2.5
+SHORT_MS = 400
+LATE_S = GRACE_S / 2 + 0.5
+"""The gateway accepts connections for half of the grace period."""
+PATHS = {
+    "/get/1": "idempotent",
+    "/order/1": "non_idempotent",
+    "/turn/1": "streaming",
+}
+
+
+def request_bytes(request_id, path="/order/1", limit_ms=LONG_MS):
+    """Return a whole request."""
+    usage = "Skylarkferry-Token-Usage: 50,100\r\n" if path == "/turn/1" else ""
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 4\r\n{usage}"
+        f"Skylarkferry-Request-Id: {request_id}\r\nSkylarkferry-Deadline-Ms: {limit_ms}\r\n\r\nbody"
+    ).encode()
+
+
+async def connect(gateway):
+    host, _, port = gateway.settings.client_listen.rpartition(":")
+    return await anyio.connect_tcp(host, int(port))
+
+
+async def receive_all(stream):
+    """Return all bytes until the connection ends."""
+    received = b""
+    try:
+        while True:
+            received += await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return received
+
+
+def statuses(received):
+    """Return the status of each response, and whether it announces the connection's end."""
+    heads = [item.partition(b"\r\n\r\n")[0] for item in received.split(b"HTTP/1.1 ")[1:]]
+    return [(int(head[:3]), b"connection: close" in head.lower()) for head in heads]
+
+
+async def wait_until_listener_is_closed(gateway):
+    while True:
+        try:
+            await (await connect(gateway)).aclose()
+        except OSError:
+            return
+        await anyio.sleep(0.02)
+
+
+@pytest.fixture
+async def gateway(rig):
+    """Run a gateway with one replica of each service, whose routes allow long work."""
+    routes = {
+        path.removesuffix("1"): {
+            "kind": kind,
+            "service": "engine" if kind == "streaming" else "tools",
+            "timeoutMs": 10_000,
+        }
+        for path, kind in PATHS.items()
+    }
+    rig.configure(config(2, routes))
+    await rig.add_replica("r1")
+    await rig.add_replica("r2", "engine")
+    return await rig.add_gateway()
+
+
+def runs(rig):
+    return [run.request_id for replica in rig.replicas.values() for run in replica.runs]
+
+
+@pytest.mark.parametrize("path", list(PATHS))
+async def test_late_request_on_an_unused_connection_is_refused_before_it_runs(rig, gateway, path):
+    for replica in rig.replicas.values():
+        replica.work_s = LONG_WORK_S
+    async with await connect(gateway) as stream:
+        gateway.stop.set()
+        await wait_until_listener_is_closed(gateway)
+        await stream.send(request_bytes("late", path))
+        received = await receive_all(stream)
+    assert_that((statuses(received), runs(rig)), Equals(([(503, True)], [])))
+    assert_that(received.lower(), Contains(b"\r\nretry-after: "))
+    assert_that(received, Contains(b'"not_run"'))
+
+
+async def test_late_request_with_a_time_limit_that_fits_into_the_grace_is_served(rig, gateway):
+    async with await connect(gateway) as stream:
+        gateway.stop.set()
+        await wait_until_listener_is_closed(gateway)
+        await stream.send(request_bytes("late", limit_ms=SHORT_MS))
+        received = await receive_all(stream)
+    assert_that((statuses(received), runs(rig)), Equals(([(200, True)], ["late"])))
+
+
+async def test_request_whose_body_is_complete_too_late_is_refused_before_it_runs(rig, gateway):
+    whole = request_bytes("late")
+    async with await connect(gateway) as stream:
+        await stream.send(whole[:-2])
+        gateway.stop.set()
+        await wait_until_listener_is_closed(gateway)
+        await stream.send(whole[-2:])
+        received = await receive_all(stream)
+    assert_that((statuses(received), runs(rig)), Equals(([(503, True)], [])))
+
+
+async def test_pipelined_request_that_begins_too_late_is_refused_before_it_runs(rig, gateway):
+    rig.replicas["r1"].work_s = LATE_S
+    async with await connect(gateway) as stream:
+        first = request_bytes("first", limit_ms=10_000)
+        await stream.send(first + request_bytes("second"))
+        await wait_until(lambda: runs(rig) == ["first"])
+        gateway.stop.set()
+        received = await receive_all(stream)
+    assert_that((statuses(received), runs(rig)), Equals(([(200, False), (503, True)], ["first"])))
+
+
+@pytest.mark.parametrize("path", list(PATHS))
+async def test_request_sent_on_during_a_stop_is_answered_before_the_process_ends(
+    rig, gateway, path
+):
+    for replica in rig.replicas.values():
+        replica.behaviour = lambda request: Behaviour.SILENT
+    gateway.stop.set()
+    await wait_until(lambda: gateway.is_stopping)
+    async with await connect(gateway) as stream:
+        await stream.send(request_bytes("long", path, limit_ms=10_000))
+        received = await receive_all(stream)
+        assert_that(gateway.ended.is_set(), Equals(False))
+    assert_that((statuses(received), runs(rig)), Equals(([(504, True)], ["long"])))
+
+
+async def test_unused_connection_does_not_hold_up_a_long_stop(rig, gateway):
+    gateway.settings = msgspec.structs.replace(gateway.settings, grace_s=600.0)
+    rig.configure(config(3, limits={"idleTimeoutMs": 600_000}))
+    await wait_until(lambda: gateway.config.current.version == 3)
+    async with await connect(gateway) as stream:
+        await wait_until(lambda: gateway.clients)
+        gateway.stop.set()
+        with anyio.fail_after(60):
+            assert_that(await receive_all(stream), Equals(b""))
+            await gateway.ended.wait()
