Believe the upstream list only from a read after the client resumed

What callers saw: during a release, streams that had begun at the new version through other gateways broke and were resumed at a gateway that was cut off from the store and from the others.

Cause: the last resort for the origin of a stream was the upstream list, if it was at most 1.5 s old and had shown one version for a minute. That other gateways hold a new version back for 2 s was to make this safe. They do not hold it back if no other version takes requests, nor when they have just started; the age of the list counted from the arrival of the answer instead of from the call; and a resumption without the id of its stream asked neither store nor gateways.

Why it works: whatever another gateway knew of versions when it began the stream was in the store then, so that a read that begins later shows it, in whatever state the processes and their clocks were. Without such a read the request is rejected, as it is for any other stream whose origin is unknown. A service with one version goes on where rows cannot be read but the list can.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
@@ -1,6 +1,7 @@
 """Resumption of streams by clients: which service and software version a stream has to go on at."""
 
 import random
+from contextlib import suppress
 from enum import Enum
 
 import anyio
@@ -37,7 +38,7 @@
 
     MEMORY = "memory"
     LIST = "list"
-    """The service has had one version only, and neither store nor peers tell of another."""
+    """The service has had one version only, also by a list read since the client resumed."""
     STORE = "store"
     ASSIGNMENT = "assignment"
     """The stream has no row."""
@@ -158,13 +159,9 @@
         known = self.origins.get(stream)
         if known is not None:
             return known, OriginSource.MEMORY
-        now = anyio.current_time()
-        sole = self.versions.sole_version(service, now)
-        listed: StreamOrigin | None = None
-        if sole is not None and self.versions.covers_all_streams(now):
-            listed = StreamOrigin(service, sole)
-        if not stream and (listed is not None or not self.assignments.is_sole(service, sole)):
-            return _listed_or_unknown(listed)
+        began_at = anyio.current_time()
+        if not stream:
+            return await self._find_unnamed(metadata, service, began_at)
         try:
             told, source = await self._read(metadata, service)
         except PlatformUnavailableError:
@@ -172,7 +169,30 @@
         if told is not None:
             return told, source
         # The list comes last: another gateway may have begun the stream by a later one.
-        return _listed_or_unknown(listed)
+        listed = await self._listed_version(service, began_at)
+        if listed is None or not self.versions.covers_all_streams(anyio.current_time()):
+            return None, OriginSource.UNKNOWN
+        return StreamOrigin(service, listed), OriginSource.LIST
+
+    async def _find_unnamed(
+        self, metadata: RequestMetadata, service: ServiceName, began_at: float
+    ) -> tuple[StreamOrigin | None, OriginSource]:
+        """Find the origin of a stream whose id is not known: the service has one version only."""
+        listed = await self._listed_version(service, began_at)
+        if listed is not None and self.versions.covers_all_streams(anyio.current_time()):
+            return StreamOrigin(service, listed), OriginSource.LIST
+        if self.assignments.is_sole(service, listed):
+            with suppress(PlatformUnavailableError):
+                return await self._read(metadata, service)
+        return None, OriginSource.UNKNOWN
+
+    async def _listed_version(self, service: ServiceName, began_at: float) -> str | None:
+        """Return the only version listed lately, by a list that is not older than the request."""
+        if self.store.unavailable_s() > defaults.STORE_LOST_AFTER_S:
+            return None
+        if not await self.versions.is_read_since(began_at):
+            return None
+        return self.versions.sole_version(service, anyio.current_time())
 
     async def _read(
         self, metadata: RequestMetadata, service: ServiceName
@@ -214,9 +234,3 @@
             for address in [*ranked, *sampled]:
                 tasks.start_soon(ask, address)
         return found[0] if found else None
-
-
-def _listed_or_unknown(
-    listed: StreamOrigin | None,
-) -> tuple[StreamOrigin | None, OriginSource]:
-    return listed, OriginSource.LIST if listed is not None else OriginSource.UNKNOWN
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
@@ -44,15 +44,17 @@
 
     async def read(self) -> None:
         """Read the list once; if that fails, keep the previous list."""
+        asked_at = anyio.current_time()
         try:
             entries = await self.directory.upstreams()
         except PlatformUnavailableError:
+            self.versions.on_read_ended(asked_at)
             return
         await self.assignments.establish(entries)
         before = {key: item.entry for key, item in self.upstreams.upstreams.items()}
         leaving = {key for key, item in self.upstreams.upstreams.items() if item.is_leaving}
         gone = self.upstreams.update(entries, anyio.current_time())
-        self.versions.update(anyio.current_time())
+        self.versions.update(asked_at, anyio.current_time())
         self.has_read = True
         for upstream in gone:
             self.log.on_gone(upstream)
--- /dev/null
+++ b/tests/gateway/test_streams_out_of_step.py
@@ -0,0 +1,179 @@
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from gateway_rig import free_address, wait_until
+from skylarkferry_gateway import defaults
+from skylarkferry_standins.row_store import StoreFault
+from skylarkferry_standins.wire_server import WireServer
+from stream_clients import (
+    STREAMS,
+    add_versions,
+    begin_streams,
+    fault_in_part,
+    mixed_streams,
+    resume,
+    resume_all,
+    stop_abruptly,
+    versions_of,
+)
+
+pytestmark = pytest.mark.anyio
+
+OLD = {"a1": "v1", "a2": "v1"}
+NEW = {"b1": "v2", "b2": "v2", "b3": "v2"}
+
+
+class Link:
+    """A gateway's own address of the store, and what happens to calls there."""
+
+    def __init__(self, rig):
+        self.rig = rig
+        self.address = free_address()
+        self.fault = StoreFault.NONE
+        self.list_delay_s = 0.0
+        """Time for which an answer with the upstream list is under way."""
+
+    async def open(self):
+        await self.rig.listen(self.address, WireServer(self.handle))
+
+    async def handle(self, request):
+        reply = await self.rig.store.handle_with_fault(request, self.fault)
+        if "table=servers" in request.target:
+            await anyio.sleep(self.list_delay_s)
+        return reply
+
+
+@pytest.fixture
+def short_streams(monkeypatch):
+    """Let a gateway know after two seconds which versions a stream can have."""
+    monkeypatch.setattr(defaults, "STREAM_KEEP_S", 2.0)
+
+
+async def add_linked_gateway(rig, name):
+    link = Link(rig)
+    await link.open()
+    gateway = await rig.add_gateway(name, store_address=link.address)
+    gateway.link = link
+    return gateway
+
+
+async def follow_list(*gateways):
+    """Wait until the gateways know each other, and their lists for as long as streams can last."""
+    for gateway in gateways:
+        await wait_until(lambda item=gateway: len(item.gateways.nodes) == len(gateways))
+    await anyio.sleep(defaults.STREAM_KEEP_S + defaults.UPSTREAMS_POLL_S)
+
+
+def cut_off(*gateways):
+    """Cut gateways off from the store and from the gateways that are not among them."""
+    inside = {gateway.settings.peer_listen for gateway in gateways}
+    for gateway in gateways:
+        gateway.link.fault = StoreFault.SILENT
+        peers = gateway.store.peers
+
+        async def exchange(address, *call, reach=peers._exchange):
+            if address not in inside:
+                await anyio.sleep_forever()
+            return await reach(address, *call)
+
+        peers._exchange = exchange
+
+
+async def after_next_read(gateway):
+    """Wait until a gateway has just read its upstream list."""
+    read_at = gateway.upstreams.read_at
+    await wait_until(lambda: gateway.upstreams.read_at > read_at)
+
+
+async def release(rig, old_state="draining"):
+    """Register engines of the new version, and change the state of the old ones."""
+    for name in OLD:
+        if old_state == "gone":
+            rig.store.delete("servers", "", name)
+        else:
+            rig.register_replica(name, "engine", state=old_state, version="v1")
+    await add_versions(rig, NEW)
+
+
+async def begin_at_new_version(rig, gateway):
+    """Begin streams at the new version, as soon as a gateway knows it."""
+    await gateway.upstream_watcher.read()
+    started = await begin_streams(rig, gateway=gateway)
+    assert_that([versions_of(rig, item) for item in started], Equals([{"v2"}] * STREAMS))
+    return started
+
+
+@pytest.mark.parametrize("old_state", ["draining", "gone"])
+@pytest.mark.parametrize("together", [1, 2])
+async def test_stream_is_not_mixed_by_gateways_cut_off_as_its_version_came(
+    rig, short_streams, old_state, together
+):
+    await add_versions(rig, OLD)
+    outside = [await add_linked_gateway(rig, f"g{number}") for number in range(together)]
+    other = await rig.add_gateway("g9")
+    await follow_list(*outside, other)
+    await after_next_read(outside[-1])
+    cut_off(*outside)
+    await release(rig, old_state)
+    started = await begin_at_new_version(rig, other)
+    statuses = await resume_all(rig, started, gateway=outside[-1])
+    assert_that((set(statuses), len(mixed_streams(rig, started))), Equals(({503}, 0)))
+
+
+async def test_stream_is_not_mixed_by_a_gateway_cut_off_while_another_one_started(
+    rig, short_streams
+):
+    await add_versions(rig, OLD)
+    outside = await add_linked_gateway(rig, "g1")
+    await follow_list(outside)
+    await after_next_read(outside)
+    cut_off(outside)
+    await release(rig, "ready")
+    started = await begin_streams(rig, gateway=await rig.add_gateway("g2"))
+    statuses = await resume_all(rig, started, gateway=outside)
+    assert_that(set(statuses) <= {200, 503}, Equals(True))
+    assert_that(len(mixed_streams(rig, started)), Equals(0))
+
+
+async def test_stream_is_not_mixed_by_a_list_whose_answer_came_late(rig, short_streams):
+    await add_versions(rig, OLD)
+    outside, other = await add_linked_gateway(rig, "g1"), await rig.add_gateway("g2")
+    await follow_list(outside, other)
+    outside.link.list_delay_s = 0.7
+    await after_next_read(outside)
+    await wait_until(lambda: outside.store.direct.pending_since)
+    await anyio.sleep(0.1)
+    await release(rig)
+    started = await begin_at_new_version(rig, other)
+    cut_off(outside)
+    await after_next_read(outside)
+    statuses = await resume_all(rig, started, gateway=outside)
+    assert_that((set(statuses), len(mixed_streams(rig, started))), Equals(({503}, 0)))
+
+
+async def test_resumption_without_an_id_is_not_sent_by_an_old_list(rig, short_streams):
+    await add_versions(rig, OLD)
+    outside, other = await add_linked_gateway(rig, "g1"), await rig.add_gateway("g2")
+    await follow_list(outside, other)
+    await after_next_read(outside)
+    cut_off(outside)
+    await release(rig)
+    await begin_at_new_version(rig, other)
+    old_runs = len(rig.replicas["a1"].runs) + len(rig.replicas["a2"].runs)
+    response = await resume(rig, "", gateway=outside)
+    assert_that(len(rig.replicas["a1"].runs) + len(rig.replicas["a2"].runs), Equals(old_runs))
+    assert_that(response.status_code, Equals(503))
+
+
+@pytest.mark.parametrize("fault", [StoreFault.SILENT, StoreFault.REFUSED])
+async def test_sole_version_continues_streams_whose_rows_cannot_be_read(rig, short_streams, fault):
+    await add_versions(rig, OLD)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    await follow_list(first, second)
+    started = await begin_streams(rig, gateway=first)
+    await stop_abruptly(first)
+    rig.store.fault = fault_in_part("streams", fault)
+    statuses = await resume_all(rig, started, gateway=second)
+    assert_that(statuses, Equals([200] * STREAMS))
