Reject streams that a handover moves at once while the store is away

What callers saw: in the two minutes in which an assignment of streams to versions is replaced, a stream that has another version under the new one needs a row. While the store did not answer, such a stream was sent to an upstream of its current version, ran, could not be recorded and ended with 502 before its first event; each try of its client did the same. DESIGN.md says that it is rejected at once.

Cause: without the store, upstreams were selected by the assigned version, while the need of a row also depends on the assignment that follows: two views of the same question.

Ruled out: rows that cannot be written while the store answers otherwise (the same function decides, see test_stream_that_cannot_be_recorded...).

Evidence: pytest tests/gateway/test_version_assignments.py -k handover_moves before: MismatchError: ({502}, 16) != ({503}, 0) after: passed

Why it works: selection now asks needs_row, the function that decides on the row, so that what it selects can begin without one.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/version_assignments.py
@@ -86,18 +86,21 @@
         """Return the upstreams at which a stream should begin.
 
         With the store, these are those of the version to which the listed shares lead, as few
-        streams need a row then. Without it, they are those of the assigned version: a stream
-        elsewhere could not be told from the others after a restart.
+        streams need a row then. Without it, they are those at which the stream needs no row: it
+        could not be told from the others after a restart.
         """
         usable = self.versions.without_new(usable, now)
-        service, key = attempts.service, attempts.request.metadata.assignment_key
+        service, metadata = attempts.service, attempts.request.metadata
         listed = self.versions.shares(service)
         if self.is_store_lost():
-            known = self.known.get(service)
-            return _of_version(usable, known.assignment.version(key)) if known is not None else []
+            return [
+                item
+                for item in usable
+                if not self.needs_row(service, metadata, item.entry.software_version)
+            ]
         if len(listed) <= 1:
             return usable
-        preferred = _of_version(usable, weighted_choice(key, listed))
+        preferred = _of_version(usable, weighted_choice(metadata.assignment_key, listed))
         healthy = self._healthy(service, preferred, now)
         return healthy if len(healthy) >= _MIN_PREFERRED else usable
 
--- a/tests/gateway/test_version_assignments.py
+++ b/tests/gateway/test_version_assignments.py
@@ -42,6 +42,15 @@
     assert_that((set(statuses.values()), rig.arrivals()), Equals(({503}, 0)))
 
 
+async def test_stream_that_a_handover_moves_is_rejected_at_once_without_the_store(rig):
+    assign_streams(rig, {"v1": 1}, {"v2": 1})
+    await add_versions(rig)
+    await rig.add_gateway()
+    await lose_store(rig)
+    statuses = await try_to_begin_streams(rig)
+    assert_that((set(statuses.values()), rig.arrivals()), Equals(({503}, 0)))
+
+
 async def test_gateways_that_start_together_agree_on_the_assignment(rig):
     await add_versions(rig)
     async with anyio.create_task_group() as tasks:
