--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -1,3 +1,4 @@
+import json
 from contextlib import suppress
 
 import anyio
@@ -6,7 +7,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Not
 
-from gateway_rig import free_address, wait_until
+from gateway_rig import entry, free_address, wait_until
 from skylarkferry_gateway import defaults, stream_origins
 from skylarkferry_standins.replica import Behaviour
 from skylarkferry_standins.row_store import StoreFault
@@ -192,6 +193,19 @@
     assert_that(set(await resume_all(rig, lost)), Equals({503}))
 
 
+async def test_stream_is_not_mixed_by_upstreams_whose_entries_lack_their_versions(rig):
+    await add_versions(rig)
+    gateway = await rig.add_gateway("g1")
+    for name in rig.replicas:
+        row = entry(name, "engine", rig.addresses[name])
+        del row["version"]
+        rig.store.put("servers", "", name, json.dumps(row).encode())
+    await gateway.upstream_watcher.read()
+    started = await begin_streams(rig)
+    await resume_all(rig, started)
+    assert_that((len(mixed_streams(rig, started)), rig.arrivals()), Equals((0, 0)))
+
+
 async def test_no_stream_begins_at_a_version_that_other_gateways_may_not_know(rig):
     await add_versions(rig, {"a1": "v1"})
     gateway = await rig.add_gateway("g1")
