Record two ways in which streams of two versions are still joined

- An upstream is back under its id with another version while a gateway is cut off from the store and the others.
Nothing in an answer of the upstream tells its version or start.
- A route moves to another service.
A gateway that does not know a stream and finds no row takes the service to which the route leads now: 16 of 16.

Not mended here: the first needs a question to the upstream about its start before a stream is sent over a connection that is younger than the list; the second a record of each route's services in the store, as for versions.

--- a/tests/gateway/test_streams_out_of_step.py
+++ b/tests/gateway/test_streams_out_of_step.py
@@ -3,7 +3,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from gateway_rig import free_address, wait_until
+from gateway_rig import ROUTES, config, free_address, wait_until
 from skylarkferry_gateway import defaults
 from skylarkferry_standins.row_store import StoreFault
 from skylarkferry_standins.wire_server import WireServer
@@ -11,6 +11,7 @@
     STREAMS,
     add_versions,
     begin_streams,
+    cut_first_attempt,
     fault_in_part,
     mixed_streams,
     resume,
@@ -177,3 +178,32 @@
     rig.store.fault = fault_in_part("streams", fault)
     statuses = await resume_all(rig, started, gateway=second)
     assert_that(statuses, Equals([200] * STREAMS))
+
+
+async def test_stream_does_not_go_on_at_an_upstream_that_restarted_unseen_with_another_version(rig):
+    await add_versions(rig, OLD)
+    outside, other = await add_linked_gateway(rig, "g1"), await rig.add_gateway("g2")
+    await wait_until(lambda: len(outside.gateways.nodes) == len(other.gateways.nodes) == 2)
+    started = await begin_streams(rig, gateway=outside)
+    cut_off(outside)
+    rig.register_replica("a1", "engine", version="v2", born=2)
+    before = len(rig.replicas["a1"].runs)
+    await resume_all(rig, started, gateway=outside)
+    assert_that(len(rig.replicas["a1"].runs) - before, Equals(0))
+
+
+async def test_stream_stays_at_its_version_when_its_route_moves_to_another_service(rig):
+    document = config(2)
+    document["services"].append({**document["services"][1], "name": "engine-2"})
+    rig.configure(document)
+    await add_versions(rig, OLD)
+    for name in ("b1", "b2"):
+        replica = await rig.add_replica(name, "engine-2", version="v2")
+        replica.behaviour = cut_first_attempt
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    started = await begin_streams(rig, gateway=first)
+    moved = {"/resume-once/": {**ROUTES["/resume-once/"], "service": "engine-2"}}
+    rig.configure({**config(3, {**ROUTES, **moved}), "services": document["services"]})
+    await wait_until(lambda: second.config.current.version == 3)
+    await resume_all(rig, started, gateway=second)
+    assert_that(len(mixed_streams(rig, started)), Equals(0))
