--- a/tests/platform_adapter/test_directory.py
+++ b/tests/platform_adapter/test_directory.py
@@ -14,6 +14,7 @@
     "service": "tools",
     "address": "10.0.0.1:80",
     "zone": "a",
+    "version": "v1",
     "slots": 4,
     "state": "ready",
     "sequence": 1,
