Make what is granted without a row independent of the turn at hand

Cause: an owner granted a first allowance without a row, (a third of the budget) >> losses, if it covered the turn at hand. A later owner counted those of the lost owners by its own turn at hand. If that was longer, short turns granted out of them were forgotten: less than a turn for one lost owner, up to two turns for several. The rule allows one.

Ruled out: an owner that claims twice or writes late, and the take-over of an unanswered write.

Fix: only owners of a partition without losses grant without a row, a third of the budget, whatever the turn; all later owners count it. The row names it apart from what is recorded, with the longest turn granted. A turn longer than the third is granted without that count, as a lost owner can have granted only shorter ones: the total exceeds the budget by less than that turn. So small budgets are refused no earlier than before (the first turn that the budget covers is granted after any losses), and programs with short turns lose a third after two losses, not half. Programs whose turns are equally long never exceed the budget itself. Rows of the earlier version are read as before.

Why it works: let R be granted without a row, at most a third of the largest budget named. A turn n is granted if recorded + third + n <= limit, or, once a turn m > third was granted or is at hand, recorded + n <= limit; then the total is at most limit, or limit + third < limit + m.

The same cause elsewhere: a turn longer than the whole budget, which is never granted, opened the account with nothing counted; an owner with a smaller budget counted too little, and its row kept that.

--- a/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
@@ -1,9 +1,11 @@
 """Token accounts of programs, kept by the owner of their partition.
 
 A program's row in the store is an upper bound on the tokens granted so far.  An owner grants tokens
-up to its allowance and writes the row before it raises the allowance.  A program without a row has
-a first allowance that needs no write: each later owner counts the first allowances of all lost
-owners as granted, so the total stays within the budget whichever process fails.
+up to its allowance and writes the row before it raises the allowance.  Until a partition has lost
+an owner, a program without a row has a first allowance that needs no write.  It depends only on the
+budget, so every later owner can count it as granted, and the total stays within the budget
+whichever process fails.  It is not counted against a turn that is longer: the lost owner can have
+granted only shorter ones, and the total exceeds the budget by less than that turn.
 """
 
 import msgspec
@@ -15,7 +17,7 @@
 BUDGET_PARTITIONS = 128
 """Number of partitions; the loss of an owner costs one program in 128 its first allowance."""
 FIRST_ALLOWANCE_DIVISOR = 3
-"""The first allowance is a third of the budget, halved for each lost owner."""
+"""The first allowance is a third of the budget."""
 GROWTH_DIVISOR = 3
 """An allowance grows by at least a third of the budget, so that few turns need a write."""
 NO_OWNER = Incarnation("")
@@ -44,9 +46,19 @@
 
 
 class AccountRow(msgspec.Struct, frozen=True, array_like=True):
-    """Row of a program: tokens that owners may have granted."""
+    """Row of a program: tokens that owners may have granted.
+
+    ``unrecorded_tokens`` is the part that a lost owner may have granted without a row, ``None`` if
+    no owner was lost before; ``longest_turn`` is the maximum of the longest turn granted.
+    """
 
     granted_tokens: int
+    unrecorded_tokens: int | None = None
+    longest_turn: int = 0
+
+    def recorded_tokens(self) -> int:
+        """Return the tokens that owners may have granted under a row."""
+        return self.granted_tokens - (self.unrecorded_tokens or 0)
 
 
 def budget_partition(program_id: ProgramId) -> PartitionNumber:
@@ -54,52 +66,57 @@
     return PartitionNumber(xxhash.xxh64_intdigest(program_id.encode()) % BUDGET_PARTITIONS)
 
 
-def unrecorded_allowances(limit: int, need: int, losses: int) -> int:
-    """Return the tokens that ``losses`` lost owners may have granted without a row."""
-    return sum(first_allowance(limit, need, loss) for loss in range(losses))
-
-
-def first_allowance(limit: int, need: int, losses: int) -> int:
-    """Return the tokens an owner may grant without a row: 0 if they do not cover one turn."""
-    allowance = (limit // FIRST_ALLOWANCE_DIVISOR) >> losses
-    return allowance if allowance >= need else 0
+def first_allowance(limit: int) -> int:
+    """Return the tokens that the first owner of a partition may grant without a row."""
+    return max(limit, 0) // FIRST_ALLOWANCE_DIVISOR
 
 
 class Account:
     """Account of one program at its partition's owner.
 
-    ``base`` counts the tokens granted before this owner, ``allowance`` is the total this owner may
-    grant, ``version`` is the version of the row (0 without a row), and ``need`` is the maximum
-    number of tokens of a turn.
+    ``limit`` is the budget of the first turn at this owner.  ``base`` counts the tokens granted
+    under a row before this owner, ``allowance`` is the total this owner may grant, and ``version``
+    is the version of the row (0 without a row).
     """
 
-    def __init__(
-        self, limit: int, need: int, losses: int, row: AccountRow | None, version: int
-    ) -> None:
+    def __init__(self, limit: int, losses: int, row: AccountRow | None, version: int) -> None:
         self.limit = limit
         self.version = version
         self.used = 0
         self.reserved: dict[TurnId, int] = {}
         if row is None:
-            self.base = unrecorded_allowances(limit, need, losses)
-            self.allowance = first_allowance(limit, need, losses)
+            self.base = 0
+            self.longest_turn = 0
+            self.follows_loss = losses > 0
         else:
-            self.base = row.granted_tokens
-            self.allowance = 0
+            self.base = row.recorded_tokens()
+            self.longest_turn = row.longest_turn
+            self.follows_loss = row.unrecorded_tokens is not None
+        self.allowance = 0 if row is not None or self.follows_loss else first_allowance(limit)
 
     def committed(self) -> int:
         """Return the tokens used plus those reserved by turns in progress."""
         return self.used + sum(self.reserved.values())
 
+    def unrecorded(self, need: int) -> int:
+        """Return the tokens to count for a lost owner beside a turn of at most ``need`` tokens."""
+        allowance = first_allowance(self.limit) if self.follows_loss else 0
+        return allowance if max(need, self.longest_turn) <= allowance else 0
+
+    def covers(self, need: int) -> bool:
+        """Return whether the budget covers another turn of at most ``need`` tokens."""
+        return self.base + self.unrecorded(need) + self.committed() + need <= self.limit
+
     def fits(self, need: int) -> bool:
-        """Return whether the allowance covers another turn of at most ``need`` tokens."""
-        return self.committed() + need <= self.allowance
+        """Return whether budget and allowance cover another turn of at most ``need`` tokens."""
+        return self.covers(need) and self.committed() + need <= self.allowance
 
     def reserve(self, turn: TurnId, need: int) -> None:
         """Reserve a turn's maximum tokens; raise ``BudgetExhaustedError`` beyond the allowance."""
         if not self.fits(need):
             raise BudgetExhaustedError("the allowance does not cover the turn")
         self.reserved[turn] = need
+        self.longest_turn = max(self.longest_turn, need)
 
     def settle(self, turn: TurnId, used: int) -> None:
         """Replace a reservation by the tokens used; a repeated call has no effect."""
@@ -112,16 +129,26 @@
 
         Raise ``BudgetExhaustedError`` if the remaining budget does not cover it.
         """
-        required = self.committed() + need
-        if self.base + required > self.limit:
+        if not self.covers(need):
             raise BudgetExhaustedError("the budget does not cover the next turn")
         grown = self.allowance + self.limit // GROWTH_DIVISOR
-        return min(max(required, grown), self.limit - self.base)
+        remaining = self.limit - self.base - self.unrecorded(need)
+        return min(max(self.committed() + need, grown), remaining)
 
     def row_for(self, allowance: int) -> AccountRow:
         """Return the row that covers an allowance."""
-        return AccountRow(self.base + allowance)
+        recorded = self.base + allowance
+        if not self.follows_loss:
+            return AccountRow(recorded, None, self.longest_turn)
+        unrecorded = first_allowance(self.limit)
+        return AccountRow(recorded + unrecorded, unrecorded, self.longest_turn)
 
     def final_row(self) -> AccountRow:
         """Return the row to write at a release, including the reservations of turns in progress."""
-        return AccountRow(self.base + self.committed())
+        return self.row_for(self.committed())
+
+    def adopt(self, row: AccountRow, version: int) -> None:
+        """Use the allowance of a row whose write by this owner was not answered."""
+        if version != self.version:
+            self.version = version
+            self.allowance = row.recorded_tokens() - self.base
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -72,7 +72,7 @@
             written = decode(_ACCOUNT.decode, row.value) if row else None
             losses = self.partition.ownership.losses
             version = row.version if row else 0
-            account = Account(reservation.limit, reservation.tokens, losses, written, version)
+            account = Account(reservation.limit, losses, written, version)
             entry = self.programs[reservation.program_id] = ProgramAccount(account, key, now)
         entry.used_at = now
         return entry
@@ -244,11 +244,9 @@
             self._drop_partition(owned)
             raise NotOwnerError(f"partition {number} was claimed by another process")
         row = await retry_until(lambda: self.store.read(program.key), deadline_at)
-        account = program.account
-        if row.version != account.version:
+        if row.version != program.account.version:
             written = decode(_ACCOUNT.decode, row.value)
-            account.version = row.version
-            account.allowance = written.granted_tokens - account.base
+            program.account.adopt(written, row.version)
 
     def _drop_partition(self, owned: PartitionAccounts) -> None:
         """Forget a partition, unless this process has claimed it again meanwhile."""
@@ -276,6 +274,7 @@
             limit=reservation.limit,
             need=reservation.tokens,
             base=account.base,
+            unrecorded=account.unrecorded(reservation.tokens),
             used=account.used,
             committed=account.committed(),
             version=account.version,
--- a/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
@@ -60,6 +60,7 @@
         self.received_at: list[float] = []
         """Monotonic times at which the requests arrived."""
         self.work_s = 0.0
+        self.event_count = EVENT_COUNT
         self.report: dict[str, str] = {}
         """Headers added to every response, in which the replica reports about itself."""
         self.stale_report: dict[str, str] = {}
@@ -137,7 +138,7 @@
 
     def _events(self, request: WireRequest, behaviour: Behaviour) -> bytes:
         first = int(request.headers.get("last-event-id", "0")) + 1
-        numbers = list(range(first, EVENT_COUNT + 1))
+        numbers = list(range(first, self.event_count + 1))
         if behaviour is Behaviour.REPEAT_EVENT:
             numbers.insert(1, first)
         return b"".join(f"id: {number}\ndata: token {number}\n\n".encode() for number in numbers)
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -1,4 +1,5 @@
 import contextlib
+import itertools
 import json
 from base64 import b64decode
 
@@ -32,6 +33,7 @@
 pytestmark = pytest.mark.anyio
 
 ONE_TURN = EVENT_COUNT * TOKENS_PER_EVENT
+REQUEST_NUMBERS = itertools.count()
 
 
 async def spend(rig, program, budget, turns, gateways):
@@ -78,6 +80,43 @@
     assert_that(generated_tokens(rig), LessThan(budget + MAX_OUTPUT_TOKENS + 1))
 
 
+async def spend_until_refused(rig, budget, length, gateway):
+    """Send turns that generate ``length`` tokens until one is refused; return their tokens."""
+    rig.replicas["e1"].event_count = length // TOKENS_PER_EVENT
+    tokens = 0
+    for _ in range(budget // length + 1):
+        fields = turn_headers(f"t-{next(REQUEST_NUMBERS)}", "program", budget, length)
+        response = await send(rig, "/turn/1", fields, b"p", gateway=gateway)
+        if response.status_code != 200:
+            break
+        tokens += response.content.count(b"data:") * TOKENS_PER_EVENT
+    return tokens
+
+
+def refuse_allowances(request):
+    """Refuse the writes that raise an allowance."""
+    is_write = "rows-tx" in request.target and b"program." in request.body
+    return StoreFault.REFUSED if is_write else StoreFault.NONE
+
+
+@pytest.mark.parametrize("crashes", [1, 2, 3])
+async def test_turns_of_different_lengths_stay_within_the_budget_across_crashes(rig, crashes):
+    await rig.add_replica("e1", "engine")
+    budget, short, long = 600, 50, 210
+    tokens = 0
+    for number in range(crashes):
+        gateway = await rig.add_gateway(f"g{number}")
+        rig.store.fault = refuse_allowances
+        tokens += await spend_until_refused(rig, budget, short, gateway)
+        gateway.scope.cancel()
+        await gateway.ended.wait()
+        rig.store.fault = lambda request: StoreFault.NONE
+    gateway = await rig.add_gateway("last")
+    tokens += await spend_until_refused(rig, budget, long, gateway)
+    tokens += await spend_until_refused(rig, budget, short, gateway)
+    assert_that(tokens, LessThan(budget + long + 1))
+
+
 async def test_unused_budget_remains_after_a_graceful_stop(rig):
     await rig.add_replica("e1", "engine")
     first = await rig.add_gateway("g1")
