Let a store call through another gateway last while that works on it

A gateway that the store rejects never got a large desired state through a peer that the store serves: callers got 404 for its routes for as long as the store rejected the gateway (CONFIG).

A longer timeout alone would keep calls waiting at a silent peer. So the peer sends an interim response every 0.3 s while it works on a store call, and the caller gives up after 0.6 s without anything, or 18 s after the first sign (twice the longest transfer from the store). A peer reads two change feeds for others at a time: each may hold the desired state several times, and the calls now live long enough to add up on a host of 128 MB.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -151,7 +151,19 @@
 The answer must arrive within ``PEER_TIMEOUT_S``: a silent owner counts as lost.
 """
 PEER_STORE_TIMEOUT_S = 0.6
-"""Timeout of a store call through another gateway: a slow store's answer and two round trips."""
+"""Longest pause of a store call through another gateway.
+
+A slow store's answer and two round trips fit in.
+"""
+PEER_PROGRESS_S = 0.3
+"""Interval at which a gateway tells a peer that it still works on its store call."""
+PEER_FEEDS = 2
+"""Change feeds read for other gateways at the same time.
+
+Each may hold a configuration of 4 MB several times.
+"""
+PEER_TRANSFER_TIMEOUT_S = 2 * STORE_TRANSFER_TIMEOUT_S
+"""Longest transfer through another gateway, which receives all of an answer before it sends it."""
 RELAY_BACKOFF_S = 1.0
 """Time without calls to peers after none reached the store: the store is then down for all."""
 PEER_IDLE_S = 10.0
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
@@ -75,15 +75,23 @@
         parts.append(self.http.send(h11.EndOfMessage()))
         return b"".join(part for part in parts if part)
 
-    async def read_head(self) -> h11.Response:
-        """Return the response head; raise ``ConnectionLostError`` or ``AnswerInvalidError``."""
-        for _ in range(_MAX_INTERIM_RESPONSES + 1):
+    async def read_head(
+        self,
+        max_interim: int = _MAX_INTERIM_RESPONSES,
+        on_interim: Callable[[], None] = lambda: None,
+    ) -> h11.Response:
+        """Return the response head; raise ``ConnectionLostError`` or ``AnswerInvalidError``.
+
+        ``on_interim`` is called for each interim response before it.
+        """
+        for _ in range(max_interim + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise AnswerInvalidError(f"expected a response head, got {event!r}")
-        raise AnswerInvalidError(f"more than {_MAX_INTERIM_RESPONSES} interim responses")
+            on_interim()
+        raise AnswerInvalidError(f"more than {max_interim} interim responses")
 
     async def read(self) -> bytes | None:
         """Return the next bytes of the body, or ``None`` at its end."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
@@ -270,6 +270,12 @@
         await self._send(b"".join(part for part in parts if part))
         self.response_state = ResponseState.DONE
 
+    async def send_interim(self) -> None:
+        """Tell the client that its request is still being processed."""
+        await self._send(
+            self.http.send(h11.InformationalResponse(status_code=HTTPStatus.PROCESSING, headers=[]))
+        )
+
     async def start_response(self, status: int, headers: Headers, data: bytes) -> None:
         """Start a response of unknown length with its first bytes."""
         response = h11.Response(status_code=status, headers=self._with_connection_header(headers))
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -1,5 +1,7 @@
 """Calls between gateways: token reservations at a partition's owner, and relayed store calls."""
 
+from collections.abc import Callable
+from contextlib import AsyncExitStack, suppress
 from enum import Enum
 from http import HTTPStatus
 from typing import TypeVar
@@ -23,11 +25,12 @@
 from skylarkferry_gateway.accounts import AccountManager, AllowancePendingError
 from skylarkferry_gateway.decoding import decode
 from skylarkferry_gateway.http_client import HttpConnection, connect
-from skylarkferry_gateway.http_server import ClientConnection, ReceivedRequest
+from skylarkferry_gateway.http_server import ClientConnection, ClientLeftError, ReceivedRequest
 from skylarkferry_gateway.interfaces import Store
 from skylarkferry_gateway.messages import Reservation, StreamOrigin, ToldStream, ToldStreams
-from skylarkferry_gateway.relayed_calls import RelayedCall, RelayedReply, perform_call
+from skylarkferry_gateway.relayed_calls import CallKind, RelayedCall, RelayedReply, perform_call
 from skylarkferry_gateway.stream_origins import StreamOrigins
+from skylarkferry_gateway.transfer_timeout import TransferTimeout
 
 Reply = TypeVar("Reply")
 
@@ -36,6 +39,7 @@
 _STORE = b"/store"
 _STREAM = b"/stream"
 _STREAMS = b"/streams"
+_MAX_PROGRESS_RESPONSES = 1 + round(defaults.PEER_TRANSFER_TIMEOUT_S / defaults.PEER_PROGRESS_S)
 
 
 class Verdict(Enum):
@@ -102,6 +106,7 @@
         self.accounts = accounts
         self.store = store
         self.origins = origins
+        self.feeds = anyio.Semaphore(defaults.PEER_FEEDS)
 
     async def handle(self, received: ReceivedRequest, client: ClientConnection) -> None:
         """Serve one call."""
@@ -111,9 +116,7 @@
             await client.respond(200, [], b"{}")
             return
         if received.target == _STORE:
-            call = decode(_RELAYED_CALL.decode, received.body)
-            answer = await perform_call(self.store, call)
-            await client.respond(200, [], msgspec.json.encode(answer))
+            await self.perform(decode(_RELAYED_CALL.decode, received.body), client)
             return
         if received.target == _STREAM:
             stream = decode(_STREAM_ID.decode, received.body)
@@ -125,6 +128,17 @@
         reply = await self._reserve(decode(_RESERVATION.decode, received.body))
         await client.respond(200, [], msgspec.json.encode(reply))
 
+    async def perform(self, call: RelayedCall, client: ClientConnection) -> None:
+        """Make a store call for another gateway, which hears meanwhile that it is worked on."""
+        async with AsyncExitStack() as stack:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_send_progress, client)
+                if call.kind is CallKind.CHANGES:
+                    await stack.enter_async_context(self.feeds)
+                reply = msgspec.json.encode(await perform_call(self.store, call))
+                tasks.cancel_scope.cancel()
+            await client.respond(200, [], reply)
+
     async def _take_streams(self, body: bytes, client: ClientConnection) -> None:
         """Keep the streams of a gateway that ends, unless this one has told its own already."""
         if self.origins.has_told:
@@ -193,26 +207,32 @@
     async def _call(
         self, address: str, target: bytes, body: bytes, timeout_s: float = defaults.PEER_TIMEOUT_S
     ) -> bytes:
-        with anyio.move_on_after(timeout_s):
-            try:
-                answer = await self._exchange(address, target, body)
+        with anyio.move_on_after(timeout_s) as scope:
+            timeout = TransferTimeout(scope, timeout_s, defaults.PEER_TRANSFER_TIMEOUT_S)
+
+            def on_progress(size: int = 0) -> None:
+                timeout.on_progress()
                 self.answered_at = anyio.current_time()
-                return answer
+
+            try:
+                return await self._exchange(address, target, body, on_progress)
             except (ConnectionLostError, AnswerInvalidError) as error:
                 raise PeerDownError(f"{address}: {error.detail}") from error
             except UpstreamLostError as error:
                 self.silent_at = anyio.current_time()
                 raise PeerUnreachableError(f"{address}: {error.detail}") from error
         self.silent_at = anyio.current_time()
-        raise PeerSilentError(f"{address} did not answer in {timeout_s:g} s")
+        raise PeerSilentError(f"{address} sent nothing for {timeout_s:g} s")
 
-    async def _exchange(self, address: str, target: bytes, body: bytes) -> bytes:
+    async def _exchange(
+        self, address: str, target: bytes, body: bytes, on_progress: Callable[..., None]
+    ) -> bytes:
         connection = await self._connection(address)
         is_kept = False
         try:
             await connection.send(b"POST", target, [(b"host", address.encode())], body)
-            head = await connection.read_head()
-            data = await connection.body(defaults.MAX_ANSWER_BYTES)
+            head = await connection.read_head(_MAX_PROGRESS_RESPONSES, on_progress)
+            data = await connection.body(defaults.MAX_ANSWER_BYTES, on_progress)
             is_kept = connection.finish(None)
             if is_kept:
                 self.idle.setdefault(address, []).append(connection)
@@ -233,6 +253,14 @@
         return await connect(address)
 
 
+async def _send_progress(client: ClientConnection) -> None:
+    """Send interim responses until cancelled; the first only to a call that takes long."""
+    with suppress(ClientLeftError):
+        while True:
+            await anyio.sleep(defaults.PEER_PROGRESS_S)
+            await client.send_interim()
+
+
 def _decode(address: str, body: bytes, decoder: msgspec.json.Decoder[Reply]) -> Reply:
     try:
         return decode(decoder.decode, body)
