Give large writes the time that their bytes need on a small link

A turn whose content is long may not have been kept by a gateway whose small link is in use, or that the store rejects: its write failed at each try, and the client got no end of its stream.

Short requests keep their timeouts.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -207,7 +207,8 @@
     async def _call(
         self, address: str, target: bytes, body: bytes, timeout_s: float = defaults.PEER_TIMEOUT_S
     ) -> bytes:
-        with anyio.move_on_after(timeout_s) as scope:
+        send_s = len(body) / defaults.LINK_BYTES_PER_S
+        with anyio.move_on_after(send_s + timeout_s) as scope:
             timeout = TransferTimeout(scope, timeout_s, defaults.PEER_TRANSFER_TIMEOUT_S)
 
             def on_progress(size: int = 0) -> None:
--- a/tests/gateway/test_long_peer_answers.py
+++ b/tests/gateway/test_long_peer_answers.py
@@ -5,11 +5,11 @@
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from gateway_rig import headers, large_config, send, wait_until
-from skylarkferry_core.interfaces import Row
+from skylarkferry_core.interfaces import Row, Write
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.interfaces import Changes
 from skylarkferry_gateway.peers import PeerClient, PeerServer, PeerSilentError
-from skylarkferry_gateway.relayed_calls import CallKind, RelayedCall
+from skylarkferry_gateway.relayed_calls import CallKind, CallOutcome, RelayedCall
 from skylarkferry_standins.ports import free_address
 from skylarkferry_standins.row_store import StoreFault
 from slow_link import SMALL_LINK_MBPS, SlowLink, slow_store
@@ -124,3 +124,14 @@
             tasks.start_soon(server.perform, call, client)
     assert_that([client.answers for client in clients], Equals([[200]] * 8))
     assert_that(store.most, Equals(defaults.PEER_FEEDS))
+
+
+async def test_large_write_through_a_peer_has_time_on_small_links(rig):
+    connected = await rig.add_gateway("connected")
+    link = SlowLink(connected.settings.peer_listen, 1_000.0, up_mbps=SMALL_LINK_MBPS / 2)
+    address = free_address()
+    await rig.listen(address, link)
+    writes = tuple(Write(f"t/p/{number}", b"x" * 45_000) for number in range(13))
+    reply = await PeerClient().store(address, RelayedCall(CallKind.TRANSACT, writes=writes))
+    assert_that(reply.outcome, Equals(CallOutcome.DONE))
+    assert_that(rig.store.value("t", "p", "12"), Equals(b"x" * 45_000))
--- a/tests/platform_adapter/test_long_answers.py
+++ b/tests/platform_adapter/test_long_answers.py
@@ -7,12 +7,14 @@
 from gateway_rig import rig as start_rig
 from gateway_rig import wait_until
 from skylarkferry_core.errors import PlatformUnavailableError
+from skylarkferry_core.interfaces import Write
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_platform.store import PlatformStore
+from skylarkferry_standins.ports import free_address
 from skylarkferry_standins.row_store import StoreFault
-from slow_link import slow_store
+from slow_link import SMALL_LINK_MBPS, SlowLink, slow_store
 
 pytestmark = pytest.mark.anyio
 
@@ -107,3 +109,23 @@
         assert_that(anyio.current_time() - began, LessThan(defaults.STORE_TIMEOUT_S))
         tasks.cancel_scope.cancel()
     assert_that(outcomes, Equals([]))
+
+
+async def test_large_write_has_time_to_leave_on_a_shared_link(rig):
+    link = SlowLink(rig.store_address, 1_000.0, up_mbps=SMALL_LINK_MBPS / 2)
+    rig.client.address = free_address()
+    await rig.listen(rig.client.address, link)
+    chunk = b"x" * 45_000
+    lost_s = []
+    async with anyio.create_task_group() as tasks:
+
+        async def write():
+            await rig.client.transact([], [Write(f"t/p/{number}", chunk) for number in range(13)])
+            tasks.cancel_scope.cancel()
+
+        tasks.start_soon(write)
+        while True:
+            lost_s.append(rig.client.unavailable_s())
+            await anyio.sleep(0.02)
+    assert_that(rig.store.value("t", "p", "12"), Equals(chunk))
+    assert_that(max(lost_s), Equals(0.0))
