Send long responses in parts, each with its own time

A client that takes bytes all the time, but slowly, was cut off 10 s into a long response: CLIENT_SEND_S is meant for a client that accepts no byte, but a complete response (of up to 8 MB) was handed over as one send.

Responses are now sent in parts of 64 KiB, each with that time. Short responses still go out in one write.

before: FAILED test_client_that_takes_a_long_response_slowly_gets_all_of_it (ClientLeftError) after: passes, as test_client_that_takes_nothing_of_a_long_response_is_given_up did before

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -30,6 +30,8 @@
 """Larger bodies are sent while the response is read, because an upstream may respond early."""
 RECEIVE_BYTES = 65_536
 """Size of one receive call: one full TCP window."""
+SEND_BYTES = 65_536
+"""Most bytes of a response handed to the socket at once; each part has ``CLIENT_SEND_S``."""
 PIPELINED_BYTES = 65_536
 """Bytes read ahead from a client while its request is served; beyond that, reading pauses."""
 MAX_ANSWER_BYTES = 8_388_608
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
@@ -264,10 +264,15 @@
         response = h11.Response(
             status_code=status, headers=self._with_connection_header(sized_headers)
         )
-        parts = [self.http.send(response), self.http.send(h11.Data(data=body))]
-        parts.append(self.http.send(h11.EndOfMessage()))
+        data = self.http.send(response) or b""
         self.response_state = ResponseState.STREAMING
-        await self._send(b"".join(part for part in parts if part))
+        for start in range(0, len(body), defaults.SEND_BYTES):
+            if start:
+                await self._send(data)
+                data = b""
+            part = body[start : start + defaults.SEND_BYTES]
+            data += self.http.send(h11.Data(data=part)) or b""
+        await self._send(data + (self.http.send(h11.EndOfMessage()) or b""))
         self.response_state = ResponseState.DONE
 
     async def send_interim(self) -> None:
