Start although standard output is closed

What callers saw: a gateway that is started with a closed standard output exits with 1 at once (AttributeError: 'NoneType' object has no attribute 'fileno'), and would do so each time it is started again. With standard input or error closed it started, but the event loop or a socket got descriptor 0 or 2.

Cause: the interpreter sets sys.stdout to None for a closed descriptor, and the log asked it for its number. A log on descriptor 1 alone would not do: the first socket gets the lowest free number, and log lines would be written to a connection.

--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/log.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/log.py
@@ -2,7 +2,6 @@
 
 import json
 import os
-import sys
 import time
 from collections import deque
 
@@ -14,6 +13,7 @@
 from skylarkferry_core.ids import ProgramId
 
 NO_PROGRAM = ProgramId("")
+_STANDARD_OUTPUT = 1
 _FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level:<7} {message}"
 _MAX_PENDING_LINES = 4_000
 """Lines kept while standard output is blocked: several seconds of output of a loaded process."""
@@ -72,9 +72,8 @@
 
 def set_up_logging(level: str) -> LineWriter:
     """Send log lines of ``level`` and above to standard output; return their writer."""
-    descriptor = sys.stdout.fileno()
-    os.set_blocking(descriptor, False)
-    writer = LineWriter(descriptor)
+    os.set_blocking(_STANDARD_OUTPUT, False)
+    writer = LineWriter(_STANDARD_OUTPUT)
     logger.remove()
     logger.add(writer.write, level=level, format=_FORMAT, backtrace=False)
     return writer
--- a/tests/platform_adapter/test_main.py
+++ b/tests/platform_adapter/test_main.py
@@ -1,12 +1,14 @@
 import os
+import shlex
 import signal
 import subprocess
 import sys
 import tomllib
 from pathlib import Path
 
+import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, Not
+from testtools.matchers import Contains, Equals, GreaterThan, Not
 
 from boot_files import BOOT_TOML
 from skylarkferry_platform import boot
@@ -69,3 +71,29 @@
     unwanted = {name for name in before if name.partition(".")[0] not in sys.stdlib_module_names}
     assert_that(unwanted - {"skylarkferry_platform", "imported package"}, Equals(set()))
     assert_that(before, Not(Contains("site")))
+
+
+@pytest.mark.parametrize("closed", [">&-", "<&-", "<&- >&- 2>&-"])
+def test_process_starts_although_standard_descriptors_are_closed(closed):
+    """It gets as far as the settings, of which there are none."""
+    command = shlex.join([sys.executable, "-m", "skylarkferry_platform"])
+    environment = {key: value for key, value in os.environ.items() if key != boot.PATH_VARIABLE}
+    ended = subprocess.run(
+        ["sh", "-c", f"exec {command} {closed}"],
+        env=environment,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+        check=False,
+    )
+    assert_that(ended.returncode, Equals(EXIT_SETTINGS))
+
+
+def test_connection_does_not_get_the_descriptor_of_a_closed_standard_output():
+    """The log would be written into it."""
+    code = (
+        "import os; from skylarkferry_platform import __main__ as start;"
+        "start.open_standard_descriptors(); os._exit(os.open(os.devnull, os.O_RDONLY))"
+    )
+    command = shlex.join([sys.executable, "-c", code])
+    opened = subprocess.run(["sh", "-c", f"exec {command} <&- >&- 2>&-"], check=False)
+    assert_that(opened.returncode, GreaterThan(2))
