Treat a peer at an odd address as unreachable

What callers saw: one row of the owner list or of a budget partition whose owner has an address such as "nonsense", an empty one or one with port 99999: every turn of the partition's programs was answered with 502 "internal error of the gateway", at every gateway, for as long as the row is there. While the store does not answer a gateway, the same addresses are among the peers that its calls are made through; the error passes through whatever made the call.

Cause: the rows decode, and the address in them was first looked at by int() or connect(), which raise ValueError and OverflowError; callers expect the typed error of a peer that is not there.

Fix: opening a connection refuses what is not an address as it refuses a closed port, so that all callers go on as without that peer (the partition is claimed); no name is looked up either. The check of an address also refuses a port with blanks, a sign or an underscore, which int() takes and a Host header does not.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/decoding.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/decoding.py
@@ -30,7 +30,7 @@
         is_valid = bool(ipaddress.IPv4Address(host)) and 0 < int(port) <= _MAX_PORT
     except ValueError:
         is_valid = False
-    if not is_valid or not port.isascii():
+    if not is_valid or not (port.isascii() and port.isdigit()):
         raise MalformedDataError(
             f"expected an IPv4 address with a port such as 10.0.0.1:80, found {address!r}"
         )
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
@@ -11,9 +11,11 @@
 from skylarkferry_core.errors import (
     AnswerInvalidError,
     ConnectionLostError,
+    MalformedDataError,
     UpstreamLostError,
 )
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.decoding import check_address
 from skylarkferry_gateway.messages import Headers
 from skylarkferry_gateway.sockets import is_readable
 
@@ -33,12 +35,16 @@
 
 
 async def connect(address: str, timeout_s: float = defaults.CONNECT_TIMEOUT_S) -> "HttpConnection":
-    """Open a connection to ``ip:port``; raise ``UpstreamLostError`` on failure."""
+    """Open a connection to ``ip:port``; raise ``UpstreamLostError`` on failure.
+
+    The address may be anything that another process wrote.
+    """
     host, _, port = address.rpartition(":")
     try:
+        check_address(address)
         with anyio.fail_after(timeout_s):
             stream = await anyio.connect_tcp(host, int(port))
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, MalformedDataError) as error:
         raise UpstreamLostError(f"cannot connect to {address}: {error!r}") from error
     enable_keepalive(stream)
     return HttpConnection(stream)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -5,8 +5,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Not
 
-from gateway_rig import MAX_OUTPUT_TOKENS, TIMEOUT_S, headers, send, wait_until
-from skylarkferry_core.ids import ProgramId, TurnId
+from gateway_rig import MAX_OUTPUT_TOKENS, TIMEOUT_S, headers, send, turn_headers, wait_until
+from skylarkferry_core.accounts import Ownership, budget_partition
+from skylarkferry_core.ids import Incarnation, ProgramId, TurnId
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.messages import Reservation
 from skylarkferry_gateway.peers import PeerClient, PeerDownError, PeerUnreachableError
@@ -86,3 +87,24 @@
     assert_that(answer.status_code, Equals(200))
     assert_that(answer.content.endswith(b"\n\n"), Equals(True))
     assert_that(stored, Not(HasLength(0)))
+
+
+ODD_ADDRESSES = ["", "nonsense", "127.0.0.1:x", "127.0.0.1:99999", "127.0.0.1:80\n", "h.invalid:80"]
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+async def test_peer_at_an_odd_address_is_unreachable(address):
+    with ExpectedException(PeerUnreachableError):
+        await PeerClient().store(address, RelayedCall(CallKind.READ, "turns/t/0000"))
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+async def test_turn_is_served_although_the_owner_of_its_budget_has_an_odd_address(rig, address):
+    await rig.add_replica("e1", "engine")
+    number = budget_partition(ProgramId("program"))
+    row = msgspec.msgpack.encode(Ownership(Incarnation("another"), address, generation=1))
+    rig.store.put("account-owners", "", f"{number:04d}", row)
+    rig.store.put("accounts", str(number), "owner", row)
+    await rig.add_gateway()
+    answer = await send(rig, "/turn/1", turn_headers("t-1"))
+    assert_that(answer.status_code, Equals(200))
