--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -1,4 +1,5 @@
 import anyio
+import msgspec
 import pytest
 from testtools import ExpectedException
 from testtools.assertions import assert_that
@@ -18,7 +19,9 @@
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.store_calls import key_part, write_once
 from skylarkferry_platform.store import PlatformStore
+from skylarkferry_standins.ports import free_address
 from skylarkferry_standins.row_store import MAX_NAME_BYTES, StoreFault
+from skylarkferry_standins.wire_server import WireReply, WireServer
 
 pytestmark = pytest.mark.anyio
 
@@ -128,3 +131,17 @@
     assert_that(len(part.encode()) <= MAX_NAME_BYTES and "/" not in part, Equals(True))
     await rig.client.transact([], [Write(f"t/{part}/k", b"1")])
     assert_that((await rig.client.read(f"t/{part}/k")).value, Equals(b"1"))
+
+
+async def test_scan_of_pages_that_never_end_is_a_typed_error(rig):
+    """Each page says that more rows follow, but the next one begins with the same row again."""
+    row = {"table": "t", "part": "p", "key": "k", "value": "", "ver": 1}
+    body = msgspec.json.encode({"rows": [row], "truncated": True, "ver": 1})
+
+    async def answer(request):
+        return WireReply(200, {}, body)
+
+    rig.client.address = free_address()
+    await rig.listen(rig.client.address, WireServer(answer))
+    with pytest.raises(PlatformUnavailableError), anyio.fail_after(2):
+        await rig.client.scan("t/p/")
