Bound the prompt parts that an estimate of a cache keeps

What callers saw: nothing yet; a gateway's memory grows with each prompt part of no tokens, or of less than none, that a client names, and with each of few tokens up to the engine's KV memory in tokens, twice for each engine (the gateway's own view and the coordinator's).

Cause: the estimate was bounded by the sum of the tokens alone, which clients state. A negative number even lowered the sum, so that nothing was forgotten any more.

Fix: a bound on the number of parts beside the one on tokens; a negative size counts as none.

Evidence: pytest tests/gateway/test_upstream_views.py, before: 3 failed (20000 parts kept of 20000); after: all passed, with those of test_placement.py and test_coordinator.py.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_views.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_views.py
@@ -11,6 +11,8 @@
 
 _PROMPT_CACHE_SHARE = 0.8
 """Share of an engine's KV memory assumed to cache prompts; running requests use the rest."""
+_MAX_PROMPT_PARTS = 8_192
+"""Prompt parts in memory for an engine; clients state their sizes, which may be zero."""
 _LOAD_HALF_LIFE_S = 0.5
 """Time after which half of the other requests in a report have probably ended."""
 _CONNECT_FAILURE_WEIGHT = 3.0
@@ -37,11 +39,15 @@
     def add(self, parts: Iterable[PromptPart], limit_tokens: int) -> None:
         """Record the parts of a request as the most recently used ones."""
         for part in parts:
-            self.tokens += part.tokens - self.parts.pop(part.part_id, 0)
-            self.parts[part.part_id] = part.tokens
-        while self.tokens > limit_tokens and self.parts:
+            tokens = max(part.tokens, 0)
+            self.tokens += tokens - self.parts.pop(part.part_id, 0)
+            self.parts[part.part_id] = tokens
+        while self.parts and self._is_full(limit_tokens):
             self.tokens -= self.parts.popitem(last=False)[1]
 
+    def _is_full(self, limit_tokens: int) -> bool:
+        return self.tokens > limit_tokens or len(self.parts) > _MAX_PROMPT_PARTS
+
     def cached(self, parts: Sequence[PromptPart]) -> int:
         """Return the tokens in the longest run of leading parts that are cached."""
         tokens = 0
--- a/tests/gateway/test_upstream_views.py
+++ b/tests/gateway/test_upstream_views.py
@@ -1,5 +1,6 @@
+import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, LessThan
 
 from skylarkferry_gateway.messages import PromptPart, ReportedLoad
 from skylarkferry_gateway.upstream_views import PromptCacheEstimate, UpstreamView
@@ -27,3 +28,11 @@
     assert_that(parts.cached(wanted), Equals(100))
     parts.add([PromptPart("c", 900)], 1_000)
     assert_that(parts.cached(wanted), Equals(0))
+
+
+@pytest.mark.parametrize("tokens", [0, 1, -100])
+def test_memory_of_prompt_parts_is_bounded_whatever_sizes_clients_state(tokens):
+    parts = PromptCacheEstimate()
+    for number in range(20_000):
+        parts.add([PromptPart(f"part-{number}", tokens)], 400_000)
+    assert_that(len(parts.parts), LessThan(10_000))
