Close idle connections to gateways that are not called any more

What callers saw: nothing yet. A gateway keeps as many connections to each other gateway as it once had calls to it at the same time. Those to a gateway that ended, moved to another address or closed them after its own idle limit stay open here until a call to the same address takes them out, which may be never; each is a descriptor and memory.

Cause: connections were checked for their idle limit only when a call was about to use one.

Fix: a timer closes those past their limit, as is done for connections to upstreams.

Evidence: pytest tests/gateway/test_peers.py -k stay_open, before: TimeoutError (20 connections still there after 20 s); after: tests/gateway/test_peers.py and test_failover_store.py all passed.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -244,6 +244,19 @@
             if not is_kept:
                 await connection.abort()
 
+    async def close_idle(self) -> None:
+        """Close connections past their limit; nobody may ever call these gateways again."""
+        now = anyio.current_time()
+        stale: list[HttpConnection] = []
+        for address, connections in list(self.idle.items()):
+            kept = [item for item in connections if item.is_reusable(now, defaults.PEER_IDLE_S)]
+            stale.extend(item for item in connections if item not in kept)
+            connections[:] = kept  # a call may be taking its connection from this list
+            if not kept:
+                del self.idle[address]
+        for connection in stale:
+            await connection.abort()
+
     async def _connection(self, address: str) -> HttpConnection:
         kept = self.idle.get(address, [])
         while kept:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -174,6 +174,7 @@
         self.timers.every(defaults.STREAMS_SWEEP_S, self.origins.delete_rows_of_ended_gateways)
         self.timers.every(defaults.OWNERS_POLL_S, self._read_owners)
         self.timers.every(defaults.UPSTREAMS_POLL_S, self.store.probe)
+        self.timers.every(defaults.PEER_IDLE_S, self.store.peers.close_idle)
         self.timers.every(defaults.ACCOUNTS_SWEEP_S, self.accounts.delete_idle_accounts)
         self.timers.every(defaults.GATEWAY_HEARTBEAT_S, self.gateways.send_heartbeat)
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -108,3 +108,15 @@
     await rig.add_gateway()
     answer = await send(rig, "/turn/1", turn_headers("t-1"))
     assert_that(answer.status_code, Equals(200))
+
+
+async def test_connections_to_a_gateway_that_ended_do_not_stay_open(rig, monkeypatch):
+    monkeypatch.setattr(defaults, "PEER_IDLE_S", 0.2)
+    gateway, ending = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    peers, address = gateway.store.peers, ending.settings.peer_listen
+    async with anyio.create_task_group() as tasks:
+        for _ in range(20):
+            tasks.start_soon(peers.stream_origin, address, "s-1")
+    assert_that(peers.idle[address], HasLength(20))
+    ending.scope.cancel()
+    await wait_until(lambda: not peers.idle)
