Refuse crash reports that lie under another report's key

What callers saw: one row of the table of crash reports whose content decodes but whose fingerprint is so long that the key it belongs under exceeds what the store accepts: as soon as the report is withdrawn (after an hour, or when the request completes) the store refuses the deletion with 400, and the gateway repeats it for ever. Reports of later crashes wait behind it until they are dropped, so that requests that end processes run again at every other gateway.

Cause: a report was withdrawn by the key made of its content, which need not be the key of its row; the row itself would have stayed. The queue repeats its first change until it succeeds.

Fix: a row whose key is not that of its report is refused as one that cannot be decoded.

Evidence: pytest tests/gateway/test_crash_watch.py -k another_key, before: TimeoutError, with 'status 400' logged for each repetition; after: all tests of the file and of test_background_work.py passed.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
@@ -162,7 +162,7 @@
         for row in rows:
             if row.version and row.value:
                 try:
-                    report = decode(_REPORT.decode, row.value)
+                    report = _decode_report(row)
                 except MalformedDataError as error:
                     self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=error.detail)
                     continue
@@ -211,6 +211,14 @@
     return row_key(_TABLE, "", f"{report.fingerprint}.{crash}")
 
 
+def _decode_report(row: Row) -> CrashReport:
+    """Decode a report; raise ``MalformedDataError`` also if it cannot be withdrawn by its key."""
+    report = decode(_REPORT.decode, row.value)
+    if _row_key(report) != row.key:
+        raise MalformedDataError("the report belongs under another key")
+    return report
+
+
 def _write(change: _Change) -> Write:
     value = None if change.is_withdrawal else msgspec.msgpack.encode(change.report)
     return Write(_row_key(change.report), value)
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -2,6 +2,7 @@
 
 import anyio
 import httpx
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is, LessThan, Not
@@ -17,7 +18,7 @@
     wait_until,
 )
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.ids import CrashId
+from skylarkferry_core.ids import CrashId, Fingerprint
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.crash_reports import CrashReport
 from skylarkferry_gateway.crash_watch import fingerprints_of
@@ -325,3 +326,17 @@
     contact_s = 3.0
     longest_s = defaults.CRASHES_POLL_TIMEOUT_S + defaults.STORE_TIMEOUT_S
     assert_that(longest_s, LessThan(contact_s))
+
+
+async def test_report_under_another_key_does_not_hold_up_the_reports_of_a_gateway(rig, monkeypatch):
+    """Its own key would be longer than the store accepts, so that it could never be withdrawn."""
+    await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER)
+    odd = CrashReport(Fingerprint("f" * 500), CrashId("crash"))
+    rig.store.put("crashes", "", "another", msgspec.msgpack.encode(odd))
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    await wait_until(lambda: first.crashes.reports.followed_version is not None)
+    monkeypatch.setattr(defaults, "CRASH_KEEP_S", 0.0)
+    await first.crashes.reports.withdraw_old()
+    monkeypatch.undo()
+    await send_crashing(rig, "/once/1", "id-0", first)
+    await wait_until(lambda: second.crashes.registry.crashes.keys() - {odd.fingerprint})
