Refuse rows of budgets whose numbers cannot be continued

What callers saw: one row of a budget partition with the largest generation or number of losses that the encoding holds: every turn of the partition's programs was answered with 502 "internal error of the gateway", as if it might have run. An account row with such numbers can end the handover of all partitions at a planned stop in the same way, as its final row is encoded beside the others.

Cause: the rows decode, and the next owner adds to their numbers; encoding the sum raises OverflowError, which nobody on that path expects.

Fix: the numbers in these rows have bounds that leave room for what is added; a row beyond them is malformed data, as any other that cannot be used. Turns of its programs are refused as not run.

Evidence: pytest tests/core/test_accounts.py tests/gateway/test_budgets.py -k cannot_be, before: 3 failed (ValidationError not raised; 502 instead of 503); after: all tests of both files passed. The handover at a stop was not played.

--- a/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
@@ -8,6 +8,8 @@
 granted only shorter ones, and the total exceeds the budget by less than that turn.
 """
 
+from typing import Annotated
+
 import msgspec
 import xxhash
 
@@ -21,6 +23,10 @@
 GROWTH_DIVISOR = 3
 """An allowance grows by at least a third of the budget, so that few turns need a write."""
 NO_OWNER = Incarnation("")
+_MAX_STORED = 1 << 62
+"""Largest number in a row; the next owner adds to it, and the encoding holds up to 64 bits."""
+
+_Stored = Annotated[int, msgspec.Meta(ge=0, le=_MAX_STORED)]
 
 
 class Ownership(msgspec.Struct, frozen=True, array_like=True):
@@ -28,8 +34,8 @@
 
     owner: Incarnation = NO_OWNER
     address: str = ""
-    generation: int = 0
-    losses: int = 0
+    generation: _Stored = 0
+    losses: _Stored = 0
 
     def claimed(self, owner: Incarnation, address: str) -> "Ownership":
         """Return the row after a claim; a previous owner that did not release counts as lost.
@@ -52,9 +58,9 @@
     no owner was lost before; ``longest_turn`` is the maximum of the longest turn granted.
     """
 
-    granted_tokens: int
-    unrecorded_tokens: int | None = None
-    longest_turn: int = 0
+    granted_tokens: _Stored
+    unrecorded_tokens: _Stored | None = None
+    longest_turn: _Stored = 0
 
     def recorded_tokens(self) -> int:
         """Return the tokens that owners may have granted under a row."""
--- a/tests/core/test_accounts.py
+++ b/tests/core/test_accounts.py
@@ -390,3 +390,17 @@
     account = Account(limit, losses, None, 0)
     account.allowance = max(account.allowance, account.next_allowance(need))
     assert_that(account.fits(need), Equals(True))
+
+
+@pytest.mark.parametrize("number", [-1, (1 << 64) - 1])
+def test_rows_whose_numbers_cannot_be_continued_are_not_decoded(number):
+    """The largest number of the encoding plus one could not be written."""
+    for kind, fields in (
+        (Ownership, ["another", "127.0.0.1:9", number, 0]),
+        (Ownership, ["another", "127.0.0.1:9", 1, number]),
+        (AccountRow, [number, None, 0]),
+        (AccountRow, [1, number, 0]),
+        (AccountRow, [1, None, number]),
+    ):
+        with ExpectedException(msgspec.ValidationError):
+            msgspec.msgpack.decode(msgspec.msgpack.encode(fields), type=kind)
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -489,3 +489,13 @@
         store.is_open.set()
         await wait_until(lambda: errors)
     assert_that(manager.partitions.get(number) is claimed, Equals(True))
+
+
+async def test_turn_is_refused_as_not_run_if_its_partition_cannot_be_claimed(rig):
+    await rig.add_replica("e1", "engine")
+    number = budget_partition(ProgramId("program"))
+    row = msgspec.msgpack.encode(["another", "127.0.0.1:9", (1 << 64) - 1, 0])
+    rig.store.put("accounts", str(number), "owner", row)
+    await rig.add_gateway()
+    answer = await send(rig, "/turn/1", turn_headers("t-1"))
+    assert_that(answer.status_code, Equals(503))
