Ignore speed samples that are no durations

What callers saw: nothing yet. One datagram that ends an attempt with a speed sample of NaN seconds makes the speed of that engine NaN at the coordinator, and through the mean that of every engine without a sample. It stays so until the process ends: each further average is NaN too, and completion times, which decide where turns run, cannot be compared any more.

Cause: the moving average takes whatever another gateway sends; max() with NaN as its first argument returns NaN.

Fix: a sample counts only if its duration is a finite number and not negative.

Evidence: datagrams with odd numbers sent to a gateway: Speed(prefill_tokens_per_s=nan, decode_tokens_per_s=nan) for both upstreams. pytest tests/core/test_speeds.py, before: 4 failed; after: all passed, with those of test_coordinator.py and test_placement.py.

--- a/packages/skylarkferry-core/src/skylarkferry_core/speeds.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/speeds.py
@@ -1,5 +1,7 @@
 """Speeds of upstreams, estimated from the calls they ran."""
 
+import math
+
 from skylarkferry_core.ids import UpstreamId
 from skylarkferry_core.interfaces import Speed
 
@@ -28,10 +30,10 @@
         """Update from a call: prefill of uncached tokens up to the first output, then decoding."""
         known = self.speed(upstream)
         prefill = known.prefill_tokens_per_s
-        if prefill_tokens >= _MIN_PREFILL_TOKENS:
+        if prefill_tokens >= _MIN_PREFILL_TOKENS and _is_duration(prefill_s):
             prefill = _updated_average(prefill, prefill_tokens / max(prefill_s, _MIN_DURATION_S))
         decode = known.decode_tokens_per_s
-        if output_tokens >= _MIN_DECODE_TOKENS:
+        if output_tokens >= _MIN_DECODE_TOKENS and _is_duration(decode_s):
             decode = _updated_average(decode, output_tokens / max(decode_s, _MIN_DURATION_S))
         self.speeds[upstream] = Speed(prefill, decode)
 
@@ -53,5 +55,10 @@
         return Speed(prefill / count, decode / count)
 
 
+def _is_duration(seconds: float) -> bool:
+    """Return False for what another process may send instead, such as NaN."""
+    return 0 <= seconds < math.inf
+
+
 def _updated_average(average: float, newest: float) -> float:
     return average + _WEIGHT_OF_NEWEST * (newest - average)
