Write rows of budgets that can be read again for turns of a negative length

A client may state a negative number of output tokens; the final row of its program then held a negative number, which the bounds of these rows now refuse. Such a reservation counts as none in a row.

Evidence: pytest tests/core/test_accounts.py -k less_than_no, before: ValidationError; after: all tests of the file passed.

--- a/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
@@ -143,7 +143,7 @@
 
     def row_for(self, allowance: int) -> AccountRow:
         """Return the row that covers an allowance."""
-        recorded = self.base + allowance
+        recorded = max(self.base + allowance, 0)
         if not self.follows_loss:
             return AccountRow(recorded, None, self.longest_turn)
         unrecorded = first_allowance(self.limit)
--- a/tests/core/test_accounts.py
+++ b/tests/core/test_accounts.py
@@ -404,3 +404,10 @@
     ):
         with ExpectedException(msgspec.ValidationError):
             msgspec.msgpack.decode(msgspec.msgpack.encode(fields), type=kind)
+
+
+def test_row_of_a_turn_of_less_than_no_tokens_can_be_read_again():
+    account = Account(1_000, 0, None, 0)
+    account.reserve(TurnId("t-1"), -5)
+    row = msgspec.msgpack.encode(account.final_row())
+    assert_that(msgspec.msgpack.decode(row, type=AccountRow).granted_tokens, Equals(0))
