--- a/tests/platform_adapter/test_main.py
+++ b/tests/platform_adapter/test_main.py
@@ -3,6 +3,7 @@
 import signal
 import subprocess
 import sys
+import time
 import tomllib
 from pathlib import Path
 
@@ -13,6 +14,7 @@
 from boot_files import BOOT_TOML
 from skylarkferry_platform import boot
 from skylarkferry_platform.process import EXIT_SETTINGS
+from skylarkferry_standins.ports import free_address
 
 ROOT = Path(__file__).resolve().parents[2]
 
@@ -97,3 +99,25 @@
     command = shlex.join([sys.executable, "-c", code])
     opened = subprocess.run(["sh", "-c", f"exec {command} <&- >&- 2>&-"], check=False)
     assert_that(opened.returncode, GreaterThan(2))
+
+
+@pytest.mark.parametrize("following", [signal.SIGTERM, signal.SIGHUP, signal.SIGINT])
+def test_signals_during_a_planned_stop_do_not_end_the_process_otherwise(tmp_path, following):
+    path = tmp_path / "boot.toml"
+    settings = BOOT_TOML.replace("10.1.0.38:8149", free_address())
+    settings = settings.replace("10.1.0.38:8141", free_address()).replace("10.1.0.38", "127.0.0.1")
+    path.write_text(settings.replace("graceS = 8", "graceS = 1"))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "skylarkferry_platform"],
+        env={**os.environ, boot.PATH_VARIABLE: str(path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+    )
+    with process:
+        next(line for line in process.stdout if "gateway_started" in line)
+        process.send_signal(signal.SIGTERM)
+        while process.poll() is None:
+            process.send_signal(following)
+            time.sleep(0.001)
+    assert_that(process.returncode, Equals(0))
