Wait at the start for any port that cannot be opened yet

What callers saw: a process whose address its host does not have yet (EADDRNOTAVAIL, while a host's network comes up), or whose host has no buffer or descriptor left for a moment, ends with exit code 1 at once. A platform that starts it again at once meets the same state.

Cause: the wait of a few seconds at the start was for ports in use only; the other reasons pass as well.

Fix: the same wait for every reason. It ends with the same error as before.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/listeners.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/listeners.py
@@ -1,6 +1,5 @@
 """Listening sockets of a process and the loops that accept their connections."""
 
-import errno
 from collections.abc import Callable, Coroutine
 from contextlib import AsyncExitStack
 from typing import Any
@@ -21,7 +20,7 @@
 _LISTEN_BACKLOG = 1_024
 _LISTEN_RETRY_S = 0.2
 _LISTEN_WAIT_S = 5.0
-"""Longest wait for a port that is in use: an earlier process may hold it until it has ended."""
+"""Longest wait for a port: an earlier process may hold it, and a host may not be up yet."""
 _LISTEN_RETRY_MAX_S = 5.0
 _ACCEPT_RETRY_S = 0.1
 """Pause after a connection could not be accepted; it waits in the queue of the listener."""
@@ -42,14 +41,14 @@
         """Accept connections at ``ip:port`` until ``stack`` closes the listener.
 
         Connections that are open continue after that.  Raise ``OSError`` if the port cannot be
-        opened, or stays in use.
+        opened for some seconds.
         """
         end = anyio.current_time() + _LISTEN_WAIT_S
         while True:
             try:
                 return await self._open(stack, address, serve)
             except OSError as error:
-                if error.errno != errno.EADDRINUSE or anyio.current_time() >= end:
+                if anyio.current_time() >= end:
                     raise
                 self._log_failed(address, error, is_required=True)
             await anyio.sleep(_LISTEN_RETRY_S)
--- a/tests/gateway/test_listeners.py
+++ b/tests/gateway/test_listeners.py
@@ -1,3 +1,5 @@
+import errno
+import os
 import socket
 
 import anyio
@@ -100,3 +102,28 @@
         tasks.cancel_scope.cancel()
     assert_that(repr(rig.errors.pop()), Contains("Address already in use"))
     others[0].close()
+
+
+@pytest.mark.parametrize("number", [errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.EMFILE])
+async def test_start_waits_for_an_address_or_memory_that_its_host_does_not_have_yet(
+    rig, monkeypatch, number
+):
+    await rig.add_replica("r1")
+    create = anyio.create_tcp_listener
+    failures = [OSError(number, os.strerror(number)) for _ in range(2)]
+
+    async def create_later(**kwargs):
+        if failures and kwargs["local_port"] == port:
+            raise failures.pop()
+        return await create(**kwargs)
+
+    def prepare(gateway):
+        nonlocal port
+        port = int(gateway.settings.client_listen.rpartition(":")[2])
+
+    port = 0
+    monkeypatch.setattr(listeners.anyio, "create_tcp_listener", create_later)
+    with anyio.move_on_after(5):
+        await rig.add_gateway(prepare=prepare)
+    answer = await send(rig, "/order/1", headers("id-1"))
+    assert_that(answer.status_code, Equals(200))
