Bound the turn cache by the memory that its turns take

What callers saw: a gateway's memory grows with each turn that is kept, beyond the share of the memory limit that the cache of turns has: with 64 ancestors and no more than 10 bytes of content a cache of 1 MiB took 38 MiB, and with 2,000 bytes of content 3.5 MiB. On a small host that is the whole limit of the process, which is then killed.

Cause: the cache counted the content of its turns only. Each also takes some 400 bytes of its own and, if it was read from the store, up to 64 ids of its ancestors, which it shares with no other turn.

Ruled out for the growth of a process under steady load by a profile of the gateways in the test rig (tracemalloc, 2,400 requests): other growing parts are bounded by their number (completed requests, streams, events for the timeline, prompt parts) or by their idle time (accounts).

Fix: the estimate of what a turn takes includes both.

--- a/packages/skylarkferry-core/src/skylarkferry_core/histories.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/histories.py
@@ -11,6 +11,11 @@
 MAX_ANCESTORS = 64
 """Number of ancestor ids in a stored turn; one round of parallel reads loads as many turns."""
 
+_TURN_BYTES = 400
+"""Memory of a cached turn beside its content and its ancestors."""
+_ANCESTOR_BYTES = 80
+"""Memory of an ancestor's id, which a turn read from the store shares with no other."""
+
 
 class Turn(msgspec.Struct, frozen=True, array_like=True):
     """A completed turn.
@@ -32,7 +37,7 @@
 
 
 class TurnCache:
-    """LRU cache of turns, bounded by the total size of their content in bytes."""
+    """LRU cache of turns, bounded by the memory that they take in bytes."""
 
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = limit_bytes
@@ -43,7 +48,7 @@
         """Add or replace a turn, then evict until the cache fits its limit."""
         self._drop(turn_id)
         self.turns[turn_id] = turn
-        self.held_bytes += len(turn.content)
+        self.held_bytes += _memory_bytes(turn)
         while self.held_bytes > self.limit_bytes and self.turns:
             self._drop(next(iter(self.turns)))
 
@@ -57,7 +62,11 @@
     def _drop(self, turn_id: TurnId) -> None:
         dropped = self.turns.pop(turn_id, None)
         if dropped is not None:
-            self.held_bytes -= len(dropped.content)
+            self.held_bytes -= _memory_bytes(dropped)
+
+
+def _memory_bytes(turn: Turn) -> int:
+    return len(turn.content) + _TURN_BYTES + len(turn.ancestors) * _ANCESTOR_BYTES
 
 
 def prompt_of(chain: Sequence[Turn], content: bytes) -> bytes:
