--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -145,3 +145,18 @@
     await rig.listen(rig.client.address, WireServer(answer))
     with pytest.raises(PlatformUnavailableError), anyio.fail_after(2):
         await rig.client.scan("t/p/")
+
+
+async def test_calls_go_to_a_new_address_although_connections_to_the_old_one_are_open(rig):
+    calls = []
+
+    async def answer(request):
+        calls.append(request)
+        return await rig.store.handle(request)
+
+    await rig.client.read("t/p/k")
+    address = free_address()
+    await rig.listen(address, WireServer(answer))
+    rig.client.address = address
+    await rig.client.read("t/p/k")
+    assert_that(calls, HasLength(1))
