Count one end of an upstream process once, however many attempts it took along

Cause: a crash was named by the attempt, so that three attempts lost with one process were three crashes. It had been named so because a listed start time may be stale, so that crashes of different processes had the same name.

Fix: an attempt shows that its process was alive when its connection was opened or last answered, and gone when the attempt was lost. Attempts at one upstream and start time met the same end unless these spans are apart; ends are numbered, and what another gateway reported had ended when the report came. Why it works: attempts lost with one process all span its end, at any gateway; a request sent after an end is known, on a connection opened after it, spans another one and counts. No clock is compared between processes.

Older tests of crashes are unchanged.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
@@ -78,6 +78,7 @@
         context = self.context
         async with context.exchange(decision.upstream) as exchange:
             await exchange.connect(attempts.idle_limit_s)
+            decision.alive_at = exchange.alive_at
             now = anyio.current_time()
             attempts.attempts_made += 1
             request_metadata = context.upstream_request_metadata(attempts, decision, now)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
@@ -1,5 +1,6 @@
 """Crash reports of all gateways, shared through the platform's store."""
 
+import itertools
 from collections import deque
 from collections.abc import Sequence
 
@@ -17,16 +18,19 @@
 from skylarkferry_gateway.completed_requests import CompletedRequests
 from skylarkferry_gateway.decoding import decode
 from skylarkferry_gateway.interfaces import Store
+from skylarkferry_gateway.messages import UpstreamEntry
 from skylarkferry_gateway.metrics import GatewayMetrics
+from skylarkferry_gateway.process_ends import EndSpan, end_name
 from skylarkferry_gateway.store_calls import row_key
 
 _TABLE = "crashes"
 _MAX_UNSENT = 1_000
 """Reports that wait for the store; beyond that, the oldest are dropped."""
+_ANY_TIME = EndSpan()
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
-    """One crash: the request that was running, and the attempt under which a process ended."""
+    """One crash: the request that was running, and the end of a process that it met."""
 
     fingerprint: Fingerprint
     crash: CrashId
@@ -45,7 +49,8 @@
 class CrashReports:
     """Record crashes in a registry, write them to the store, and follow those of other gateways.
 
-    ``known_since`` holds the monotonic time at which each report became known here.
+    ``known_since`` holds the monotonic time at which each report became known here, ``spans`` when
+    the process ended as far as this gateway can tell.
     """
 
     def __init__(
@@ -57,11 +62,30 @@
         self.metrics = metrics
         self.completed = CompletedRequests()
         self.known_since: dict[CrashReport, float] = {}
+        self.spans: dict[CrashReport, EndSpan] = {}
         self.unsent: deque[_Change] = deque()
         self.added = anyio.Event()
         self.followed_version: int | None = None
 
-    def add(self, report: CrashReport, request_id: str) -> None:
+    def add_end(
+        self, fingerprint: Fingerprint, entry: UpstreamEntry, span: EndSpan, request_id: str
+    ) -> None:
+        """Record that a process ended under a request; attempts lost with one process count once.
+
+        Two attempts were lost with the same process unless one began after the other's had ended.
+        """
+        for number in itertools.count():
+            report = CrashReport(fingerprint, end_name(entry, number))
+            known = self.spans.get(report)
+            common = known.common(span) if known is not None else None
+            if common is not None:
+                self.spans[report] = common
+                return
+            if known is None and _Change(report, is_withdrawal=True) not in self.unsent:
+                self.add(report, request_id, span)
+                return
+
+    def add(self, report: CrashReport, request_id: str, span: EndSpan = _ANY_TIME) -> None:
         """Record a crash that this gateway found, and queue its report to the others.
 
         A request that was completed lately is not suspected: other requests ran there as well.
@@ -74,7 +98,7 @@
                 crash=report.crash,
             )
             return
-        self._record(report, request_id)
+        self._record(report, span, request_id)
         self._enqueue(_Change(report, is_withdrawal=False))
 
     def on_completed(self, fingerprint: Fingerprint) -> None:
@@ -166,7 +190,7 @@
                 except MalformedDataError as error:
                     self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=error.detail)
                     continue
-                self._record(report)
+                self._record(report, EndSpan(gone_by=anyio.current_time()))
                 if self.completed.is_recent(report.fingerprint, anyio.current_time()):
                     self._withdraw(report.fingerprint)
             else:
@@ -184,19 +208,20 @@
                 self._forget(report)
 
     def _forget(self, report: CrashReport) -> None:
-        del self.known_since[report]
+        del self.known_since[report], self.spans[report]
         self.registry.forget(report.fingerprint, report.crash)
         self.metrics.quarantined.set(len(self.registry.quarantined()))
         self.log.emit(
             EventKind.GATEWAY_CRASH_FORGOTTEN, fingerprint=report.fingerprint, crash=report.crash
         )
 
-    def _record(self, report: CrashReport, request_id: str = "") -> None:
+    def _record(self, report: CrashReport, span: EndSpan, request_id: str = "") -> None:
         """Record a crash and log it, unless it is known already."""
         fingerprint, crash = report.fingerprint, report.crash
         if report in self.known_since or _Change(report, is_withdrawal=True) in self.unsent:
             return
         self.known_since[report] = anyio.current_time()
+        self.spans[report] = span
         was_quarantined = self.registry.is_quarantined(fingerprint)
         self.registry.on_crash(fingerprint, crash)
         self.metrics.quarantined.set(len(self.registry.quarantined()))
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_watch.py
@@ -9,15 +9,16 @@
 from skylarkferry_core.crashes import CrashRegistry
 from skylarkferry_core.errors import OverloadedError, SkylarkferryError
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.ids import CrashId, Fingerprint, ProgramId
+from skylarkferry_core.ids import Fingerprint, ProgramId
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_daemon.timers import TimerService
 from skylarkferry_gateway import defaults
-from skylarkferry_gateway.crash_reports import CrashReport, CrashReports
+from skylarkferry_gateway.crash_reports import CrashReports
 from skylarkferry_gateway.interfaces import Store
 from skylarkferry_gateway.messages import ClientRequest
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.process_checks import CheckResult, ProcessChecker, ProcessState
+from skylarkferry_gateway.process_ends import EndSpan
 from skylarkferry_gateway.upstreams import Upstream
 
 _QUARANTINE_CRASHES = 3
@@ -29,13 +30,13 @@
 
 
 class LostAttempt(msgspec.Struct, frozen=True):
-    """An attempt that was lost at monotonic time ``lost_at``, and the latest check for a crash."""
+    """A lost attempt, when its upstream's process can have ended, and the latest check for that."""
 
     request_id: str
     program_id: ProgramId
     fingerprints: tuple[Fingerprint, ...]
     upstream: Upstream
-    lost_at: float
+    span: EndSpan
     result: CheckResult
 
 
@@ -105,13 +106,16 @@
         for fingerprint in fingerprints_of(request):
             self.reports.on_completed(fingerprint)
 
-    async def on_attempt_lost(self, request: ClientRequest, upstream: Upstream) -> None:
+    async def on_attempt_lost(
+        self, request: ClientRequest, upstream: Upstream, alive_at: float
+    ) -> None:
         """Record the request if the upstream's process ended while it ran there.
 
+        The process was alive at monotonic time ``alive_at``, as its connection shows.
         The way in which the attempt was lost does not matter: a process that ends resets its
         connections, closes them, or leaves them silent.
         """
-        lost_at = anyio.current_time()
+        span = EndSpan(alive_at, anyio.current_time())
         result = await self.checker.check(upstream)
         metadata = request.metadata
         attempt = LostAttempt(
@@ -119,7 +123,7 @@
             metadata.program_id,
             fingerprints_of(request),
             upstream,
-            lost_at,
+            span,
             result,
         )
         self._log_check(attempt)
@@ -143,14 +147,13 @@
                 decided = msgspec.structs.replace(attempt, result=result)
                 self._log_check(decided)
                 self._on_crash(decided)
-            elif read_at is None or read_at < attempt.lost_at + _LIST_EVIDENCE_S:
+            elif read_at is None or read_at < attempt.span.gone_by + _LIST_EVIDENCE_S:
                 self.undecided.append(attempt)
 
     def _on_crash(self, attempt: LostAttempt) -> None:
-        # The listed start time may be that of an earlier process, so the attempt names the crash.
-        crash = CrashId(f"{attempt.request_id}.{attempt.upstream.entry.upstream}")
+        entry = attempt.upstream.entry
         for fingerprint in attempt.fingerprints:
-            self.reports.add(CrashReport(fingerprint, crash), attempt.request_id)
+            self.reports.add_end(fingerprint, entry, attempt.span, attempt.request_id)
 
     def _log_check(self, attempt: LostAttempt) -> None:
         entry, result = attempt.upstream.entry, attempt.result
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
@@ -1,5 +1,6 @@
 """One HTTP exchange with an upstream: connection, request and response."""
 
+import math
 from collections.abc import Awaitable, Callable
 from functools import partial
 from http import HTTPStatus
@@ -66,6 +67,7 @@
     """Context of one exchange.
 
     Leaving it before ``finish`` closes the connection, to stop the upstream's work.
+    ``alive_at`` is a monotonic time at which the process at the connection's end was alive.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         self.held = HeldResponse(memory)
         self.connection: HttpConnection | None = None
         self.idle_s: float | None = None
+        self.alive_at = -math.inf
 
     async def __aenter__(self) -> "Exchange":
         """Add the request to the upstream's requests in flight."""
@@ -106,6 +109,7 @@
         """Acquire a connection; raise ``UpstreamLostError`` with nothing sent."""
         now = anyio.current_time()
         self.connection = await self.upstream.acquire_connection(now, idle_limit_s)
+        self.alive_at = min(now, self.connection.idle_since)
         state = "reused" if self.connection.exchanges else "new"
         self.metrics.upstream_connections.labels(state=state).inc()
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -216,7 +216,12 @@
     def check_for_crash(self, attempts: Attempts, decision: Selection) -> None:
         """Check in the background if the upstream's process ended under a lost attempt."""
         if self.tasks is not None:
-            self.tasks.start_soon(self.crashes.on_attempt_lost, attempts.request, decision.upstream)
+            self.tasks.start_soon(
+                self.crashes.on_attempt_lost,
+                attempts.request,
+                decision.upstream,
+                decision.alive_at,
+            )
 
 
 def _ms_text(duration_s: float | None) -> str:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/selection.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/selection.py
@@ -1,5 +1,6 @@
 """Selection of a request's service and of the upstream of each attempt."""
 
+import math
 import random
 from collections.abc import Sequence
 
@@ -48,7 +49,10 @@
 
 
 class Selection:
-    """A selected upstream, and what is known of the attempt when it ends."""
+    """A selected upstream, and what is known of the attempt when it ends.
+
+    ``alive_at`` is a monotonic time at which the process that got the request was alive.
+    """
 
     def __init__(self, decision: PlacementDecision, ticket: Ticket | None = None) -> None:
         self.upstream = decision.upstream
@@ -59,6 +63,7 @@
         self.outcome = AttemptOutcome.ABANDONED
         self.load: ReportedLoad | None = None
         self.load_at = 0.0
+        self.alive_at = -math.inf
         self.speed: SpeedSample | None = None
 
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -130,6 +130,7 @@
         context, attempts = self.context, self.attempts
         async with context.exchange(decision.upstream) as exchange:
             await exchange.connect(attempts.idle_limit_s)
+            decision.alive_at = exchange.alive_at
             sent_at = anyio.current_time()
             attempts.attempts_made += 1
             if attempts.route.is_resumable:
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -261,6 +261,87 @@
     assert_that(gateway.crashes.registry.crashes, Equals({}))
 
 
+def crash_counts(gateways, request):
+    """Return the numbers of crashes that the gateways count for a request."""
+    return {
+        len(gateway.crashes.registry.crashes.get(fingerprint, ()))
+        for gateway in gateways
+        for fingerprint in fingerprints_of(request)
+    }
+
+
+async def crash_under_equal_requests(rig, replica, gateways):
+    """Crash a replica under equal requests of several gateways; it is back at once."""
+    replica.behaviour, replica.work_s = lambda request: Behaviour.LOSE_ANSWER, 0.5
+    arrivals = rig.arrivals()
+    checks = {gateway: crash_checks(gateway, state="ended") for gateway in gateways}
+    async with anyio.create_task_group() as tasks:
+        for number in range(CRASHES):
+            gateway = gateways[number % len(gateways)]
+            tasks.start_soon(send_crashing, rig, "/once/1", f"id-{arrivals + number}", gateway)
+        await wait_until(lambda: rig.arrivals() == arrivals + CRASHES)
+        await replica.listener.aclose()
+    await wait_until(
+        lambda: sum(crash_checks(gateway, state="ended") for gateway in gateways)
+        == sum(checks.values()) + CRASHES
+    )
+    replica.listener = await rig.listen(rig.addresses["r1"], rig.servers["r1"])
+    replica.behaviour, replica.work_s = lambda request: Behaviour.SERVE, 0.0
+
+
+@pytest.mark.parametrize("names", [("g1",), ("g1", "g2"), ("g1", "g2", "g3")])
+async def test_equal_requests_that_met_one_crash_are_served_again(rig, names):
+    replica = await rig.add_replica("r1")
+    gateways = [await rig.add_gateway(name) for name in names]
+    await crash_under_equal_requests(rig, replica, gateways)
+    await wait_until(lambda: not any(gateway.crashes.reports.unsent for gateway in gateways))
+    await wait_until(lambda: 0 not in crash_counts(gateways, client_request(b"/once/1")))
+    found = [await send_crashing(rig, "/once/1", f"id-{name}", gateways[-1]) for name in names]
+    assert_that(found, Equals([200] * len(names)))
+
+
+async def test_crashes_under_equal_requests_count_once_each_while_the_entry_is_stale(rig):
+    replica = await rig.add_replica("r1")
+    gateways = [await rig.add_gateway(name) for name in ("g1", "g2", "g3")]
+    request = client_request(b"/once/1")
+    for crash in range(CRASHES):
+        await crash_under_equal_requests(rig, replica, gateways)
+        await wait_until(lambda crash=crash: crash_counts(gateways, request) == {crash + 1})
+    for gateway in gateways:
+        await assert_not_sent_any_more(rig, "/once/1", gateway, CRASHES * CRASHES)
+
+
+async def test_crashes_found_by_different_gateways_count_while_the_entry_is_stale(rig):
+    path, request = "/once/1", client_request(b"/once/1")
+    replica = await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER)
+    gateways = [await rig.add_gateway(name) for name in ("g1", "g2", "g3")]
+    for number, gateway in enumerate(gateways):
+        await send_crashing(rig, path, f"id-{number}", gateway)
+        counts = {number + 1}
+        await wait_until(lambda counts=counts: crash_counts(gateways, request) == counts)
+        replica.listener = await rig.listen(rig.addresses["r1"], rig.servers["r1"])
+    for gateway in gateways:
+        await assert_not_sent_any_more(rig, path, gateway)
+
+
+async def test_crashes_that_equal_requests_met_at_different_upstreams_count(rig):
+    for number in range(CRASHES):
+        await rig.add_crashing_replica(f"r{number}", "tools", Behaviour.LOSE_ANSWER)
+        rig.replicas[f"r{number}"].work_s = 0.5
+    gateway = await rig.add_gateway()
+    async with anyio.create_task_group() as tasks:
+        for number in range(CRASHES):
+            tasks.start_soon(send_crashing, rig, "/once/1", f"id-{number}", gateway)
+    await wait_until(lambda: crash_checks(gateway, state="ended") == CRASHES)
+    ends = {
+        upstream
+        for crashes in gateway.crashes.registry.crashes.values()
+        for upstream in (crash.partition(".")[0] for crash in crashes)
+    }
+    arrivals = {name for name, replica in rig.replicas.items() if replica.received_ids}
+    assert_that(ends, Equals(arrivals))
+
+
 def test_turns_with_the_same_input_in_other_chains_share_no_fingerprint():
     first = client_request(b"/kept/1", b"continue", program_id="p1", previous_turn="t1")
     second = client_request(b"/kept/1", b"continue", program_id="p2", previous_turn="t2")
