--- a/tests/platform_adapter/test_directory.py
+++ b/tests/platform_adapter/test_directory.py
@@ -41,6 +41,7 @@
     "Port beyond 16 bits": with_field("address", '"10.0.0.1:65536"'),
     "Long port": with_field("address", '"10.0.0.1:' + "9" * 5_000 + '"'),
     "Port in other digits": with_field("address", '"10.0.0.1:٨٠"'),
+    "Without version": json.dumps({k: v for k, v in SOUND.items() if k != "version"}).encode(),
     "Host name": with_field("address", '"upstream.example:80"'),
     "Unknown state": with_field("state", '"new"'),
     "Not UTF-8": b'{"service": "\xff"}',
