Claim a partition only from the owner that was found not to answer

What callers saw: turns of one program sent at once through three gateways got 402 for good after 150 of 400 tokens (150 of 250, 400 of 800). The budget held more turns; no process had failed.

Cause: a gateway claims a partition if its row names no newer owner than the last one known. Turns at one gateway wait for each other's claims. The first one found a new owner in the row and noted it; the next one, which had waited, found the same row, took the owner for the one that it had judged before, and claimed from it. The live owner counted as lost, with all it might still grant, and this went on from gateway to gateway (880 with losses 1, 2, 3 within 0.2 s, 807 with base 266 and 399 of limit 400).

Before: pytest -q tests/gateway/test_budgets.py -k at_once ..._do_not_claim_a_partition_whose_owner_one_of_them_finds 1 != 0 ..._through_several_gateways_use_up_the_budget [250] 150 <= 150, [400] 150 <= 300, [800] 400 <= 700 After: tests/gateway/test_budgets.py passes.

Fix: who wants to claim names the generation that was found to be without an owner that answers, as it was known when that was found. If the row is newer, its owner is asked first. A claim of a dead owner's partition is as fast as before; one that waited for another turn's claim asks the owner it found.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -117,13 +117,13 @@
         """Return True if this process owns the partition and has not noticed its loss."""
         return number in self.partitions
 
-    async def claim(self, number: PartitionNumber, deadline_at: float) -> None:
-        """Try to become the owner of a partition; another process may claim it first."""
+    async def claim(self, number: PartitionNumber, generation: int, deadline_at: float) -> None:
+        """Try to become the owner after ``generation``; another process may claim it first."""
         lock = self.claim_locks.setdefault(number, anyio.Lock())
         async with lock:
             if self.owns(number) or self.is_closed:
                 return
-            claimed = await self.owner_table.claim(number, deadline_at)
+            claimed = await self.owner_table.claim(number, generation, deadline_at)
             if claimed is not None:
                 self.partitions[number] = PartitionAccounts(*claimed)
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
@@ -61,7 +61,7 @@
                 if await self._reserve_locally(reservation, deadline_at):
                     return
             elif not self._can_ask_owner(number):
-                await self._claim(number, deadline_at)
+                await self._claim(number, self.owner_table.generation(number), deadline_at)
             elif await self._reserve_remotely(number, reservation, deadline_at):
                 return
         raise PlatformUnavailableError("no owner of the program's budget answered in time")
@@ -83,7 +83,7 @@
             return False
         return self.silent_until.get(ownership.owner, 0.0) <= anyio.current_time()
 
-    async def _claim(self, number: PartitionNumber, deadline_at: float) -> None:
+    async def _claim(self, number: PartitionNumber, generation: int, deadline_at: float) -> None:
         if self.store.unavailable_s() > defaults.STORE_LOST_AFTER_S:
             raise PlatformUnavailableError("the store does not answer; no owner can be found")
         if self.owner_table.read_at is None:
@@ -93,7 +93,7 @@
             raise PlatformUnavailableError(
                 "most other gateways are silent; their partitions are not claimed"
             )
-        await self.accounts.claim(number, deadline_at)
+        await self.accounts.claim(number, generation, deadline_at)
 
     def _is_probably_isolated(self) -> bool:
         """Return True if most other owners are silent: this process is then probably cut off."""
@@ -119,7 +119,7 @@
             return False
         except PeerDownError as error:
             self._log_owner_failure(number, ownership.owner, error.detail)
-            await self._claim(number, deadline_at)
+            await self._claim(number, ownership.generation, deadline_at)
             return False
         if reply.verdict is Verdict.GRANTED:
             self.turn_owners[reservation.turn] = ownership.address
@@ -131,7 +131,7 @@
                 raise AllowancePendingError(reply.detail, retry_after_s=defaults.RETRY_AFTER_S)
             return False  # the owner answers: it is asked again, and its partition not claimed
         self._log_owner_failure(number, ownership.owner, reply.detail)
-        await self._claim(number, deadline_at)
+        await self._claim(number, ownership.generation, deadline_at)
         return False
 
     def _on_silent(self, owner: Incarnation, asked_at: float, error: SkylarkferryError) -> None:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
@@ -131,18 +131,22 @@
         """Return the addresses of the other owners."""
         return {ownership.address for ownership in self.owners.values()} - {"", self.address}
 
+    def generation(self, number: PartitionNumber) -> int:
+        """Return the generation of the newest owner that this process knows."""
+        return self.owners.get(number, Ownership()).generation
+
     async def claim(
-        self, number: PartitionNumber, deadline_at: float
+        self, number: PartitionNumber, generation: int, deadline_at: float
     ) -> tuple[OwnedPartition, Sequence[Row]] | None:
         """Claim a partition and return it with the rows of its programs.
 
-        Return ``None`` if another process owns it now; raise ``PlatformUnavailableError``.
+        Return ``None`` if another process has owned it since ``generation``, the newest one that
+        was found to need a claim; raise ``PlatformUnavailableError``.
         """
         row = await retry_until(lambda: self.store.read(owner_key(number)), deadline_at)
         current = _decode(row)
-        last_read = self.owners.get(number, Ownership())
         self.owners[number] = current
-        if current.generation > last_read.generation and current.owner not in (
+        if current.generation > generation and current.owner not in (
             NO_OWNER,
             self.incarnation,
         ):
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -260,6 +260,56 @@
     assert_that(statuses, Equals([200] * 12))
 
 
+async def send_at_once(rig, program, budget, gateways):
+    """Send one turn to each of the gateways at the same time; return the status codes."""
+    statuses = []
+
+    async def send_turn(gateway):
+        fields = turn_headers(f"at-once-{next(REQUEST_NUMBERS)}", program, budget)
+        response = await send(rig, "/turn/1", fields, b"p", gateway=gateway)
+        statuses.append(response.status_code)
+
+    async with anyio.create_task_group() as tasks:
+        for gateway in gateways:
+            tasks.start_soon(send_turn, gateway)
+    return statuses
+
+
+async def test_turns_at_once_do_not_claim_a_partition_whose_owner_one_of_them_finds(rig):
+    await rig.add_replica("e1", "engine")
+    owner = await rig.add_gateway("g1")
+    other = await rig.add_gateway("g2")
+    assert_that(await spend(rig, "program", 1_000, 1, [owner]), Equals([200]))
+    assert_that(await send_at_once(rig, "program", 1_000, [other] * 4), Equals([200] * 4))
+    number = budget_partition(ProgramId("program"))
+    assert_that(owner.accounts.owns(number), Equals(True))
+    assert_that(other.owners.owners[number].losses, Equals(0))
+
+
+@pytest.mark.parametrize("budget", [250, 400, 800])
+async def test_turns_at_once_through_several_gateways_use_up_the_budget(rig, budget):
+    replica = await rig.add_replica("e1", "engine")
+    replica.work_s = 0.05
+    gateways = [await rig.add_gateway(f"g{n}") for n in range(3)]
+    for _ in range(4):
+        await send_at_once(rig, "program", budget, gateways * 2)
+    status = 200
+    while status == 200:
+        await wait_until(lambda: all(not reserved_turns(gateway) for gateway in gateways))
+        fields = turn_headers(f"t-{next(REQUEST_NUMBERS)}", "program", budget)
+        status = (await send(rig, "/turn/1", fields, b"p", gateway=gateways[0])).status_code
+    assert_that(status, Equals(402))
+    assert_that(generated_tokens(rig), LessThan(budget + 1))
+    assert_that(generated_tokens(rig), GreaterThan(budget - MAX_OUTPUT_TOKENS))
+
+
+def reserved_turns(gateway):
+    """Return the turns that a gateway has reserved and not settled."""
+    partitions = gateway.accounts.partitions.values()
+    programs = [program for owned in partitions for program in owned.programs.values()]
+    return [turn for program in programs for turn in program.account.reserved]
+
+
 def listed(rig):
     """Return the owners by partition as the list names them."""
     rows = rig.store.get({"table": "account-owners", "part": ""})["rows"]
