Let an owner that is asked before its claim is answered wait for the answer

What callers saw: live gateways lost partitions to each other when turns of one program came at once, and programs were refused with 402 before their budget was spent, as all that the owner might still grant counted as spent.

Cause: a claim is in the store before its owner knows. A gateway that read the row meanwhile asked that owner, was told that it did not own the partition, and claimed it.

Fix: an owner that is asked while its own claim is under way waits for the end of the claim, no longer than for a larger allowance, and then says "pending", which makes the other one ask again instead of claiming.

Not covered: a claim that takes effect after its gateway gave up waiting for the store.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -33,7 +33,7 @@
 
 
 class AllowancePendingError(PlatformUnavailableError):
-    """The store has not yet confirmed the write that raises the program's allowance."""
+    """The store has not yet confirmed a write of the owner: a larger allowance, or its claim."""
 
 
 class Growth:
@@ -134,6 +134,7 @@
         ``AllowancePendingError`` if the store answers too late, or ``PlatformUnavailableError``.
         """
         number = budget_partition(reservation.program_id)
+        await self._wait_for_claim(number, deadline_at)
         owned = self.partitions.get(number)
         if owned is None:
             raise NotOwnerError(f"partition {number} is not owned by this process")
@@ -144,6 +145,24 @@
                 raise NotOwnerError(f"partition {number} is no longer owned by this process")
         program.account.reserve(reservation.turn, reservation.tokens)
 
+    async def _wait_for_claim(self, number: PartitionNumber, deadline_at: float) -> None:
+        """Wait until a claim under way has ended, whose effect others may see before this process.
+
+        Raise ``AllowancePendingError`` if the store answers too late.
+        """
+        lock = self.claim_locks.get(number)
+        if self.owns(number) or lock is None or not lock.locked():
+            return
+        try:
+            with anyio.fail_after(max(deadline_at - anyio.current_time(), 0)):
+                async with lock:
+                    pass
+        except TimeoutError as error:
+            raise AllowancePendingError(
+                "the store has not confirmed a claim of the partition yet",
+                retry_after_s=defaults.RETRY_AFTER_S,
+            ) from error
+
     def settle(self, program_id: ProgramId, turn: TurnId, used: int) -> None:
         """Replace a turn's reservation with the number of tokens sent to the client."""
         owned = self.partitions.get(budget_partition(program_id))
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -275,6 +275,41 @@
     return statuses
 
 
+class SlowClaims:
+    """A store whose answers to claims arrive late."""
+
+    def __init__(self, store):
+        self.store = store
+        self.claims = 0
+
+    async def handle(self, request):
+        reply = await self.store.handle(request)
+        if request.target == "/api/rows-tx" and is_claim(request):
+            self.claims += 1
+            await anyio.sleep(0.2)
+        return reply
+
+
+async def test_partition_is_not_claimed_from_an_owner_whose_claim_is_not_answered_yet(rig):
+    await rig.add_replica("e1", "engine")
+    claims = SlowClaims(rig.store)
+    address = free_address()
+    await rig.listen(address, WireServer(claims.handle))
+    owner = await rig.add_gateway("g1", address)
+    other = await rig.add_gateway("g2", address)
+    statuses = []
+
+    async def send_first():
+        statuses.extend(await spend(rig, "program", 1_000, 1, [owner]))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(send_first)
+        await wait_until(lambda: claims.claims)
+        statuses.extend(await send_at_once(rig, "program", 1_000, [other] * 3))
+    assert_that((statuses, claims.claims), Equals(([200] * 4, 1)))
+    assert_that(owner.accounts.owns(budget_partition(ProgramId("program"))), Equals(True))
+
+
 async def test_turns_at_once_do_not_claim_a_partition_whose_owner_one_of_them_finds(rig):
     await rig.add_replica("e1", "engine")
     owner = await rig.add_gateway("g1")
