--- a/tests/platform_adapter/test_codec.py
+++ b/tests/platform_adapter/test_codec.py
@@ -38,6 +38,8 @@
         (b"skylarkferry-deadline-ms", b"-1"),
         (b"skylarkferry-deadline-ms", b"inf"),
         (b"skylarkferry-token-usage", b"1"),
+        (b"skylarkferry-token-usage", b"100,-50"),
+        (b"skylarkferry-token-usage", b"-1,50"),
         (b"skylarkferry-token-budget", b"many"),
         (b"skylarkferry-prompt-prefix", b"5c1e"),
         (b"skylarkferry-prompt-prefix", b"5c1e:99999999999999999999"),
