Count the whole budget of a program whose row is malformed

What callers would see: a gateway that claims a partition with a malformed row of a program answers its first turn 502 and serves the next ones as if the program had no row: 1,300 tokens of a budget of 1,000 after one kill. Such a row needs another writer; found by reading, beside the malformed row of a program whose account is in memory.

Cause: the row was taken from the partition's rows before it was decoded, so the second turn found none.

A 503 was tried and dropped: by the code, other gateways would take it for an owner without a store and claim its partition.

Changed test: the accounts of a partition take a log; no assertion changed.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -9,6 +9,7 @@
 from skylarkferry_core.errors import (
     BudgetExhaustedError,
     ErrorCode,
+    MalformedDataError,
     NotOwnerError,
     PlatformUnavailableError,
     SkylarkferryError,
@@ -59,8 +60,9 @@
 class PartitionAccounts:
     """Accounts of one owned partition, and the rows that earlier owners wrote."""
 
-    def __init__(self, partition: OwnedPartition, rows: Sequence[Row]) -> None:
+    def __init__(self, partition: OwnedPartition, rows: Sequence[Row], log: EventLog) -> None:
         self.partition = partition
+        self.log = log
         self.rows = {row.key: row for row in rows}
         self.owned_since = anyio.current_time()
         self.programs: dict[ProgramId, ProgramAccount] = {}
@@ -71,14 +73,22 @@
         if entry is None:
             key = account_key(self.partition.number, reservation.program_id)
             row = self.rows.pop(key, None)
-            written = decode(_ACCOUNT.decode, row.value) if row else None
             losses = self.partition.ownership.losses
             version = row.version if row else 0
+            written = self._decode(row, reservation.limit) if row else None
             account = Account(reservation.limit, losses, written, version)
             entry = self.programs[reservation.program_id] = ProgramAccount(account, key, now)
         entry.used_at = now
         return entry
 
+    def _decode(self, row: Row, limit: int) -> AccountRow:
+        """Decode a program's row; a malformed one counts as the whole budget."""
+        try:
+            return decode(_ACCOUNT.decode, row.value)
+        except MalformedDataError as error:
+            self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=str(error))
+            return AccountRow(limit)
+
     def remove_idle(self, now: float) -> list[Condition]:
         """Remove accounts unused for ``ACCOUNT_IDLE_S``; return the keys and versions of rows."""
         rows: list[Condition] = []
@@ -127,7 +137,7 @@
                 return
             claimed = await self.owner_table.claim(number, generation, deadline_at)
             if claimed is not None:
-                self.partitions[number] = PartitionAccounts(*claimed)
+                self.partitions[number] = PartitionAccounts(*claimed, self.log)
 
     async def reserve(self, reservation: Reservation, deadline_at: float) -> None:
         """Reserve the maximum number of tokens that a turn may generate.
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -537,6 +537,19 @@
     assert_that(gateway.ended.is_set(), Equals(False))
 
 
+async def test_program_whose_row_is_malformed_at_a_claim_is_refused(rig):
+    replica = await rig.add_replica("e1", "engine")
+    first = await rig.add_gateway("g1")
+    assert_that(await spend(rig, "program", 1_000, 12, [first]), Equals([200] * 12))
+    first.scope.cancel()
+    await first.ended.wait()
+    number = budget_partition(ProgramId("program"))
+    rig.store.put("accounts", str(number), "program.program", b"malformed")
+    second = await rig.add_gateway("g2")
+    assert_that(await spend(rig, "program", 1_000, 3, [second]), Equals([402] * 3))
+    assert_that((len(replica.runs), second.ended.is_set()), Equals((12, False)))
+
+
 class FencedStore:
     """A store in which the partition was claimed since; reads are answered once ``is_open``."""
 
@@ -559,9 +572,11 @@
 async def test_partition_claimed_again_is_kept_when_a_write_of_the_lost_one_ends():
     number = budget_partition(ProgramId("program"))
     store = FencedStore()
-    manager = AccountManager(store, None, EventLog(NodeId("g1"), 100))
+    log = EventLog(NodeId("g1"), 100)
+    manager = AccountManager(store, None, log)
     lost, claimed = (
-        PartitionAccounts(OwnedPartition(number, Ownership(), version), []) for version in (1, 2)
+        PartitionAccounts(OwnedPartition(number, Ownership(), version), [], log)
+        for version in (1, 2)
     )
     manager.partitions[number] = lost
     errors = []
