Give the test of the turn cache's eviction turns of a size that counts

Since each turn counts 400 bytes beside its content, three turns of 10 bytes in a cache of 25 were all evicted ([] != ['c', 'a']). The same order is asserted with 10,000 bytes each in a cache of 25,000: a variant that evicts the newest fails as before.

--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/test_turns.py
@@ -130,9 +130,9 @@
 async def test_cache_evicts_the_least_recently_used_turn(rig):
     gateway = await rig.add_gateway()
     cache = gateway.gateway.turn_services.turns.cache
-    cache.limit_bytes = 25
+    cache.limit_bytes = 25_000
     for name in ("a", "b", "c"):
-        cache.put(TurnId(name), Turn(TurnId(""), (), b"x" * 10))
+        cache.put(TurnId(name), Turn(TurnId(""), (), b"x" * 10_000))
         cache.get(TurnId("a"))
     assert_that(list(cache.turns), Equals(["c", "a"]))
 
