--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -90,6 +90,13 @@
     assert_that(rig.client.unavailable_s(), Equals(0.0))
 
 
+async def test_silence_of_the_store_counts_on_when_a_call_has_timed_out(rig):
+    rig.store.fault = lambda request: StoreFault.SILENT
+    with ExpectedException(PlatformUnavailableError):
+        await rig.client.read("t/p/k")
+    assert_that(rig.client.unavailable_s(), GreaterThan(defaults.STORE_SILENT_AFTER_S))
+
+
 async def test_call_without_answer_shows_although_an_earlier_one_is_pending(rig):
     async with anyio.create_task_group() as tasks:
 
