Pause between reads of a feed whose answers come at once

What callers would see: if the store answers the feed of the configuration or of crash reports at once, because it has lost the history each time or does not wait, every gateway asks again without a pause: it keeps a core busy, and all of them take the reads that the store allows.

Cause: only failed calls were followed by a pause. Now two reads of a feed begin no closer together than two attempts of a failed call.

pytest tests/gateway/test_role.py -k never_waits, before: 2 failed (564 calls in a second with a lost history, 66,995 with answers that come at once, on a stub); after: passed.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/crash_reports.py
@@ -21,7 +21,7 @@
 from skylarkferry_gateway.messages import UpstreamEntry
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.process_ends import EndSpan, end_name
-from skylarkferry_gateway.store_calls import row_key
+from skylarkferry_gateway.store_calls import pause_after, row_key
 
 _TABLE = "crashes"
 _MAX_UNSENT = 1_000
@@ -162,12 +162,14 @@
     async def follow(self) -> None:
         """Apply the reports of other gateways until cancelled."""
         while True:
+            asked_at = anyio.current_time()
             try:
                 await self._follow_once()
             except PlatformUnavailableError:
                 await anyio.sleep(defaults.STORE_RETRY_MAX_S)
             except HistoryLostError:
                 self.followed_version = None
+            await pause_after(asked_at)
 
     async def _follow_once(self) -> None:
         if self.followed_version is None:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/store_calls.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/store_calls.py
@@ -67,6 +67,11 @@
         delay_s = min(delay_s * 2, defaults.STORE_RETRY_MAX_S)
 
 
+async def pause_after(asked_at: float) -> None:
+    """Wait before a feed is read again if its last answer came at once; the store may not wait."""
+    await anyio.sleep_until(asked_at + defaults.STORE_RETRY_S)
+
+
 def row_key(table: str, part: str, name: str) -> str:
     """Return the key of a row; ``part`` may hold any text without a slash."""
     return f"{table}/{part}/{name}"
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
@@ -11,6 +11,7 @@
 from skylarkferry_gateway.interfaces import Directory
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.service_versions import ServiceVersions
+from skylarkferry_gateway.store_calls import pause_after
 from skylarkferry_gateway.upstream_log import LeavingSource, UpstreamLog
 from skylarkferry_gateway.upstreams import Upstreams
 from skylarkferry_gateway.version_assignments import VersionAssignments
@@ -93,6 +94,7 @@
         """Apply new versions until cancelled."""
         delay_s = defaults.STORE_RETRY_S
         while True:
+            asked_at = anyio.current_time()
             try:
                 table = await self.directory.routing(defaults.CONFIG_POLL_TIMEOUT_S)
             except PlatformUnavailableError:
@@ -102,6 +104,7 @@
             delay_s = defaults.STORE_RETRY_S
             if table is not None:
                 self._apply(table)
+            await pause_after(asked_at)
 
     def _apply(self, table: RoutingTable) -> None:
         if self.current is not None and table.version <= self.current.version:
--- a/tests/gateway/test_role.py
+++ b/tests/gateway/test_role.py
@@ -2,15 +2,19 @@
 import errno
 import json
 import socket
+from collections import Counter
 
 import anyio
+import anyio.lowlevel
 import httpx
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan
 
 from gateway_rig import GRACE_S, TIMEOUT_S, config, headers, send, wait_until
+from skylarkferry_core.errors import HistoryLostError
 from skylarkferry_gateway import defaults, role
+from skylarkferry_gateway.interfaces import Changes
 from skylarkferry_standins.replica import Behaviour
 from skylarkferry_standins.row_store import StoreFault
 
@@ -335,3 +339,26 @@
     ]
     assert_that((statuses, errors), Equals(([200] * 3, [])))
     assert_that(gateway.ended.is_set(), Equals(False))
+
+
+@pytest.mark.parametrize("is_history_lost", [True, False])
+async def test_feed_that_never_waits_is_not_read_without_a_pause(rig, is_history_lost):
+    """All gateways share the reads that the store allows."""
+    calls = Counter()
+
+    async def changes(table, after, wait_s):
+        calls[table] += 1
+        await anyio.lowlevel.checkpoint()
+        if is_history_lost:
+            raise HistoryLostError("the store no longer has the requested changes")
+        return Changes([], after)
+
+    def prepare(gateway):
+        gateway.store.changes = changes
+
+    await rig.add_gateway(prepare=prepare)
+    calls.clear()
+    await anyio.sleep(1.0)
+    for table in ("op", "crashes"):
+        assert_that(calls[table], LessThan(1 / defaults.STORE_RETRY_S + 2))
+        assert_that(calls[table], GreaterThan(0))
