Continue a stream only with events that follow those of another upstream

The foreign text stood in the client's stream, which then ended as complete.

Cause: once the head of the second response was signed, 200 and of the request's id, each block that ended with a blank line was passed on. The media type was not looked at, and the order of ids was checked only where an event had one.

Ruled out: statuses other than 200, responses without a signature or with another request's id, a cut head and a stream that ends inside an event.

Change: StreamPosition keeps the client's position over all responses. A response that continues events which the client has, also when the client itself resumes, must have the media type of the stream, and each of its blocks an id that is higher than the last, or be a comment; a line that is no field is refused. A first response is passed on unchanged as before, as it is the upstream's own body.

Why this works: the ids are what makes two responses one stream. What has none cannot be placed in it. Events whose ids jump are still passed on: ids are only said to increase.

The reader of possibly broken responses moved from test_unframed_responses.py to stream_clients.py, unchanged.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
@@ -144,12 +144,16 @@
 
 
 class ReplyMetadata(msgspec.Struct, frozen=True):
-    """Decoded headers of an upstream's response; ``idle_s`` is its keep-alive timeout."""
+    """Decoded headers of an upstream's response; ``idle_s`` is its keep-alive timeout.
+
+    ``media_type`` is in lower case and without parameters, empty if the response names none.
+    """
 
     request_id: str = ""
     is_signed: bool = False
     not_executed: bool = False
     is_encoded: bool = False
+    media_type: str = ""
     report: UpstreamReport = UpstreamReport()
     idle_s: float | None = None
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_events.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_events.py
@@ -8,16 +8,24 @@
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _LINE_END = re.compile(rb"\r\n|\n|\r")
+_FIELD_NAME = re.compile(rb"[A-Za-z0-9_-]+")
 _EVENT_END_BYTES = 4
 _MAX_EVENT_BYTES = 1_048_576
+_MAX_LOGGED_BYTES = 80
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
-    """One event; ``raw`` is its bytes including the blank line that ends it."""
+    """One event; ``raw`` is its bytes including the blank line that ends it.
+
+    ``is_comment`` is whether it has no fields; ``unknown_line`` is the start of a line that is
+    neither a field nor a comment.
+    """
 
     raw: bytes
     event_id: int | None
     data: bytes
+    is_comment: bool
+    unknown_line: bytes | None
 
 
 class EventSplitter:
@@ -53,14 +61,21 @@
     """Parse one event; its data lines are joined by line feeds."""
     event_id: int | None = None
     data: list[bytes] = []
+    is_comment = True
+    unknown_line: bytes | None = None
     for line in _LINE_END.split(raw):
         name, _, value = line.partition(b":")
+        if not name:
+            continue
+        is_comment = False
         value = value[1:] if value.startswith(b" ") else value
         if name == b"data":
             data.append(value)
         elif name == b"id":
             event_id = _parse_event_id(value)
-    return StreamEvent(raw, event_id, b"\n".join(data))
+        elif _FIELD_NAME.fullmatch(name) is None:
+            unknown_line = line[:_MAX_LOGGED_BYTES]
+    return StreamEvent(raw, event_id, b"\n".join(data), is_comment, unknown_line)
 
 
 def _parse_event_id(value: bytes) -> int:
--- /dev/null
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_position.py
@@ -0,0 +1,52 @@
+"""Position of a client in a stream, and the check of the responses that continue it."""
+
+from skylarkferry_core.errors import AnswerInvalidError
+from skylarkferry_gateway.stream_events import StreamEvent
+
+EVENT_STREAM = "text/event-stream"
+
+
+class StreamPosition:
+    """Last event that a client has of a stream, over all responses that it was relayed from.
+
+    ``media_type`` is that of the response whose headers the client gets, in lower case.
+    ``is_continuation`` is whether the response at hand continues events that the client has.
+    """
+
+    def __init__(self, last_event_id: int | None) -> None:
+        self.last_event_id = last_event_id
+        self.media_type = EVENT_STREAM
+        self.is_continuation = False
+
+    def begin_response(self, media_type: str) -> None:
+        """Begin the next response; raise ``AnswerInvalidError`` if it is no continuation."""
+        media_type = media_type or EVENT_STREAM
+        self.is_continuation = self.last_event_id is not None
+        if not self.is_continuation:
+            self.media_type = media_type
+        elif media_type != self.media_type:
+            raise AnswerInvalidError(f"the continuation is {media_type}, not {self.media_type}")
+
+    def accept(self, events: list[StreamEvent]) -> None:
+        """Move on by complete events; raise ``AnswerInvalidError`` for one that may not follow."""
+        for event in events:
+            if self.is_continuation:
+                _check_continuation(event)
+            if event.event_id is None:
+                continue
+            if self.last_event_id is not None and event.event_id <= self.last_event_id:
+                raise AnswerInvalidError(
+                    f"event {event.event_id} came after event {self.last_event_id}"
+                )
+            self.last_event_id = event.event_id
+
+
+def _check_continuation(event: StreamEvent) -> None:
+    """Raise ``AnswerInvalidError`` unless an event can follow those of another upstream.
+
+    Without an id, it cannot be told from the text of an error.
+    """
+    if event.unknown_line is not None:
+        raise AnswerInvalidError(f"{event.unknown_line!r} is no field of an event")
+    if event.event_id is None and not event.is_comment:
+        raise AnswerInvalidError("an event of the continuation has no id")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -20,6 +20,7 @@
 from skylarkferry_gateway.relay_context import RelayContext
 from skylarkferry_gateway.selection import Selection
 from skylarkferry_gateway.stream_events import EventSplitter, StreamEvent
+from skylarkferry_gateway.stream_position import StreamPosition
 
 
 class StreamListener(Protocol):
@@ -52,7 +53,7 @@
         self.client = client
         self.listener = listener
         self.body = body
-        self.last_event_id = attempts.request.metadata.last_event_id
+        self.position = StreamPosition(attempts.request.metadata.last_event_id)
         self.events = 0
         self.first_event_at: float | None = None
 
@@ -136,7 +137,7 @@
             if attempts.route.is_resumable:
                 context.resumptions.on_attempt(attempts, _origin(decision.upstream.entry))
             request_metadata = context.upstream_request_metadata(
-                attempts, decision, sent_at, self.last_event_id
+                attempts, decision, sent_at, self.position.last_event_id
             )
             reply_deadline = context.reply_deadline(attempts, decision, sent_at)
             reply = await self._send_request(exchange, request_metadata, reply_deadline)
@@ -149,6 +150,7 @@
                 raise rejection
             if reply.status != HTTPStatus.OK:
                 return await self._relay_other_status(exchange, decision, reply)
+            self.position.begin_response(reply.metadata.media_type)
             self._record_prompt(decision)
             await self._relay_events(exchange, decision, reply)
             ended_at = anyio.current_time()
@@ -226,7 +228,7 @@
         if not events:
             return
         await self._fix_version(decision.upstream.entry)
-        self._check_order(events)
+        self.position.accept(events)
         self.listener.on_events(events)
         self.events += len(events)
         data = b"".join(event.raw for event in events)
@@ -250,17 +252,6 @@
                 raise _UnrecordedError("the version that begins the stream cannot be recorded")
         attempts.required_version = entry.software_version
 
-    def _check_order(self, events: list[StreamEvent]) -> None:
-        """Raise ``AnswerInvalidError`` unless event ids increase."""
-        for event in events:
-            if event.event_id is None:
-                continue
-            if self.last_event_id is not None and event.event_id <= self.last_event_id:
-                raise AnswerInvalidError(
-                    f"event {event.event_id} came after event {self.last_event_id}"
-                )
-            self.last_event_id = event.event_id
-
     async def _complete(self, reply: Reply) -> None:
         """End the client's stream after the listener has made it durable."""
         try:
--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -6,17 +6,17 @@
 
 import anyio
 import anyio.lowlevel
-import httpx
 import pytest
 from anyio.abc import SocketAttribute
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from gateway_rig import TIMEOUT_S, headers, send, turn_headers
+from gateway_rig import headers, send, turn_headers
 from skylarkferry_gateway import defaults
 from skylarkferry_standins.ports import free_address
 from skylarkferry_standins.replica import EVENT_COUNT, Behaviour, Replica
 from skylarkferry_standins.wire_server import WireReply, WireServer, encode_reply
+from stream_clients import receive
 
 pytestmark = pytest.mark.anyio
 
@@ -73,20 +73,6 @@
     return server
 
 
-async def receive(rig, path, fields, body=b"x"):
-    """Send a request; return status, received bytes and whether the response was complete."""
-    received = b""
-    async with httpx.AsyncClient(timeout=TIMEOUT_S, verify=False) as client:
-        stream = client.stream("POST", rig.url(path), headers=fields, content=body)
-        async with stream as response:
-            try:
-                async for data in response.aiter_raw():
-                    received += data
-            except (httpx.RemoteProtocolError, httpx.ReadError):
-                return response.status_code, received, False
-    return response.status_code, received, True
-
-
 @pytest.mark.parametrize("version", VERSIONS)
 @pytest.mark.parametrize("field", [b"", b"\r\nConnection: close", b"\r\nConnection: keep-alive"])
 @pytest.mark.parametrize("path", ["/order/1", "/get/1"])
--- a/tests/stream_clients.py
+++ b/tests/stream_clients.py
@@ -9,7 +9,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from gateway_rig import headers, send, wait_until
+from gateway_rig import TIMEOUT_S, headers, send, wait_until
 from skylarkferry_core.version_assignments import Assignment
 from skylarkferry_gateway import defaults
 from skylarkferry_standins.replica import Behaviour
@@ -168,3 +168,17 @@
     added = sorted(set(after) - set(before))
     if added:
         await add_versions(rig, {name: VERSION_OF[name[0]] for name in added})
+
+
+async def receive(rig, path, fields, body=b"x"):
+    """Send a request; return status, received bytes and whether the response was complete."""
+    received = b""
+    async with httpx.AsyncClient(timeout=TIMEOUT_S, verify=False) as client:
+        stream = client.stream("POST", rig.url(path), headers=fields, content=body)
+        async with stream as response:
+            try:
+                async for data in response.aiter_raw():
+                    received += data
+            except (httpx.RemoteProtocolError, httpx.ReadError):
+                return response.status_code, received, False
+    return response.status_code, received, True
