Move the position of a stream only by events that are sent

What callers saw: the beginning of a stream was missing. The response was 200, began with event 2 (or 4) and ended as complete.

Cause: of the events that one read had completed, the check of their order moved the last id event by event, and then refused all of them for one that came out of order. None was sent, but the next upstream was asked to go on after the last one checked.

Evidence: an upstream that sends event 1 (or 1 to 3), event 1 again and the rest in one piece, and a sound second one. The second was sent Last-Event-Id 1 (or 3), though the client had nothing. Ruled out: events whose id cannot be parsed. They are refused before the check, which moved nothing (two of the tests, passed before).

Why this works: the position moves when all events of a read are accepted, and these are what is sent.

Tests: pytest tests/gateway/test_stream_continuations.py -k together: 3 failed, 2 passed before; 5 passed now. The whole file and test_stream_relay.py: passed.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_position.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_position.py
@@ -28,17 +28,17 @@
             raise AnswerInvalidError(f"the continuation is {media_type}, not {self.media_type}")
 
     def accept(self, events: list[StreamEvent]) -> None:
-        """Move on by complete events; raise ``AnswerInvalidError`` for one that may not follow."""
+        """Move on by complete events, or raise ``AnswerInvalidError`` and accept none of them."""
+        last_event_id = self.last_event_id
         for event in events:
             if self.is_continuation:
                 _check_continuation(event)
             if event.event_id is None:
                 continue
-            if self.last_event_id is not None and event.event_id <= self.last_event_id:
-                raise AnswerInvalidError(
-                    f"event {event.event_id} came after event {self.last_event_id}"
-                )
-            self.last_event_id = event.event_id
+            if last_event_id is not None and event.event_id <= last_event_id:
+                raise AnswerInvalidError(f"event {event.event_id} came after event {last_event_id}")
+            last_event_id = event.event_id
+        self.last_event_id = last_event_id
 
 
 def _check_continuation(event: StreamEvent) -> None:
--- a/tests/gateway/test_stream_continuations.py
+++ b/tests/gateway/test_stream_continuations.py
@@ -146,3 +146,23 @@
     status, received, is_complete = await receive(rig, PATH, turn_headers("t-1"))
     assert_that((status, received, is_complete), Equals((200, STREAM, True)))
     assert_that(script.last_event_ids, Equals([0, SENT]))
+
+
+# Guards against events that are missing after a read that held an invalid event.
+@pytest.mark.parametrize("invalid", [events(2, 2), b"id: four\ndata: token 4\n\n"])
+@pytest.mark.parametrize("valid", [1, SENT])
+async def test_events_read_together_with_an_invalid_one_are_not_lost(rig, valid, invalid):
+    first = answer(EVENT_STREAM, events(1, valid) + invalid.replace(b"2", b"1") + REST)
+    script = await add_upstreams(rig, first, serve)
+    status, received, is_complete = await receive(rig, PATH, turn_headers("t-1"))
+    assert_that((status, received, is_complete), Equals((200, STREAM, True)))
+    assert_that(len(script.last_event_ids), Equals(2))
+
+
+# Guards against events that are missing after a continuation that held an invalid event.
+async def test_events_of_a_continuation_read_together_with_an_invalid_one_are_not_lost(rig):
+    rest = REST + b"data: token 6\n\n"
+    script = await add_upstreams(rig, cut_after(SENT), answer(EVENT_STREAM, rest), serve)
+    status, received, is_complete = await receive(rig, PATH, turn_headers("t-1"))
+    assert_that((status, received, is_complete), Equals((200, STREAM, True)))
+    assert_that(len(script.last_event_ids), Equals(3))
