Do not end a stream as complete by a continuation without events

Cause: the end of any accepted response ended the client's stream, also of one that had added nothing.

Why this works: an upstream that breaks off has not said that its stream is over, and an empty response alone is no evidence for it. The response counts as a failed attempt and another upstream is asked; if none adds an event, the stream is broken off, and the client may resume it. So a stream whose upstream broke off between its last event and the end of its body is broken off too. A client that itself resumes after the last event gets the upstream's empty response, unchanged.

Weighed and not done: to believe two empty responses (two replicas of one fault end the stream short); to compare the output with the maximum of the request (streams may end before it).

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_position.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_position.py
@@ -10,17 +10,20 @@
     """Last event that a client has of a stream, over all responses that it was relayed from.
 
     ``media_type`` is that of the response whose headers the client gets, in lower case.
-    ``is_continuation`` is whether the response at hand continues events that the client has.
+    ``is_continuation`` is whether the response at hand continues events that the client has;
+    ``resumed_after`` is the event after which the client resumes, ``began_after`` the one after
+    which the response at hand begins.
     """
 
     def __init__(self, last_event_id: int | None) -> None:
-        self.last_event_id = last_event_id
+        self.last_event_id = self.resumed_after = self.began_after = last_event_id
         self.media_type = EVENT_STREAM
         self.is_continuation = False
 
     def begin_response(self, media_type: str) -> None:
         """Begin the next response; raise ``AnswerInvalidError`` if it is no continuation."""
         media_type = media_type or EVENT_STREAM
+        self.began_after = self.last_event_id
         self.is_continuation = self.last_event_id is not None
         if not self.is_continuation:
             self.media_type = media_type
@@ -40,6 +43,15 @@
             last_event_id = event.event_id
         self.last_event_id = last_event_id
 
+    def end_response(self) -> None:
+        """End the response at hand; raise ``AnswerInvalidError`` if it added nothing to another.
+
+        The upstream before may have broken off after its last event, but nothing shows that.
+        """
+        is_joined = self.began_after != self.resumed_after
+        if is_joined and self.last_event_id == self.began_after:
+            raise AnswerInvalidError("the continuation has no event")
+
 
 def _check_continuation(event: StreamEvent) -> None:
     """Raise ``AnswerInvalidError`` unless an event can follow those of another upstream.
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -209,6 +209,7 @@
             await self._send(decision, reply, splitter.feed(data))
         if splitter.has_partial_event:
             raise AnswerInvalidError("the stream ended inside an event")
+        self.position.end_response()
 
     async def _read(self, exchange: Exchange) -> bytes | None:
         """Return the next bytes of the stream, or ``None`` at its end.
--- a/tests/gateway/test_stream_continuations.py
+++ b/tests/gateway/test_stream_continuations.py
@@ -16,6 +16,7 @@
 SENT = 3
 """Events that the first upstream sends before its stream breaks off."""
 EVENT_STREAM = {"Content-Type": "text/event-stream"}
+COMMENT = b": still here\n\n"
 ERROR_HEAD = b"HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 7"
 
 
@@ -36,8 +37,14 @@
         ERROR_HEAD.replace(b"\r\n", b"\n") + b"\n" + REST,
     ),
     "events without ids": (EVENT_STREAM, b"data: token 4\n\ndata: token 5\n\n"),
+    "one event without an id": (EVENT_STREAM, b"data: token 4\n\n" + REST),
     "an error event without an id": (EVENT_STREAM, b"event: error\ndata: failed\n\n" + REST),
 }
+EMPTY = {
+    "no event": (EVENT_STREAM, b""),
+    "no event and no media type": ({}, b""),
+    "a comment": (EVENT_STREAM, COMMENT),
+}
 
 
 class Script:
@@ -129,8 +136,10 @@
 
 
 async def test_continuation_may_hold_comments_other_fields_and_a_charset(rig):
-    rest = b": still here\n\nskylarkferry-weight-versions: 2\n" + REST.replace(
-        b"id: 5", b"event: token\nretry: 100\nid: 5"
+    rest = (
+        COMMENT
+        + b"skylarkferry-weight-versions: 2\n"
+        + REST.replace(b"id: 5", b"event: token\nretry: 100\nid: 5")
     )
     added = {"Content-Type": "Text/Event-Stream; charset=utf-8"}
     script = await add_upstreams(rig, cut_after(SENT), answer(added, rest))
@@ -166,3 +175,30 @@
     status, received, is_complete = await receive(rig, PATH, turn_headers("t-1"))
     assert_that((status, received, is_complete), Equals((200, STREAM, True)))
     assert_that(len(script.last_event_ids), Equals(3))
+
+
+# Guards against streams that end as complete before their last event.
+@pytest.mark.parametrize("kind", EMPTY)
+async def test_stream_goes_on_at_the_next_upstream_after_an_empty_response(rig, kind):
+    script = await add_upstreams(rig, cut_after(SENT), answer(*EMPTY[kind]), serve)
+    status, received, is_complete = await receive(rig, PATH, turn_headers("t-1"))
+    assert_that((status, is_complete), Equals((200, True)))
+    assert_that(received.replace(COMMENT, b""), Equals(STREAM))
+    assert_that(len(script.last_event_ids), Equals(3))
+
+
+# Guards against streams that end as complete before their last event.
+@pytest.mark.parametrize("kind", EMPTY)
+async def test_stream_never_looks_complete_after_empty_responses(rig, kind):
+    script = await add_upstreams(rig, cut_after(SENT), answer(*EMPTY[kind]))
+    status, received, is_complete = await receive(rig, PATH, turn_headers("t-1"))
+    assert_that((status, is_complete), Equals((200, False)))
+    assert_that(received.replace(COMMENT, b""), Equals(events(1, SENT)))
+    assert_that(len(script.last_event_ids) > 1, Equals(True))
+
+
+async def test_client_that_resumes_after_the_last_event_gets_an_empty_response(rig):
+    await add_upstreams(rig, serve)
+    fields = {**turn_headers("t-2"), "Last-Event-Id": str(EVENT_COUNT), "Resumes": "t-1"}
+    response = await send(rig, PATH, fields, b"prompt")
+    assert_that((response.status_code, response.content), Equals((200, b"")))
