Break a stream off instead of repeating events that have no id

Cause: another upstream was asked to go on after the last id, or from the beginning if there was none, whatever the client had been sent since.

Why this works: once the client has an event without an id after the last one with an id, no upstream can be told where to go on. The stream is broken off then. For the same reason such a stream is not moved when its upstream is silent. Comments have no id and don't count.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_position.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_position.py
@@ -13,12 +13,15 @@
     ``is_continuation`` is whether the response at hand continues events that the client has;
     ``resumed_after`` is the event after which the client resumes, ``began_after`` the one after
     which the response at hand begins.
+    ``can_continue`` is False once the client has an event without an id after the last one with an
+    id: another upstream would send it again.
     """
 
     def __init__(self, last_event_id: int | None) -> None:
         self.last_event_id = self.resumed_after = self.began_after = last_event_id
         self.media_type = EVENT_STREAM
         self.is_continuation = False
+        self.can_continue = True
 
     def begin_response(self, media_type: str) -> None:
         """Begin the next response; raise ``AnswerInvalidError`` if it is no continuation."""
@@ -33,15 +36,19 @@
     def accept(self, events: list[StreamEvent]) -> None:
         """Move on by complete events, or raise ``AnswerInvalidError`` and accept none of them."""
         last_event_id = self.last_event_id
+        can_continue = self.can_continue
         for event in events:
             if self.is_continuation:
                 _check_continuation(event)
+            if not event.is_comment:
+                can_continue = event.event_id is not None
             if event.event_id is None:
                 continue
             if last_event_id is not None and event.event_id <= last_event_id:
                 raise AnswerInvalidError(f"event {event.event_id} came after event {last_event_id}")
             last_event_id = event.event_id
         self.last_event_id = last_event_id
+        self.can_continue = can_continue
 
     def end_response(self) -> None:
         """End the response at hand; raise ``AnswerInvalidError`` if it added nothing to another.
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -72,7 +72,7 @@
         while True:
             now = anyio.current_time()
             decision = None
-            if self.attempts.can_attempt(now):
+            if self.position.can_continue and self.attempts.can_attempt(now):
                 decision = await self.context.choose_upstream(self.attempts, now)
             if decision is None:
                 return await self._finish_without_upstream(now)
@@ -221,8 +221,10 @@
             deadline = self.attempts.event_deadline(anyio.current_time())
             with anyio.move_on_at(deadline):
                 return await exchange.read()
-            has_alternatives = self.context.selector.has_untried(self.attempts)
-            if has_alternatives or deadline >= self.attempts.reply_limit:
+            can_move = self.position.can_continue and self.context.selector.has_untried(
+                self.attempts
+            )
+            if can_move or deadline >= self.attempts.reply_limit:
                 raise AnswerInvalidError("the stream was silent for too long")
 
     async def _send(self, decision: Selection, reply: Reply, events: list[StreamEvent]) -> None:
--- a/tests/gateway/test_stream_continuations.py
+++ b/tests/gateway/test_stream_continuations.py
@@ -1,10 +1,12 @@
 """Streams that break off and go on at another upstream, whose response may be no continuation."""
 
+import anyio
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
 from gateway_rig import config, send, turn_headers
+from skylarkferry_gateway import attempts
 from skylarkferry_standins.ports import free_address
 from skylarkferry_standins.replica import EVENT_COUNT, Replica
 from skylarkferry_standins.wire_server import Ending, WireReply, WireServer, encode_reply
@@ -87,7 +89,7 @@
     return WireReply(200, {**identity, **EVENT_STREAM}, events(last_event_id + 1))
 
 
-async def add_upstreams(rig, *replies, count=3):
+async def add_upstreams(rig, *replies, count=3, server=WireServer):
     """Add upstreams that follow one script, and a gateway; return the script."""
     routes = {PATH.removesuffix("1"): {"kind": "streaming", "service": "engine"}}
     routes["/resume/"] |= {"maxAttempts": 3, "resumable": True}
@@ -97,7 +99,7 @@
         name = f"e{number}"
         rig.replicas[name] = Replica(name)
         rig.addresses[name] = free_address()
-        await rig.listen(rig.addresses[name], WireServer(script.handle))
+        await rig.listen(rig.addresses[name], server(script.handle))
         rig.register_replica(name, "engine")
     await rig.add_gateway()
     return script
@@ -202,3 +204,50 @@
     fields = {**turn_headers("t-2"), "Last-Event-Id": str(EVENT_COUNT), "Resumes": "t-1"}
     response = await send(rig, PATH, fields, b"prompt")
     assert_that((response.status_code, response.content), Equals((200, b"")))
+
+
+# Guards against events that come twice, as the next upstream cannot know what was sent.
+@pytest.mark.parametrize("last", [b"data: token 3\n\n", b"event: done\ndata: 3\n\n"])
+@pytest.mark.parametrize("first", [b"id: 1\ndata: token 1\n\n", b"data: token 1\n\n"])
+async def test_stream_is_broken_off_if_its_last_event_has_no_id(rig, first, last):
+    sent = first + events(2, 2) + last
+    script = await add_upstreams(rig, cut_after(3, sent + REST), serve)
+    outcome = await receive(rig, PATH, turn_headers("t-1"))
+    assert_that(outcome, Equals((200, sent, False)))
+    assert_that(script.last_event_ids, Equals([0]))
+
+
+# Guards against events that come twice, as the next upstream cannot know what was sent.
+async def test_stream_without_ids_is_broken_off(rig):
+    sent = b"data: token 1\n\ndata: token 2\n\n"
+    script = await add_upstreams(rig, cut_after(2, sent + b"data: token 3\n\n"), serve)
+    outcome = await receive(rig, PATH, turn_headers("t-1"))
+    assert_that(outcome, Equals((200, sent, False)))
+    assert_that(script.last_event_ids, Equals([0]))
+
+
+async def test_stream_goes_on_after_an_event_with_an_id_and_a_comment(rig):
+    sent = b"data: token 1\n\n" + events(2, 2) + COMMENT
+    script = await add_upstreams(rig, cut_after(3, sent + REST), serve)
+    outcome = await receive(rig, PATH, turn_headers("t-1"))
+    assert_that(outcome, Equals((200, sent + events(3), True)))
+    assert_that(script.last_event_ids, Equals([0, 2]))
+
+
+# Guards against streams that are broken off for a silence though no other upstream may go on.
+async def test_silent_stream_that_cannot_go_on_elsewhere_is_waited_for(rig, monkeypatch):
+    monkeypatch.setattr(attempts, "_STREAM_SILENCE_S", 0.1)
+    sent = b"data: token 1\n\n"
+
+    class PausingServer(WireServer):
+        async def _send(self, stream, reply):
+            head = encode_reply(reply).partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+            await stream.send(head + sent)
+            await anyio.sleep(0.5)
+            await stream.send(reply.body[len(sent) :])
+            return True
+
+    script = await add_upstreams(rig, answer(EVENT_STREAM, sent + REST), server=PausingServer)
+    outcome = await receive(rig, PATH, turn_headers("t-1"))
+    assert_that(outcome, Equals((200, sent + REST, True)))
+    assert_that(script.last_event_ids, Equals([0]))
