Refuse late requests from before the listener of a stopping process closes

What callers saw: in a planned stop, a client that had found the listener closed sent a request on a connection that was open already. It was sent on with a shortened time limit and ended as 504, its outcome unknown, though its limit did not fit into the grace period and it had to be refused unrun.

Why this works: the refusal begins first. Connections that are accepted in the last moment get an honest 503 for what does not fit, and are served otherwise.

Test: test_late_request_is_refused_while_the_listener_is_being_closed holds the window open; before: 504 and the request had run; after: 503, not run. pytest tests/gateway/test_planned_stop.py tests/gateway/test_role.py: 40 passed.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/planned_stop.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/planned_stop.py
@@ -13,7 +13,7 @@
 
     ``answer_by`` is the monotonic time by which each of them has its final answer.
     ``is_accepting`` is whether clients may still open connections, which they do until they know
-    of the stop.
+    of the stop; it ends before any client can find the listener closed.
     """
 
     def __init__(self) -> None:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -250,8 +250,8 @@
         for client in list(self.clients):
             client.close_if_idle()
         await anyio.sleep(min(defaults.STOP_ACCEPTING_AFTER_S, self.settings.grace_s / 2))
-        await clients.aclose()
         planned_stop.is_accepting = False
+        await clients.aclose()
         first_request_by = planned_stop.first_request_by()
         for client in list(self.clients):
             client.close_if_idle(first_request_by)
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -7,6 +7,7 @@
 from testtools.matchers import Contains, Equals
 
 from gateway_rig import GRACE_S, HOST, config, wait_until
+from skylarkferry_gateway import listeners
 from skylarkferry_standins.replica import Behaviour
 
 pytestmark = pytest.mark.anyio
@@ -16,6 +17,7 @@
 SHORT_MS = 400
 LATE_S = GRACE_S / 2 + 0.5
 """The gateway accepts connections for half of the grace period."""
+CLOSING_S = 0.5
 PATHS = {
     "/get/1": "idempotent",
     "/order/1": "non_idempotent",
@@ -64,6 +66,10 @@
 
 @pytest.fixture
 async def gateway(rig):
+    return await start_gateway(rig)
+
+
+async def start_gateway(rig):
     """Run a gateway with one replica of each service, whose routes allow long work."""
     routes = {
         path.removesuffix("1"): {
@@ -97,6 +103,23 @@
     assert_that(received, Contains(b'"not_run"'))
 
 
+# Guards against an unknown outcome for a request whose client has found the listener closed.
+async def test_late_request_is_refused_while_the_listener_is_being_closed(rig, monkeypatch):
+    async def wait_longer(event):
+        await event.wait()
+        await anyio.sleep(CLOSING_S)
+
+    monkeypatch.setattr(listeners, "_wait_unless_set", wait_longer)
+    gateway = await start_gateway(rig)
+    rig.replicas["r1"].work_s = LONG_WORK_S
+    async with await connect(gateway) as stream:
+        gateway.stop.set()
+        await wait_until_listener_is_closed(gateway)
+        await stream.send(request_bytes("late"))
+        received = await receive_all(stream)
+    assert_that((statuses(received), runs(rig)), Equals(([(503, True)], [])))
+
+
 async def test_late_request_with_a_time_limit_that_fits_into_the_grace_is_served(rig, gateway):
     async with await connect(gateway) as stream:
         gateway.stop.set()
