Test that no request is cut at a planned stop, also beside an outage or a growing configuration

A report of other operators: in a planned stop of one gateway, in calm, requests that came late in the grace period were sent on and cut at its end without an answer, among them requests that must not be repeated. These are in the test: 200 requests of four kinds over the whole grace period, on unused and on new connections, with work that does and does not fit.

--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -1,14 +1,17 @@
 """Requests that reach a stopping gateway when little of its grace period is left."""
 
+from contextlib import suppress
+
 import anyio
 import msgspec
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals
+from testtools.matchers import Contains, Equals, HasLength, Not
 
-from gateway_rig import GRACE_S, HOST, config, wait_until
+from gateway_rig import GRACE_S, HOST, config, large_config, wait_until
 from skylarkferry_gateway import listeners
 from skylarkferry_standins.replica import Behaviour
+from skylarkferry_standins.row_store import StoreFault
 
 pytestmark = pytest.mark.anyio
 
@@ -17,17 +20,21 @@
 SHORT_MS = 400
 LATE_S = GRACE_S / 2 + 0.5
 """The gateway accepts connections for half of the grace period."""
+REQUESTS = 25
+"""Requests of each path and on each kind of connection, evenly over the grace period."""
+ROUTES_ADDED = 2_000
 CLOSING_S = 0.5
 PATHS = {
     "/get/1": "idempotent",
     "/order/1": "non_idempotent",
     "/turn/1": "streaming",
+    "/kept/1": "streaming",
 }
 
 
 def request_bytes(request_id, path="/order/1", limit_ms=LONG_MS):
     """Return a whole request."""
-    usage = "Skylarkferry-Token-Usage: 50,100\r\n" if path == "/turn/1" else ""
+    usage = "Skylarkferry-Token-Usage: 50,100\r\n" if PATHS[path] == "streaming" else ""
     return (
         f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 4\r\n{usage}"
         f"Skylarkferry-Request-Id: {request_id}\r\nSkylarkferry-Deadline-Ms: {limit_ms}\r\n\r\nbody"
@@ -76,6 +83,7 @@
             "kind": kind,
             "service": "engine" if kind == "streaming" else "tools",
             "timeoutMs": 10_000,
+            **({"retainContext": True, "retentionS": 60.0} if path == "/kept/1" else {}),
         }
         for path, kind in PATHS.items()
     }
@@ -176,3 +184,52 @@
         with anyio.fail_after(60):
             assert_that(await receive_all(stream), Equals(b""))
             await gateway.ended.wait()
+
+
+async def grow_configuration(rig):
+    """Add many routes several times while the gateway stops."""
+    for version in range(100, 104):
+        rig.configure(large_config(ROUTES_ADDED, version))
+        await anyio.sleep(GRACE_S / 8)
+
+
+async def lose_store(rig):
+    """Let the store refuse all calls from the stop on."""
+    rig.store.fault = lambda request: StoreFault.REFUSED
+
+
+async def leave_calm(rig):
+    """Change nothing."""
+
+
+# Guards against requests that are passed on late in the grace period and cut without an answer.
+@pytest.mark.parametrize("change", [leave_calm, grow_configuration, lose_store])
+@pytest.mark.parametrize("work_s", [0.7, LONG_WORK_S])
+async def test_no_request_that_ran_during_a_stop_is_cut(rig, gateway, work_s, change):
+    received = {}
+
+    async def send_late(number, path, stream):
+        request_id = f"{number}-{path.split('/')[1]}-{'new' if stream is None else 'unused'}"
+        await anyio.sleep(number * GRACE_S / REQUESTS)
+        with suppress(anyio.BrokenResourceError, OSError):
+            stream = stream or await connect(gateway)
+            async with stream:
+                await stream.send(request_bytes(request_id, path))
+                received[request_id] = await receive_all(stream)
+
+    for replica in rig.replicas.values():
+        replica.work_s = work_s
+    unused = {
+        (number, path): await connect(gateway) for number in range(REQUESTS) for path in PATHS
+    }
+    gateway.stop.set()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(change, rig)
+        for (number, path), stream in unused.items():
+            tasks.start_soon(send_late, number, path, stream)
+            tasks.start_soon(send_late, number, path, None)
+    cut = [item for item in runs(rig) if not statuses(received.get(item, b""))]
+    assert_that(cut, Equals([]))
+    refused = {item for item, data in received.items() if statuses(data)[:1] == [(503, True)]}
+    assert_that(refused.intersection(runs(rig)), Equals(set()))
+    assert_that(runs(rig), Not(HasLength(0)))
