--- a/tests/core/test_accounts.py
+++ b/tests/core/test_accounts.py
@@ -347,6 +347,7 @@
     return need if answer is Answer.SPENT else None
 
 
+# Guards against tokens beyond the budget after the loss of several owners.
 @settings(max_examples=1_500)
 @given(LIMITS, LENGTHS, STEPS)
 def test_turns_of_different_lengths_stay_within_the_budget_and_one_turn(limit, lengths, steps):
@@ -364,6 +365,7 @@
         assert_that(ledger.tokens, LessThan(max(limit, 0) + 1))
 
 
+# Guards against tokens beyond the largest budget that a program named.
 @settings(max_examples=1_500)
 @given(LENGTHS, st.lists(st.tuples(LIMITS, ROUNDS), max_size=12))
 def test_budget_that_changes_keeps_within_its_largest_value_and_one_turn(lengths, steps):
--- a/tests/gateway/test_background_work.py
+++ b/tests/gateway/test_background_work.py
@@ -46,6 +46,7 @@
     monkeypatch.setattr(component, method, failing)
 
 
+# Guards against processes that end by an error in one part of their background work.
 @pytest.mark.parametrize("work", WORK)
 async def test_unexpected_error_in_background_work_does_not_end_the_gateway(rig, monkeypatch, work):
     path, method = WORK[work]
@@ -65,6 +66,7 @@
     assert_that(failures[0].fields["detail"], Contains("UnexpectedError"))
 
 
+# Guards against requests that an error in one step of a planned stop cuts.
 @pytest.mark.parametrize(
     ("path", "method"), [("handover.origins", "resumable"), ("accounts", "release_all")]
 )
@@ -112,6 +114,7 @@
 """Tables that gateways read in the background, with the part and the key of a row."""
 
 
+# Guards against processes that end for an unreadable row of a table.
 @pytest.mark.parametrize("value", ROWS)
 async def test_unreadable_rows_do_not_end_the_gateway_nor_stop_its_list(rig, value):
     await rig.add_replica("r1")
@@ -127,6 +130,7 @@
     assert_that((answer.status_code, gateway.ended.is_set()), Equals((200, False)))
 
 
+# Guards against processes that end, or follow the list no more, for one odd entry.
 async def test_upstream_list_is_followed_beside_an_entry_that_is_nested_too_deeply(rig):
     await rig.add_replica("r1")
     gateway = await rig.add_gateway()
@@ -139,6 +143,7 @@
     assert_that((answer.status_code, gateway.ended.is_set()), Equals((200, False)))
 
 
+# Guards against processes that end for a datagram of another process.
 async def test_nested_datagram_does_not_end_the_gateway(rig):
     await rig.add_replica("r1")
     gateway = await rig.add_gateway()
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -105,6 +105,7 @@
     return StoreFault.REFUSED if is_write else StoreFault.NONE
 
 
+# Guards against tokens beyond the budget after the loss of several gateways.
 @pytest.mark.parametrize("crashes", [1, 2, 3])
 async def test_turns_of_different_lengths_stay_within_the_budget_across_crashes(rig, crashes):
     await rig.add_replica("e1", "engine")
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -289,6 +289,7 @@
     replica.behaviour, replica.work_s = lambda request: Behaviour.SERVE, 0.0
 
 
+# Guards against content that is refused everywhere after one crash of one upstream.
 @pytest.mark.parametrize("names", [("g1",), ("g1", "g2"), ("g1", "g2", "g3")])
 async def test_equal_requests_that_met_one_crash_are_served_again(rig, names):
     replica = await rig.add_replica("r1")
@@ -300,6 +301,7 @@
     assert_that(found, Equals([200] * len(names)))
 
 
+# Guards against one crash that counts as several, though the upstream list is old.
 async def test_crashes_under_equal_requests_count_once_each_while_the_entry_is_stale(rig):
     replica = await rig.add_replica("r1")
     gateways = [await rig.add_gateway(name) for name in ("g1", "g2", "g3")]
@@ -324,6 +326,7 @@
         await assert_not_sent_any_more(rig, path, gateway)
 
 
+# Guards against crashes of several upstreams that count as one.
 async def test_crashes_that_equal_requests_met_at_different_upstreams_count(rig):
     for number in range(CRASHES):
         await rig.add_crashing_replica(f"r{number}", "tools", Behaviour.LOSE_ANSWER)
--- a/tests/gateway/test_large_configurations.py
+++ b/tests/gateway/test_large_configurations.py
@@ -14,6 +14,7 @@
 """What the link can pass in this time; it counts as the time, also while the host is busy."""
 
 
+# Guards against an old configuration on small links.
 @pytest.mark.parametrize("route_count", [5_601, 18_000])
 async def test_gateway_on_a_small_link_applies_a_large_configuration_in_time(rig, route_count):
     address, link = await slow_store(rig)
@@ -32,6 +33,7 @@
     assert_that(answer.status_code, Equals(200))
 
 
+# Guards against gateways on small links that never serve after a restart.
 async def test_gateway_that_starts_on_a_small_link_gets_a_large_configuration(rig):
     address, _ = await slow_store(rig)
     await rig.add_replica("r1")
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -97,6 +97,7 @@
     return [run.request_id for replica in rig.replicas.values() for run in replica.runs]
 
 
+# Guards against requests that a stopping gateway passes on and then cuts.
 @pytest.mark.parametrize("path", list(PATHS))
 async def test_late_request_on_an_unused_connection_is_refused_before_it_runs(rig, gateway, path):
     for replica in rig.replicas.values():
@@ -137,6 +138,7 @@
     assert_that((statuses(received), runs(rig)), Equals(([(200, True)], ["late"])))
 
 
+# Guards against late requests that are passed on and cut, on a connection in use.
 async def test_request_whose_body_is_complete_too_late_is_refused_before_it_runs(rig, gateway):
     whole = request_bytes("late")
     async with await connect(gateway) as stream:
@@ -148,6 +150,7 @@
     assert_that((statuses(received), runs(rig)), Equals(([(503, True)], [])))
 
 
+# Guards against late requests that are passed on and cut, behind another one.
 async def test_pipelined_request_that_begins_too_late_is_refused_before_it_runs(rig, gateway):
     rig.replicas["r1"].work_s = LATE_S
     async with await connect(gateway) as stream:
@@ -159,6 +162,7 @@
     assert_that((statuses(received), runs(rig)), Equals(([(200, False), (503, True)], ["first"])))
 
 
+# Guards against requests that are cut because their time limit outlasts the process.
 @pytest.mark.parametrize("path", list(PATHS))
 async def test_request_sent_on_during_a_stop_is_answered_before_the_process_ends(
     rig, gateway, path
@@ -174,6 +178,7 @@
     assert_that((statuses(received), runs(rig)), Equals(([(504, True)], ["long"])))
 
 
+# Guards against a stop that waits for connections without a request.
 async def test_unused_connection_does_not_hold_up_a_long_stop(rig, gateway):
     gateway.settings = msgspec.structs.replace(gateway.settings, grace_s=600.0)
     rig.configure(config(3, limits={"idleTimeoutMs": 600_000}))
--- a/tests/platform_adapter/test_directory.py
+++ b/tests/platform_adapter/test_directory.py
@@ -67,6 +67,7 @@
     return [entry.upstream for entry in entries]
 
 
+# Guards against processes that end, or follow the list no more, for one odd entry.
 @pytest.mark.parametrize("unusable", UNUSABLE)
 async def test_entry_of_another_writer_names_no_upstream_and_the_others_hold(unusable):
     log = EventLog("node", 100)
@@ -77,6 +78,7 @@
     )
 
 
+# Guards against requests that fail for an id that no header can carry.
 @pytest.mark.parametrize("name", ["two words", "line\r\nbreak", "naïve", "\x7f"])
 async def test_id_that_cannot_be_sent_in_a_header_names_no_upstream(name):
     log = EventLog("node", 100)
@@ -86,6 +88,7 @@
     assert_that(found, Equals(["r1"]))
 
 
+# Guards against memory that grows with each odd entry.
 async def test_refused_entries_that_change_with_each_read_do_not_accumulate():
     log = EventLog("node", 100)
     store = ListedRows()
--- a/tests/platform_adapter/test_long_answers.py
+++ b/tests/platform_adapter/test_long_answers.py
@@ -40,6 +40,7 @@
         outcomes.append(error.detail)
 
 
+# Guards against answers that are given up, again and again, while they arrive.
 @pytest.mark.parametrize("call", ["snapshot", "changes", "scan"])
 async def test_answer_longer_than_the_timeout_is_read_while_its_bytes_arrive(rig, call):
     calls = {
