Reject streams without a row whose path has led to another service lately

Cause: a stream without a row has the version that its service is assigned, and the service was taken from the configuration in force, not from the one by which the stream began.

Ruled out: recording the service of each stream (a row for each, which the assignments are there to avoid); keeping earlier tables (several megabytes each at thousands of routes).

Fix: each gateway remembers for 65 s, the time for which a stream can be resumed, the prefixes whose services have changed, by moves, weights, splits, added and dropped routes. On such a path, a resumed stream is rejected (503, source=moved) if only the assignment or the list tells its version; a stream that begins there gets a row, which is not waited for, so that an outage of the store refuses nothing.

Why this works: a stream that began before the change has no row that names the present service, so it is rejected; one that began after it has a row. A gateway that has not seen the change sends the stream to the service at which it began.

Open: a gateway that has started since the change does not know of it.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -36,7 +36,8 @@
     ``refusal`` is the reason why no further attempt is allowed although time is left.
     ``required_version`` is the software version at which a stream that has begun must go on;
     ``stream_row`` is the row by which the version of the last attempt is recorded, if it is;
-    ``is_stream_kept`` is whether the stream counts as relayed.
+    ``is_stream_kept`` is whether the stream counts as relayed, ``has_moved`` whether its path has
+    led to other services lately.
     ``answer_by`` bounds the deadline at a planned stop.
     """
 
@@ -62,6 +63,7 @@
         self.required_version: str | None = None
         self.stream_row: StreamRow | None = None
         self.is_stream_kept = False
+        self.has_moved = False
 
     def accepts(self, upstream: Upstream) -> bool:
         """Return whether the request may be sent to the upstream, which takes new requests."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
@@ -151,8 +151,11 @@
     ) -> Attempts:
         """Return the attempts for a stream; those of a resumed one keep its service and version."""
         if not request.metadata.is_resumption:
-            return self._attempts(request, route, table, service)
-        origin = await self.context.resumptions.find(request, service)
+            attempts = self._attempts(request, route, table, service)
+            attempts.has_moved = self._has_moved(request, table)
+            return attempts
+        has_moved = self._has_moved(request, table)
+        origin = await self.context.resumptions.find(request, service, has_moved=has_moved)
         if origin.service not in {share.service for share in route.shares}:
             raise UnknownStreamError(
                 "the route does not lead to the service of the stream any more"
@@ -161,6 +164,10 @@
         attempts.required_version = origin.version
         return attempts
 
+    def _has_moved(self, request: ClientRequest, table: RoutingTable) -> bool:
+        now = anyio.current_time()
+        return self.config.changes.has_changed(request.host, request.path, table, now)
+
     def _attempts(
         self, request: ClientRequest, route: Route, table: RoutingTable, service: ServiceName
     ) -> Attempts:
--- /dev/null
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/route_changes.py
@@ -0,0 +1,44 @@
+"""Paths that have led to other services lately, as far as this process has seen."""
+
+from skylarkferry_core.routes import RoutingTable, ServiceShare, host_name
+
+_Prefix = tuple[str, str]
+"""Host and path prefix of a route."""
+
+
+class RouteChanges:
+    """When the services of each route were last changed, in monotonic time."""
+
+    def __init__(self, keep_s: float) -> None:
+        self.keep_s = keep_s
+        self.changed_at: dict[_Prefix, float] = {}
+
+    def update(self, before: RoutingTable, table: RoutingTable, now: float) -> None:
+        """Record the routes whose services differ between two tables."""
+        self.changed_at = {
+            prefix: at for prefix, at in self.changed_at.items() if now - at <= self.keep_s
+        }
+        for prefix in before.by_prefix.keys() | table.by_prefix.keys():
+            if _shares(before, prefix) != _shares(table, prefix):
+                self.changed_at[prefix] = now
+
+    def has_changed(self, host: str, path: str, table: RoutingTable, now: float) -> bool:
+        """Return whether a path has led to other services, or to none, within ``keep_s``.
+
+        Only changes of its route and of longer prefixes count: shorter ones were never its route.
+        """
+        route = table.match(host, path)
+        shortest = len(route.prefix) if route is not None else 0
+        name = host_name(host)
+        end = path.rfind("/")
+        while end + 1 >= shortest and end >= 0:
+            changed_at = self.changed_at.get((name, path[: end + 1]))
+            if changed_at is not None and now - changed_at <= self.keep_s:
+                return True
+            end = path.rfind("/", 0, end)
+        return False
+
+
+def _shares(table: RoutingTable, prefix: _Prefix) -> tuple[ServiceShare, ...]:
+    route = table.by_prefix.get(prefix)
+    return route.shares if route is not None else ()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
@@ -43,9 +43,13 @@
     ASSIGNMENT = "assignment"
     """The stream has no row."""
     PEER = "peer"
+    MOVED = "moved"
+    """The stream has no row, and may have begun at the service to which its path led before."""
     UNKNOWN = "unknown"
 
 
+_OF_PRESENT_SERVICE = (OriginSource.LIST, OriginSource.ASSIGNMENT)
+"""Sources that tell a version only of the service to which a stream's path leads now."""
 _OF_OTHER_GATEWAYS = (OriginSource.STORE, OriginSource.PEER)
 """Sources of streams whose rows, if they have any, other gateways have written."""
 
@@ -82,6 +86,9 @@
         is_needed = self.assignments.needs_row(origin.service, metadata, origin.version)
         if is_needed or attempts.stream_row is not None:
             attempts.stream_row = self.origins.store_row(metadata.stream, origin)
+        elif attempts.has_moved:
+            # Not waited for: without its row, the stream is rejected when it is resumed elsewhere.
+            self.origins.store_row(metadata.stream, origin)
 
     async def on_first_event(self, attempts: Attempts, origin: StreamOrigin) -> bool:
         """Record a stream before its first event is sent; return False if that is not possible."""
@@ -122,12 +129,17 @@
                 await row.stored.wait()
         return row.stored.is_set()
 
-    async def find(self, request: ClientRequest, service: ServiceName) -> StreamOrigin:
+    async def find(
+        self, request: ClientRequest, service: ServiceName, *, has_moved: bool = False
+    ) -> StreamOrigin:
         """Return where a resumed stream has to go on; raise ``UnknownStreamError``.
 
-        ``service`` is the one that the request would be sent to if it began a stream.
+        ``service`` is the one that the request would be sent to if it began a stream, ``has_moved``
+        whether it would have been sent to another one lately.
         """
         origin, source = await self._find(request.metadata, service)
+        if has_moved and source in _OF_PRESENT_SERVICE:
+            origin, source = None, OriginSource.MOVED
         self.metrics.stream_resumptions.labels(source=source.value).inc()
         self.log.emit(
             EventKind.GATEWAY_STREAM_RESUMED,
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
@@ -10,6 +10,7 @@
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.interfaces import Directory
 from skylarkferry_gateway.metrics import GatewayMetrics
+from skylarkferry_gateway.route_changes import RouteChanges
 from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.store_calls import pause_after
 from skylarkferry_gateway.upstream_log import LeavingSource, UpstreamLog
@@ -77,7 +78,10 @@
 
 
 class ConfigWatcher:
-    """Follow the configuration; an older version never replaces a newer one."""
+    """Follow the configuration; an older version never replaces a newer one.
+
+    ``changes`` are those within the time for which a stream can be resumed.
+    """
 
     def __init__(
         self,
@@ -89,6 +93,7 @@
         self.log = log
         self.metrics = metrics
         self.current: RoutingTable | None = None
+        self.changes = RouteChanges(defaults.STREAM_KEEP_S + defaults.STREAM_KEEP_MARGIN_S)
 
     async def run(self) -> None:
         """Apply new versions until cancelled."""
@@ -110,6 +115,8 @@
         if self.current is not None and table.version <= self.current.version:
             return
         before = self.current.version if self.current is not None else 0
+        if self.current is not None:
+            self.changes.update(self.current, table, anyio.current_time())
         self.current = table
         self.metrics.config_version.set(table.version)
         self.log.emit(
--- a/tests/gateway/test_streams_out_of_step.py
+++ b/tests/gateway/test_streams_out_of_step.py
@@ -17,12 +17,17 @@
     resume,
     resume_all,
     stop_abruptly,
+    stored_streams,
+    try_to_begin_streams,
     versions_of,
 )
 
 pytestmark = pytest.mark.anyio
 
 OLD = {"a1": "v1", "a2": "v1"}
+MOVED = {"/resume-once/": {**ROUTES["/resume-once/"], "service": "engine-2"}}
+SPLIT = {"/resume-once/1/": {**ROUTES["/resume-once/"], "service": "engine-2"}}
+DEEP_PATH = "/resume-once/1/2"
 NEW = {"b1": "v2", "b2": "v2", "b3": "v2"}
 
 
@@ -192,7 +197,8 @@
     assert_that(len(rig.replicas["a1"].runs) - before, Equals(0))
 
 
-async def test_stream_stays_at_its_version_when_its_route_moves_to_another_service(rig):
+async def add_services(rig):
+    """Add a second service, whose engines have another version, and return both services."""
     document = config(2)
     document["services"].append({**document["services"][1], "name": "engine-2"})
     rig.configure(document)
@@ -200,10 +206,54 @@
     for name in ("b1", "b2"):
         replica = await rig.add_replica(name, "engine-2", version="v2")
         replica.behaviour = cut_first_attempt
+    return document["services"]
+
+
+async def move_route(rig, services, *gateways, routes=MOVED):
+    """Let the route of streams lead to the second service, and wait until gateways know."""
+    rig.configure({**config(3, {**ROUTES, **routes}), "services": services})
+    for gateway in gateways:
+        await wait_until(lambda item=gateway: item.config.current.version == 3)
+
+
+# Guards against streams that are joined from two services after their route has moved.
+@pytest.mark.parametrize("routes", [MOVED, SPLIT], ids=["moved", "split"])
+async def test_stream_stays_at_its_version_when_its_route_moves_to_another_service(rig, routes):
+    services = await add_services(rig)
     first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
-    started = await begin_streams(rig, gateway=first)
-    moved = {"/resume-once/": {**ROUTES["/resume-once/"], "service": "engine-2"}}
-    rig.configure({**config(3, {**ROUTES, **moved}), "services": document["services"]})
-    await wait_until(lambda: second.config.current.version == 3)
-    await resume_all(rig, started, gateway=second)
+    started = await begin_streams(rig, DEEP_PATH, gateway=first)
+    await move_route(rig, services, second, routes=routes)
+    await resume_all(rig, started, path=DEEP_PATH, gateway=second)
     assert_that(len(mixed_streams(rig, started)), Equals(0))
+
+
+# Guards against streams that are joined from two services after their route has moved.
+async def test_stream_stays_at_its_version_at_a_gateway_that_starts_after_its_route_has_moved(rig):
+    services = await add_services(rig)
+    started = await begin_streams(rig, gateway=await rig.add_gateway("g1"))
+    await move_route(rig, services)
+    await resume_all(rig, started, gateway=await rig.add_gateway("g2"))
+    assert_that(len(mixed_streams(rig, started)), Equals(0))
+
+
+async def test_streams_that_begin_after_their_route_has_moved_go_on_at_other_gateways(rig):
+    services = await add_services(rig)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    await move_route(rig, services, first, second)
+    started = await begin_streams(rig, gateway=first)
+    await wait_until(lambda: stored_streams(rig) == STREAMS)
+    await stop_abruptly(first)
+    statuses = await resume_all(rig, started, gateway=second)
+    assert_that(statuses, Equals([200] * STREAMS))
+    assert_that([versions_of(rig, item) for item in started], Equals([{"v2"}] * STREAMS))
+
+
+async def test_streams_begin_after_their_route_has_moved_although_the_store_is_away(rig):
+    services = await add_services(rig)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    await move_route(rig, services, first, second)
+    rig.store.fault = fault_in_part("streams", StoreFault.REFUSED)
+    statuses = await try_to_begin_streams(rig, gateway=first)
+    assert_that(set(statuses.values()), Equals({200}))
+    await resume_all(rig, statuses, gateway=second)
+    assert_that(len(mixed_streams(rig, statuses)), Equals(0))
