Let engines of the soak answer resumed streams with a page

The soak's engines failed in ways that break a response's envelope, so that it could not find foreign text in streams. While they cut streams, they now also answer some resumptions with a whole, signed HTML page (a new behaviour of the stand-in).

--- a/packages/skylarkferry-soak/src/skylarkferry_soak/injection.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/injection.py
@@ -25,6 +25,7 @@
 )
 from skylarkferry_standins.replica import Behaviour
 from skylarkferry_standins.row_store import StoreFault
+from skylarkferry_standins.wire_server import WireRequest
 
 _STORE_DELAY_S = 0.25
 """Response delay of a slow store: 60 times the usual 4 ms."""
@@ -215,18 +216,23 @@
         disturbance.ended_at = anyio.current_time()
 
     async def _cut_streams(self, fault: Fault) -> None:
-        """Make all engines cut a share of their streams in the middle of an event."""
+        """Make all engines cut some streams in an event, and answer some resumptions wrongly."""
         disturbance = self._start_disturbance("", fault)
         engines = [item for item in self.testbed.upstreams.values() if item.service == "engine"]
         for engine in engines:
-            engine.replica.behaviour = lambda request: (
-                Behaviour.CUT_IN_EVENT if self.rng.random() < _FAULT_SHARE else Behaviour.SERVE
-            )
+            engine.replica.behaviour = self._break_stream
         await anyio.sleep(fault.duration_s)
         for engine in engines:
             engine.replica.behaviour = lambda request: Behaviour.SERVE
         disturbance.ended_at = anyio.current_time()
 
+    def _break_stream(self, request: WireRequest) -> Behaviour:
+        if self.rng.random() >= _FAULT_SHARE:
+            return Behaviour.SERVE
+        if "last-event-id" in request.headers:
+            return self.rng.choice((Behaviour.CUT_IN_EVENT, Behaviour.FOREIGN_REST))
+        return Behaviour.CUT_IN_EVENT
+
     async def _replace_version(self, fault: Fault) -> None:
         """Replace the engines' commoner version while streams break and all gateways are killed."""
         ready = [item for item in self.testbed.upstreams.values() if item.state == "ready"]
--- a/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
@@ -39,6 +39,8 @@
     """Send the response of an earlier request before the requested one."""
     CUT_IN_EVENT = "cut_in_event"
     REPEAT_EVENT = "repeat_event"
+    FOREIGN_REST = "foreign_rest"
+    """Answer the resumption of a stream with a whole, signed page instead of its rest."""
 
 
 class ExecutedRequest(msgspec.Struct, frozen=True):
@@ -108,6 +110,9 @@
                 return WireReply(raw=encode_reply(whole_reply)[:-3], ending=Ending.RESET)
             case Behaviour.UNSIGNED:
                 del headers["Skylarkferry-Response-Signature"]
+            case Behaviour.FOREIGN_REST:
+                page = {**headers, "Content-Type": "text/html"}
+                return WireReply(200, page, b"<p>failed</p>\n\n")
             case Behaviour.UNFRAMED | Behaviour.UNFRAMED_RESET:
                 return self._unframed(whole_reply, behaviour)
             case Behaviour.EXTRA:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -27,3 +27,9 @@
     # Seed 7102 mixed two streams when a missing row was taken for the only listed version.
     report = await run_seed(7102, RunSize(length_s=20.0, gateways=3, callers=12), tmp_path)
     assert_that(report.findings, Equals([]))
+
+
+async def test_streams_that_break_off_hold_no_foreign_text(tmp_path):
+    # Seed 9715 passed on a page that an engine answered in place of the rest of a stream.
+    report = await run_seed(9715, RunSize(length_s=20.0, gateways=3, callers=12), tmp_path)
+    assert_that(report.findings, Equals([]))
