Do not count a split of a route as a move if its service stays

What callers would have seen: after the operator had split a route, or dropped a part of it again, with the same service, resumed streams without a row were rejected for 65 s by other gateways (16 of 16).

Cause: prefixes of the two tables were compared as such, so that a prefix which only one of them has always differed.

Fix: what is compared is where the paths of the prefix lead in each table.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/route_changes.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/route_changes.py
@@ -7,14 +7,14 @@
 
 
 class RouteChanges:
-    """When the services of each route were last changed, in monotonic time."""
+    """When the services of each prefix were last changed, in monotonic time."""
 
     def __init__(self, keep_s: float) -> None:
         self.keep_s = keep_s
         self.changed_at: dict[_Prefix, float] = {}
 
     def update(self, before: RoutingTable, table: RoutingTable, now: float) -> None:
-        """Record the routes whose services differ between two tables."""
+        """Record the prefixes that lead to other services than before."""
         self.changed_at = {
             prefix: at for prefix, at in self.changed_at.items() if now - at <= self.keep_s
         }
@@ -40,5 +40,6 @@
 
 
 def _shares(table: RoutingTable, prefix: _Prefix) -> tuple[ServiceShare, ...]:
-    route = table.by_prefix.get(prefix)
+    """Return the services of a prefix's paths, also of one that is no route's own."""
+    route = table.match(*prefix)
     return route.shares if route is not None else ()
--- a/tests/gateway/test_route_changes.py
+++ b/tests/gateway/test_route_changes.py
@@ -53,6 +53,9 @@
 def test_path_whose_services_stay_has_not_changed():
     assert_that(has_changed(OLD, OLD), Equals(False))
     assert_that(has_changed(OLD, table(_shop_="a", _shop_other_="b")), Equals(False))
+    assert_that(has_changed(OLD, table(_shop_="a", _shop_cart_="a")), Equals(False))
+    assert_that(has_changed(table(_shop_="a", _shop_cart_="a"), OLD), Equals(False))
+    assert_that(has_changed(OLD, table(_shop_cart_="a")), Equals(False))
     assert_that(has_changed(table(_="a", _shop_="a"), table(_="b", _shop_="a")), Equals(False))
     assert_that(has_changed(OLD, table(_shop_="b"), host="other.example"), Equals(False))
 
--- a/tests/gateway/test_streams_out_of_step.py
+++ b/tests/gateway/test_streams_out_of_step.py
@@ -248,6 +248,17 @@
     assert_that([versions_of(rig, item) for item in started], Equals([{"v2"}] * STREAMS))
 
 
+# Guards against streams that are rejected though their route still leads to their service.
+async def test_streams_go_on_at_other_gateways_after_their_route_was_split(rig):
+    services = await add_services(rig)
+    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
+    started = await begin_streams(rig, DEEP_PATH, gateway=first)
+    await move_route(rig, services, second, routes={"/resume-once/1/": ROUTES["/resume-once/"]})
+    await stop_abruptly(first)
+    statuses = await resume_all(rig, started, path=DEEP_PATH, gateway=second)
+    assert_that(statuses, Equals([200] * STREAMS))
+
+
 async def test_streams_begin_after_their_route_has_moved_although_the_store_is_away(rig):
     services = await add_services(rig)
     first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
