--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/route_changes.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/route_changes.py
@@ -18,7 +18,7 @@
         self.changed_at = {
             prefix: at for prefix, at in self.changed_at.items() if now - at <= self.keep_s
         }
-        for prefix in before.by_prefix.keys() | table.by_prefix.keys():
+        for prefix in _altered_routes(before, table):
             if _shares(before, prefix) != _shares(table, prefix):
                 self.changed_at[prefix] = now
 
@@ -39,6 +39,16 @@
         return False
 
 
+def _altered_routes(before: RoutingTable, table: RoutingTable) -> set[_Prefix]:
+    """Return the prefixes that are in one table only, or have other services there."""
+    altered = before.by_prefix.keys() ^ table.by_prefix.keys()
+    for prefix, route in table.by_prefix.items():
+        earlier = before.by_prefix.get(prefix)
+        if earlier is not None and earlier.shares != route.shares:
+            altered.add(prefix)
+    return altered
+
+
 def _shares(table: RoutingTable, prefix: _Prefix) -> tuple[ServiceShare, ...]:
     """Return the services of a prefix's paths, also of one that is no route's own."""
     route = table.match(*prefix)
