Let a test of sessions and the end of the rig not depend on a quick machine

Traces: the work of the first turns (0.3 s) ended before the last of them was sent, so that an engine was free again (4 engines for 6 sessions); with longer work, the coordinator, which shares the event loop with all gateways and engines, answered later than 50 ms (877, reason=timeout), and the gateway chose by itself, as it should.

Now the first turns work for 1.5 s and the answer may take 1 s; what is asserted is unchanged. The rig now ends the gateways before its listeners.

--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -78,15 +78,18 @@
     assert_that(max(arrivals(rig).values()), LessThan(turns // ENGINES + 1))
 
 
-async def test_session_continues_at_its_engine_through_another_gateway(rig, gateways):
+async def test_session_continues_at_its_engine_through_another_gateway(rig, gateways, monkeypatch):
     """The turns of a session share the beginning of their prompts, whichever gateway gets them."""
+    monkeypatch.setattr(defaults, "PLACEMENT_TIMEOUT_S", 1.0)  # all gateways share one event loop
     for replica in rig.replicas.values():
-        replica.work_s = 0.3
+        replica.work_s = 1.5  # the first turns overlap
     parts = [f"shared:1000,own{number}:9000" for number in range(ENGINES)]
     async with anyio.create_task_group() as tasks:
         for number, own in enumerate(parts):
             tasks.start_soon(send_turn, rig, gateways[number], f"first-{number}", own)
             await wait_until(lambda sent=number + 1: sum(arrivals(rig).values()) == sent)
+    for replica in rig.replicas.values():
+        replica.work_s = 0.05
     for number, own in enumerate(parts):
         gateway = gateways[(number + 1) % GATEWAYS]
         await send_turn(rig, gateway, f"second-{number}", f"{own},next:500")
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -256,6 +256,16 @@
         finally:
             gateway.ended.set()
 
+    async def stop_gateways(self):
+        """End all gateways, so that none connects to a stand-in whose listener is cancelled.
+
+        The event loop raises for a connection that arrives in the step of the cancellation.
+        """
+        for gateway in self.gateways:
+            gateway.scope.cancel()
+        for gateway in self.gateways:
+            await gateway.ended.wait()
+
     def add_task_failures(self):
         """Count failed background tasks as errors of their gateways."""
         for gateway in self.gateways:
@@ -279,6 +289,7 @@
         with running.stack:
             await running.start()
             yield running
+            await running.stop_gateways()
             tasks.cancel_scope.cancel()
     if not running.expects_task_failures:
         running.add_task_failures()
