Bound what streams that never end occupy in memory

Other operators' report: a faulty replica sent bytes without end, and the machine that had called it ran out of memory. It happens here on three of the paths that read a stream:

- the output of a retained turn was kept whole until the deadline, whatever its size;
- an incomplete event of up to 1 MiB was not counted in the memory for responses, so that a hundred streams at once occupied 100 MiB, on hosts with 128 MB;
- one read of 64 KiB was parsed at once; events of three bytes make 21,000 objects of it, and each stream with a slow client held them.

Ruled out, by the tests that exist or were tried: heads (64 KiB, also in lines that end), interim responses (8), bodies that are buffered (8 MiB, 15 % of the memory together), chunk sizes and trailers (limit of the parser), bytes after a response (connection is closed).

The turn's output and the incomplete event count in the memory for responses, the output ends at 8 MiB, and a read is parsed 4 KiB at a time.

Before: test_endless_responses.py, the three new tests fail (more than 16 MB taken of one turn; response memory 0 used).

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -35,7 +35,10 @@
 PIPELINED_BYTES = 65_536
 """Bytes read ahead from a client while its request is served; beyond that, reading pauses."""
 MAX_ANSWER_BYTES = 8_388_608
-"""Largest response body that is buffered as a whole."""
+"""Largest response body that is buffered as a whole, and largest output of a retained turn."""
+STREAM_PIECE_BYTES = 4_096
+"""Bytes of a stream that are parsed at once; events of a few bytes take up to fifty times as much
+memory as they are parsed."""
 
 UPSTREAMS_POLL_S = 0.5
 """Interval between reads of the upstream list; a quarter of the shortest drain bound, 2 s."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -86,7 +86,9 @@
         self.owners = OwnerTable(store, settings.incarnation, settings.peer_listen, log)
         self.accounts = AccountManager(store, self.owners, log)
         self.budgets = ProgramBudgets(self.owners, self.accounts, store, log)
-        turn_services = TurnServices(self.budgets, TurnStore(store, cache, log), log)
+        memory = ResponseMemory(int(settings.memory_bytes * defaults.RESPONSE_MEMORY_SHARE))
+        turns = TurnStore(store, cache, log)
+        turn_services = TurnServices(self.budgets, turns, memory, log)
         checker = ProcessChecker(self.upstreams, rng)
         self.crashes = CrashWatch(store, checker, log, metrics)
         self.config = ConfigWatcher(directory, log, metrics)
@@ -109,7 +111,6 @@
             domain=settings.failure_domain,
             rng=rng,
         )
-        memory = ResponseMemory(int(settings.memory_bytes * defaults.RESPONSE_MEMORY_SHARE))
         self.context = context = RelayContext(
             platform.codec, selector, self.crashes, resumptions, memory, log=log, metrics=metrics
         )
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_events.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_events.py
@@ -52,9 +52,9 @@
         return events
 
     @property
-    def has_partial_event(self) -> bool:
-        """Return whether the buffer holds an incomplete event."""
-        return bool(self.buffer)
+    def partial_bytes(self) -> int:
+        """Return the size of the incomplete event in the buffer, 0 if there is none."""
+        return len(self.buffer)
 
 
 def parse_event(raw: bytes) -> StreamEvent:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -12,6 +12,7 @@
     UpstreamLostError,
 )
 from skylarkferry_core.states import FinalWord
+from skylarkferry_gateway import defaults
 from skylarkferry_gateway.attempts import Attempts
 from skylarkferry_gateway.exchanges import Exchange, Reply
 from skylarkferry_gateway.http_server import ClientConnection, ResponseState
@@ -27,7 +28,7 @@
     """Observer of relayed events, notified of the stream's end before the client is."""
 
     def on_events(self, events: list[StreamEvent]) -> None:
-        """Record events that are about to be sent to the client."""
+        """Record events about to be sent; raise ``SkylarkferryError`` if they cannot be kept."""
 
     async def on_complete(self) -> None:
         """Make the completed stream durable; raise ``SkylarkferryError`` if that fails."""
@@ -206,8 +207,11 @@
         """Send complete events to the client until the upstream ends the stream."""
         splitter = EventSplitter()
         while (data := await self._read(exchange)) is not None:
-            await self._send(decision, reply, splitter.feed(data))
-        if splitter.has_partial_event:
+            for start in range(0, len(data), defaults.STREAM_PIECE_BYTES):
+                events = splitter.feed(data[start : start + defaults.STREAM_PIECE_BYTES])
+                exchange.held.grow_to(splitter.partial_bytes)
+                await self._send(decision, reply, events)
+        if splitter.partial_bytes:
             raise AnswerInvalidError("the stream ended inside an event")
         self.position.end_response()
 
@@ -232,7 +236,7 @@
             return
         await self._fix_version(decision.upstream.entry)
         self.position.accept(events)
-        self.listener.on_events(events)
+        self._record(events)
         self.events += len(events)
         data = b"".join(event.raw for event in events)
         if self.client.response_state is ResponseState.STREAMING:
@@ -242,6 +246,13 @@
         headers = self.context.codec.client_headers(reply.headers)
         await self.client.start_response(reply.status, headers, data)
 
+    def _record(self, events: list[StreamEvent]) -> None:
+        try:
+            self.listener.on_events(events)
+        except SkylarkferryError:
+            self.position.can_continue = False  # the client does not get these events
+            raise
+
     async def _fix_version(self, entry: UpstreamEntry) -> None:
         """Require the version that begins the stream of all upstreams that continue it."""
         attempts = self.attempts
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/turns.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/turns.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from skylarkferry_core.errors import (
+    AnswerInvalidError,
     BadRequestError,
     PlatformUnavailableError,
     UnknownTurnError,
@@ -20,6 +21,7 @@
 from skylarkferry_gateway.decoding import decode
 from skylarkferry_gateway.failover_store import FailoverStore
 from skylarkferry_gateway.messages import ClientRequest, Reservation
+from skylarkferry_gateway.response_memory import HeldResponse, ResponseMemory
 from skylarkferry_gateway.store_calls import key_part, retry_until, row_key, write_once
 from skylarkferry_gateway.stream_events import StreamEvent
 
@@ -154,7 +156,8 @@
         self.turn_id = TurnId(request.metadata.request_id)
         self.tokens_per_event = engine.tokens_per_event if engine is not None else 1
         self.tokens = 0
-        self.output: list[bytes] = []
+        self.output = bytearray()
+        self.held = HeldResponse(turn_services.memory)
         self.chain: list[Turn] = []
         self.has_reserved = False
 
@@ -201,17 +204,27 @@
             )
 
     def on_events(self, events: list[StreamEvent]) -> None:
-        """Count and record events before they are sent to the client."""
-        self.tokens += len(events) * self.tokens_per_event
+        """Count and record events before they are sent to the client.
+
+        Raise ``AnswerInvalidError`` if the turn becomes too large to be kept.
+        """
         if self.route.retains_context:
-            self.output.extend(event.data + b"\n" for event in events)
+            added = b"".join(event.data + b"\n" for event in events)
+            size = len(self.output) + len(added)
+            if size > defaults.MAX_ANSWER_BYTES:
+                raise AnswerInvalidError(
+                    f"the turn's output exceeds {defaults.MAX_ANSWER_BYTES} bytes"
+                )
+            self.held.grow_to(size)
+            self.output += added
+        self.tokens += len(events) * self.tokens_per_event
 
     async def on_complete(self) -> None:
         """Make the turn durable before its stream ends."""
         if not self.route.retains_context:
             return
         started = anyio.current_time()
-        content = self.request.body + b"".join(self.output)
+        content = self.request.body + self.output
         parent = self.chain[-1] if self.chain else None
         turn = following_turn(self.request.metadata.previous_turn, parent, content)
         await self.turn_services.turns.save(self.turn_id, turn, self.deadline_at)
@@ -224,7 +237,8 @@
         )
 
     def settle(self) -> None:
-        """Settle the reservation with the tokens that were sent."""
+        """Settle the reservation with the tokens that were sent, and release the turn's memory."""
+        self.held.release()
         if self.has_reserved:
             self.turn_services.budgets.settle(
                 self.request.metadata.program_id, self.turn_id, self.tokens
@@ -236,4 +250,5 @@
 
     budgets: ProgramBudgets
     turns: TurnStore
+    memory: ResponseMemory
     log: EventLog
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -10,15 +10,21 @@
 from testtools.matchers import Contains, Equals, LessThan
 
 from gateway_rig import headers, send, turn_headers, wait_until
-from skylarkferry_gateway import stream_events
+from skylarkferry_gateway import defaults, stream_events
 from skylarkferry_gateway.stream_events import EventSplitter
+from skylarkferry_gateway.stream_position import StreamPosition
 from skylarkferry_standins.ports import free_address
 from skylarkferry_standins.replica import Replica
 
 pytestmark = pytest.mark.anyio
 
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nIDENTITYconnection: close\r\n\r\n"
+)
 CHUNK_BYTES = 65_536
+SOCKET_BYTES = 8 << 20
+"""Most bytes that are on their way between two processes on loopback."""
 
 
 class EndlessServer:
@@ -29,18 +35,20 @@
         self.head = head
         self.repeated = repeated * (CHUNK_BYTES // len(repeated))
         self.closed = 0
+        self.sent_bytes = 0
 
     async def serve(self, stream):
         try:
             request = await self._read(stream)
             fields = {name.decode(): value.decode() for name, value in request.headers}
             identity = (
-                f"skylarkferry-request-id: {fields['skylarkferry-request-id']}\r\n"
+                f"skylarkferry-request-id: {fields.get('skylarkferry-request-id')}\r\n"
                 f"skylarkferry-response-signature: signed by {self.name}\r\n"
             )
             await stream.send(self.head.replace(b"IDENTITY", identity.encode()))
             while True:
                 await stream.send(self.repeated)
+                self.sent_bytes += len(self.repeated)
         except anyio.EndOfStream:
             pass  # a check of the process
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
@@ -143,3 +151,54 @@
     gateway.context.response_memory.used = gateway.context.response_memory.limit_bytes
     response = await send(rig, "/once/1", headers("id-1"), b"p")
     assert_that(response.status_code, Equals(200))
+
+
+# Guards against processes that run out of memory by streams that never end.
+async def test_retained_turn_whose_events_never_end_is_broken_off_at_the_largest_size(rig):
+    repeated = b"data: " + b"x" * 1_000 + b"\n\n"
+    server = await add_endless_replica(rig, "r1", "engine", STREAM_HEAD, repeated)
+    gateway = await rig.add_gateway()
+    memory = gateway.context.response_memory
+    with pytest.raises(httpx.RemoteProtocolError):
+        await send(rig, "/kept/1", turn_headers("id-1", deadline_ms=60_000), b"p")
+    await wait_until(lambda: server.closed == 1)
+    assert_that(server.sent_bytes, LessThan(defaults.MAX_ANSWER_BYTES + SOCKET_BYTES))
+    assert_that(memory.most_used > 0, Equals(True))
+    assert_that(memory.used, Equals(0))
+
+
+# Guards against processes that run out of memory by streams that never end.
+async def test_events_without_end_together_stay_within_the_memory_for_responses(rig):
+    head = STREAM_HEAD + b"id: 1\ndata: "
+    for number in range(3):
+        await add_endless_replica(rig, f"r{number}", "engine", head, b"x")
+    gateway = await rig.add_gateway()
+    memory = gateway.context.response_memory
+    memory.limit_bytes = 2 << 20
+
+    async def send_one(number):
+        await send(rig, "/turn/1", turn_headers(f"id-{number}", program=f"p-{number}"), b"p")
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(20):
+            tasks.start_soon(send_one, number)
+    assert_that(memory.most_used > 0, Equals(True))
+    assert_that(memory.most_used, LessThan(memory.limit_bytes + 1))
+    assert_that(memory.used, Equals(0))
+
+
+# Guards against processes that run out of memory by events that each have a few bytes.
+async def test_tiny_events_are_relayed_in_small_batches(rig, monkeypatch):
+    batches = []
+    accept = StreamPosition.accept
+
+    def recording_accept(position, events):
+        batches.append(len(events))
+        accept(position, events)
+
+    monkeypatch.setattr(StreamPosition, "accept", recording_accept)
+    await add_endless_replica(rig, "r1", "engine", STREAM_HEAD, b"a\n\n")
+    await rig.add_gateway()
+    with pytest.raises(httpx.RemoteProtocolError):
+        await send(rig, "/turn/1", turn_headers("id-1", deadline_ms=500), b"p")
+    assert_that(max(batches), LessThan(defaults.STREAM_PIECE_BYTES))
