Bound the details of errors, which may quote another process

A line of 60 KB that is no response head came back whole in the 502 to the client and in the log line, in escapes: 300,189 bytes of response (test_long_line_that_is_no_head_is_not_repeated_in_the_error, failed on both paths before). The same held for an event id that is no number (up to 1 MiB). The detail of each error is now cut at 500 characters where errors are made.

--- a/packages/skylarkferry-core/src/skylarkferry_core/errors.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/errors.py
@@ -5,6 +5,9 @@
 
 from skylarkferry_core.states import FinalWord
 
+_MAX_DETAIL_CHARS = 500
+"""Longest detail, which may quote what another process sent."""
+
 
 class ErrorCode(Enum):
     """Stable code of an error, visible to callers and operators."""
@@ -64,8 +67,8 @@
     word: FinalWord | None = FinalWord.NOT_RUN
 
     def __init__(self, detail: str, *, retry_after_s: float | None = None) -> None:
-        super().__init__(detail)
-        self.detail = detail
+        self.detail = detail[:_MAX_DETAIL_CHARS]
+        super().__init__(self.detail)
         self.retry_after_s = retry_after_s
 
 
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -202,3 +202,16 @@
     with pytest.raises(httpx.RemoteProtocolError):
         await send(rig, "/turn/1", turn_headers("id-1", deadline_ms=500), b"p")
     assert_that(max(batches), LessThan(defaults.STREAM_PIECE_BYTES))
+
+
+@pytest.mark.parametrize("path", ["/once/1", "/turn/1"])
+async def test_long_line_that_is_no_head_is_not_repeated_in_the_error(rig, path):
+    head = b"\x01" * 60_000 + b"\r\n\r\n"
+    service = "tools" if path == "/once/1" else "engine"
+    server = await add_endless_replica(rig, "r1", service, head, b"x")
+    gateway = await rig.add_gateway()
+    response = await send(rig, path, turn_headers("id-1"))
+    await wait_until(lambda: server.closed == 1)
+    assert_that(len(response.content), LessThan(1_000))
+    longest = max(len(value) for event in gateway.log.ring for value in event.fields.values())
+    assert_that(longest, LessThan(1_000))
