Read at most 64 KiB as the reply to a small call between gateways

The address of a gateway that ended may belong to any other process. A question about a stream, which goes to 16 gateways, read up to 8 MiB from each: 128 MiB on a host with 128 MB. Only relayed store calls have long answers. test_small_call_of_a_gateway_reads_no_long_answer: 10.9 MB sent before (failed), passes now.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -39,6 +39,8 @@
 _STORE = b"/store"
 _STREAM = b"/stream"
 _STREAMS = b"/streams"
+_MAX_REPLY_BYTES = 65_536
+"""Largest reply to a call that is not relayed to the store."""
 _MAX_PROGRESS_RESPONSES = 1 + round(defaults.PEER_TRANSFER_TIMEOUT_S / defaults.PEER_PROGRESS_S)
 
 
@@ -190,7 +192,11 @@
     async def store(self, address: str, call: RelayedCall) -> RelayedReply:
         """Make a store call through a peer; raise ``PeerSilentError`` or ``PeerDownError``."""
         body = await self._call(
-            address, _STORE, msgspec.json.encode(call), defaults.PEER_STORE_TIMEOUT_S
+            address,
+            _STORE,
+            msgspec.json.encode(call),
+            timeout_s=defaults.PEER_STORE_TIMEOUT_S,
+            limit_bytes=defaults.MAX_ANSWER_BYTES,
         )
         return _decode(address, body, _RELAYED_REPLY)
 
@@ -205,7 +211,13 @@
         _decode(address, body, _TOLD_REPLY)
 
     async def _call(
-        self, address: str, target: bytes, body: bytes, timeout_s: float = defaults.PEER_TIMEOUT_S
+        self,
+        address: str,
+        target: bytes,
+        body: bytes,
+        *,
+        timeout_s: float = defaults.PEER_TIMEOUT_S,
+        limit_bytes: int = _MAX_REPLY_BYTES,
     ) -> bytes:
         send_s = len(body) / defaults.LINK_BYTES_PER_S
         with anyio.move_on_after(send_s + timeout_s) as scope:
@@ -216,7 +228,7 @@
                 self.answered_at = anyio.current_time()
 
             try:
-                return await self._exchange(address, target, body, on_progress)
+                return await self._exchange(address, target, body, on_progress, limit_bytes)
             except (ConnectionLostError, AnswerInvalidError) as error:
                 raise PeerDownError(f"{address}: {error.detail}") from error
             except UpstreamLostError as error:
@@ -226,14 +238,19 @@
         raise PeerSilentError(f"{address} sent nothing for {timeout_s:g} s")
 
     async def _exchange(
-        self, address: str, target: bytes, body: bytes, on_progress: Callable[..., None]
+        self,
+        address: str,
+        target: bytes,
+        body: bytes,
+        on_progress: Callable[..., None],
+        limit_bytes: int,
     ) -> bytes:
         connection = await self._connection(address)
         is_kept = False
         try:
             await connection.send(b"POST", target, [(b"host", address.encode())], body)
             head = await connection.read_head(_MAX_PROGRESS_RESPONSES, on_progress)
-            data = await connection.body(defaults.MAX_ANSWER_BYTES, on_progress)
+            data = await connection.body(limit_bytes, on_progress)
             is_kept = connection.finish(None)
             if is_kept:
                 self.idle.setdefault(address, []).append(connection)
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -11,6 +11,7 @@
 
 from gateway_rig import headers, send, turn_headers, wait_until
 from skylarkferry_gateway import defaults, stream_events
+from skylarkferry_gateway.peers import PeerDownError
 from skylarkferry_gateway.stream_events import EventSplitter
 from skylarkferry_gateway.stream_position import StreamPosition
 from skylarkferry_standins.ports import free_address
@@ -215,3 +216,14 @@
     assert_that(len(response.content), LessThan(1_000))
     longest = max(len(value) for event in gateway.log.ring for value in event.fields.values())
     assert_that(longest, LessThan(1_000))
+
+
+async def test_small_call_of_a_gateway_reads_no_long_answer(rig):
+    server = EndlessServer("peer", b"HTTP/1.1 200 OK\r\n\r\n", b"x")
+    address = free_address()
+    await rig.listen(address, server)
+    peers = (await rig.add_gateway()).store.peers
+    with pytest.raises(PeerDownError, match="exceeds"):
+        await peers.stream_origin(address, "s-1")
+    await wait_until(lambda: server.closed == 1)
+    assert_that(server.sent_bytes, LessThan(SOCKET_BYTES))
