Ask an engine for its start time before a stream goes on there

An engine that restarts under its id with another version is, for a gateway that cannot read the list, still the old one: the instance that a request expects is the id, which stays.

The list cannot tell: any list is older than the request. The engine can: its report holds the start time that its entry holds. It is read on the connection on which the request follows, so that no restart fits in between. Asked before each continuation (the client's or the gateway's own), and before a stream begins if the list is older than an outage and was not read since the connection was opened: such a stream would be recorded under the wrong version. Without a report the stream goes on elsewhere; an engine that tells no start time is used as before. Ruled out: a newer list (0.5 s longer, and the store may be away), the expected instance (equal).

Price: one probe for each resumed stream. Event 879, counter process_checks.

Stand-ins answer requests for the report; the soak's engines keep one start time.

--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -116,6 +116,11 @@
     GATEWAY_STREAMS_ASSIGNED = (867, Level.INFO, "To which version a stream without a row belongs.")
     GATEWAY_STREAM_UNRECORDED = (868, Level.WARNING, "A stream's version could not be recorded.")
     GATEWAY_ROW_REFUSED = (869, Level.ERROR, "A row of the store is malformed and not used.")
+    GATEWAY_OTHER_PROCESS = (
+        879,
+        Level.WARNING,
+        "An upstream has restarted since it was listed; it does not get the stream.",
+    )
     GATEWAY_STORE_LOST = (870, Level.WARNING, "The store does not answer this process.")
     GATEWAY_STORE_BACK = (871, Level.INFO, "The store answers this process again.")
     GATEWAY_STORE_RETRY = (872, Level.INFO, "A store call failed and is retried.")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -9,6 +9,9 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 """Keep-alive probes detect a dead peer within 3 s, the platform's bound for contact."""
+PROCESS_REPORT_TIMEOUT_S = 0.4
+"""Longest wait for an engine's report about its process; two round trips between regions and a
+pause of its host fit in."""
 POOL_IDLE_S = 4.0
 """Idle limit of a connection if the upstream states none; below the common default of 5 s."""
 POOL_IDLE_MARGIN_S = 1.0
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
@@ -13,6 +13,7 @@
     AnswerInvalidError,
     ConnectionLostError,
     SkylarkferryError,
+    UpstreamLostError,
 )
 from skylarkferry_core.events import EventKind
 from skylarkferry_daemon.log import EventLog
@@ -35,6 +36,8 @@
     HTTPStatus.TOO_MANY_REQUESTS,
     HTTPStatus.SERVICE_UNAVAILABLE,
 )
+_MAX_REPORT_BYTES = 262_144
+"""Longest report of an engine about its process; it lists all requests that run there."""
 _MAX_RESPONSES = 3
 """Responses read for one request before the exchange fails."""
 
@@ -113,6 +116,36 @@
         state = "reused" if self.connection.exchanges else "new"
         self.metrics.upstream_connections.labels(state=state).inc()
 
+    @property
+    def opened_at(self) -> float:
+        """Return the monotonic time at which the connection was established."""
+        assert self.connection is not None
+        return self.connection.opened_at
+
+    async def read_born_ms(self) -> int:
+        """Return when the process at the connection's end started, in Unix ms; 0 if unknown.
+
+        What is sent next on the connection reaches the same process. Raise ``UpstreamLostError`` if
+        nothing can be sent on it.
+        """
+        assert self.connection is not None
+        try:
+            with anyio.fail_after(defaults.PROCESS_REPORT_TIMEOUT_S):
+                return await self._process_report(self.connection)
+        except (TimeoutError, SkylarkferryError) as error:
+            raise UpstreamLostError(f"no report about the process: {error!r}") from error
+
+    async def _process_report(self, connection: HttpConnection) -> int:
+        headers = [(b"host", self.upstream.entry.address.encode())]
+        await connection.send(b"GET", self.codec.process_report_target(), headers, b"")
+        head = await connection.read_head()
+        body = await connection.body(_MAX_REPORT_BYTES)
+        if not connection.finish(None):
+            raise UpstreamLostError("the connection ends after the report")
+        if head.status_code != HTTPStatus.OK:
+            return 0
+        return self.codec.decode_process_report(body)
+
     async def send(
         self, request: ClientRequest, body: bytes, request_metadata: UpstreamRequestMetadata
     ) -> Reply:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
@@ -58,7 +58,7 @@
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self.request: h11.Request | None = None
         self.is_request_sent = False
-        self.idle_since = anyio.current_time()
+        self.opened_at = self.idle_since = anyio.current_time()
         self.idle_s = defaults.POOL_IDLE_S
         self.exchanges = 0
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/interfaces.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/interfaces.py
@@ -60,7 +60,7 @@
 
 
 class HeaderCodec(Protocol):
-    """Translation between header fields and request metadata."""
+    """Translation between header fields and request metadata, and of engines' reports."""
 
     def decode_request(self, headers: Headers) -> RequestMetadata:
         """Decode a client's headers; raise ``BadRequestError`` for invalid values."""
@@ -77,6 +77,15 @@
     def client_headers(self, headers: Headers) -> Headers:
         """Return the upstream headers to pass to the client."""
 
+    def process_report_target(self) -> bytes:
+        """Return the target of a GET request for an engine's report about its process."""
+
+    def decode_process_report(self, body: bytes) -> int:
+        """Return the start time of the process in Unix milliseconds, 0 if the report has none.
+
+        Raise ``MalformedDataError``.
+        """
+
 
 class Platform(msgspec.Struct, frozen=True):
     """Components of a platform adapter; ``directory`` builds one that reads the given store."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -121,6 +121,12 @@
             ["source"],
             registry=self.registry,
         )
+        self.process_checks = Counter(
+            "skylarkferry_gateway_process_checks",
+            "Engines asked for their process before a stream was sent, by what they reported.",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.stream_records = Counter(
             "skylarkferry_gateway_stream_records",
             "Rows of streams for other gateways by outcome of their write.",
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -143,6 +143,30 @@
             remaining_s, decision.upstream.entry.upstream, priority, last_event_id
         )
 
+    def is_listed_since(self, opened_at: float) -> bool:
+        """Return whether the list tells of the process at the end of a connection.
+
+        It does if it is current, or was read while the connection was open.
+        """
+        read_at = self.selector.upstreams.read_at
+        if read_at is None:
+            return False
+        return read_at >= opened_at or anyio.current_time() - read_at <= defaults.LIST_OUTAGE_S
+
+    def report_other_process(self, attempts: Attempts, upstream: Upstream, born_ms: int) -> None:
+        """Log an upstream whose process is not the listed one, so that it does not get a stream."""
+        self.metrics.process_checks.labels(outcome="other").inc()
+        read_at = self.selector.upstreams.read_at
+        self.log.emit(
+            EventKind.GATEWAY_OTHER_PROCESS,
+            attempts.request.metadata.program_id,
+            request=attempts.request.metadata.request_id,
+            upstream=upstream.entry.upstream,
+            listed_born_ms=upstream.entry.born_ms,
+            born_ms=born_ms,
+            list_age_ms=_ms_text(anyio.current_time() - read_at if read_at is not None else None),
+        )
+
     def on_reply(self, decision: Selection, reply: Reply) -> None:
         """Apply what the upstream reports about itself in a response head."""
         if reply.status != HTTPStatus.MISDIRECTED_REQUEST:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -133,6 +133,7 @@
         async with context.exchange(decision.upstream) as exchange:
             await exchange.connect(attempts.idle_limit_s)
             decision.alive_at = exchange.alive_at
+            await self._check_process(exchange, decision)
             sent_at = anyio.current_time()
             attempts.attempts_made += 1
             if attempts.route.is_resumable:
@@ -162,6 +163,26 @@
         await self._complete(reply)
         return reply.status
 
+    async def _check_process(self, exchange: Exchange, decision: Selection) -> None:
+        """Verify that the process which gets the stream has the listed software version.
+
+        An upstream may have restarted under its id with another version since it was listed.
+        """
+        context, attempts, upstream = self.context, self.attempts, decision.upstream
+        listed_ms = upstream.entry.born_ms
+        is_checkable = attempts.route.is_resumable and attempts.engine is not None and listed_ms
+        if not is_checkable:
+            return
+        is_begun = attempts.required_version is not None
+        if not is_begun and context.is_listed_since(exchange.opened_at):
+            return
+        born_ms = await exchange.read_born_ms()
+        if born_ms in (0, listed_ms):
+            context.metrics.process_checks.labels(outcome="same" if born_ms else "unknown").inc()
+            return
+        context.report_other_process(attempts, upstream, born_ms)
+        raise _RefusedError("another process has the upstream's id and address")
+
     async def _send_request(
         self,
         exchange: Exchange,
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/crashes.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/crashes.py
@@ -64,7 +64,7 @@
             await upstream.link.reset_connections(1.0, self.rng)
         await anyio.sleep(down_s)
         upstream.link.state = LinkState.PASS
-        upstream.born_ms += 1
+        upstream.replica.born_ms += 1
         if upstream.state == "ready":
             self.testbed.register_upstream(upstream)
         if down_s:
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
@@ -67,7 +67,6 @@
         self.target = free_address()
         self.link = Link(f"upstream {name}", free_address(), self.target)
         self.state = "ready"
-        self.born_ms = 1
         self.crash: Callable[[Upstream], Awaitable[WireReply]] | None = None
 
     async def handle(self, request: WireRequest) -> WireReply:
@@ -258,7 +257,7 @@
             "state": upstream.state,
             "coldLeftMs": 0,
             "sequence": 1,
-            "born": upstream.born_ms,
+            "born": upstream.replica.born_ms,
         }
         self.store.put("servers", "", upstream.name, json.dumps(entry).encode())
 
--- a/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/replica.py
@@ -52,6 +52,13 @@
     headers: dict[str, str]
 
 
+def process_report(request: WireRequest, born_ms: int) -> WireReply | None:
+    """Return the reply to a request for the report about a process, ``None`` to another request."""
+    if request.method != "GET" or request.target != "/api/report":
+        return None
+    return WireReply(200, body=msgspec.json.encode({"stage": "both", "born": born_ms}))
+
+
 class Replica:
     """One replica; ``behaviour`` selects what it does with each request."""
 
@@ -61,6 +68,9 @@
         self.received_ids: list[str] = []
         self.received_at: list[float] = []
         """Monotonic times at which the requests arrived."""
+        self.born_ms = 1
+        self.process_report: WireReply | None = None
+        """Reply to a request for the report about the process, instead of the usual one."""
         self.work_s = 0.0
         self.event_count = EVENT_COUNT
         self.report: dict[str, str] = {}
@@ -71,6 +81,9 @@
 
     async def handle(self, request: WireRequest) -> WireReply:
         """Handle one request."""
+        report = process_report(request, self.born_ms)
+        if report is not None:
+            return self.process_report or report
         request_id = request.headers.get("skylarkferry-request-id", "")
         self.received_ids.append(request_id)
         self.received_at.append(anyio.current_time())
--- a/tests/gateway/test_stream_continuations.py
+++ b/tests/gateway/test_stream_continuations.py
@@ -8,7 +8,7 @@
 from gateway_rig import config, send, turn_headers
 from skylarkferry_gateway import attempts
 from skylarkferry_standins.ports import free_address
-from skylarkferry_standins.replica import EVENT_COUNT, Replica
+from skylarkferry_standins.replica import EVENT_COUNT, Replica, process_report
 from skylarkferry_standins.wire_server import Ending, WireReply, WireServer, encode_reply
 from stream_clients import receive
 
@@ -60,6 +60,9 @@
         self.last_event_ids = []
 
     async def handle(self, request):
+        report = process_report(request, born_ms=1)
+        if report is not None:
+            return report
         number = min(len(self.last_event_ids), len(self.replies) - 1)
         last_event_id = int(request.headers.get("last-event-id", "0"))
         self.last_event_ids.append(last_event_id)
--- a/tests/gateway/test_streams_out_of_step.py
+++ b/tests/gateway/test_streams_out_of_step.py
@@ -6,7 +6,7 @@
 from gateway_rig import ROUTES, config, free_address, wait_until
 from skylarkferry_gateway import defaults
 from skylarkferry_standins.row_store import StoreFault
-from skylarkferry_standins.wire_server import WireServer
+from skylarkferry_standins.wire_server import Ending, WireReply, WireServer
 from stream_clients import (
     STREAMS,
     add_versions,
@@ -185,6 +185,7 @@
     assert_that(statuses, Equals([200] * STREAMS))
 
 
+# Guards against streams that are joined from two versions of one upstream.
 async def test_stream_does_not_go_on_at_an_upstream_that_restarted_unseen_with_another_version(rig):
     await add_versions(rig, OLD)
     outside, other = await add_linked_gateway(rig, "g1"), await rig.add_gateway("g2")
@@ -197,6 +198,49 @@
     assert_that(len(rig.replicas["a1"].runs) - before, Equals(0))
 
 
+async def test_stream_does_not_begin_at_an_upstream_that_restarted_unseen_for_long(rig):
+    await add_versions(rig, OLD)
+    outside, other = await add_linked_gateway(rig, "g1"), await rig.add_gateway("g2")
+    await wait_until(lambda: len(outside.gateways.nodes) == len(other.gateways.nodes) == 2)
+    cut_off(outside)
+    await anyio.sleep(defaults.LIST_OUTAGE_S + defaults.UPSTREAMS_POLL_S)
+    rig.register_replica("a1", "engine", version="v2", born=2)
+    started = await begin_streams(rig, gateway=outside)
+    assert_that(rig.replicas["a1"].runs, Equals([]))
+    assert_that([versions_of(rig, item) for item in started], Equals([{"v1"}] * STREAMS))
+
+
+NO_REPORT = {
+    "reset": WireReply(raw=b"", ending=Ending.RESET),
+    "silent": WireReply(raw=b"", ending=Ending.SILENT),
+    "malformed": WireReply(body=b'{"born":"x"}'),
+    "no_answer": WireReply(raw=b"\x00" * 100_000),
+    "closing": WireReply(body=b"{}", headers={"Connection": "close"}, closes=True),
+}
+
+
+@pytest.mark.parametrize("report", NO_REPORT)
+async def test_streams_go_on_elsewhere_if_an_engine_gives_no_report_of_its_process(rig, report):
+    await add_versions(rig, OLD)
+    gateway = await rig.add_gateway()
+    started = await begin_streams(rig)
+    rig.replicas["a1"].process_report = NO_REPORT[report]
+    before = len(rig.replicas["a1"].runs)
+    statuses = await resume_all(rig, started, gateway=gateway)
+    assert_that(statuses, Equals([200] * STREAMS))
+    assert_that(len(rig.replicas["a1"].runs) - before, Equals(0))
+
+
+@pytest.mark.parametrize("status", [200, 400, 404])
+async def test_streams_go_on_at_engines_that_do_not_tell_their_start_time(rig, status):
+    await add_versions(rig, OLD)
+    gateway = await rig.add_gateway()
+    started = await begin_streams(rig)
+    for name in OLD:
+        rig.replicas[name].process_report = WireReply(status, body=b"{}")
+    assert_that(await resume_all(rig, started, gateway=gateway), Equals([200] * STREAMS))
+
+
 async def add_services(rig):
     """Add a second service, whose engines have another version, and return both services."""
     document = config(2)
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -163,6 +163,7 @@
         return replica
 
     def register_replica(self, name, service="tools", **fields):
+        self.replicas[name].born_ms = fields.get("born", 1)
         row = entry(name, service, self.addresses[name], **fields)
         self.store.put("servers", "", name, json.dumps(row).encode())
 
