Keep streams apart whose route has moved before a gateway started

A stream without a row takes its service from the routes in force; only gateways that saw the move know that they have led elsewhere.

Two ways to the truth, since either may be gone: a gateway that sees a resumable route move writes the rows of the streams that it knows of the former services, and a gateway that has not followed the routes for 65 s asks others for a stream before it goes by the present service. Weighed and left: the routes of the last minute as rows of the store, which a gateway that starts after a kill of all would read; that case is left for the second between the move and the rows, see the postmortem.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
@@ -154,8 +154,12 @@
             attempts = self._attempts(request, route, table, service)
             attempts.has_moved = self._has_moved(request, table)
             return attempts
-        has_moved = self._has_moved(request, table)
-        origin = await self.context.resumptions.find(request, service, has_moved=has_moved)
+        origin = await self.context.resumptions.find(
+            request,
+            service,
+            has_moved=self._has_moved(request, table),
+            knows_moves=self.config.changes.covers_all_streams(anyio.current_time()),
+        )
         if origin.service not in {share.service for share in route.shares}:
             raise UnknownStreamError(
                 "the route does not lead to the service of the stream any more"
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -91,7 +91,7 @@
         turn_services = TurnServices(self.budgets, turns, memory, log)
         checker = ProcessChecker(self.upstreams, rng)
         self.crashes = CrashWatch(store, checker, log, metrics)
-        self.config = ConfigWatcher(directory, log, metrics)
+        self.config = ConfigWatcher(directory, self.origins, log, metrics)
         self.upstream_watcher = UpstreamWatcher(
             directory,
             self.upstreams,
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
@@ -1,7 +1,7 @@
 """Service and software version that began resumable streams, shared through the store."""
 
 from collections import OrderedDict, deque
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 import anyio
 import msgspec
@@ -12,6 +12,7 @@
     WriteConflictError,
 )
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.ids import ServiceName
 from skylarkferry_core.interfaces import Condition, Row, Write
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
@@ -140,6 +141,15 @@
         if key not in self.rows:
             self._store(StreamRow(Write(key, msgspec.msgpack.encode(origin)), is_renewal=True))
 
+    def store_rows_of(self, services: Collection[ServiceName]) -> None:
+        """Queue the rows of all streams of these services that can be resumed and have none."""
+        if not services:
+            return
+        for item in reversed(self.resumable()):
+            key = row_key(_TABLE, _PART, item.stream)
+            if item.origin.service in services and key not in self.written:
+                self._store(StreamRow(Write(key, msgspec.msgpack.encode(item.origin))))
+
     def _store(self, row: StreamRow) -> StreamRow:
         self.rows[row.write.key] = row
         self.written[row.write.key] = anyio.current_time()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_resumptions.py
@@ -130,16 +130,27 @@
         return row.stored.is_set()
 
     async def find(
-        self, request: ClientRequest, service: ServiceName, *, has_moved: bool = False
+        self,
+        request: ClientRequest,
+        service: ServiceName,
+        *,
+        has_moved: bool = False,
+        knows_moves: bool = True,
     ) -> StreamOrigin:
         """Return where a resumed stream has to go on; raise ``UnknownStreamError``.
 
         ``service`` is the one that the request would be sent to if it began a stream, ``has_moved``
-        whether it would have been sent to another one lately.
+        whether it would have been sent to another one lately, ``knows_moves`` whether this gateway
+        would know that.
         """
         origin, source = await self._find(request.metadata, service)
-        if has_moved and source in _OF_PRESENT_SERVICE:
-            origin, source = None, OriginSource.MOVED
+        if source in _OF_PRESENT_SERVICE:
+            if has_moved:
+                origin, source = None, OriginSource.MOVED
+            elif not knows_moves:
+                told = await self._ask_peers_briefly(request.metadata.resumed_request)
+                if told not in (None, origin):
+                    origin, source = told, OriginSource.PEER
         self.metrics.stream_resumptions.labels(source=source.value).inc()
         self.log.emit(
             EventKind.GATEWAY_STREAM_RESUMED,
@@ -223,6 +234,13 @@
             return StreamOrigin(service, version), OriginSource.ASSIGNMENT
         raise PlatformUnavailableError("the store did not answer in time")
 
+    async def _ask_peers_briefly(self, stream: str) -> StreamOrigin | None:
+        """Ask other gateways where another answer is at hand."""
+        if stream:
+            with anyio.move_on_after(defaults.PEER_TIMEOUT_S):
+                return await self._ask_peers(stream)
+        return None
+
     async def _ask_peers(self, stream: str) -> StreamOrigin | None:
         """Ask other gateways, which know the streams that they relayed or were told of lately."""
         ranked = ranked_peers(self.gateways, stream)[:_MAX_RANKED_PEERS]
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
@@ -13,6 +13,7 @@
 from skylarkferry_gateway.route_changes import RouteChanges
 from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.store_calls import pause_after
+from skylarkferry_gateway.stream_origins import StreamOrigins
 from skylarkferry_gateway.upstream_log import LeavingSource, UpstreamLog
 from skylarkferry_gateway.upstreams import Upstreams
 from skylarkferry_gateway.version_assignments import VersionAssignments
@@ -86,10 +87,12 @@
     def __init__(
         self,
         directory: Directory,
+        origins: StreamOrigins,
         log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
         self.directory = directory
+        self.origins = origins
         self.log = log
         self.metrics = metrics
         self.current: RoutingTable | None = None
@@ -115,8 +118,12 @@
         if self.current is not None and table.version <= self.current.version:
             return
         before = self.current.version if self.current is not None else 0
-        if self.current is not None:
-            self.changes.update(self.current, table, anyio.current_time())
+        now = anyio.current_time()
+        if self.current is None:
+            self.changes.begin(now)
+        else:
+            # Gateways that start from now on do not see that the routes have led there.
+            self.origins.store_rows_of(self.changes.update(self.current, table, now))
         self.current = table
         self.metrics.config_version.set(table.version)
         self.log.emit(
--- a/tests/gateway/test_route_changes.py
+++ b/tests/gateway/test_route_changes.py
@@ -11,7 +11,7 @@
 PATH = "/shop/cart/1"
 
 
-def table(**services):
+def table(is_resumable=True, **services):
     """Return a routing table: services by prefix, whose underscores stand for slashes."""
     routes = []
     for name, shares in services.items():
@@ -25,6 +25,7 @@
                 shares=tuple(ServiceShare(ServiceName(key), n) for key, n in weights.items()),
                 timeout_s=1.0,
                 target_latency_s=0.1,
+                is_resumable=is_resumable,
             )
         )
     return RoutingTable(1, tuple(routes), {}, ClientLimits())
@@ -68,3 +69,26 @@
     changes.update(OLD, after, 0.0)
     changes.update(after, after, KEEP_S + 1)
     assert_that(changes.changed_at, Equals({}))
+
+
+def left(before, after):
+    """Return the services whose resumable streams a change moves elsewhere."""
+    return set(RouteChanges(KEEP_S).update(before, after, 0.0))
+
+
+def test_services_that_resumable_streams_leave_are_told():
+    assert_that(left(OLD, table(_shop_="b")), Equals({"a"}))
+    assert_that(left(OLD, table(_shop_="a", _shop_cart_="b")), Equals({"a"}))
+    assert_that(left(table(_shop_="a", _shop_cart_="b"), OLD), Equals({"b"}))
+    assert_that(left(table(_shop_={"a": 1.0, "b": 1.0}), OLD), Equals({"a", "b"}))
+    assert_that(left(OLD, table()), Equals({"a"}))
+    assert_that(left(OLD, table(_shop_="a", _cart_="b")), Equals(set()))
+    assert_that(left(table(is_resumable=False, _shop_="a"), table(_shop_="b")), Equals(set()))
+
+
+def test_changes_cover_all_streams_once_they_were_followed_for_as_long():
+    changes = RouteChanges(KEEP_S)
+    assert_that(changes.covers_all_streams(1_000.0), Equals(False))
+    changes.begin(10.0)
+    assert_that(changes.covers_all_streams(10.0 + KEEP_S - 1), Equals(False))
+    assert_that(changes.covers_all_streams(10.0 + KEEP_S), Equals(True))
--- a/tests/gateway/test_streams_out_of_step.py
+++ b/tests/gateway/test_streams_out_of_step.py
@@ -280,6 +280,28 @@
     assert_that(len(mixed_streams(rig, started)), Equals(0))
 
 
+# Guards against streams that are joined from two services after their route has moved.
+async def test_stream_stays_at_its_version_at_a_gateway_that_starts_after_all_others_ended(rig):
+    services = await add_services(rig)
+    first = await rig.add_gateway("g1")
+    started = await begin_streams(rig, gateway=first)
+    await move_route(rig, services, first)
+    await wait_until(lambda: stored_streams(rig) == STREAMS)
+    await stop_abruptly(first)
+    await resume_all(rig, started, gateway=await rig.add_gateway("g2"))
+    assert_that(len(mixed_streams(rig, started)), Equals(0))
+
+
+async def test_streams_whose_route_stays_get_no_rows(rig):
+    services = await add_services(rig)
+    gateway = await rig.add_gateway("g1")
+    await begin_streams(rig, gateway=gateway)
+    other = {"/get/": {**ROUTES["/get/"], "service": "engine-2"}}
+    await move_route(rig, services, gateway, routes=other)
+    await anyio.sleep(0.3)
+    assert_that(stored_streams(rig), Equals(0))
+
+
 async def test_streams_that_begin_after_their_route_has_moved_go_on_at_other_gateways(rig):
     services = await add_services(rig)
     first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
