--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
@@ -63,7 +63,7 @@
         """Respond to one request, turning every expected error into a response or a log line."""
         received_at = anyio.current_time()
         self.metrics.requests_under_way.inc()
-        outcome = "failed"
+        outcome, reason = "failed", ""
         request: ClientRequest | None = None
         route: Route | None = None
         try:
@@ -78,7 +78,7 @@
         except ClientLeftError:
             outcome = "left"
         except SkylarkferryError as error:
-            outcome = f"{int(error.status)} {error.code.value}"
+            outcome, reason = f"{int(error.status)} {error.code.value}", error.detail
             await self._respond_with_error(error, client)
         except Exception as error:
             self.log.emit(
@@ -92,7 +92,7 @@
             await self._respond_with_error(unknown, client)
         finally:
             self.metrics.requests_under_way.dec()
-            self._log_outcome(request, route, outcome, received_at)
+            self._log_outcome(request, route, outcome, reason, received_at)
 
     def _decode(self, received: ReceivedRequest, received_at: float) -> ClientRequest:
         metadata = self.context.codec.decode_request(received.headers)
@@ -189,7 +189,12 @@
             return
 
     def _log_outcome(
-        self, request: ClientRequest | None, route: Route | None, outcome: str, started_at: float
+        self,
+        request: ClientRequest | None,
+        route: Route | None,
+        outcome: str,
+        reason: str,
+        started_at: float,
     ) -> None:
         latency_s = anyio.current_time() - started_at
         kind = route.kind.value if route is not None else "none"
@@ -204,6 +209,7 @@
             route=route.name if route is not None else "",
             config=table.version if table is not None else 0,
             outcome=outcome,
+            reason=reason,
             ms=round(latency_s * 1_000),
         )
 
