Claim budget partitions before programs need them

Ruled out as the main cause by the reasons now in the log: chains that are not in memory (34), allowances that cannot grow (8), rows of streams (none).

Each gateway now claims its share (by processor cores) of the partitions that were never claimed or were released, when it reads the owner list. That an owner ended without a release is still found by the gateways that call it, since it marks a loss. The calls are the same ones, earlier.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
@@ -131,6 +131,10 @@
         """Return the addresses of the other owners."""
         return {ownership.address for ownership in self.owners.values()} - {"", self.address}
 
+    def owner(self, number: PartitionNumber) -> Incarnation:
+        """Return the newest owner that this process knows, or ``NO_OWNER``."""
+        return self.owners.get(number, Ownership()).owner
+
     def generation(self, number: PartitionNumber) -> int:
         """Return the generation of the newest owner that this process knows."""
         return self.owners.get(number, Ownership()).generation
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -29,6 +29,7 @@
 from skylarkferry_gateway.listeners import Listeners, Serve, accept_waiting
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.ownership import OwnerTable
+from skylarkferry_gateway.partition_claims import PartitionClaims
 from skylarkferry_gateway.peers import PeerClient, PeerServer
 from skylarkferry_gateway.placement_calls import PlacementCalls
 from skylarkferry_gateway.process_checks import ProcessChecker
@@ -85,6 +86,7 @@
         cache = TurnCache(int(settings.memory_bytes * defaults.TURN_CACHE_MEMORY_SHARE))
         self.owners = OwnerTable(store, settings.incarnation, settings.peer_listen, log)
         self.accounts = AccountManager(store, self.owners, log)
+        self.claims = PartitionClaims(self.owners, self.accounts, self.gateways)
         self.budgets = ProgramBudgets(self.owners, self.accounts, store, log)
         memory = ResponseMemory(int(settings.memory_bytes * defaults.RESPONSE_MEMORY_SHARE))
         turns = TurnStore(store, cache, log)
@@ -239,6 +241,8 @@
             await self.owners.refresh(now, now + defaults.OWNERS_POLL_S)
         except PlatformUnavailableError:
             return
+        if not self.is_stopping:
+            await self.claims.claim_unowned()
 
     async def _stop(self, clients: AsyncExitStack, background: BackgroundTasks) -> None:
         """Finish requests that were read, hand over streams and partitions, within the grace."""
