Do not let a list read before a release undo it

Found by test_partitions_of_a_gateway_that_stops_are_claimed_without_a_program, which failed once under load and then 7 of 10 times with ten side by side: 1 to 3 partitions stayed listed as owned by the gateway that had released them. A read of the owner list that was under way during the release came back with the owner of the same generation; it replaced the released state in memory, and that was written to the list. Callers then found a dead owner, which they can replace only with the store.

A release ends its generation: within one, the state without an owner is the later one. Before: test_list_that_was_read_before_a_release_does_not_undo_it failed, and the test above 7 of 10. After: both pass 10 of 10 with ten side by side.

--- a/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
@@ -46,6 +46,12 @@
         losses = self.losses if self.owner in (NO_OWNER, owner) else self.losses + 1
         return Ownership(owner, address, self.generation + 1, losses)
 
+    def follows(self, other: "Ownership") -> bool:
+        """Return whether this row is another one or a later state; a release ends a generation."""
+        if self.generation != other.generation:
+            return self.generation > other.generation
+        return self.owner == NO_OWNER or other.owner != NO_OWNER
+
     def released(self) -> "Ownership":
         """Return the row after the owner wrote all accounts and released the partition."""
         return msgspec.structs.replace(self, owner=NO_OWNER, address="")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
@@ -82,8 +82,8 @@
 
     def _add_listed(self, number: PartitionNumber, listed: Ownership) -> None:
         """Use a row of the list unless this process knows a newer owner."""
-        known = self.owners.get(number, Ownership())
-        if listed.generation >= known.generation:
+        known = self.owners.get(number)
+        if known is None or listed.follows(known):
             self.owners[number] = listed
         elif known.owner == self.incarnation:
             self._add_unlisted(number)  # a late write of an earlier owner replaced the row
--- a/tests/gateway/test_partition_claims.py
+++ b/tests/gateway/test_partition_claims.py
@@ -5,7 +5,7 @@
 from testtools.matchers import Equals
 
 from gateway_rig import send, turn_headers, wait_until
-from skylarkferry_core.accounts import BUDGET_PARTITIONS
+from skylarkferry_core.accounts import BUDGET_PARTITIONS, NO_OWNER
 from skylarkferry_gateway import defaults
 from skylarkferry_standins.row_store import StoreFault
 
@@ -68,3 +68,15 @@
     second = await rig.add_gateway("g2")
     await wait_until(lambda: second.gateways.nodes == ("g2",))
     assert_that(owned(second), Equals([0]))
+
+
+# Guards against a list that names a gateway as the owner of a partition which it has released.
+async def test_list_that_was_read_before_a_release_does_not_undo_it(rig):
+    gateway = await rig.add_gateway()
+    await wait_until(lambda: owned(gateway) == [BUDGET_PARTITIONS])
+    table, accounts = gateway.owners, gateway.accounts
+    number = next(iter(accounts.partitions))
+    listed = table.owners[number]
+    await table.release(accounts.partitions.pop(number).partition, [])
+    table._add_listed(number, listed)
+    assert_that(table.owner(number), Equals(NO_OWNER))
