--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 
 .PHONY: demo test check bench slopes soak soak-processes lock format
 
+WORKERS ?= 4
 SEEDS ?= 50
 FIRST ?= 0
 
@@ -17,7 +18,7 @@
 	PYTHON=$(BIN)/python scripts/demo.sh
 
 test: $(VENV)/installed
-	$(BIN)/python -m pytest $(KNOWN_RED:%=--deselect %)
+	$(BIN)/python -m pytest -n $(WORKERS) --dist worksteal $(KNOWN_RED:%=--deselect %)
 
 check: $(VENV)/installed
 	$(BIN)/black --check --quiet packages platform tests
--- a/packages/skylarkferry-standins/src/skylarkferry_standins/ports.py
+++ b/packages/skylarkferry-standins/src/skylarkferry_standins/ports.py
@@ -9,7 +9,7 @@
 """The ports lie below the range of outgoing connections, which begins at 32,768."""
 _BLOCK_PORTS = 500
 _BLOCKS = 40
-_MAX_OWN_BLOCKS = 10
+_MAX_OWN_BLOCKS = 4
 """Blocks that a process uses before it returns to its first one."""
 
 
