Hand budgets to another gateway if their owner stops while the store is away

An owner that certainly changed nothing at the store hands its accounts to one of two gateways that rendezvous hashing gives for the partition; callers that find the owner gone ask those two while the store is away. The heir goes on under the former claim and replaces it without a loss once the store is back; if another gateway has claimed the partition meanwhile, it drops it. What it grants lies within the former owner's rows and allowances, so that a claim which counts the owner as lost counts it. Not handed over: after a write whose outcome is unknown, or to a second gateway after a call whose outcome is.

The generated model of owners has the handover and its confirmation as steps (21 passed); with the used tokens left out of what is handed over it fails. test_budgets, _claims, _peers, _planned_stop, _failover_store: 96 passed.

--- a/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
@@ -52,6 +52,10 @@
             return self.generation > other.generation
         return self.owner == NO_OWNER or other.owner != NO_OWNER
 
+    def taken_over(self, owner: Incarnation, address: str) -> "Ownership":
+        """Return the row after the owner handed all accounts to another process."""
+        return Ownership(owner, address, self.generation + 1, self.losses)
+
     def released(self) -> "Ownership":
         """Return the row after the owner wrote all accounts and released the partition."""
         return msgspec.structs.replace(self, owner=NO_OWNER, address="")
@@ -73,6 +77,18 @@
         return self.granted_tokens - (self.unrecorded_tokens or 0)
 
 
+class AccountState(msgspec.Struct, frozen=True, array_like=True):
+    """An account that another process goes on with; reservations count as used."""
+
+    limit: _Stored
+    base: _Stored
+    allowance: _Stored
+    used: _Stored
+    longest_turn: _Stored
+    follows_loss: bool
+    version: _Stored
+
+
 def budget_partition(program_id: ProgramId) -> PartitionNumber:
     """Return the partition of a program."""
     return PartitionNumber(xxhash.xxh64_intdigest(program_id.encode()) % BUDGET_PARTITIONS)
@@ -106,6 +122,29 @@
             self.follows_loss = row.unrecorded_tokens is not None
         self.allowance = 0 if row is not None or self.follows_loss else first_allowance(limit)
 
+    def state(self) -> AccountState:
+        """Return what another process needs to go on with the account."""
+        return AccountState(
+            max(self.limit, 0),
+            self.base,
+            self.allowance,
+            self.committed(),
+            self.longest_turn,
+            self.follows_loss,
+            self.version,
+        )
+
+    @classmethod
+    def resumed(cls, state: AccountState) -> "Account":
+        """Return the account that another process has handed over."""
+        account = cls(state.limit, 0, None, state.version)
+        account.base = state.base
+        account.allowance = state.allowance
+        account.used = state.used
+        account.longest_turn = state.longest_turn
+        account.follows_loss = state.follows_loss
+        return account
+
     def committed(self) -> int:
         """Return the tokens used plus those reserved by turns in progress."""
         return self.used + sum(self.reserved.values())
--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -151,6 +151,8 @@
     BUDGET_PARTITION_CLAIMED = (880, Level.INFO, "This process now owns a budget partition.")
     BUDGET_PARTITION_LOST = (881, Level.WARNING, "A budget partition was lost without a handover.")
     BUDGET_OWNER_SILENT = (882, Level.WARNING, "A partition's owner did not answer as its owner.")
+    BUDGET_PARTITION_HANDED = (883, Level.INFO, "Another gateway took a budget partition over.")
+    BUDGET_PARTITION_TAKEN = (884, Level.INFO, "This process goes on for a stopping owner.")
     GATEWAY_STARTING = (886, Level.INFO, "The process has read its settings and begins to listen.")
     GATEWAY_FAILED = (887, Level.ERROR, "The process ends by an error; which ones.")
     GATEWAY_LISTEN_FAILED = (888, Level.WARNING, "A port could not be opened; it is tried again.")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -1,6 +1,7 @@
 """Token accounts of the programs whose partitions this process owns."""
 
 from collections.abc import Sequence
+from typing import Protocol
 
 import anyio
 import msgspec
@@ -11,6 +12,7 @@
     ErrorCode,
     MalformedDataError,
     NotOwnerError,
+    PlatformRefusedError,
     PlatformUnavailableError,
     SkylarkferryError,
     TokensSpentError,
@@ -24,7 +26,7 @@
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.decoding import decode
 from skylarkferry_gateway.interfaces import Store
-from skylarkferry_gateway.messages import Reservation
+from skylarkferry_gateway.messages import HandedPartition, HandedProgram, Reservation
 from skylarkferry_gateway.ownership import OwnedPartition, OwnerTable, account_key, owner_key
 from skylarkferry_gateway.store_calls import retry_until
 
@@ -35,6 +37,13 @@
 """Rows deleted per call, each with a condition."""
 
 
+class PartitionHeirs(Protocol):
+    """Other gateways that go on with the partitions of this one."""
+
+    async def hand_over(self, handed: HandedPartition, own_address: str) -> bool:
+        """Hand a partition over; return whether a gateway has taken it."""
+
+
 class AllowancePendingError(PlatformUnavailableError):
     """The store has not yet confirmed a write of the owner: a larger allowance, or its claim."""
 
@@ -89,6 +98,28 @@
             self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=str(error))
             return AccountRow(limit)
 
+    @classmethod
+    def taken(cls, handed: HandedPartition, log: EventLog) -> "PartitionAccounts":
+        """Return the accounts that the partition's owner has handed over."""
+        partition = OwnedPartition(handed.number, handed.ownership, handed.version)
+        accounts = cls(partition, handed.rows, log)
+        for program in handed.programs:
+            account = Account.resumed(program.state)
+            accounts.programs[program.program_id] = ProgramAccount(
+                account, program.key, accounts.owned_since
+            )
+        return accounts
+
+    def handed(self) -> HandedPartition:
+        """Return what another gateway needs to go on with the partition."""
+        programs = [
+            HandedProgram(program_id, program.key, program.account.state())
+            for program_id, program in self.programs.items()
+        ]
+        owned = self.partition
+        rows = list(self.rows.values())
+        return HandedPartition(owned.number, owned.ownership, owned.version, programs, rows)
+
     def remove_idle(self, now: float) -> list[Condition]:
         """Remove accounts unused for ``ACCOUNT_IDLE_S``; return the keys and versions of rows."""
         rows: list[Condition] = []
@@ -116,9 +147,16 @@
 class AccountManager:
     """Reserve and settle tokens of the programs in this process's partitions."""
 
-    def __init__(self, store: Store, owner_table: OwnerTable, log: EventLog) -> None:
+    def __init__(
+        self,
+        store: Store,
+        owner_table: OwnerTable,
+        log: EventLog,
+        heirs: PartitionHeirs | None = None,
+    ) -> None:
         self.store = store
         self.owner_table = owner_table
+        self.heirs = heirs
         self.log = log
         self.partitions: dict[PartitionNumber, PartitionAccounts] = {}
         self.claim_locks: dict[PartitionNumber, anyio.Lock] = {}
@@ -139,6 +177,35 @@
             if claimed is not None:
                 self.partitions[number] = PartitionAccounts(*claimed, self.log)
 
+    def take(self, handed: HandedPartition) -> bool:
+        """Go on with a partition that its stopping owner hands over; return whether it is taken."""
+        number = handed.number
+        lock = self.claim_locks.get(number)
+        if self.is_closed or self.owns(number) or (lock is not None and lock.locked()):
+            return False
+        self.partitions[number] = PartitionAccounts.taken(handed, self.log)
+        self.log.emit(
+            EventKind.BUDGET_PARTITION_TAKEN,
+            partition=number,
+            before=handed.ownership.owner,
+            generation=handed.ownership.generation,
+            programs=len(handed.programs),
+        )
+        return True
+
+    async def confirm_taken(self) -> None:
+        """Name this process as the owner of the partitions that it has taken over.
+
+        A partition that was claimed meanwhile is dropped. Raise ``PlatformUnavailableError``.
+        """
+        for owned in list(self.partitions.values()):
+            if owned.partition.ownership.owner == self.owner_table.incarnation:
+                continue
+            try:
+                await self.owner_table.confirm(owned.partition)
+            except WriteConflictError:
+                self._drop_partition(owned)
+
     async def reserve(self, reservation: Reservation, deadline_at: float) -> None:
         """Reserve the maximum number of tokens that a turn may generate.
 
@@ -323,7 +390,10 @@
                     self.log.emit(EventKind.GATEWAY_STORE_RETRY, call="forget", detail=error.detail)
 
     async def release_all(self, deadline_at: float) -> None:
-        """Release all partitions before the process ends; a failed release is logged as a loss."""
+        """Release all partitions before the process ends; a failed release is logged as a loss.
+
+        While the store is away, they are handed to other gateways.
+        """
         self.is_closed = True
         owned, self.partitions = list(self.partitions.values()), {}
         async with anyio.create_task_group() as tasks:
@@ -332,17 +402,31 @@
         await self.owner_table.write_unlisted()
 
     async def _release(self, owned: PartitionAccounts, deadline_at: float) -> None:
-        writes = owned.handover_writes()
-        fence = owned.partition.fence()
         try:
             with anyio.fail_after(max(deadline_at - anyio.current_time(), 0)):
-                while len(writes) > _ROWS_PER_CALL:
-                    await self.store.transact([fence], writes[:_ROWS_PER_CALL])
-                    writes = writes[_ROWS_PER_CALL:]
-                await self.owner_table.release(owned.partition, writes)
+                await self._release_or_hand_over(owned)
         except (PlatformUnavailableError, WriteConflictError, TimeoutError) as error:
             self.log.emit(
                 EventKind.BUDGET_PARTITION_LOST,
                 partition=owned.partition.number,
                 detail=repr(error),
             )
+
+    async def _release_or_hand_over(self, owned: PartitionAccounts) -> None:
+        """Release a partition, or hand it over if the store has certainly changed nothing."""
+        writes = owned.handover_writes()
+        fence = owned.partition.fence()
+        is_unchanged = True
+        try:
+            if self.store.unavailable_s() > defaults.STORE_LOST_AFTER_S:
+                raise PlatformRefusedError("the store does not answer; nothing was sent")
+            while len(writes) > _ROWS_PER_CALL:
+                await self.store.transact([fence], writes[:_ROWS_PER_CALL])
+                is_unchanged = False
+                writes = writes[_ROWS_PER_CALL:]
+            await self.owner_table.release(owned.partition, writes)
+        except PlatformRefusedError:
+            if not is_unchanged or self.heirs is None:
+                raise
+            if not await self.heirs.hand_over(owned.handed(), self.owner_table.address):
+                raise
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from skylarkferry_core.accounts import NO_OWNER, budget_partition
+from skylarkferry_core.accounts import NO_OWNER, Ownership, budget_partition
 from skylarkferry_core.errors import (
     NotOwnerError,
     PlatformUnavailableError,
@@ -18,6 +18,7 @@
 from skylarkferry_gateway.failover_store import FailoverStore
 from skylarkferry_gateway.messages import Reservation
 from skylarkferry_gateway.ownership import OwnerTable
+from skylarkferry_gateway.partition_heirs import PartitionHeirs
 from skylarkferry_gateway.peers import (
     PeerDownError,
     PeerSilentError,
@@ -37,10 +38,12 @@
         owner_table: OwnerTable,
         accounts: AccountManager,
         store: FailoverStore,
+        heirs: PartitionHeirs,
         log: EventLog,
     ) -> None:
         self.owner_table = owner_table
         self.accounts = accounts
+        self.heirs = heirs
         self.store = store
         self.peers = store.peers
         self.log = log
@@ -118,9 +121,7 @@
             self._on_silent(ownership.owner, asked_at, error)
             return False
         except PeerDownError as error:
-            self._log_owner_failure(number, ownership.owner, error.detail)
-            await self._claim(number, ownership.generation, deadline_at)
-            return False
+            return await self._replace_owner(number, reservation, error.detail, deadline_at)
         if reply.verdict is Verdict.GRANTED:
             self.turn_owners[reservation.turn] = ownership.address
             return True
@@ -130,10 +131,43 @@
             if anyio.current_time() + defaults.OWNER_WAIT_S > deadline_at:
                 raise AllowancePendingError(reply.detail, retry_after_s=defaults.RETRY_AFTER_S)
             return False  # the owner answers: it is asked again, and its partition not claimed
-        self._log_owner_failure(number, ownership.owner, reply.detail)
+        return await self._replace_owner(number, reservation, reply.detail, deadline_at)
+
+    async def _replace_owner(
+        self,
+        number: PartitionNumber,
+        reservation: Reservation,
+        detail: str,
+        deadline_at: float,
+    ) -> bool:
+        """Reserve at an heir of an owner that is gone, or claim its partition to try again."""
+        ownership = self.owner_table.owners[number]
+        self._log_owner_failure(number, ownership.owner, detail)
+        is_lost = self.store.unavailable_s() > defaults.STORE_LOST_AFTER_S
+        if is_lost and await self._reserve_at_heir(number, ownership, reservation):
+            return True
         await self._claim(number, ownership.generation, deadline_at)
         return False
 
+    async def _reserve_at_heir(
+        self, number: PartitionNumber, ownership: Ownership, reservation: Reservation
+    ) -> bool:
+        for address in self.heirs.addresses(number, ownership.address):
+            if address == self.owner_table.address:
+                continue
+            try:
+                reply = await self.peers.reserve(address, reservation)
+            except (PeerSilentError, PeerDownError) as error:
+                self._log_owner_failure(number, ownership.owner, f"heir: {error.detail}")
+                continue
+            if reply.verdict is Verdict.SPENT:
+                raise TokensSpentError(reply.detail)
+            if reply.verdict is Verdict.GRANTED:
+                self.owner_table.on_taken_over(number, address)
+                self.turn_owners[reservation.turn] = address
+                return True
+        return False
+
     def _on_silent(self, owner: Incarnation, asked_at: float, error: SkylarkferryError) -> None:
         """Mark an owner as silent, unless this process itself was paused during the call."""
         now = anyio.current_time()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
@@ -5,14 +5,17 @@
 
 import msgspec
 
+from skylarkferry_core.accounts import BUDGET_PARTITIONS, AccountState, Ownership
 from skylarkferry_core.ids import (
     FailureDomain,
+    PartitionNumber,
     ProgramId,
     RunId,
     ServiceName,
     TurnId,
     UpstreamId,
 )
+from skylarkferry_core.interfaces import Row
 
 Headers = list[tuple[bytes, bytes]]
 """Header fields in wire order, with names in lower case."""
@@ -121,6 +124,27 @@
     streams: Annotated[list[ToldStream], msgspec.Meta(max_length=MAX_TOLD_STREAMS)]
 
 
+class HandedProgram(msgspec.Struct, frozen=True, array_like=True):
+    """A program's account that a stopping owner hands to another gateway, and its row's key."""
+
+    program_id: ProgramId
+    key: str
+    state: AccountState
+
+
+class HandedPartition(msgspec.Struct, frozen=True):
+    """A partition that a stopping owner hands over: its claim, accounts and rows without one.
+
+    ``version`` is that of the partition's own row, which still names the former owner.
+    """
+
+    number: Annotated[PartitionNumber, msgspec.Meta(ge=0, lt=BUDGET_PARTITIONS)]
+    ownership: Ownership
+    version: Annotated[int, msgspec.Meta(ge=0)]
+    programs: list[HandedProgram]
+    rows: list[Row]
+
+
 class ReportedLoad(msgspec.Struct, frozen=True):
     """Load that an upstream reports in a response."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
@@ -131,6 +131,11 @@
         """Return the addresses of the other owners."""
         return {ownership.address for ownership in self.owners.values()} - {"", self.address}
 
+    def on_taken_over(self, number: PartitionNumber, address: str) -> None:
+        """Ask the gateway at this address for a partition whose owner has handed it over."""
+        ownership = self.owners[number]
+        self.owners[number] = msgspec.structs.replace(ownership, address=address)
+
     def owner(self, number: PartitionNumber) -> Incarnation:
         """Return the newest owner that this process knows, or ``NO_OWNER``."""
         return self.owners.get(number, Ownership()).owner
@@ -190,6 +195,17 @@
         except TimeoutError as error:
             raise PlatformUnavailableError("the store did not answer in time") from error
 
+    async def confirm(self, partition: OwnedPartition) -> None:
+        """Name this process as the owner of a partition that the former owner has handed over.
+
+        Raise ``WriteConflictError`` if another process claimed it, ``PlatformUnavailableError``.
+        """
+        taken = partition.ownership.taken_over(self.incarnation, self.address)
+        write = Write(owner_key(partition.number), msgspec.msgpack.encode(taken))
+        partition.version = await self.store.transact([partition.fence()], [write])
+        partition.ownership = self.owners[partition.number] = taken
+        self._add_unlisted(partition.number)
+
     async def release(self, partition: OwnedPartition, rows: Sequence[Write]) -> None:
         """Write the final rows of a partition's programs and release its ownership.
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/partition_claims.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/partition_claims.py
@@ -28,9 +28,16 @@
         self.gateways = gateways
 
     async def claim_unowned(self) -> None:
-        """Claim the unowned partitions of which this gateway is the first choice."""
+        """Claim the unowned partitions of which this gateway is the first choice.
+
+        Before, it makes sure of those that it has taken over from owners that stopped.
+        """
         if self.gateways.known_from is None:
             return
+        try:
+            await self.accounts.confirm_taken()
+        except PlatformUnavailableError:
+            return  # logged by the store client
         for number in self._own_share():
             deadline_at = anyio.current_time() + defaults.RESERVE_TIMEOUT_S
             generation = self.owner_table.generation(number)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -27,7 +27,13 @@
 from skylarkferry_gateway.http_client import HttpConnection, connect
 from skylarkferry_gateway.http_server import ClientConnection, ClientLeftError, ReceivedRequest
 from skylarkferry_gateway.interfaces import Store
-from skylarkferry_gateway.messages import Reservation, StreamOrigin, ToldStream, ToldStreams
+from skylarkferry_gateway.messages import (
+    HandedPartition,
+    Reservation,
+    StreamOrigin,
+    ToldStream,
+    ToldStreams,
+)
 from skylarkferry_gateway.relayed_calls import CallKind, RelayedCall, RelayedReply, perform_call
 from skylarkferry_gateway.stream_origins import StreamOrigins
 from skylarkferry_gateway.transfer_timeout import TransferTimeout
@@ -39,6 +45,7 @@
 _STORE = b"/store"
 _STREAM = b"/stream"
 _STREAMS = b"/streams"
+_PARTITION = b"/partition"
 _MAX_REPLY_BYTES = 65_536
 """Largest reply to a call that is not relayed to the store."""
 _MAX_PROGRESS_RESPONSES = 1 + round(defaults.PEER_TRANSFER_TIMEOUT_S / defaults.PEER_PROGRESS_S)
@@ -75,11 +82,19 @@
     taken: int
 
 
+class TakenReply(msgspec.Struct, frozen=True):
+    """Reply to an owner that hands a partition over: whether it was taken."""
+
+    is_taken: bool
+
+
 _SETTLEMENT = msgspec.json.Decoder(Settlement)
 _RELAYED_CALL = msgspec.json.Decoder(RelayedCall)
 _STREAM_ID = msgspec.json.Decoder(str)
 _RESERVATION = msgspec.json.Decoder(Reservation)
 _TOLD_STREAMS = msgspec.json.Decoder(ToldStreams)
+_HANDED_PARTITION = msgspec.json.Decoder(HandedPartition)
+_TAKEN_REPLY = msgspec.json.Decoder(TakenReply)
 _RESERVE_REPLY = msgspec.json.Decoder(ReserveReply)
 _RELAYED_REPLY = msgspec.json.Decoder(RelayedReply)
 _TOLD_REPLY = msgspec.json.Decoder(ToldReply)
@@ -127,6 +142,9 @@
         if received.target == _STREAMS:
             await self._take_streams(received.body, client)
             return
+        if received.target == _PARTITION:
+            await self._take_partition(received.body, client)
+            return
         reply = await self._reserve(decode(_RESERVATION.decode, received.body))
         await client.respond(200, [], msgspec.json.encode(reply))
 
@@ -157,6 +175,16 @@
         taken = self.origins.take(told.streams)
         await client.respond(200, [], msgspec.json.encode(ToldReply(taken)))
 
+    async def _take_partition(self, body: bytes, client: ClientConnection) -> None:
+        """Go on with a partition of a gateway that ends."""
+        try:
+            handed = decode(_HANDED_PARTITION.decode, body)
+        except MalformedDataError as error:
+            await client.send_error(BadRequestError(error.detail), closes_connection=True)
+            return
+        reply = TakenReply(self.accounts.take(handed))
+        await client.respond(200, [], msgspec.json.encode(reply))
+
     async def _reserve(self, reservation: Reservation) -> ReserveReply:
         deadline_at = anyio.current_time() + defaults.OWNER_WAIT_S
         try:
@@ -210,6 +238,11 @@
         body = await self._call(address, _STREAMS, msgspec.json.encode(ToldStreams(streams)))
         _decode(address, body, _TOLD_REPLY)
 
+    async def hand_partition(self, address: str, handed: HandedPartition) -> bool:
+        """Hand a partition to a peer; raise ``PeerSilentError`` or ``PeerDownError``."""
+        body = await self._call(address, _PARTITION, msgspec.json.encode(handed))
+        return _decode(address, body, _TAKEN_REPLY).is_taken
+
     async def _call(
         self,
         address: str,
--- a/tests/core/test_accounts.py
+++ b/tests/core/test_accounts.py
@@ -238,6 +238,25 @@
         self.ownership, self.fence = self.ownership.released(), self.fence + 1
         self.claim()
 
+    def hand_over(self, owner):
+        """Let another process go on for an owner, under the same claim."""
+        if not owner.can_grant:
+            return
+        owner.can_grant = False
+        heir = Owner(owner.losses, owner.fence, owner.row, owner.version)
+        if owner.account is not None:
+            heir.account = Account.resumed(owner.account.state())
+        self.owners[self.owners.index(owner)] = heir
+
+    def confirm(self, owner):
+        """Let a process that goes on for an owner replace the claim, if it is still in force."""
+        if owner.fence != self.fence:
+            owner.can_grant = False
+            return
+        self.ownership = self.ownership.taken_over(Incarnation(f"heir-{self.fence}"), "")
+        self.fence += 1
+        owner.fence = self.fence
+
     def perform_late_writes(self):
         for write in self.late_writes:
             self._write(*write)
@@ -299,7 +318,9 @@
 LIMITS = st.integers(-3, 60)
 TOKENS = st.integers(1, 30)
 LENGTHS = st.tuples(st.integers(1, 5), TOKENS)
-CHANGES = st.sampled_from(["claim"] * 3 + ["none", "claim again", "release", "late writes"])
+CHANGES = st.sampled_from(
+    ["claim"] * 3 + ["none", "claim again", "release", "late writes", "hand over", "confirm"]
+)
 
 
 class Round(NamedTuple):
@@ -336,6 +357,10 @@
             ledger.release()
         case "late writes":
             ledger.perform_late_writes()
+        case "hand over":
+            ledger.hand_over(ledger.owners[-1 - step.owner % len(ledger.owners)])
+        case "confirm":
+            ledger.confirm(ledger.owners[-1 - step.owner % len(ledger.owners)])
     for turn, unused in zip(ledger.turns[::-1], step.unused, strict=False):
         ledger.settle(turn, unused)
     owner = ledger.owners[-1 - step.owner % len(ledger.owners)]
@@ -380,7 +405,8 @@
 def test_turn_is_refused_without_a_loss_only_if_the_budget_does_not_cover_it(limit, lengths, steps):
     ledger = Ledger()
     for step in steps:
-        change = step.change if step.change in ("claim again", "release", "none") else "none"
+        kept = ("claim again", "release", "none", "hand over", "confirm")
+        change = step.change if step.change in kept else "none"
         need = perform(ledger, step._replace(change=change), limit, lengths)
         if need is not None:
             assert_that(ledger.tokens + need, GreaterThan(limit))
