--- a/tests/gateway/test_long_streams.py
+++ b/tests/gateway/test_long_streams.py
@@ -9,6 +9,7 @@
 
 from gateway_rig import GRACE_S, ROUTES, config, send, wait_until
 from skylarkferry_gateway import defaults
+from skylarkferry_standins.replica import process_report
 from skylarkferry_standins.row_store import StoreFault
 from skylarkferry_standins.wire_server import Ending, encode_reply
 from stream_clients import (
@@ -45,6 +46,8 @@
 
     async def handler(request):
         reply = await handle(request)
+        if process_report(request, born_ms=1) is not None:
+            return reply
         if "last-event-id" in request.headers and "hold" not in request.headers:
             return reply
         if reply.raw is None:
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -163,7 +163,8 @@
         return replica
 
     def register_replica(self, name, service="tools", **fields):
-        self.replicas[name].born_ms = fields.get("born", 1)
+        if name in self.replicas:
+            self.replicas[name].born_ms = fields.get("born", 1)
         row = entry(name, service, self.addresses[name], **fields)
         self.store.put("servers", "", name, json.dumps(row).encode())
 
