--- a/tests/gateway/test_partition_claims.py
+++ b/tests/gateway/test_partition_claims.py
@@ -6,21 +6,13 @@
 
 from gateway_rig import send, turn_headers, wait_until
 from skylarkferry_core.accounts import BUDGET_PARTITIONS, NO_OWNER
-from skylarkferry_gateway import defaults
 from skylarkferry_standins.row_store import StoreFault
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.usefixtures("frequent_reads")]
 
 PROGRAMS = 16
 
 
-@pytest.fixture(autouse=True)
-def frequent_reads(monkeypatch):
-    """Read the lists of owners and gateways often."""
-    monkeypatch.setattr(defaults, "OWNERS_POLL_S", 0.2)
-    monkeypatch.setattr(defaults, "GATEWAY_HEARTBEAT_S", 0.2)
-
-
 def owned(*gateways):
     return [len(gateway.accounts.partitions) for gateway in gateways]
 
--- a/tests/gateway/test_partition_heirs.py
+++ b/tests/gateway/test_partition_heirs.py
@@ -15,7 +15,7 @@
 from skylarkferry_gateway.peers import PeerSilentError, PeerUnreachableError
 from skylarkferry_standins.row_store import StoreFault
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.usefixtures("frequent_reads")]
 
 PROGRAMS = 16
 TURN_TOKENS = 100
@@ -23,13 +23,6 @@
 FIRST_ALLOWANCE_TURNS = 3
 
 
-@pytest.fixture(autouse=True)
-def frequent_reads(monkeypatch):
-    """Read the lists of owners and gateways often."""
-    monkeypatch.setattr(defaults, "OWNERS_POLL_S", 0.2)
-    monkeypatch.setattr(defaults, "GATEWAY_HEARTBEAT_S", 0.2)
-
-
 async def add_owners(rig, count):
     """Start gateways that own all partitions together."""
     replica = await rig.add_replica("e1", "engine")
