Claim from the owner that was found gone, and keep what an heir has confirmed

Found by reading: - the claim after an owner did not answer named the newest owner known by then, not the one that was asked, so that a live owner which had claimed meanwhile could be deposed, at a loss; - an heir whose confirmation took effect without an answer dropped the partition at the next conflict. It would then have claimed it from itself, which counts no loss, although it had granted first allowances without rows: tokens beyond the budget; - a partition that arrives late, after another gateway has claimed it, is not taken any more.

Tests in test_partition_heirs.py; the two on the unanswered confirmation fail if the row is not recognized.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -181,7 +181,9 @@
         """Go on with a partition that its stopping owner hands over; return whether it is taken."""
         number = handed.number
         lock = self.claim_locks.get(number)
-        if self.is_closed or self.owns(number) or (lock is not None and lock.locked()):
+        is_claimed = self.owner_table.generation(number) > handed.ownership.generation
+        is_under_claim = lock is not None and lock.locked()
+        if self.is_closed or self.owns(number) or is_claimed or is_under_claim:
             return False
         self.partitions[number] = PartitionAccounts.taken(handed, self.log)
         self.log.emit(
@@ -338,7 +340,8 @@
         """Check whether the partition was lost or an earlier, unanswered call took effect."""
         number = owned.partition.number
         fence = await retry_until(lambda: self.store.read(owner_key(number)), deadline_at)
-        if fence.version != owned.partition.version:
+        is_own = fence.version == owned.partition.version
+        if not is_own and not self.owner_table.adopt(owned.partition, fence):
             self._drop_partition(owned)
             raise NotOwnerError(f"partition {number} was claimed by another process")
         row = await retry_until(lambda: self.store.read(program.key), deadline_at)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
@@ -121,7 +121,8 @@
             self._on_silent(ownership.owner, asked_at, error)
             return False
         except PeerDownError as error:
-            return await self._replace_owner(number, reservation, error.detail, deadline_at)
+            self._log_owner_failure(number, ownership.owner, error.detail)
+            return await self._replace_owner(number, ownership, reservation, deadline_at)
         if reply.verdict is Verdict.GRANTED:
             self.turn_owners[reservation.turn] = ownership.address
             return True
@@ -131,18 +132,17 @@
             if anyio.current_time() + defaults.OWNER_WAIT_S > deadline_at:
                 raise AllowancePendingError(reply.detail, retry_after_s=defaults.RETRY_AFTER_S)
             return False  # the owner answers: it is asked again, and its partition not claimed
-        return await self._replace_owner(number, reservation, reply.detail, deadline_at)
+        self._log_owner_failure(number, ownership.owner, reply.detail)
+        return await self._replace_owner(number, ownership, reservation, deadline_at)
 
     async def _replace_owner(
         self,
         number: PartitionNumber,
+        ownership: Ownership,
         reservation: Reservation,
-        detail: str,
         deadline_at: float,
     ) -> bool:
         """Reserve at an heir of an owner that is gone, or claim its partition to try again."""
-        ownership = self.owner_table.owners[number]
-        self._log_owner_failure(number, ownership.owner, detail)
         is_lost = self.store.unavailable_s() > defaults.STORE_LOST_AFTER_S
         if is_lost and await self._reserve_at_heir(number, ownership, reservation):
             return True
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
@@ -200,9 +200,29 @@
 
         Raise ``WriteConflictError`` if another process claimed it, ``PlatformUnavailableError``.
         """
-        taken = partition.ownership.taken_over(self.incarnation, self.address)
+        taken = self._taken_over(partition)
         write = Write(owner_key(partition.number), msgspec.msgpack.encode(taken))
-        partition.version = await self.store.transact([partition.fence()], [write])
+        try:
+            version = await self.store.transact([partition.fence()], [write])
+        except WriteConflictError:
+            if not self.adopt(partition, await self.store.read(write.key)):
+                raise
+            return
+        self._on_confirmed(partition, taken, version)
+
+    def adopt(self, partition: OwnedPartition, row: Row) -> bool:
+        """Return whether a partition's row is this process's own, of an unanswered confirmation."""
+        taken = self._taken_over(partition)
+        if _decode(row) != taken:
+            return False
+        self._on_confirmed(partition, taken, row.version)
+        return True
+
+    def _taken_over(self, partition: OwnedPartition) -> Ownership:
+        return partition.ownership.taken_over(self.incarnation, self.address)
+
+    def _on_confirmed(self, partition: OwnedPartition, taken: Ownership, version: int) -> None:
+        partition.version = version
         partition.ownership = self.owners[partition.number] = taken
         self._add_unlisted(partition.number)
 
--- a/tests/gateway/test_partition_heirs.py
+++ b/tests/gateway/test_partition_heirs.py
@@ -8,10 +8,11 @@
 
 from gateway_rig import send, turn_headers, wait_until
 from skylarkferry_core.accounts import BUDGET_PARTITIONS, Ownership, budget_partition
+from skylarkferry_core.errors import PlatformUnavailableError
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.ids import ProgramId
+from skylarkferry_core.ids import ProgramId, TurnId
 from skylarkferry_gateway import defaults
-from skylarkferry_gateway.messages import HandedPartition
+from skylarkferry_gateway.messages import HandedPartition, Reservation
 from skylarkferry_gateway.peers import PeerSilentError, PeerUnreachableError
 from skylarkferry_standins.row_store import StoreFault
 
@@ -189,3 +190,78 @@
             await peers._call(address, b"/partition", body)
     taken = [item for item in gateway.log.ring if item.number == EventKind.BUDGET_PARTITION_TAKEN]
     assert_that(taken, Equals([]))
+
+
+def lose_next_answer(monkeypatch, table):
+    """Let the next write of an owner table take effect without an answer."""
+    transact = table.store.transact
+
+    async def unanswered(conditions, writes):
+        monkeypatch.setattr(table.store, "transact", transact)
+        await transact(conditions, writes)
+        raise PlatformUnavailableError("the answer is lost")
+
+    monkeypatch.setattr(table.store, "transact", unanswered)
+
+
+class FollowsNoList:
+    """A list of gateways that has not been read."""
+
+    known_from = None
+
+
+async def hand_over_without_store(rig, gateways):
+    """Let the first gateway stop while the store is away; return an heir and a partition of it."""
+    numbers = list(gateways[0].accounts.partitions)
+    for gateway in gateways:
+        gateway.claims.gateways = FollowsNoList()  # so that nothing is claimed or confirmed
+    await lose_store(rig, *gateways)
+    await stop(gateways[0])
+    heir = next(item for item in gateways[1:] if set(numbers) & set(item.accounts.partitions))
+    rig.store.fault = lambda request: StoreFault.NONE
+    await wait_until(lambda: heir.store.unavailable_s() == 0)
+    return heir, next(number for number in numbers if heir.accounts.owns(number))
+
+
+# Guards against tokens beyond the budget by an heir that claims what it has granted from already.
+@pytest.mark.parametrize("is_growth", [False, True])
+async def test_heir_keeps_a_partition_whose_confirmation_was_not_answered(
+    rig, monkeypatch, is_growth
+):
+    gateways = await add_owners(rig, 3)
+    heir, number = await hand_over_without_store(rig, gateways)
+    owned = heir.accounts.partitions[number]
+    lose_next_answer(monkeypatch, heir.owners)
+    with pytest.raises(PlatformUnavailableError):
+        await heir.owners.confirm(owned.partition)
+    if is_growth:
+        programs = (ProgramId(f"program-{item}") for item in range(10_000))
+        program = next(item for item in programs if budget_partition(item) == number)
+        deadline_at = anyio.current_time() + 5
+        for turn in ("t1", "t2", "t3", "t4"):
+            reservation = Reservation(program, BUDGET, TurnId(turn), TURN_TOKENS)
+            await heir.accounts.reserve(reservation, deadline_at)
+    else:
+        await heir.owners.confirm(owned.partition)
+    assert_that(heir.accounts.partitions.get(number) is owned, Equals(True))
+    row = rig.store.value("accounts", str(number), "owner")
+    assert_that(msgspec.msgpack.decode(row, type=Ownership), Equals(owned.partition.ownership))
+    assert_that(owned.partition.ownership.owner, Equals(heir.owners.incarnation))
+
+
+async def test_heir_drops_a_partition_that_was_claimed_meanwhile(rig):
+    gateways = await add_owners(rig, 3)
+    heir, number = await hand_over_without_store(rig, gateways)
+    other = next(item for item in gateways[1:] if item is not heir)
+    await other.accounts.claim(number, 1, anyio.current_time() + 5)
+    assert_that(other.accounts.partitions[number].partition.ownership.losses, Equals(1))
+    await heir.accounts.confirm_taken()
+    assert_that(heir.accounts.owns(number), Equals(False))
+
+
+async def test_partition_that_another_one_has_claimed_is_not_taken(rig):
+    (gateway,) = await add_owners(rig, 1)
+    number = next(iter(gateway.accounts.partitions))
+    handed = gateway.accounts.partitions.pop(number).handed()
+    gateway.owners.owners[number] = Ownership("another", "127.0.0.1:9", 2, 1)
+    assert_that(gateway.accounts.take(handed), Equals(False))
