Write rows of moved routes after those that streams wait for

Found by reading: at 64 gateways, which share 100 calls a second, the rows of 4,000 streams whose route has moved take 50 s, and a stream that begins then and needs a row waits behind them; after 0.8 s it ends with 502. They have a queue of their own now, which is written with what a call has left, the latest streams first, at most 2,000. test_row_that_a_beginning_stream_awaits_goes_before_those_of_a_moved_route: fails with one queue.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
@@ -31,6 +31,8 @@
 """Streams of other gateways in memory; beyond that, those told first are forgotten."""
 _MAX_UNSENT = 4_000
 """Rows that wait for the store; beyond that, the oldest are dropped."""
+_MAX_BACKLOG = 2_000
+"""Rows of streams whose routes have moved that wait behind all others."""
 _ROWS_PER_CALL = 50
 """Rows of one call, which has at most 100 entries: a condition and a write for each."""
 _CALLS_PER_S = 100.0
@@ -99,6 +101,7 @@
         self.has_told = False
         self.active: dict[str, _Active] = {}
         self.unsent: deque[Write] = deque()
+        self.backlog: deque[Write] = deque()
         self.rows: dict[str, StreamRow] = {}
         self.written: OrderedDict[str, float] = OrderedDict()
         self.versions: dict[str, int] = {}
@@ -142,20 +145,37 @@
             self._store(StreamRow(Write(key, msgspec.msgpack.encode(origin)), is_renewal=True))
 
     def store_rows_of(self, services: Collection[ServiceName]) -> None:
-        """Queue the rows of all streams of these services that can be resumed and have none."""
-        if not services:
-            return
-        for item in reversed(self.resumable()):
-            key = row_key(_TABLE, _PART, item.stream)
-            if item.origin.service in services and key not in self.written:
-                self._store(StreamRow(Write(key, msgspec.msgpack.encode(item.origin))))
+        """Queue the rows of the streams of these services that can be resumed and have none.
+
+        They are written after all others, since a stream that begins waits for its row.
+        """
+        writes = [
+            Write(row_key(_TABLE, _PART, item.stream), msgspec.msgpack.encode(item.origin))
+            for item in self.resumable()
+            if item.origin.service in services
+        ]
+        missing = [write for write in writes if write.key not in self.written]
+        queued = missing[: _MAX_BACKLOG - len(self.backlog)]
+        for write in queued:
+            self._register(StreamRow(write))
+        self.backlog.extend(queued)
+        self.added.set()
+        if len(queued) < len(missing):
+            self.log.emit(
+                EventKind.GATEWAY_STORE_RETRY,
+                call=_TABLE,
+                detail=f"too many rows wait; {len(missing) - len(queued)} get none",
+            )
 
     def _store(self, row: StreamRow) -> StreamRow:
+        self._register(row)
+        self._enqueue(row.write)
+        return row
+
+    def _register(self, row: StreamRow) -> None:
         self.rows[row.write.key] = row
         self.written[row.write.key] = anyio.current_time()
         self.written.move_to_end(row.write.key)
-        self._enqueue(row.write)
-        return row
 
     async def renew_rows(self) -> None:
         """Queue the rows of streams that have been relayed since they were renewed last."""
@@ -253,7 +273,7 @@
     async def write(self) -> None:
         """Write queued rows until cancelled; a failed call is repeated."""
         while True:
-            if not self.unsent:
+            if not self.unsent and not self.backlog:
                 self.added = anyio.Event()
                 await self.added.wait()
             await self._write_batch()
@@ -261,6 +281,8 @@
 
     async def _write_batch(self) -> None:
         batch = [self.unsent.popleft() for _ in range(min(len(self.unsent), _ROWS_PER_CALL))]
+        spare = _ROWS_PER_CALL - len(batch)
+        batch.extend(self.backlog.popleft() for _ in range(min(len(self.backlog), spare)))
         latest = {write.key: write for write in batch}
         began = anyio.current_time()
         try:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
@@ -123,7 +123,9 @@
             self.changes.begin(now)
         else:
             # Gateways that start from now on do not see that the routes have led there.
-            self.origins.store_rows_of(self.changes.update(self.current, table, now))
+            left = self.changes.update(self.current, table, now)
+            if left:
+                self.origins.store_rows_of(left)
         self.current = table
         self.metrics.config_version.set(table.version)
         self.log.emit(
--- a/tests/gateway/test_streams_out_of_step.py
+++ b/tests/gateway/test_streams_out_of_step.py
@@ -3,8 +3,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from gateway_rig import ROUTES, config, free_address, wait_until
-from skylarkferry_gateway import defaults
+from gateway_rig import ROUTES, TIMEOUT_S, config, free_address, wait_until
+from skylarkferry_gateway import defaults, stream_origins
+from skylarkferry_gateway.messages import StreamOrigin
 from skylarkferry_standins.row_store import StoreFault
 from skylarkferry_standins.wire_server import Ending, WireReply, WireServer
 from stream_clients import (
@@ -292,6 +293,25 @@
     assert_that(len(mixed_streams(rig, started)), Equals(0))
 
 
+async def test_row_that_a_beginning_stream_awaits_goes_before_those_of_a_moved_route(
+    rig, monkeypatch
+):
+    monkeypatch.setattr(stream_origins, "_CALLS_PER_S", 2.0)
+    monkeypatch.setattr(stream_origins, "_MAX_BACKLOG", 300)
+    origins = (await rig.add_gateway("g1")).origins
+    for number in range(400):
+        origins.remember(f"s-{number}", StreamOrigin("engine", "v1"))
+    origins.store_rows_of({"engine"})
+    row = origins.store_row("begins", StreamOrigin("engine", "v2"))
+    with anyio.fail_after(TIMEOUT_S):
+        await row.stored.wait()
+    assert_that(stored_streams(rig) <= 100, Equals(True))
+    await wait_until(lambda: stored_streams(rig) == 301)
+    assert_that(len(origins.rows), Equals(0))
+    assert_that(rig.store.value("streams", "streams", "s-399") is not None, Equals(True))
+    assert_that(rig.store.value("streams", "streams", "s-0"), Equals(None))
+
+
 async def test_streams_whose_route_stays_get_no_rows(rig):
     services = await add_services(rig)
     gateway = await rig.add_gateway("g1")
