--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/partition_heirs.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/partition_heirs.py
@@ -1,5 +1,7 @@
 """Gateways that take over the partitions of a stopping owner while the store is away."""
 
+import anyio
+
 from skylarkferry_core.errors import SkylarkferryError
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import PartitionNumber
@@ -24,6 +26,7 @@
         self.gateways = gateways
         self.peers = peers
         self.log = log
+        self.lock = anyio.Lock()
 
     def addresses(self, number: PartitionNumber, owner_address: str) -> list[str]:
         """Return the addresses of a partition's heirs, without that of its owner."""
@@ -36,8 +39,13 @@
     async def hand_over(self, handed: HandedPartition, own_address: str) -> bool:
         """Hand a partition to its first heir that takes it; return whether one did.
 
-        After a call whose outcome is unknown, no other heir is asked: two would grant the same.
+        After a call whose outcome is unknown, no other heir is asked: two would grant the same. One
+        partition is handed over at a time, so that many of them do not exceed an heir's time limit.
         """
+        async with self.lock:
+            return await self._hand_over(handed, own_address)
+
+    async def _hand_over(self, handed: HandedPartition, own_address: str) -> bool:
         for address in self.addresses(handed.number, own_address):
             try:
                 is_taken = await self.peers.hand_partition(address, handed)
