Let two tests not depend on a quick machine

Shown by turns of 0.1 s, which fail alike on any machine. The turns now last until all have arrived. - test_bodies_without_end_together_stay_within_the_memory_for_responses: the time limit of 2 s ended an attempt (504) before the memory was used up. Shown by a limit of 0.3 s, which fails alike. The limit is now 60 s. The assertions are unchanged.

--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -9,7 +9,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, LessThan
 
-from gateway_rig import headers, send, turn_headers, wait_until
+from gateway_rig import ROUTES, config, headers, send, turn_headers, wait_until
 from skylarkferry_gateway import defaults, stream_events
 from skylarkferry_gateway.peers import PeerDownError
 from skylarkferry_gateway.stream_events import EventSplitter
@@ -130,12 +130,14 @@
     head = b"HTTP/1.1 200 OK\r\nIDENTITYconnection: close\r\n\r\n"
     for number in range(3):
         await add_endless_replica(rig, f"r{number}", "tools", head, b"x")
+    # The sizes, not the time limit, end the attempts, however slow the machine is.
+    rig.configure(config(1, {"/once/": {**ROUTES["/once/"], "timeoutMs": 60_000}}))
     gateway = await rig.add_gateway()
     memory = gateway.context.response_memory
     statuses = []
 
     async def send_one(number):
-        fields = headers(f"id-{number}")
+        fields = headers(f"id-{number}", deadline_ms=60_000)
         statuses.append((await send(rig, "/once/1", fields)).status_code)
 
     async with anyio.create_task_group() as tasks:
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -1,9 +1,11 @@
+from functools import partial
+
 import anyio
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, LessThan, Not
 
-from gateway_rig import send, turn_headers, wait_until
+from gateway_rig import ROUTES, config, send, turn_headers, wait_until
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.placement_messages import Answer
 from skylarkferry_standins.replica import Behaviour
@@ -67,14 +69,19 @@
 
 async def test_concurrent_turns_of_many_gateways_are_spread_evenly_over_engines(rig, gateways):
     """Each gateway sends too few turns to learn by itself how full the engines are."""
+    rig.configure(config(2, {"/turn/": {**ROUTES["/turn/"], "timeoutMs": 60_000}}))
+    for gateway in gateways:
+        await wait_until(lambda gateway=gateway: gateway.config.current.version == 2)
     for replica in rig.replicas.values():
-        replica.work_s = 1.5
+        replica.work_s = 60.0  # no turn ends before the last one has begun
     turns = 4 * GATEWAYS
     async with anyio.create_task_group() as tasks:
         for number in range(turns):
             gateway = gateways[number % GATEWAYS]
-            tasks.start_soon(send_turn, rig, gateway, f"turn-{number}")
+            turn = partial(send_turn, rig, gateway, f"turn-{number}", deadline_ms=60_000)
+            tasks.start_soon(turn)
             await wait_until(lambda sent=number + 1: sum(arrivals(rig).values()) == sent)
+        tasks.cancel_scope.cancel()
     assert_that(max(arrivals(rig).values()), LessThan(turns // ENGINES + 1))
 
 
