Close a listener of the soak once nothing accepts from it; three workers

Traced by reading: closing a listener cancels its accept and closes the socket one step later; the event loop's callback that removes the reader runs a step after that, when another connection may have got the descriptor. The link of the soak now lets accept end first. The gateway closes its listener once, as it ends; there the loop logs such a callback and goes on.

Tests run in three processes instead of four, which leaves a half of the machine to what they start.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 .PHONY: demo test check bench slopes soak soak-processes lock format
 
-WORKERS ?= 4
+WORKERS ?= 3
 SEEDS ?= 50
 FIRST ?= 0
 
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/proxy.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/proxy.py
@@ -35,23 +35,33 @@
         self.state = LinkState.PASS
         self.delay_s = 0.05
         self.listener: Listener[SocketStream] | None = None
+        self.accepting = anyio.CancelScope()
+        self.accept_ended = anyio.Event()
         self.pairs: set[tuple[SocketStream, SocketStream]] = set()
 
     async def run(self, tasks: TaskGroup) -> None:
         """Listen, and return once connections are accepted."""
         host, _, port = self.address.rpartition(":")
         self.listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
-        tasks.start_soon(self._accept, self.listener)
+        self.accepting, self.accept_ended = anyio.CancelScope(), anyio.Event()
+        tasks.start_soon(self._accept, self.listener, self.accepting, self.accept_ended)
 
-    async def _accept(self, listener: Listener[SocketStream]) -> None:
-        try:
+    async def _accept(
+        self, listener: Listener[SocketStream], scope: anyio.CancelScope, ended: anyio.Event
+    ) -> None:
+        with scope:
             await listener.serve(self._serve)
-        except* anyio.ClosedResourceError:
-            pass  # the listener was closed
+        ended.set()
 
     async def stop_listening(self) -> None:
-        """Refuse new connections until the link runs again; open ones are not affected."""
+        """Refuse new connections until the link runs again.
+
+        The listener is closed once nothing accepts from it: the event loop still has a callback for
+        its descriptor until then, which another connection may have got.
+        """
         if self.listener is not None:
+            self.accepting.cancel()
+            await self.accept_ended.wait()
             await self.listener.aclose()
 
     async def _serve(self, client: SocketStream) -> None:
