--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
@@ -213,7 +213,12 @@
     def adopt(self, partition: OwnedPartition, row: Row) -> bool:
         """Return whether a partition's row is this process's own, of an unanswered confirmation."""
         taken = self._taken_over(partition)
-        if _decode(row) != taken:
+        try:
+            current = _decode(row)
+        except MalformedDataError as error:
+            self.log.emit(EventKind.GATEWAY_ROW_REFUSED, key=row.key, detail=error.detail)
+            return False
+        if current != taken:
             return False
         self._on_confirmed(partition, taken, row.version)
         return True
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -25,13 +25,13 @@
     budget_partition,
 )
 from skylarkferry_core.errors import NotOwnerError, WriteConflictError
-from skylarkferry_core.ids import NodeId, ProgramId, TurnId
+from skylarkferry_core.ids import Incarnation, NodeId, ProgramId, TurnId
 from skylarkferry_core.interfaces import Row
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.accounts import AccountManager
 from skylarkferry_gateway.messages import Reservation
-from skylarkferry_gateway.ownership import OwnedPartition
+from skylarkferry_gateway.ownership import OwnedPartition, OwnerTable
 from skylarkferry_gateway.partition_accounts import PartitionAccounts
 from skylarkferry_standins.replica import EVENT_COUNT, Behaviour
 from skylarkferry_standins.row_store import StoreFault
@@ -575,7 +575,8 @@
     number = budget_partition(ProgramId("program"))
     store = FencedStore()
     log = EventLog(NodeId("g1"), 100)
-    manager = AccountManager(store, None, log)
+    table = OwnerTable(store, Incarnation("g1.0"), "127.0.0.1:9", log)
+    manager = AccountManager(store, table, log)
     lost, claimed = (
         PartitionAccounts(OwnedPartition(number, Ownership(), version), [], log)
         for version in (1, 2)
@@ -600,6 +601,7 @@
         store.is_open.set()
         await wait_until(lambda: errors)
     assert_that(manager.partitions.get(number) is claimed, Equals(True))
+    assert_that([event for event in log.ring if event.name == "TASK_FAILED"], Equals([]))
 
 
 async def test_turn_is_refused_as_not_run_if_its_partition_cannot_be_claimed(rig):
