--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -604,6 +604,18 @@
     assert_that([event for event in log.ring if event.name == "TASK_FAILED"], Equals([]))
 
 
+async def test_partition_whose_row_was_replaced_by_a_malformed_one_is_lost_to_its_owner(rig):
+    await rig.add_replica("e1", "engine")
+    gateway = await rig.add_gateway()
+    number = budget_partition(ProgramId("program"))
+    assert_that(await spend(rig, "program", 1_000, 3, [gateway]), Equals([200] * 3))
+    rig.store.put("accounts", str(number), "owner", b"malformed")
+    fields = turn_headers("t-1", "program", 1_000, 600)
+    response = await send(rig, "/turn/1", fields, b"p")
+    assert_that(response.status_code, Equals(503))
+    assert_that(gateway.accounts.owns(number), Equals(False))
+
+
 async def test_turn_is_refused_as_not_run_if_its_partition_cannot_be_claimed(rig):
     await rig.add_replica("e1", "engine")
     number = budget_partition(ProgramId("program"))
