--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -121,8 +121,8 @@
             ["source"],
             registry=self.registry,
         )
-        self.process_checks = Counter(
-            "skylarkferry_gateway_process_checks",
+        self.start_time_checks = Counter(
+            "skylarkferry_gateway_start_time_checks",
             "Engines asked for their process before a stream was sent, by what they reported.",
             ["outcome"],
             registry=self.registry,
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -155,7 +155,7 @@
 
     def report_other_process(self, attempts: Attempts, upstream: Upstream, born_ms: int) -> None:
         """Log an upstream whose process is not the listed one, so that it does not get a stream."""
-        self.metrics.process_checks.labels(outcome="other").inc()
+        self.metrics.start_time_checks.labels(outcome="other").inc()
         read_at = self.selector.upstreams.read_at
         self.log.emit(
             EventKind.GATEWAY_OTHER_PROCESS,
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -178,7 +178,7 @@
             return
         born_ms = await exchange.read_born_ms()
         if born_ms in (0, listed_ms):
-            context.metrics.process_checks.labels(outcome="same" if born_ms else "unknown").inc()
+            context.metrics.start_time_checks.labels(outcome="same" if born_ms else "unknown").inc()
             return
         context.report_other_process(attempts, upstream, born_ms)
         raise _RefusedError("another process has the upstream's id and address")
