--- /dev/null
+++ b/tests/core/test_account_ledger.py
@@ -0,0 +1,266 @@
+"""Accounts of a program under successive owners, generated, against a ledger of all tokens."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import GreaterThan, LessThan
+
+from skylarkferry_core.accounts import (
+    Account,
+    Ownership,
+)
+from skylarkferry_core.errors import BudgetExhaustedError
+from skylarkferry_core.ids import Incarnation, TurnId
+
+
+class Outcome(Enum):
+    """What becomes of a write that raises an allowance."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    LOST = "lost"
+    """It takes effect, but its answer is lost."""
+    LATE = "late"
+    """Its answer is lost, and it takes effect later if its conditions still hold."""
+
+
+class Answer(Enum):
+    """What an owner answers a turn."""
+
+    GRANTED = "granted"
+    SPENT = "spent"
+    UNAVAILABLE = "unavailable"
+
+
+class Owner:
+    """One owner of a partition; it opens the program's account at the first turn."""
+
+    def __init__(self, losses, fence, row, version):
+        self.losses, self.fence = losses, fence
+        self.row, self.version = row, version
+        self.account = None
+        self.can_grant = True
+
+    def open_account(self, limit, need):
+        if self.account is None:
+            self.account = Account(limit, self.losses, self.row, self.version)
+        return self.account
+
+
+class Ledger:
+    """One program under successive owners, a store of one row, and the tokens handed out.
+
+    A turn counts with its maximum until it is settled.
+    """
+
+    def __init__(self):
+        self.ownership, self.fence = Ownership(), 0
+        self.row, self.version = None, 0
+        self.late_writes = []
+        self.owners = []
+        self.turns = []
+        self.tokens = self.longest_turn = self.largest_limit = 0
+        self.claim()
+
+    def claim(self):
+        """Let a new owner claim the partition; the earlier ones may grant on."""
+        self._add_owner(Incarnation(f"owner-{len(self.owners)}"))
+
+    def claim_again(self):
+        """Let an owner claim twice that did not learn that its first claim succeeded."""
+        if self.owners[-1].account is None:
+            self.owners[-1].can_grant = False
+            self._add_owner(self.ownership.owner)
+
+    def _add_owner(self, incarnation):
+        self.ownership = self.ownership.claimed(incarnation, "")
+        self.fence += 1
+        self.owners.append(Owner(self.ownership.losses, self.fence, self.row, self.version))
+
+    def release(self):
+        owner = self.owners[-1]
+        owner.can_grant = False
+        if owner.account is not None:
+            self.row, self.version = owner.account.final_row(), self.version + 1
+        self.ownership, self.fence = self.ownership.released(), self.fence + 1
+        self.claim()
+
+    def hand_over(self, owner):
+        """Let another process go on for an owner, under the same claim."""
+        if not owner.can_grant:
+            return
+        owner.can_grant = False
+        heir = Owner(owner.losses, owner.fence, owner.row, owner.version)
+        if owner.account is not None:
+            heir.account = Account.resumed(owner.account.state())
+        self.owners[self.owners.index(owner)] = heir
+
+    def confirm(self, owner):
+        """Let a process that goes on for an owner replace the claim, if it is still in force."""
+        if owner.fence != self.fence:
+            owner.can_grant = False
+            return
+        self.ownership = self.ownership.taken_over(Incarnation(f"heir-{self.fence}"), "")
+        self.fence += 1
+        owner.fence = self.fence
+
+    def perform_late_writes(self):
+        for write in self.late_writes:
+            self._write(*write)
+        self.late_writes.clear()
+
+    def _write(self, fence, version, row):
+        if (fence, version) == (self.fence, self.version):
+            self.row, self.version = row, self.version + 1
+            return True
+        return False
+
+    def _grow(self, owner, allowance, outcome):
+        """Write a larger allowance; return whether the owner learned what became of it."""
+        account = owner.account
+        write = (owner.fence, account.version, account.row_for(allowance))
+        if outcome is Outcome.LATE:
+            self.late_writes.append(write)
+        if outcome in (Outcome.LATE, Outcome.REFUSED):
+            return False
+        was_written = self._write(*write)
+        if outcome is Outcome.LOST:
+            return False
+        if was_written:
+            account.version, account.allowance = self.version, allowance
+        elif owner.fence != self.fence:
+            owner.can_grant = False
+        else:
+            account.version = self.version
+        return owner.can_grant
+
+    def run_turn(self, owner, limit, need, outcome):
+        """Grant a turn if its owner may."""
+        if not owner.can_grant:
+            return Answer.UNAVAILABLE
+        account = owner.open_account(limit, need)
+        self.largest_limit = max(self.largest_limit, limit)
+        while not account.fits(need):
+            try:
+                allowance = account.next_allowance(need)
+            except BudgetExhaustedError:
+                return Answer.SPENT
+            if not self._grow(owner, allowance, outcome):
+                return Answer.UNAVAILABLE
+            outcome = Outcome.ANSWERED
+        turn = TurnId(str(len(self.turns)))
+        account.reserve(turn, need)
+        self.turns.append((owner, turn, need))
+        self.longest_turn = max(self.longest_turn, need)
+        self.tokens += need
+        return Answer.GRANTED
+
+    def settle(self, turn, unused):
+        owner, turn_id, need = turn
+        if owner.can_grant and turn_id in owner.account.reserved:
+            owner.account.settle(turn_id, max(need - unused, 0))
+            self.tokens -= min(unused, need)
+
+
+LIMITS = st.integers(-3, 60)
+
+TOKENS = st.integers(1, 30)
+
+LENGTHS = st.tuples(st.integers(1, 5), TOKENS)
+
+CHANGES = st.sampled_from(
+    ["claim"] * 3 + ["none", "claim again", "release", "late writes", "hand over", "confirm"]
+)
+
+
+class Round(NamedTuple):
+    """A change of owners, settlements of the last turns, then turns of one length at one owner."""
+
+    change: str
+    owner: int
+    is_long: bool
+    outcome: Outcome
+    count: int
+    unused: tuple[int, ...]
+
+
+ROUNDS = st.builds(
+    Round,
+    CHANGES,
+    st.sampled_from([0, 0, 0, 1, 2]),  # how many owners came after the one that is asked
+    st.booleans(),
+    st.sampled_from(Outcome),
+    st.sampled_from([1, 30, 30]),
+    st.one_of(st.just(()), st.just(()), st.lists(TOKENS, max_size=3).map(tuple)),
+)
+
+STEPS = st.lists(ROUNDS, max_size=12)
+
+
+def perform(ledger, step, limit, lengths):
+    """Perform one round; return the length of a turn that was refused as beyond the budget."""
+    match step.change:
+        case "claim":
+            ledger.claim()
+        case "claim again":
+            ledger.claim_again()
+        case "release":
+            ledger.release()
+        case "late writes":
+            ledger.perform_late_writes()
+        case "hand over":
+            ledger.hand_over(ledger.owners[-1 - step.owner % len(ledger.owners)])
+        case "confirm":
+            ledger.confirm(ledger.owners[-1 - step.owner % len(ledger.owners)])
+    for turn, unused in zip(ledger.turns[::-1], step.unused, strict=False):
+        ledger.settle(turn, unused)
+    owner = ledger.owners[-1 - step.owner % len(ledger.owners)]
+    need = lengths[step.is_long]
+    answer, count = Answer.GRANTED, step.count
+    while answer is Answer.GRANTED and count:
+        answer = ledger.run_turn(owner, limit, need, step.outcome)
+        count -= 1
+    return need if answer is Answer.SPENT else None
+
+
+# Guards against tokens beyond the budget after the loss of several owners.
+@settings(max_examples=1_500)
+@given(LIMITS, LENGTHS, STEPS)
+def test_turns_of_different_lengths_stay_within_the_budget_and_one_turn(limit, lengths, steps):
+    ledger = Ledger()
+    for step in steps:
+        perform(ledger, step, limit, lengths)
+        assert_that(ledger.tokens, LessThan(max(limit, 0) + ledger.longest_turn + 1))
+
+
+@given(LIMITS, TOKENS, STEPS)
+def test_turns_of_one_length_stay_within_the_budget(limit, length, steps):
+    ledger = Ledger()
+    for step in steps:
+        perform(ledger, step, limit, (length, length))
+        assert_that(ledger.tokens, LessThan(max(limit, 0) + 1))
+
+
+# Guards against tokens beyond the largest budget that a program named.
+@settings(max_examples=1_500)
+@given(LENGTHS, st.lists(st.tuples(LIMITS, ROUNDS), max_size=12))
+def test_budget_that_changes_keeps_within_its_largest_value_and_one_turn(lengths, steps):
+    ledger = Ledger()
+    for limit, step in steps:
+        perform(ledger, step, limit, lengths)
+        bound = ledger.largest_limit + ledger.longest_turn
+        assert_that(ledger.tokens, LessThan(bound + 1))
+
+
+@given(LIMITS, LENGTHS, STEPS)
+def test_turn_is_refused_without_a_loss_only_if_the_budget_does_not_cover_it(limit, lengths, steps):
+    ledger = Ledger()
+    for step in steps:
+        kept = ("claim again", "release", "none", "hand over", "confirm")
+        change = step.change if step.change in kept else "none"
+        need = perform(ledger, step._replace(change=change), limit, lengths)
+        if need is not None:
+            assert_that(ledger.tokens + need, GreaterThan(limit))
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -1,15 +1,19 @@
-from contextlib import suppress
-
 import anyio
-import httpx
-import msgspec
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, Is, LessThan, Not
-
+from testtools.matchers import Equals, Is, Not
+
+from crashing_requests import (
+    CRASHES,
+    SERVICES,
+    add_crashing_replicas,
+    assert_not_sent_any_more,
+    client_request,
+    record_crashes,
+    send_crashing,
+)
 from gateway_rig import (
     CRASH_MARKER,
-    HOST,
     AfterCrash,
     disconnecting_client,
     headers,
@@ -18,33 +22,11 @@
     wait_until,
 )
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.ids import CrashId, Fingerprint
-from skylarkferry_gateway import defaults
-from skylarkferry_gateway.crash_reports import CrashReport
 from skylarkferry_gateway.crash_watch import fingerprints_of
-from skylarkferry_gateway.messages import ClientRequest, RequestMetadata
 from skylarkferry_standins.replica import Behaviour
-from skylarkferry_standins.row_store import StoreFault
 
 pytestmark = pytest.mark.anyio
 
-SERVICES = {"/once/1": "tools", "/turn/1": "engine"}
-CRASHES = 3
-
-
-async def add_crashing_replicas(rig, path, ending, after=AfterCrash.REFUSES):
-    """Add one replica more than a request may crash."""
-    for number in range(CRASHES + 1):
-        await rig.add_crashing_replica(f"r{number}", SERVICES[path], ending, after)
-
-
-async def send_crashing(rig, path, request_id, gateway):
-    """Send a crashing request and return the status, or ``None`` for a broken response."""
-    make_headers = turn_headers if SERVICES[path] == "engine" else headers
-    fields = make_headers(request_id)
-    with suppress(httpx.RemoteProtocolError, httpx.ReadError):
-        return (await send(rig, path, fields, CRASH_MARKER, gateway=gateway)).status_code
-
 
 def crash_checks(gateway, **fields):
     """Return the number of a gateway's checks for a crash with these results."""
@@ -53,28 +35,6 @@
     return sum(fields.items() <= event.fields.items() for event in events)
 
 
-def client_request(target, body=CRASH_MARKER, **metadata):
-    """Return a decoded request of a client."""
-    path = target.decode().partition("?")[0]
-    fields = RequestMetadata(**metadata)
-    return ClientRequest(b"POST", target, HOST, path, [], body, fields, 0.0)
-
-
-def record_crashes(gateway, request):
-    """Record that a request ran at as many crashes as quarantine it."""
-    for fingerprint in fingerprints_of(request):
-        for number in range(CRASHES):
-            report = CrashReport(fingerprint, CrashId(f"crash-{number}"))
-            gateway.crashes.reports.add(report, "")
-
-
-async def assert_not_sent_any_more(rig, path, gateway, arrivals=CRASHES):
-    """Assert that a gateway rejects the request, once it knows of the crashes."""
-    await wait_until(gateway.crashes.registry.quarantined)
-    status = await send_crashing(rig, path, "id-last", gateway)
-    assert_that((status, rig.arrivals()), Equals((503, arrivals)))
-
-
 @pytest.mark.parametrize("path", list(SERVICES))
 @pytest.mark.parametrize(
     "ending", [Behaviour.LOSE_ANSWER, Behaviour.CLOSE, Behaviour.CLOSE_IN_RESPONSE]
@@ -130,20 +90,6 @@
     await assert_not_sent_any_more(rig, path, second)
 
 
-async def test_crash_report_survives_a_store_outage(rig):
-    path = "/once/1"
-    await add_crashing_replicas(rig, path, Behaviour.LOSE_ANSWER)
-    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
-    rig.store.fault = lambda request: (
-        StoreFault.REFUSED if request.target.endswith("rows-tx") else StoreFault.NONE
-    )
-    for number in range(CRASHES):
-        await send_crashing(rig, path, f"id-{number}", first)
-    await wait_until(first.crashes.registry.quarantined)
-    rig.store.fault = lambda request: StoreFault.NONE
-    await assert_not_sent_any_more(rig, path, second)
-
-
 async def test_retry_is_not_sent_if_the_request_was_quarantined_meanwhile(rig):
     for name in ("r1", "r2"):
         replica = await rig.add_replica(name)
@@ -371,56 +317,3 @@
     first = client_request(b"/get/1", b"", program_id="p1", run_id="s1")
     second = client_request(b"/get/1", b"", program_id="p1", run_id="s2")
     assert_that(fingerprints_of(first), Equals(fingerprints_of(second)))
-
-
-async def test_completed_request_is_no_longer_suspected_at_any_gateway(rig):
-    crashing = await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER)
-    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
-    await send_crashing(rig, "/once/1", "id-0", first)
-    await wait_until(lambda: second.crashes.registry.crashes)
-    crashing.behaviour = lambda request: Behaviour.SERVE
-    crashing.listener = await rig.listen(rig.addresses["r1"], rig.servers["r1"])
-    await send_crashing(rig, "/once/1", "id-1", second)
-    await wait_until(lambda: not first.crashes.registry.crashes)
-    assert_that(second.crashes.registry.crashes, Equals({}))
-
-
-async def test_withdrawn_reports_are_forgotten_by_a_gateway_that_missed_the_change(rig):
-    await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER)
-    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
-    await send_crashing(rig, "/once/1", "id-0", first)
-    await wait_until(lambda: second.crashes.registry.crashes)
-    rig.store.rows = {key: row for key, row in rig.store.rows.items() if key[0] != "crashes"}
-    rig.store.put("other", "", "row", b"")
-    rig.store.discard_history()
-    await wait_until(lambda: not second.crashes.registry.crashes)
-
-
-async def test_old_crash_reports_are_withdrawn(rig, monkeypatch):
-    await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER)
-    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
-    await send_crashing(rig, "/once/1", "id-0", first)
-    await wait_until(lambda: second.crashes.registry.crashes)
-    monkeypatch.setattr(defaults, "CRASH_KEEP_S", 0.0)
-    await first.crashes.reports.withdraw_old()
-    await wait_until(lambda: not second.crashes.registry.crashes)
-
-
-def test_poll_on_a_dead_connection_ends_within_the_bound_for_contact():
-    contact_s = 3.0
-    longest_s = defaults.CRASHES_POLL_TIMEOUT_S + defaults.STORE_TIMEOUT_S
-    assert_that(longest_s, LessThan(contact_s))
-
-
-async def test_report_under_another_key_does_not_hold_up_the_reports_of_a_gateway(rig, monkeypatch):
-    """Its own key would be longer than the store accepts, so that it could never be withdrawn."""
-    await rig.add_crashing_replica("r1", "tools", Behaviour.LOSE_ANSWER)
-    odd = CrashReport(Fingerprint("f" * 500), CrashId("crash"))
-    rig.store.put("crashes", "", "another", msgspec.msgpack.encode(odd))
-    first, second = await rig.add_gateway("g1"), await rig.add_gateway("g2")
-    await wait_until(lambda: first.crashes.reports.followed_version is not None)
-    monkeypatch.setattr(defaults, "CRASH_KEEP_S", 0.0)
-    await first.crashes.reports.withdraw_old()
-    monkeypatch.undo()
-    await send_crashing(rig, "/once/1", "id-0", first)
-    await wait_until(lambda: second.crashes.registry.crashes.keys() - {odd.fingerprint})
