--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -34,7 +34,7 @@
 """Rows deleted per call, each with a condition."""
 
 
-class Heirs(Protocol):
+class Successors(Protocol):
     """Other gateways that go on with the partitions of this one."""
 
     async def hand_over(self, handed: HandedPartition, own_address: str) -> bool:
@@ -53,11 +53,11 @@
         store: Store,
         owner_table: OwnerTable,
         log: EventLog,
-        heirs: Heirs | None = None,
+        successors: Successors | None = None,
     ) -> None:
         self.store = store
         self.owner_table = owner_table
-        self.heirs = heirs
+        self.successors = successors
         self.log = log
         self.partitions: dict[PartitionNumber, PartitionAccounts] = {}
         self.claim_locks: dict[PartitionNumber, anyio.Lock] = {}
@@ -337,7 +337,7 @@
                 writes = writes[_ROWS_PER_CALL:]
             await self.owner_table.release(owned.partition, writes)
         except PlatformRefusedError:
-            if not is_unchanged or self.heirs is None:
+            if not is_unchanged or self.successors is None:
                 raise
-            if not await self.heirs.hand_over(owned.handed(), self.owner_table.address):
+            if not await self.successors.hand_over(owned.handed(), self.owner_table.address):
                 raise
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
@@ -18,7 +18,7 @@
 from skylarkferry_gateway.failover_store import FailoverStore
 from skylarkferry_gateway.messages import Reservation
 from skylarkferry_gateway.ownership import OwnerTable
-from skylarkferry_gateway.partition_heirs import PartitionHeirs
+from skylarkferry_gateway.partition_successors import PartitionSuccessors
 from skylarkferry_gateway.peers import (
     PeerDownError,
     PeerSilentError,
@@ -38,12 +38,12 @@
         owner_table: OwnerTable,
         accounts: AccountManager,
         store: FailoverStore,
-        heirs: PartitionHeirs,
+        successors: PartitionSuccessors,
         log: EventLog,
     ) -> None:
         self.owner_table = owner_table
         self.accounts = accounts
-        self.heirs = heirs
+        self.successors = successors
         self.store = store
         self.peers = store.peers
         self.log = log
@@ -142,23 +142,23 @@
         reservation: Reservation,
         deadline_at: float,
     ) -> bool:
-        """Reserve at an heir of an owner that is gone, or claim its partition to try again."""
+        """Reserve at a successor of an owner that is gone, or claim its partition to try again."""
         is_lost = self.store.unavailable_s() > defaults.STORE_LOST_AFTER_S
-        if is_lost and await self._reserve_at_heir(number, ownership, reservation):
+        if is_lost and await self._reserve_at_successor(number, ownership, reservation):
             return True
         await self._claim(number, ownership.generation, deadline_at)
         return False
 
-    async def _reserve_at_heir(
+    async def _reserve_at_successor(
         self, number: PartitionNumber, ownership: Ownership, reservation: Reservation
     ) -> bool:
-        for address in self.heirs.addresses(number, ownership.address):
+        for address in self.successors.addresses(number, ownership.address):
             if address == self.owner_table.address:
                 continue
             try:
                 reply = await self.peers.reserve(address, reservation)
             except (PeerSilentError, PeerDownError) as error:
-                self._log_owner_failure(number, ownership.owner, f"heir: {error.detail}")
+                self._log_owner_failure(number, ownership.owner, f"successor: {error.detail}")
                 continue
             if reply.verdict is Verdict.SPENT:
                 raise TokensSpentError(reply.detail)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/partition_heirs.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/partition_successors.py
@@ -15,11 +15,11 @@
 """Gateways that are asked to take a partition, and asked for it while its owner is gone."""
 
 
-class PartitionHeirs:
-    """Find the heirs of a partition by its number and the list of gateways, which all share.
+class PartitionSuccessors:
+    """Find the successors of a partition by its number and the list of gateways, which all share.
 
-    An heir goes on under the former owner's claim. Its grants are bounded by that owner's rows and
-    allowances, so that a later claim, which counts the owner as lost, counts them too.
+    A successor goes on under the former owner's claim. Its grants are bounded by that owner's rows
+    and allowances, so that a later claim, which counts the owner as lost, counts them too.
     """
 
     def __init__(self, gateways: GatewayList, peers: PeerClient, log: EventLog) -> None:
@@ -29,7 +29,7 @@
         self.lock = anyio.Lock()
 
     def addresses(self, number: PartitionNumber, owner_address: str) -> list[str]:
-        """Return the addresses of a partition's heirs, without that of its owner."""
+        """Return the addresses of a partition's successors, without that of its owner."""
         addresses = [
             self.gateways.members[node].address
             for node in ranked_names(f"partition {number}", self.gateways.members)
@@ -37,10 +37,10 @@
         return [item for item in addresses if item != owner_address][:_CANDIDATES]
 
     async def hand_over(self, handed: HandedPartition, own_address: str) -> bool:
-        """Hand a partition to its first heir that takes it; return whether one did.
+        """Hand a partition to its first successor that takes it; return whether one did.
 
-        After a call whose outcome is unknown, no other heir is asked: two would grant the same. One
-        partition is handed over at a time, so that many of them do not exceed an heir's time limit.
+        After a call whose outcome is unknown, no other is asked: two would grant the same tokens.
+        One partition is handed over at a time, so that many do not exceed the time limit of a call.
         """
         async with self.lock:
             return await self._hand_over(handed, own_address)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -30,7 +30,7 @@
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.ownership import OwnerTable
 from skylarkferry_gateway.partition_claims import PartitionClaims
-from skylarkferry_gateway.partition_heirs import PartitionHeirs
+from skylarkferry_gateway.partition_successors import PartitionSuccessors
 from skylarkferry_gateway.peers import PeerClient, PeerServer
 from skylarkferry_gateway.placement_calls import PlacementCalls
 from skylarkferry_gateway.process_checks import ProcessChecker
@@ -86,10 +86,10 @@
         )
         cache = TurnCache(int(settings.memory_bytes * defaults.TURN_CACHE_MEMORY_SHARE))
         self.owners = OwnerTable(store, settings.incarnation, settings.peer_listen, log)
-        heirs = PartitionHeirs(self.gateways, peers, log)
-        self.accounts = AccountManager(store, self.owners, log, heirs)
+        successors = PartitionSuccessors(self.gateways, peers, log)
+        self.accounts = AccountManager(store, self.owners, log, successors)
         self.claims = PartitionClaims(self.owners, self.accounts, self.gateways)
-        self.budgets = ProgramBudgets(self.owners, self.accounts, store, heirs, log)
+        self.budgets = ProgramBudgets(self.owners, self.accounts, store, successors, log)
         memory = ResponseMemory(int(settings.memory_bytes * defaults.RESPONSE_MEMORY_SHARE))
         turns = TurnStore(store, cache, log)
         turn_services = TurnServices(self.budgets, turns, memory, log)
--- a/tests/core/test_account_ledger.py
+++ b/tests/core/test_account_ledger.py
@@ -93,17 +93,17 @@
         if not owner.can_grant:
             return
         owner.can_grant = False
-        heir = Owner(owner.losses, owner.fence, owner.row, owner.version)
+        successor = Owner(owner.losses, owner.fence, owner.row, owner.version)
         if owner.account is not None:
-            heir.account = Account.resumed(owner.account.state())
-        self.owners[self.owners.index(owner)] = heir
+            successor.account = Account.resumed(owner.account.state())
+        self.owners[self.owners.index(owner)] = successor
 
     def confirm(self, owner):
         """Let a process that goes on for an owner replace the claim, if it is still in force."""
         if owner.fence != self.fence:
             owner.can_grant = False
             return
-        self.ownership = self.ownership.taken_over(Incarnation(f"heir-{self.fence}"), "")
+        self.ownership = self.ownership.taken_over(Incarnation(f"successor-{self.fence}"), "")
         self.fence += 1
         owner.fence = self.fence
 
--- a/tests/gateway/test_partition_heirs.py
+++ b/tests/gateway/test_partition_successors.py
@@ -101,15 +101,16 @@
     await lose_store(rig, first, second, third)
     await stop(first)
     statuses += await turns(rig, program, 1, third, first=1)
-    heir = owner_of(program, [second, third])
+    successor = owner_of(program, [second, third])
     rig.store.fault = lambda request: StoreFault.NONE
-    await wait_until(lambda: heir.store.unavailable_s() == 0)
+    await wait_until(lambda: successor.store.unavailable_s() == 0)
     if is_claimed:
-        other = third if heir is second else second
+        other = third if successor is second else second
         await other.accounts.claim(number, 1, anyio.current_time() + 1)
     await wait_until(
-        lambda: not heir.accounts.owns(number)
-        or heir.accounts.partitions[number].partition.ownership.owner == heir.owners.incarnation
+        lambda: not successor.accounts.owns(number)
+        or successor.accounts.partitions[number].partition.ownership.owner
+        == successor.owners.incarnation
     )
     statuses += await turns(rig, program, 12, second, first=2)
     served = statuses.count(200)
@@ -117,7 +118,7 @@
     assert_that(statuses[-1], Equals(402))
 
 
-async def test_heir_becomes_the_owner_without_a_loss_once_the_store_is_back(rig):
+async def test_successor_becomes_the_owner_without_a_loss_once_the_store_is_back(rig):
     first, second, third = await add_owners(rig, 3)
     numbers = list(first.accounts.partitions)
     await lose_store(rig, first, second, third)
@@ -161,16 +162,16 @@
         ([PeerSilentError("silent"), True], False, 1),
     ],
 )
-async def test_partition_is_handed_to_one_heir_only(rig, answers, is_taken, asked):
+async def test_partition_is_handed_to_one_successor_only(rig, answers, is_taken, asked):
     gateways = [await rig.add_gateway(f"g{number}") for number in range(3)]
     await wait_until(lambda: len(gateways[0].gateways.nodes) == 3)
-    heirs = gateways[0].accounts.heirs
+    successors = gateways[0].accounts.successors
     own_address = gateways[0].settings.peer_listen
-    addresses = heirs.addresses(7, own_address)
-    heirs.peers = Peers(dict(zip(addresses, answers, strict=True)))
+    addresses = successors.addresses(7, own_address)
+    successors.peers = Peers(dict(zip(addresses, answers, strict=True)))
     handed = HandedPartition(7, Ownership(), 1, [], [])
-    assert_that(await heirs.hand_over(handed, own_address), Equals(is_taken))
-    assert_that(heirs.peers.asked, Equals(addresses[:asked]))
+    assert_that(await successors.hand_over(handed, own_address), Equals(is_taken))
+    assert_that(successors.peers.asked, Equals(addresses[:asked]))
 
 
 async def test_partition_that_is_owned_already_is_not_taken_again(rig):
@@ -211,53 +212,53 @@
 
 
 async def hand_over_without_store(rig, gateways):
-    """Let the first gateway stop while the store is away; return an heir and a partition of it."""
+    """Let the first gateway stop while the store is away; return a successor and its partition."""
     numbers = list(gateways[0].accounts.partitions)
     for gateway in gateways:
         gateway.claims.gateways = FollowsNoList()  # so that nothing is claimed or confirmed
     await lose_store(rig, *gateways)
     await stop(gateways[0])
-    heir = next(item for item in gateways[1:] if set(numbers) & set(item.accounts.partitions))
+    successor = next(item for item in gateways[1:] if set(numbers) & set(item.accounts.partitions))
     rig.store.fault = lambda request: StoreFault.NONE
-    await wait_until(lambda: heir.store.unavailable_s() == 0)
-    return heir, next(number for number in numbers if heir.accounts.owns(number))
+    await wait_until(lambda: successor.store.unavailable_s() == 0)
+    return successor, next(number for number in numbers if successor.accounts.owns(number))
 
 
-# Guards against tokens beyond the budget by an heir that claims what it has granted from already.
+# Guards against tokens beyond the budget by a successor that claims what it has granted from.
 @pytest.mark.parametrize("is_growth", [False, True])
-async def test_heir_keeps_a_partition_whose_confirmation_was_not_answered(
+async def test_successor_keeps_a_partition_whose_confirmation_was_not_answered(
     rig, monkeypatch, is_growth
 ):
     gateways = await add_owners(rig, 3)
-    heir, number = await hand_over_without_store(rig, gateways)
-    owned = heir.accounts.partitions[number]
-    lose_next_answer(monkeypatch, heir.owners)
+    successor, number = await hand_over_without_store(rig, gateways)
+    owned = successor.accounts.partitions[number]
+    lose_next_answer(monkeypatch, successor.owners)
     with pytest.raises(PlatformUnavailableError):
-        await heir.owners.confirm(owned.partition)
+        await successor.owners.confirm(owned.partition)
     if is_growth:
         programs = (ProgramId(f"program-{item}") for item in range(10_000))
         program = next(item for item in programs if budget_partition(item) == number)
         deadline_at = anyio.current_time() + 5
         for turn in ("t1", "t2", "t3", "t4"):
             reservation = Reservation(program, BUDGET, TurnId(turn), TURN_TOKENS)
-            await heir.accounts.reserve(reservation, deadline_at)
+            await successor.accounts.reserve(reservation, deadline_at)
     else:
-        await heir.owners.confirm(owned.partition)
-    assert_that(heir.accounts.partitions.get(number) is owned, Equals(True))
+        await successor.owners.confirm(owned.partition)
+    assert_that(successor.accounts.partitions.get(number) is owned, Equals(True))
     row = rig.store.value("accounts", str(number), "owner")
     assert_that(msgspec.msgpack.decode(row, type=Ownership), Equals(owned.partition.ownership))
-    assert_that(owned.partition.ownership.owner, Equals(heir.owners.incarnation))
+    assert_that(owned.partition.ownership.owner, Equals(successor.owners.incarnation))
 
 
-async def test_heir_drops_a_partition_that_was_claimed_meanwhile(rig):
+async def test_successor_drops_a_partition_that_was_claimed_meanwhile(rig):
     gateways = await add_owners(rig, 3)
-    heir, number = await hand_over_without_store(rig, gateways)
-    other = next(item for item in gateways[1:] if item is not heir)
+    successor, number = await hand_over_without_store(rig, gateways)
+    other = next(item for item in gateways[1:] if item is not successor)
     await other.accounts.claim(number, 1, anyio.current_time() + 5)
     assert_that(other.accounts.partitions[number].partition.ownership.losses, Equals(1))
-    assert_that(number in heir.accounts.unconfirmed(), Equals(True))
-    await heir.accounts.confirm(number)
-    assert_that(heir.accounts.owns(number), Equals(False))
+    assert_that(number in successor.accounts.unconfirmed(), Equals(True))
+    await successor.accounts.confirm(number)
+    assert_that(successor.accounts.owns(number), Equals(False))
 
 
 async def test_partition_that_another_one_has_claimed_is_not_taken(rig):
