Add the types of customers, quotas, slowdown and admission decisions

Decoded now, and not yet used: the configuration's customers and public routes, a caller's key (as its digest), the time left of a program, the bounds of quotas and keys in the settings. A load report may have four figures and more: the fourth is the slowdown of the upstream's host. A client can no longer set the customer's name.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN = $(VENV)/bin
-PACKAGES = core wire daemon gateway client standins bench soak
+PACKAGES = core admission wire daemon gateway client standins bench soak
 SOURCES = $(foreach package,$(PACKAGES),packages/skylarkferry-$(package)/src) platform
 KNOWN_RED = $(shell sed -n 's/^\(tests[^ |]*\).*/\1/p' KNOWN-RED.txt)
 GENERATED = $(shell grep -l '@given' -r tests --include='test_*.py')
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,6 +10,7 @@
 fi
 rm -rf target/deps/skylarkferry_*
 cp -R packages/skylarkferry-core/src/skylarkferry_core \
+  packages/skylarkferry-admission/src/skylarkferry_admission \
   packages/skylarkferry-daemon/src/skylarkferry_daemon \
   packages/skylarkferry-gateway/src/skylarkferry_gateway \
   platform/skylarkferry_platform target/deps/
--- a/packages/skylarkferry-core/src/skylarkferry_core/routes.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/routes.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from skylarkferry_core.customers import NO_CUSTOMERS, CustomerTable
 from skylarkferry_core.ids import ServiceName
 
 MAX_HEADER_BYTES = 16_384
@@ -26,7 +27,10 @@
 
 
 class Route(msgspec.Struct, frozen=True):
-    """Route for requests to one host and path prefix; ``prefix`` starts and ends with a slash."""
+    """Route for requests to one host and path prefix; ``prefix`` starts and ends with a slash.
+
+    A public route needs no key.
+    """
 
     name: str
     host: str
@@ -41,6 +45,7 @@
     retention_s: float = 0.0
     is_sticky: bool = False
     is_resumable: bool = False
+    is_public: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -80,7 +85,7 @@
 
 
 class RoutingTable:
-    """One version of the routes and services."""
+    """One version of the routes, services and customers."""
 
     def __init__(
         self,
@@ -88,11 +93,13 @@
         routes: tuple[Route, ...],
         services: Mapping[ServiceName, ServiceSpec],
         limits: ClientLimits,
+        customers: CustomerTable = NO_CUSTOMERS,
     ) -> None:
         self.version = version
         self.routes = routes
         self.services = services
         self.limits = limits
+        self.customers = customers
         self.by_prefix = {(route.host, route.prefix): route for route in routes}
 
     def match(self, host: str, path: str) -> Route | None:
--- a/packages/skylarkferry-daemon/src/skylarkferry_daemon/tokens.py
+++ b/packages/skylarkferry-daemon/src/skylarkferry_daemon/tokens.py
@@ -1,11 +1,11 @@
 """Bearer tokens: authentication of callers and operators, and their permissions."""
 
-import hashlib
 import hmac
 from enum import Enum
 
 import msgspec
 
+from skylarkferry_core.customers import key_digest
 from skylarkferry_core.document import Document
 from skylarkferry_core.errors import (
     ForbiddenError,
@@ -69,7 +69,7 @@
 
 def hash_of(token: str) -> str:
     """Return a token's SHA-256 in hexadecimal, as the document stores it."""
-    return hashlib.sha256(token.encode()).hexdigest()
+    return key_digest(token.encode())
 
 
 class TokenIndex:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
@@ -6,7 +6,9 @@
 import msgspec
 
 from skylarkferry_core.accounts import BUDGET_PARTITIONS, AccountState, Ownership
+from skylarkferry_core.customers import Customer, KeyDigest
 from skylarkferry_core.ids import (
+    CustomerId,
     FailureDomain,
     PartitionNumber,
     ProgramId,
@@ -38,6 +40,8 @@
     ``time_left_s`` is how long the client waits, ``token_budget`` the output tokens allowed for all
     turns of the program, ``output_tokens`` the maximum output of this turn.  ``resumed_request`` is
     the id of the attempt whose response began the stream that this request resumes.
+    ``finish_s`` is the time left until the program should have ended, ``key_digest`` that of the
+    caller's key, ``None`` without one.
     """
 
     request_id: str = ""
@@ -52,6 +56,8 @@
     previous_turn: TurnId = TurnId("")
     last_event_id: int | None = None
     resumed_request: str = ""
+    finish_s: float = math.inf
+    key_digest: KeyDigest | None = None
 
     @property
     def is_resumption(self) -> bool:
@@ -70,7 +76,11 @@
 
 
 class ClientRequest(msgspec.Struct, frozen=True):
-    """A completely received request; ``received_at`` is the monotonic time of its last byte."""
+    """A completely received request; ``received_at`` is the monotonic time of its last byte.
+
+    ``customer`` is the holder of its key, ``None`` without customers or without a known key on a
+    public route.  ``priority`` is ``None`` until the route is known; 0 is the highest.
+    """
 
     method: bytes
     target: bytes
@@ -80,15 +90,21 @@
     body: bytes
     metadata: RequestMetadata
     received_at: float
+    customer: Customer | None = None
+    priority: int | None = None
 
 
 class UpstreamRequestMetadata(msgspec.Struct, frozen=True):
-    """Metadata that the gateway adds to a request; ``time_left_s`` may be infinite."""
+    """Metadata that the gateway adds to a request; ``time_left_s`` may be infinite.
+
+    ``customer`` is the name that the upstream gets, ``None`` if it gets none.
+    """
 
     time_left_s: float
     upstream: UpstreamId
     priority: int | None = None
     last_event_id: int | None = None
+    customer: CustomerId | None = None
 
 
 class Reservation(msgspec.Struct, frozen=True):
@@ -146,11 +162,16 @@
 
 
 class ReportedLoad(msgspec.Struct, frozen=True):
-    """Load that an upstream reports in a response."""
+    """Load that an upstream reports in a response.
+
+    ``slowdown`` is how long work takes on its host at this moment, relative to the usual time;
+    ``None`` if the upstream does not report it.
+    """
 
     running: int
     queued: int
     slots: int
+    slowdown: float | None = None
 
 
 class UpstreamReport(msgspec.Struct, frozen=True):
--- a/tests/platform_adapter/test_boot.py
+++ b/tests/platform_adapter/test_boot.py
@@ -7,6 +7,7 @@
 
 from boot_files import BOOT_TOML
 from skylarkferry_core.errors import SettingsInvalidError
+from skylarkferry_gateway.settings import QuotaBounds, RevocationBounds
 from skylarkferry_platform import boot
 
 
@@ -50,6 +51,22 @@
         boot.load()
 
 
+def test_bounds_of_quotas_and_keys_are_decoded(settings_path):
+    bounds = "quotaWindowS = 5\nquotaOver = 0.1\nquotaSlack = 20\nstrictRevoke = false\n"
+    text = BOOT_TOML.replace("graceS = 8", f"graceS = 8\n{bounds}revokeMs = 5000")
+    settings_path.write_text(text.replace("cpuShare = 0.7", "cpuShare = 0.7\nlinkMbps = 15.0"))
+    settings = boot.load().gateway_settings()
+    assert_that(settings.quota_bounds, Equals(QuotaBounds(5.0, 0.1, 20.0)))
+    assert_that(settings.revocation, Equals(RevocationBounds(False, 5.0)))
+    assert_that(settings.link_bytes_per_s, Equals(1_875_000.0))
+
+
+def test_a_platform_without_quotas_and_keys_names_no_bounds(settings_path):
+    settings_path.write_text(BOOT_TOML)
+    settings = boot.load().gateway_settings()
+    assert_that((settings.quota_bounds, settings.revocation), Equals((None, None)))
+
+
 def test_missing_settings_are_rejected(settings_path):
     with ExpectedException(SettingsInvalidError):
         boot.load()
--- a/tests/platform_adapter/test_codec.py
+++ b/tests/platform_adapter/test_codec.py
@@ -1,3 +1,5 @@
+import math
+
 import msgspec
 import pytest
 from hypothesis import given
@@ -6,8 +8,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Not
 
+from skylarkferry_core.customers import key_digest
 from skylarkferry_core.errors import BadRequestError
-from skylarkferry_core.ids import UpstreamId
+from skylarkferry_core.ids import CustomerId, UpstreamId
 from skylarkferry_gateway.messages import PromptPart, ReportedLoad, UpstreamRequestMetadata
 from skylarkferry_platform.codec import PlatformHeaders
 
@@ -93,6 +96,62 @@
     assert_that(CODEC.client_headers(fields), Not(Contains(fields[1])))
 
 
+# Guards against a report that is dropped whole because it has further figures.
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (b"4,0,16,120", ReportedLoad(4, 0, 16, 1.2)),
+        (b"2, 0, 6, 100", ReportedLoad(2, 0, 6, 1.0)),
+        (b"4,0,16,120,7,later", ReportedLoad(4, 0, 16, 1.2)),
+        (b"4,0,16,-3", ReportedLoad(4, 0, 16)),
+        (b"4,0,16,0", ReportedLoad(4, 0, 16)),
+        (b"4,0,16,nan", ReportedLoad(4, 0, 16)),
+        (b"4,0,16,", ReportedLoad(4, 0, 16)),
+        (b"4,0", None),
+        (b"4,0,x,100", None),
+    ],
+)
+def test_load_with_further_figures_is_decoded(value, expected):
+    report = CODEC.decode_reply([(b"skylarkferry-server-load", value)]).report
+    assert_that(report.load, Equals(expected))
+
+
+@pytest.mark.parametrize(
+    ("values", "expected"),
+    [
+        ([], None),
+        ([b"Bearer k1"], key_digest(b"k1")),
+        ([b"bearer  k1 "], key_digest(b"k1")),
+        ([b"Bearer k1", b"Bearer k1"], key_digest(b"k1")),
+        ([b"Bearer k1", b"Bearer k2"], None),
+        ([b"Bearer "], None),
+        ([b"Bearer"], None),
+        ([b"Basic azE6"], None),
+        ([b""], None),
+    ],
+)
+def test_one_bearer_token_is_decoded_to_its_digest(values, expected):
+    metadata = CODEC.decode_request([(b"authorization", value) for value in values])
+    assert_that(metadata.key_digest, Equals(expected))
+
+
+# Guards against a request that is refused for a hint which only orders it among others.
+@pytest.mark.parametrize(
+    ("value", "expected"), [(b"5200", 5.2), (b"", math.inf), (b"-1", math.inf), (b"x", math.inf)]
+)
+def test_time_left_of_a_program_is_decoded(value, expected):
+    metadata = CODEC.decode_request([(b"skylarkferry-finish-ms", value)])
+    assert_that(metadata.finish_s, Equals(expected))
+
+
+# Guards against an upstream that takes a client's word for who its customer is.
+def test_only_the_gateway_names_the_customer():
+    forwarded = CODEC.forwarded_headers([(b"skylarkferry-tenant", b"gears"), (b"x", b"1")])
+    assert_that(forwarded, Equals([(b"x", b"1")]))
+    metadata = UpstreamRequestMetadata(1.0, UpstreamId("i-1"), customer=CustomerId("gears"))
+    assert_that(CODEC.upstream_headers(metadata), Contains((b"skylarkferry-tenant", b"gears")))
+
+
 @pytest.mark.parametrize(
     ("values", "expected"),
     [([], None), ([b"4.5"], 4.5), ([b"12"], 12.0), ([b"0"], 0.0)],
--- a/tests/platform_adapter/test_directory.py
+++ b/tests/platform_adapter/test_directory.py
@@ -4,8 +4,11 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
+from skylarkferry_core.customers import Customer, Quota, key_digest
+from skylarkferry_core.ids import CustomerId
 from skylarkferry_core.interfaces import Row
 from skylarkferry_daemon.log import EventLog
+from skylarkferry_gateway.interfaces import Snapshot
 from skylarkferry_platform.directory import PlatformDirectory
 
 pytestmark = pytest.mark.anyio
@@ -101,3 +104,38 @@
     assert_that(len(repr(directory.refused)), LessThan(1_000))
     logged = [event.fields["entry"] for event in log.ring]
     assert_that(logged.count("other"), Equals(1))
+
+
+class StoredConfig:
+    """A store that holds one configuration."""
+
+    def __init__(self, document):
+        self.document = document
+
+    async def snapshot(self, key):
+        return Snapshot(Row(key, json.dumps(self.document).encode(), 1), 1)
+
+
+async def routing(**fields):
+    route = {"host": "h", "prefix": "/p/", "kind": "idempotent", "service": "s"}
+    document = {"version": 1, "routes": [{**route, "public": True}, {**route, "prefix": "/q/"}]}
+    directory = PlatformDirectory(StoredConfig({**document, **fields}), EventLog("n", 100))
+    return await directory.routing(0.0)
+
+
+async def test_customers_are_decoded():
+    tenants = [
+        {"name": "gears", "apiKeys": ["k1", "k2", ""], "priority": 1, "ratePerS": 35, "burst": 7},
+        {"name": "fish", "apiKeys": ["k3"], "ratePerS": 0},
+    ]
+    table = await routing(tenants=tenants)
+    gears = Customer(CustomerId("gears"), 1, Quota(35.0, 7.0))
+    fish = Customer(CustomerId("fish"))
+    keys = [b"k1", b"k2", b"k3", b""]
+    found = [table.customers.holder(key_digest(key)) for key in keys]
+    assert_that(found, Equals([gears, gears, fish, None]))
+    assert_that([route.is_public for route in table.routes], Equals([True, False]))
+
+
+async def test_a_configuration_without_customers_has_none():
+    assert_that(bool((await routing()).customers), Equals(False))
