Leave the line that cannot be parsed out of the error

The HTTP parser quotes the malformed line in its message, and the gateway repeated it in the body of the 400. A malformed Authorization line showed its key there. Only the kind of the fault is repeated now.

Weighed: leaving out lines that name Authorization only; a damaged name would still show its key.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
@@ -250,7 +250,9 @@
                     raise HeaderTooLargeError(str(error)) from error
                 if self.is_disconnected:
                     raise ClientLeftError from error
-                raise BadRequestError(f"malformed HTTP request: {error}") from error
+                # The parser quotes the line after the colon, which may hold the caller's key.
+                fault = str(error).partition(":")[0]
+                raise BadRequestError(f"malformed HTTP request: {fault}") from error
             if event is h11.NEED_DATA:
                 self.http.receive_data(await self._next_chunk())
             elif isinstance(event, h11.Event):
@@ -303,6 +305,8 @@
         if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers: Headers = [(b"content-type", PROBLEM_TYPE.encode())]
+        if error.status == HTTPStatus.UNAUTHORIZED:
+            headers.append((b"www-authenticate", b"Bearer"))
         if error.retry_after_s is not None:
             headers.append((b"retry-after", f"{error.retry_after_s:g}".encode()))
         if closes_connection:
