--- a/packages/skylarkferry-core/src/skylarkferry_core/customers.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/customers.py
@@ -40,12 +40,14 @@
 class CustomerTable:
     """The customers of one configuration version, by name and by key.
 
-    ``ambiguous`` holds the digests of keys that several customers list; they identify nobody.
+    ``ambiguous`` holds the digests of keys that several customers list, which identify nobody;
+    ``sharing`` holds those customers.
     """
 
     def __init__(self, customers: Iterable[CustomerKeys] = ()) -> None:
         self.by_name: dict[CustomerId, Customer] = {}
         self.ambiguous: set[KeyDigest] = set()
+        self.sharing: set[CustomerId] = set()
         holders: dict[KeyDigest, Customer] = {}
         for item in customers:
             self.by_name[item.customer.name] = item.customer
@@ -53,6 +55,7 @@
                 known = holders.setdefault(digest, item.customer)
                 if known.name != item.customer.name:
                     self.ambiguous.add(digest)
+                    self.sharing |= {known.name, item.customer.name}
         self.by_key: Mapping[KeyDigest, Customer] = {
             digest: holder for digest, holder in holders.items() if digest not in self.ambiguous
         }
--- a/tests/core/test_customers.py
+++ b/tests/core/test_customers.py
@@ -20,7 +20,7 @@
 def test_a_key_of_two_customers_identifies_neither():
     table = CustomerTable([CustomerKeys(GEARS, (FIRST, SHARED)), CustomerKeys(FISH, (SHARED,))])
     assert_that((table.holder(SHARED), table.ambiguous), Equals((None, {SHARED})))
-    assert_that(table.holder(FIRST), Equals(GEARS))
+    assert_that((table.holder(FIRST), table.sharing), Equals((GEARS, {GEARS.name, FISH.name})))
 
 
 def test_a_key_listed_twice_by_one_customer_identifies_it():
