Check keys between the route and the relay

AccessControl applies the decision: it refuses with 401 or 503, or returns the request as its customer's, without the key and with the customer's priority. The upstream gets the customer's name from the gateway alone. The watcher of the configuration tells since when it is confirmed; an answer counts from the end of its wait at the latest, as a paused process reads it late. Where a version may be missing, an unknown route is answered 503 too, as 404 is as final as 401.

Weighed: stripping the key in the codec for all deployments; without customers it is forwarded as before.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -77,6 +77,12 @@
         spec = self.table.services.get(self.service)
         return spec.engine if spec is not None else None
 
+    @property
+    def priority(self) -> int:
+        """Return the priority of the request's customer or, if it has none, of the route."""
+        priority = self.request.priority
+        return priority if priority is not None else self.route.priority
+
     @property
     def idle_limit_s(self) -> float:
         """Return the longest idle time of a connection that may carry the request, in seconds."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
@@ -17,6 +17,7 @@
 from skylarkferry_core.routes import ClientLimits, Route, RoutingTable
 from skylarkferry_daemon.log import NO_PROGRAM
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.access import AccessControl
 from skylarkferry_gateway.attempts import Attempts, deadline_of
 from skylarkferry_gateway.buffered_relay import BufferedRelay
 from skylarkferry_gateway.failover_store import FailoverStore
@@ -45,11 +46,13 @@
         config: ConfigWatcher,
         turn_services: TurnServices,
         store: FailoverStore,
+        access: AccessControl,
     ) -> None:
         self.context = context
         self.config = config
         self.turn_services = turn_services
         self.store = store
+        self.access = access
         self.planned_stop = PlannedStop()
         self.log = context.log
         self.metrics = context.metrics
@@ -69,6 +72,7 @@
         try:
             request = self._decode(received, received_at)
             route, table = self._find_route(request)
+            request = self.access.admit(request, route, table)
             outcome = str(await self._relay(request, route, table, client))
         except StreamBrokenError as error:
             outcome = "broken_off"
@@ -118,6 +122,7 @@
             )
         route = table.match(request.host, request.path)
         if route is None:
+            self.access.check_unrouted(table)
             raise UnknownRouteError(f"no matching route in configuration version {table.version}")
         return route, table
 
@@ -202,6 +207,9 @@
         self.metrics.latency.labels(kind=kind).observe(latency_s)
         client_left = outcome == "left"
         table = self.config.current
+        named = {}
+        if request is not None and request.customer is not None:
+            named["customer"] = request.customer.name
         self.log.emit(
             EventKind.GATEWAY_CLIENT_LEFT if client_left else EventKind.GATEWAY_ANSWERED,
             request.metadata.program_id if request is not None else NO_PROGRAM,
@@ -211,6 +219,7 @@
             outcome=outcome,
             reason=reason,
             ms=round(latency_s * 1_000),
+            **named,
         )
 
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/interfaces.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/interfaces.py
@@ -68,6 +68,9 @@
     def forwarded_headers(self, headers: Headers) -> Headers:
         """Return the client headers to forward unchanged to the upstream."""
 
+    def headers_without_key(self, headers: Headers) -> Headers:
+        """Return a client's headers without its key, also if that cannot be decoded."""
+
     def upstream_headers(self, metadata: UpstreamRequestMetadata) -> Headers:
         """Return the headers that the gateway adds to a request to an upstream."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -17,6 +17,12 @@
             ["kind", "outcome"],
             registry=self.registry,
         )
+        self.access_refusals = Counter(
+            "skylarkferry_gateway_access_refusals",
+            "Requests refused for want of a key that is certainly valid, by cause.",
+            ["cause"],
+            registry=self.registry,
+        )
         self.latency = Histogram(
             "skylarkferry_gateway_request_seconds",
             "Time from a request's last byte to its answer's last byte.",
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -135,12 +135,15 @@
         """Return the metadata to send to the upstream with the request."""
         priority = None
         if attempts.engine is not None:
-            priority = min(
-                _FIRST_PRIORITY + _PRIORITY_STEP * attempts.route.priority, _LAST_PRIORITY
-            )
+            priority = min(_FIRST_PRIORITY + _PRIORITY_STEP * attempts.priority, _LAST_PRIORITY)
         remaining_s = attempts.remaining_s(now)
+        customer = attempts.request.customer
         return UpstreamRequestMetadata(
-            remaining_s, decision.upstream.entry.upstream, priority, last_event_id
+            remaining_s,
+            decision.upstream.entry.upstream,
+            priority,
+            last_event_id,
+            customer.name if customer is not None else None,
         )
 
     def is_listed_since(self, opened_at: float) -> bool:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -15,6 +15,7 @@
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_daemon.timers import TimerService
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.access import AccessControl
 from skylarkferry_gateway.accounts import AccountManager
 from skylarkferry_gateway.budgets import ProgramBudgets
 from skylarkferry_gateway.coordinator import PlacementCoordinator
@@ -118,7 +119,10 @@
         self.context = context = RelayContext(
             platform.codec, selector, self.crashes, resumptions, memory, log=log, metrics=metrics
         )
-        self.gateway = Gateway(context, self.config, turn_services, store)
+        access = AccessControl(
+            self.config, platform.codec, settings.revocation, log=log, metrics=metrics
+        )
+        self.gateway = Gateway(context, self.config, turn_services, store, access)
         self.is_listening = False
         self.is_stopping = False
         self.was_ready = False
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
@@ -1,9 +1,14 @@
 """Watchers that keep the upstream list and configuration as fresh as the bounds require."""
 
+import math
+from collections.abc import Collection
+
 import anyio
 
+from skylarkferry_admission.access import is_sendable
 from skylarkferry_core.errors import PlatformUnavailableError
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.ids import CustomerId
 from skylarkferry_core.routes import RoutingTable
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_daemon.timers import TimerService
@@ -18,6 +23,10 @@
 from skylarkferry_gateway.upstreams import Upstreams
 from skylarkferry_gateway.version_assignments import VersionAssignments
 
+_MAX_LOGGED_NAMES = 8
+_MAX_LOGGED_CHARS = 40
+"""Customers named in a log line about a configuration, and characters of each name."""
+
 
 class UpstreamWatcher:
     """Read the upstream list periodically and log its changes."""
@@ -81,7 +90,8 @@
 class ConfigWatcher:
     """Follow the configuration; an older version never replaces a newer one.
 
-    ``changes`` are those within the time for which a stream can be resumed.
+    ``changes`` are those within the time for which a stream can be resumed.  ``confirmed_at`` is a
+    monotonic time at which the current configuration was the latest one.
     """
 
     def __init__(
@@ -96,6 +106,7 @@
         self.log = log
         self.metrics = metrics
         self.current: RoutingTable | None = None
+        self.confirmed_at = -math.inf
         self.changes = RouteChanges(defaults.STREAM_KEEP_S + defaults.STREAM_KEEP_MARGIN_S)
 
     async def run(self) -> None:
@@ -112,8 +123,15 @@
             delay_s = defaults.STORE_RETRY_S
             if table is not None:
                 self._apply(table)
+            # The store answers within the wait; a process that was paused reads that much later.
+            latest = asked_at + defaults.CONFIG_POLL_TIMEOUT_S
+            self.confirmed_at = min(anyio.current_time(), latest)
             await pause_after(asked_at)
 
+    def age_s(self, now: float) -> float:
+        """Return the seconds since the configuration was confirmed to be current."""
+        return now - self.confirmed_at
+
     def _apply(self, table: RoutingTable) -> None:
         if self.current is not None and table.version <= self.current.version:
             return
@@ -135,3 +153,29 @@
             routes=len(table.routes),
             services=len(table.services),
         )
+        if table.customers:
+            self._log_faults(table)
+
+    def _log_faults(self, table: RoutingTable) -> None:
+        """Log keys and names of a configuration's customers that cannot be used."""
+        customers = table.customers
+        if customers.ambiguous:
+            self.log.emit(
+                EventKind.GATEWAY_KEYS_SHARED,
+                version=table.version,
+                keys=len(customers.ambiguous),
+                customers=_some_names(customers.sharing),
+            )
+        unsendable = [name for name in customers.by_name if not is_sendable(name)]
+        if unsendable:
+            self.log.emit(
+                EventKind.GATEWAY_CUSTOMERS_UNSENDABLE,
+                version=table.version,
+                customers=_some_names(unsendable),
+            )
+
+
+def _some_names(names: Collection[CustomerId]) -> str:
+    """Return the number of customers, and some of their names in a bounded form."""
+    first = sorted(names)[:_MAX_LOGGED_NAMES]
+    return f"{len(names)}: " + ", ".join(ascii(name[:_MAX_LOGGED_CHARS]) for name in first)
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -61,7 +61,7 @@
 ENGINE = {"slots": 4, "kvCapacity": 100_000, "tokensPerEvent": TOKENS_PER_EVENT}
 
 
-def config(version=1, routes=None, limits=None):
+def config(version=1, routes=None, limits=None, **more):
     """Return a configuration document in the operator's format."""
     common = {"host": HOST, "timeoutMs": 2_000, "targetLatencyMs": 200, "priority": 1}
     chosen = ROUTES if routes is None else routes
@@ -73,6 +73,7 @@
         ],
         "services": [{"name": "tools"}, {"name": "engine", "engine": ENGINE}],
         "limits": limits or {"maxHeaderBytes": 8_192, "maxBodyBytes": 200_000},
+        **more,
     }
 
 
@@ -216,19 +217,11 @@
         await self.listen(address, WireServer(handle))
         return address
 
-    async def add_gateway(self, name="gateway-1", store_address=None, prepare=lambda gateway: None):
+    async def add_gateway(
+        self, name="gateway-1", store_address=None, prepare=lambda gateway: None, **settings
+    ):
         """Start a gateway and wait until it knows its surroundings; ``prepare`` may change it."""
-        settings = GatewaySettings(
-            node=NodeId(name),
-            incarnation=Incarnation(f"{name}.{len(self.gateways)}"),
-            failure_domain=FailureDomain("a"),
-            client_listen=free_address(),
-            ready_listen=free_address(),
-            metrics_listen=free_address(),
-            peer_listen=free_address(),
-            memory_bytes=200 << 20,
-            grace_s=GRACE_S,
-        )
+        settings = self.settings(name, **settings)
         log = EventLog(settings.node, 1_000)
         metrics = GatewayMetrics()
         store = PlatformStore(store_address or self.store_address, log, metrics)
@@ -249,6 +242,21 @@
         )
         return gateway
 
+    def settings(self, name, **more):
+        """Return the settings of one more gateway."""
+        return GatewaySettings(
+            node=NodeId(name),
+            incarnation=Incarnation(f"{name}.{len(self.gateways)}"),
+            failure_domain=FailureDomain("a"),
+            client_listen=free_address(),
+            ready_listen=free_address(),
+            metrics_listen=free_address(),
+            peer_listen=free_address(),
+            memory_bytes=200 << 20,
+            grace_s=GRACE_S,
+            **more,
+        )
+
     async def _run(self, gateway):
         try:
             with gateway.scope:
