Test fingerprints of requests without a program or previous turn

With a previous turn or a program, the qualified ids alone made the fingerprints differ, so that the test passed without the customer's scope (trial: customer_scope returning an empty text).

--- a/tests/gateway/test_customer_isolation.py
+++ b/tests/gateway/test_customer_isolation.py
@@ -60,7 +60,7 @@
     return rig
 
 
-async def turn(rig, key, turn_id, body=b"p", previous="", path="/kept/1", gateway=0, **more):
+async def turn(rig, key, turn_id, body=b"p", previous="", *, path="/kept/1", gateway=0, **more):
     """Send a turn with a customer's key and return its response."""
     if previous:
         more["Previous_Turn"] = previous
@@ -201,13 +201,15 @@
 ROUTE = Route("r", "h", "/", RequestKind.IDEMPOTENT, (ServiceShare(ServiceName("s")),), 1.0, 1.0)
 
 
-def test_fingerprints_of_two_customers_and_of_nobody_differ():
-    request = client_request(b"/once/1", request_id="q", program_id="p", previous_turn="t")
+# Guards against requests without a program or a previous turn that share a quarantine.
+@pytest.mark.parametrize(("ids", "count"), [({}, 3), ({"program_id": "p"}, 6)])
+def test_fingerprints_of_two_customers_and_of_nobody_differ(ids, count):
+    request = client_request(b"/once/1", request_id="q", **ids)
     found = [
         fingerprints_of(request_for(request, ROUTE, customer, []))
         for customer in (None, Customer(CustomerId("gears")), Customer(CustomerId("fish")))
     ]
-    assert_that(set().union(*found), HasLength(6))
+    assert_that(set().union(*found), HasLength(count))
     assert_that(found[0], Equals(fingerprints_of(request)))
 
 
