--- a/tests/gateway/test_access.py
+++ b/tests/gateway/test_access.py
@@ -141,6 +141,14 @@
     assert_that((answer.status_code, named_by(served.replica)), Equals((200, ["gears"])))
 
 
+async def test_key_is_found_among_a_thousand_headers(served):
+    fillers = [(f"x{number}", "1") for number in range(1_000)]
+    fields = [*headers("q").items(), *fillers, ("Authorization", f"Bearer {GEARS_KEY}")]
+    answer = await send(served, "/get/1", fields)
+    assert_that((answer.status_code, named_by(served.replica)), Equals((200, ["gears"])))
+    assert_that(str(served.replica.runs[0].headers), Not(Contains(GEARS_KEY)))
+
+
 # Guards against a key in the text of an error.
 @pytest.mark.parametrize(
     ("head", "status"),
