--- a/tests/platform_adapter/test_boot.py
+++ b/tests/platform_adapter/test_boot.py
@@ -61,6 +61,13 @@
     assert_that(settings.link_bytes_per_s, Equals(1_875_000.0))
 
 
+# Guards against gateways that serve no key at all where the platform names no time.
+def test_strict_use_of_keys_has_the_usual_limit_if_none_is_named(settings_path):
+    settings_path.write_text(BOOT_TOML.replace("graceS = 8", "graceS = 8\nstrictRevoke = true"))
+    settings = boot.load().gateway_settings()
+    assert_that(settings.revocation, Equals(RevocationBounds(True, 5.0)))
+
+
 def test_a_platform_without_quotas_and_keys_names_no_bounds(settings_path):
     settings_path.write_text(BOOT_TOML)
     settings = boot.load().gateway_settings()
