Admit requests of customers with a quota over all gateways

The stage is between route and relay (gateway/quotas.py); a request is charged a token at admission and one more for each attempt after one that may have run, and gets it back if it has certainly not run. quota_exchange.py exchanges with the owner of a shard every 0.1 s, or 0.3 s while its quotas are unused, and at once when requests need tokens; all customers of the shard share a datagram. Owners are ranked as coordinators are; one that is silent for 50 ms is passed over and probed.

A gateway accrues only while others certainly list it, or while its owner hears all of the list. Quotas are taken from the table in force with its version: a raised limit was ignored while its version came first with the former quota (test_raised_limit_takes_effect_at_once failed, passes now).

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -7,12 +7,15 @@
     ConnectionLostError,
     OverloadedError,
     SkylarkferryError,
+    UpstreamLostError,
 )
 from skylarkferry_core.ids import ServiceName
 from skylarkferry_core.routes import EngineSpec, Route, RoutingTable
+from skylarkferry_core.states import FinalWord
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.exchanges import Reply
 from skylarkferry_gateway.messages import ClientRequest
+from skylarkferry_gateway.quota_charges import QuotaCharge
 from skylarkferry_gateway.stream_origins import StreamRow
 from skylarkferry_gateway.upstreams import Upstream
 
@@ -38,7 +41,8 @@
     ``stream_row`` is the row by which the version of the last attempt is recorded, if it is;
     ``is_stream_kept`` is whether the stream counts as relayed, ``has_moved`` whether its path has
     led to other services lately.
-    ``answer_by`` bounds the deadline at a planned stop.
+    ``answer_by`` bounds the deadline at a planned stop.  ``charge`` holds the tokens of its
+    customer's quota, ``None`` without a quota.
     """
 
     def __init__(
@@ -64,6 +68,22 @@
         self.stream_row: StreamRow | None = None
         self.is_stream_kept = False
         self.has_moved = False
+        self.charge: QuotaCharge | None = None
+
+    def count_sent(self) -> None:
+        """Count an attempt that is about to be sent."""
+        self.attempts_made += 1
+        if self.charge is not None:
+            self.charge.on_sent()
+
+    def count_failed(self, error: SkylarkferryError) -> None:
+        """Give the attempt's token back if the request certainly did not run.
+
+        Only the loss of an upstream and its refusal say so; other errors may come after it ran.
+        """
+        is_lost = isinstance(error, UpstreamLostError) and error.word is FinalWord.NOT_RUN
+        if is_lost and self.charge is not None:
+            self.charge.on_not_run()
 
     def accepts(self, upstream: Upstream) -> bool:
         """Return whether the request may be sent to the upstream, which takes new requests."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
@@ -60,6 +60,7 @@
         except SkylarkferryError as error:
             self.context.count_failure(decision, error)
             self.context.report_failed_attempt(attempts, decision, error)
+            attempts.count_failed(error)
             if error.word is not FinalWord.NOT_RUN:
                 attempts.ambiguous_error = error
                 self.context.check_for_crash(attempts, decision)
@@ -80,7 +81,7 @@
             await exchange.connect(attempts.idle_limit_s)
             decision.alive_at = exchange.alive_at
             now = anyio.current_time()
-            attempts.attempts_made += 1
+            attempts.count_sent()
             request_metadata = context.upstream_request_metadata(attempts, decision, now)
             reply_deadline = context.reply_deadline(attempts, decision, now)
             with anyio.move_on_at(reply_deadline):
@@ -102,6 +103,7 @@
             if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
                 upstream.is_misdirected = True
             error = UpstreamLostError(f"refused with status {reply.status}")
+            attempts.count_failed(error)
             self.context.report_failed_attempt(attempts, decision, error)
             return None
         if not reply.is_trusted:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -151,6 +151,26 @@
 ATTEMPTS_SWEEP_S = 0.5
 """Interval between sweeps for attempts whose end was not reported to the coordinator."""
 
+QUOTA_TIMEOUT_S = 0.05
+"""Longest wait for the answer of one owner of quotas; the same as for a coordinator."""
+QUOTA_RESEND_S = 0.025
+"""Time after which a question to an owner is sent again; otherwise each lost datagram would send
+its gateway to an owner that holds nothing of other gateways' shares."""
+QUOTA_WAIT_S = 0.3
+"""Longest wait of a request for its quota: an exchange under way and one over three owners."""
+QUOTA_INTERVAL_S = 0.1
+"""Interval between deposits of quotas in use; a gateway keeps nearly two intervals' accrual."""
+QUOTA_QUIET_INTERVAL_S = 0.3
+"""Interval between deposits of quotas that are not in use.
+
+An owner keeps a gateway's share of the burst for 1 s, so that one lost datagram costs none of it.
+"""
+QUOTA_BATCH_S = 0.002
+"""Time for which requests that need tokens are collected into one question; a round trip within a
+failure domain takes as long."""
+QUOTA_PROBE_INTERVAL_S = 0.25
+"""Interval between questions to owners that were silent, so that a lost datagram costs little."""
+
 PEER_TIMEOUT_S = 0.4
 """Timeout of a call to another gateway; a store write and two round trips fit on a slow host."""
 OWNER_WAIT_S = 0.3
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
@@ -28,6 +28,8 @@
 )
 from skylarkferry_gateway.messages import ClientRequest
 from skylarkferry_gateway.planned_stop import PlannedStop
+from skylarkferry_gateway.quota_charges import QuotaCharge
+from skylarkferry_gateway.quotas import QuotaStage
 from skylarkferry_gateway.relay_context import RelayContext
 from skylarkferry_gateway.stream_relay import StreamBrokenError, StreamRelay
 from skylarkferry_gateway.turns import ActiveTurn, TurnServices
@@ -45,7 +47,9 @@
         config: ConfigWatcher,
         turn_services: TurnServices,
         store: FailoverStore,
+        quotas: QuotaStage,
     ) -> None:
+        self.quotas = quotas
         self.context = context
         self.config = config
         self.turn_services = turn_services
@@ -129,11 +133,28 @@
             refusal = self.planned_stop.refusal(deadline_of(request, route))
         if refusal is not None:
             raise refusal
+        charge = await self.quotas.admit(request, route, deadline_of(request, route))
+        try:
+            return await self._relay_admitted(request, route, table, client, charge)
+        finally:
+            if charge is not None:
+                charge.settle()
+
+    async def _relay_admitted(
+        self,
+        request: ClientRequest,
+        route: Route,
+        table: RoutingTable,
+        client: ClientConnection,
+        charge: QuotaCharge | None,
+    ) -> int:
         service = self.context.selector.choose_service(request, route)
         if not route.is_streamed:
             attempts = self._attempts(request, route, table, service)
+            attempts.charge = charge
             return await self.buffered_relay.relay(attempts, client)
         attempts = await self._stream_attempts(request, route, table, service)
+        attempts.charge = charge
         store_deadline = attempts.deadline + defaults.DEADLINE_SLACK_S
         work = ActiveTurn(request, route, attempts.engine, self.turn_services, store_deadline)
         body = await work.begin()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
@@ -1,5 +1,6 @@
 """List of the running gateways: each one updates a row of its own in the store and reads all."""
 
+import math
 from typing import Annotated
 
 import anyio
@@ -66,6 +67,22 @@
         self.unreadable: set[NodeId] = set()
         """Listed names whose rows are malformed; no gateway of that name may run."""
         self.known_from: float | None = None
+        self.rejoined_from = -math.inf
+        self.updated_at: float | None = None
+        """Start of the last update of this gateway's row that was followed by a read."""
+
+    def is_counted(self, now: float) -> bool:
+        """Return whether all gateways that read the list certainly have this one in it."""
+        if self.known_from is None or now < self.known_from or self.updated_at is None:
+            return False
+        return now >= self.rejoined_from and now - self.updated_at < self._listed_s()
+
+    def _listed_s(self) -> float:
+        """Return for how long no other gateway takes this one off the list after an update.
+
+        The reads of others are an interval apart, and each may be late by half of one.
+        """
+        return (_MAX_UNCHANGED_READS - 0.5) * defaults.GATEWAY_HEARTBEAT_S
 
     def time_slots(self, upstream: UpstreamId, now: float) -> TimeSlots | None:
         """Return the time slots of this gateway, or ``None`` until all others know of it."""
@@ -87,13 +104,19 @@
 
     async def send_heartbeat(self) -> None:
         """Update the row of this gateway and read those of all gateways."""
-        deadline_at = anyio.current_time() + defaults.GATEWAY_HEARTBEAT_S / 2
+        began = anyio.current_time()
+        deadline_at = began + defaults.GATEWAY_HEARTBEAT_S / 2
         try:
             if self.known_from is None:
                 await self._join(deadline_at)
+                self.updated_at = began
             else:
                 await self._update_row(deadline_at)
                 self._apply(await self._read(deadline_at))
+                if self.updated_at is None or began - self.updated_at > self._listed_s():
+                    # Others may have taken this gateway off their lists meanwhile.
+                    self.rejoined_from = began + _JOIN_HEARTBEATS * defaults.GATEWAY_HEARTBEAT_S
+                self.updated_at = began
                 await self._delete_old_rows()
         except PlatformUnavailableError:
             return  # logged by the store client
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -156,6 +156,34 @@
             "Attempts of all gateways that this one follows as a coordinator.",
             registry=self.registry,
         )
+        self.quota_charges = Counter(
+            "skylarkferry_gateway_quota_charges",
+            "Tokens of customers' quotas taken for attempts: from stock, or asked of the owner.",
+            ["source"],
+            registry=self.registry,
+        )
+        self.quota_returns = Counter(
+            "skylarkferry_gateway_quota_returns",
+            "Tokens given back because the request had certainly not run.",
+            registry=self.registry,
+        )
+        self.quota_refusals = Counter(
+            "skylarkferry_gateway_quota_refusals",
+            "Requests refused because of their customer's quota, by what their program had done.",
+            ["program"],
+            registry=self.registry,
+        )
+        self.quota_exchanges = Counter(
+            "skylarkferry_gateway_quota_exchanges",
+            "Questions to owners of quotas by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.quota_owner_changes = Counter(
+            "skylarkferry_gateway_quota_owner_changes",
+            "Changes of the owner that this gateway asks for a shard of the quotas.",
+            registry=self.registry,
+        )
         self.datagrams_dropped = Counter(
             "skylarkferry_gateway_datagrams_dropped",
             "Datagrams between gateways that were not sent or not understood, by reason.",
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement_calls.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement_calls.py
@@ -1,7 +1,9 @@
-"""Datagrams between gateways that ask for placements and the coordinators that answer."""
+"""Datagrams between gateways that ask for placements or quotas and those that answer."""
 
 import itertools
 import time
+from collections.abc import Callable
+from typing import Generic, TypeVar
 
 import anyio
 from anyio.abc import UDPSocket
@@ -13,21 +15,31 @@
 from skylarkferry_gateway.coordinator import PlacementCoordinator
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.placement_messages import Answer, Ask, Ended, Message, PlacementQuery
+from skylarkferry_gateway.quota_messages import QuotaAnswer, QuotaAsk
 from skylarkferry_gateway.upstream_views import AttemptOutcome
 
+Reply = TypeVar("Reply", Answer, QuotaAnswer)
+
 _MAX_DATAGRAM_BYTES = 8_192
 """Longest datagram that is sent; the path fragments larger ones into many packets."""
 _MAX_UNSENT = 1_000
 _NS_PER_MS = 1_000_000
+_MAX_PROBES = 64
+"""Unanswered probes that are remembered; a late answer to an older one is ignored."""
 
 
-class _Waiting:
+class _Waiting(Generic[Reply]):
     """A question that waits for its answer."""
 
     def __init__(self) -> None:
-        self.answer: Answer | None = None
+        self.answer: Reply | None = None
         self.answered = anyio.Event()
 
+    def set(self, answer: Reply) -> None:
+        """Keep the answer and wake the asker."""
+        self.answer = answer
+        self.answered.set()
+
 
 class PlacementCalls:
     """Ask coordinators at other gateways, and answer for the coordinator in this one.
@@ -49,7 +61,10 @@
         self.metrics = metrics
         # Numbers of an earlier process at this address are not used again.
         self.numbers = itertools.count(time.time_ns() // _NS_PER_MS << 20)
-        self.waiting: dict[int, _Waiting] = {}
+        self.waiting: dict[int, _Waiting[Answer]] = {}
+        self.answer_quota: Callable[[QuotaAsk], QuotaAnswer] | None = None
+        self.quota_waiting: dict[int, _Waiting[QuotaAnswer]] = {}
+        self.quota_probes: dict[int, Callable[[], None]] = {}
         self.unsent, self.queued = anyio.create_memory_object_stream[tuple[str, bytes]](_MAX_UNSENT)
 
     async def run(self) -> None:
@@ -91,8 +106,20 @@
             case Answer():
                 waiting = self.waiting.get(message.number)
                 if waiting is not None:
-                    waiting.answer = message
-                    waiting.answered.set()
+                    waiting.set(message)
+            case QuotaAsk():
+                if self.answer_quota is not None:
+                    self._enqueue(sender, self.answer_quota(message))
+            case QuotaAnswer():
+                self._on_quota_answer(message)
+
+    def _on_quota_answer(self, answer: QuotaAnswer) -> None:
+        waiting = self.quota_waiting.get(answer.number)
+        if waiting is not None:
+            waiting.set(answer)
+        on_answer = self.quota_probes.pop(answer.number, None)
+        if on_answer is not None:
+            on_answer()
 
     def _enqueue(self, address: str, message: Message) -> bool:
         """Queue a message without waiting; return False if it is too long or the queue is full."""
@@ -109,11 +136,11 @@
 
     async def ask(self, address: str, query: PlacementQuery) -> Answer | None:
         """Return a coordinator's answer, or ``None`` if none arrives in time."""
-        number = next(self.numbers)
+        number = self.next_number()
         if address == self.address:
             return self.coordinator.place(address, number, query, anyio.current_time())
         asked_at = anyio.current_time()
-        waiting = self.waiting[number] = _Waiting()
+        waiting = self.waiting[number] = _Waiting[Answer]()
         try:
             if not self._enqueue(address, Ask(number, query)):
                 return None
@@ -132,3 +159,31 @@
             self.coordinator.end(address, ended, anyio.current_time())
         else:
             self._enqueue(address, ended)
+
+    def next_number(self) -> int:
+        """Return the number of the next question."""
+        return next(self.numbers)
+
+    async def ask_quota(self, address: str, ask: QuotaAsk, timeout_s: float) -> QuotaAnswer | None:
+        """Return the answer of an owner of quotas, or ``None`` if none arrives in time.
+
+        After a pause of this process an answer may be old, so that it is not used.
+        """
+        asked_at = anyio.current_time()
+        waiting = self.quota_waiting[ask.number] = _Waiting[QuotaAnswer]()
+        try:
+            if not self._enqueue(address, ask):
+                return None
+            with anyio.move_on_after(timeout_s):
+                await waiting.answered.wait()
+        finally:
+            del self.quota_waiting[ask.number]
+        is_late = anyio.current_time() - asked_at > timeout_s + defaults.QUOTA_TIMEOUT_S
+        return None if is_late else waiting.answer
+
+    def probe_quota(self, address: str, ask: QuotaAsk, on_answer: Callable[[], None]) -> None:
+        """Ask whether an owner answers again, without waiting for it."""
+        if len(self.quota_probes) >= _MAX_PROBES:
+            del self.quota_probes[next(iter(self.quota_probes))]
+        self.quota_probes[ask.number] = on_answer
+        self._enqueue(address, ask)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement_messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement_messages.py
@@ -1,10 +1,11 @@
-"""Messages between gateways and coordinators of placements, one in each datagram."""
+"""Messages between gateways, one in each datagram; those of placements are defined here."""
 
 import msgspec
 
 from skylarkferry_core.ids import FailureDomain, ProgramId, ServiceName, UpstreamId
 from skylarkferry_gateway import decoding
 from skylarkferry_gateway.messages import PromptPart, ReportedLoad
+from skylarkferry_gateway.quota_messages import QuotaAnswer, QuotaAsk
 from skylarkferry_gateway.upstream_views import AttemptOutcome
 
 
@@ -75,7 +76,7 @@
     speed: SpeedSample | None = None
 
 
-Message = Ask | Answer | Ended
+Message = Ask | Answer | Ended | QuotaAsk | QuotaAnswer
 
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -65,6 +65,10 @@
         attempts.refusal = self.crashes.refusal(attempts.request)
         if attempts.refusal is not None:
             return None
+        if attempts.charge is not None:
+            attempts.refusal = await attempts.charge.prepare(attempts.deadline)
+            if attempts.refusal is not None:
+                return None
         decision = await self.selector.select(attempts)
         if decision is None:
             if self.selector.is_limited(attempts):
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -5,8 +5,10 @@
 from contextlib import AsyncExitStack
 
 import anyio
+import xxhash
 from anyio.abc import SocketStream
 
+from skylarkferry_admission.quota_limits import QuotaMargin
 from skylarkferry_core.errors import PlatformUnavailableError
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.histories import TurnCache
@@ -34,6 +36,10 @@
 from skylarkferry_gateway.peers import PeerClient, PeerServer
 from skylarkferry_gateway.placement_calls import PlacementCalls
 from skylarkferry_gateway.process_checks import ProcessChecker
+from skylarkferry_gateway.quota_exchange import QuotaExchange
+from skylarkferry_gateway.quota_messages import QUOTA_SHARDS
+from skylarkferry_gateway.quota_owners import OwnedPools, QuotaOwnerRanks
+from skylarkferry_gateway.quotas import QuotaStage
 from skylarkferry_gateway.relay_context import RelayContext
 from skylarkferry_gateway.response_memory import ResponseMemory
 from skylarkferry_gateway.selection import UpstreamSelector
@@ -118,13 +124,40 @@
         self.context = context = RelayContext(
             platform.codec, selector, self.crashes, resumptions, memory, log=log, metrics=metrics
         )
-        self.gateway = Gateway(context, self.config, turn_services, store)
+        self.quotas = self._quotas()
+        self.gateway = Gateway(context, self.config, turn_services, store, self.quotas)
         self.is_listening = False
         self.is_stopping = False
         self.was_ready = False
         self.clients: set[ClientConnection] = set()
         self.client_left = anyio.Event()
 
+    def _quotas(self) -> QuotaStage:
+        """Build the stage of customers' quotas and its exchange with other gateways."""
+        bounds = self.settings.quota_bounds
+        margin = QuotaMargin()
+        if bounds is not None:
+            margin = QuotaMargin(bounds.window_s, bounds.over, bounds.slack)
+        clock = suspension_clock
+        nonce = xxhash.xxh32_intdigest(self.settings.incarnation.encode())
+        owned = OwnedPools(nonce, margin, clock)
+        self.placement_calls.answer_quota = owned.answer
+        ranks = QuotaOwnerRanks(self.gateways, self.log, self.metrics)
+        exchanges = [
+            QuotaExchange(
+                shard,
+                ranks,
+                owned,
+                self.placement_calls,
+                margin=margin,
+                clock=clock,
+                log=self.log,
+                metrics=self.metrics,
+            )
+            for shard in range(QUOTA_SHARDS)
+        ]
+        return QuotaStage(exchanges, self.config, clock, self.log, self.metrics)
+
     async def run(self, stop: anyio.Event) -> None:
         """Serve until ``stop`` is set and the requests in progress have ended."""
         async with AsyncExitStack() as stack, anyio.create_task_group() as tasks:
@@ -167,6 +200,8 @@
         background.keep_running(self.origins.write)
         background.keep_running(self.placement_calls.run)
         background.keep_running(self.owners.write_list)
+        for exchange in self.quotas.exchanges:
+            background.keep_running(exchange.run, self.quotas.current)
         background.start_soon(self.upstream_watcher.read)
         background.start_soon(self._read_owners)
         background.start_soon(self.gateways.send_heartbeat)
@@ -277,5 +312,10 @@
         self.log.emit(EventKind.GATEWAY_STOPPED, connections=len(self.clients))
 
 
+def suspension_clock() -> float:
+    """Return the seconds of a clock that goes on while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def _never() -> bool:
     return False
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -124,6 +124,7 @@
         if not isinstance(error, _RefusedError):
             self.context.count_failure(decision, error)
         self.context.report_failed_attempt(self.attempts, decision, error)
+        self.attempts.count_failed(error)
         if error.word is not FinalWord.NOT_RUN:
             self.attempts.ambiguous_error = error
             self.context.check_for_crash(self.attempts, decision)
@@ -135,7 +136,7 @@
             decision.alive_at = exchange.alive_at
             await self._check_process(exchange, decision)
             sent_at = anyio.current_time()
-            attempts.attempts_made += 1
+            attempts.count_sent()
             if attempts.route.is_resumable:
                 context.resumptions.on_attempt(attempts, _origin(decision.upstream.entry))
             request_metadata = context.upstream_request_metadata(
