Let gateways that start at once accrue as soon as their owner hears all of them

A gateway that joins accrues nothing for 6 s, until all others have read its row; a fleet that starts for the first time would refuse every customer with a quota for as long. Now the list is read each 0.5 s meanwhile, where customers have quotas, and the owner says whether exactly the gateways of one list ask it, each with a list read after its own row was written: who is not on that list has a longer one, so that no two groups can be whole. The same word lets gateways accrue through a store outage of more than 12.5 s. Weighed: trusting any list at once (each of 27 gateways that start together finds itself alone).

--- a/packages/skylarkferry-admission/src/skylarkferry_admission/quota_pools.py
+++ b/packages/skylarkferry-admission/src/skylarkferry_admission/quota_pools.py
@@ -37,19 +37,22 @@
 """Requests of a program that are assumed at first, with the weight of so many programs."""
 _MAX_REQUESTS = 50.0
 _MAJORITY = 0.5
+_ROUNDING = 1e-6
 
 
 class Deposit(msgspec.Struct, frozen=True, array_like=True):
     """What a gateway deposits for all customers of a shard.
 
     ``share_s`` seconds of accrual, of which the gateway has the share ``weight``.  It has asked no
-    other owner for ``loyal_s``.  ``echo`` is the time that this owner named in its last answer.
+    other owner for ``loyal_s``.  ``is_settled`` is whether it has read the list of gateways since
+    it entered its own row.  ``echo`` is the time that this owner named in its last answer.
     """
 
     node: str
     weight: Annotated[float, msgspec.Meta(ge=0, le=1)]
     share_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_SHARE_S)]
     loyal_s: Annotated[float, msgspec.Meta(ge=0)]
+    is_settled: bool = False
     echo: tuple[int, float] | None = None
 
 
@@ -57,6 +60,7 @@
     until: float
     weight: float
     is_loyal: bool
+    is_settled: bool
 
 
 class _Unmet(msgspec.Struct):
@@ -161,6 +165,7 @@
         self.base = 0.0
         self.loyal = 0.0
         self.heard = 0.0
+        self.is_whole = False
         self.at = now
         self.granted_at = -math.inf
 
@@ -187,11 +192,23 @@
         before = self.loyal, self.heard
         self.heard = sum(vote.weight for vote in self.votes.values())
         self.loyal = sum(vote.weight for vote in self.votes.values() if vote.is_loyal)
+        self.is_whole = self._hears_whole_list()
         if self.loyal < before[0] or self.heard < before[1]:
             self.base = self.shares  # pools made later cannot have more
             for pool in self.pools.values():
                 pool.settle(self.shares, self._cap(pool))
 
+    def _hears_whole_list(self) -> bool:
+        """Return whether exactly the gateways of one list ask here, so that nobody else accrues.
+
+        A gateway that is not on their list entered its row after all of them had read it, so that
+        its own list is longer.
+        """
+        votes = list(self.votes.values())
+        is_one_list = len({vote.weight for vote in votes}) == 1
+        is_settled = all(vote.is_settled for vote in votes)
+        return is_one_list and is_settled and abs(self.heard - 1.0) < _ROUNDING
+
     def _cap(self, pool: _Pool) -> float:
         limits = pool.limits
         return min(self.loyal, 1.0) * limits.pool + min(self.heard, 1.0) * limits.passing
@@ -211,9 +228,10 @@
             return False
         weight = min(max(deposit.weight, 0.0), 1.0)
         is_loyal = deposit.loyal_s >= LOYAL_AFTER_S
+        vote = _Vote(echo[1] + VOTE_S, weight, is_loyal, deposit.is_settled)
         before = self.votes.get(deposit.node)
-        self.votes[deposit.node] = _Vote(echo[1] + VOTE_S, weight, is_loyal)
-        if before is None or (before.weight, before.is_loyal) != (weight, is_loyal):
+        self.votes[deposit.node] = vote
+        if before is None or msgspec.structs.replace(before, until=vote.until) != vote:
             self._count_votes()
         # Gateways that have different lists may claim more than the whole together.
         self.shares += min(max(deposit.share_s, 0.0), MAX_SHARE_S) * weight / max(self.heard, 1.0)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -168,6 +168,8 @@
 QUOTA_BATCH_S = 0.002
 """Time for which requests that need tokens are collected into one question; a round trip within a
 failure domain takes as long."""
+QUOTA_JOIN_INTERVAL_S = 0.5
+"""Interval between reads of the list of gateways until all that start at once know each other."""
 QUOTA_PROBE_INTERVAL_S = 0.25
 """Interval between questions to owners that were silent, so that a lost datagram costs little."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
@@ -68,6 +68,8 @@
         """Listed names whose rows are malformed; no gateway of that name may run."""
         self.known_from: float | None = None
         self.rejoined_from = -math.inf
+        self.has_read_own = False
+        """Whether the list was read after this gateway's row was written."""
         self.updated_at: float | None = None
         """Start of the last update of this gateway's row that was followed by a read."""
 
@@ -113,6 +115,7 @@
             else:
                 await self._update_row(deadline_at)
                 self._apply(await self._read(deadline_at))
+                self.has_read_own = True
                 if self.updated_at is None or began - self.updated_at > self._listed_s():
                     # Others may have taken this gateway off their lists meanwhile.
                     self.rejoined_from = began + _JOIN_HEARTBEATS * defaults.GATEWAY_HEARTBEAT_S
@@ -121,6 +124,17 @@
         except PlatformUnavailableError:
             return  # logged by the store client
 
+    async def read_joined(self) -> None:
+        """Read which gateways have joined since the last heartbeat; none counts as gone."""
+        if self.known_from is None:
+            return
+        try:
+            rows = await self._read(anyio.current_time() + defaults.GATEWAY_HEARTBEAT_S / 2)
+        except PlatformUnavailableError:
+            return  # logged by the store client
+        self._apply(rows, counts_reads=False)
+        self.has_read_own = True
+
     async def _join(self, deadline_at: float) -> None:
         """Add the row of this gateway; until all others have read it, it has no time slots.
 
@@ -140,13 +154,13 @@
         write = Write(_PREFIX + self.node, msgspec.msgpack.encode(self.member))
         await retry_until(lambda: self.store.transact([], [write]), deadline_at)
 
-    def _apply(self, rows: list[Row]) -> None:
+    def _apply(self, rows: list[Row], *, counts_reads: bool = True) -> None:
         sightings: dict[str, _Sighting] = {}
         for row in rows:
             seen = self.sightings.get(row.key)
             if seen is None or seen.version != row.version:
                 seen = _Sighting(row.version)
-            else:
+            elif counts_reads:
                 seen.unchanged_reads += 1
             sightings[row.key] = seen
         self.sightings = sightings
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_exchange.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_exchange.py
@@ -30,9 +30,6 @@
 from skylarkferry_gateway.quota_messages import MAX_DEMANDS, QUOTA_SHARDS, QuotaAnswer, QuotaAsk
 from skylarkferry_gateway.quota_owners import OwnedPools, QuotaOwnerRanks
 
-_ALL_HEARD = 1 - 1e-6
-"""Share of the gateways at an owner that is the whole, but for rounding."""
-
 
 class QuotaWaiter:
     """A request that waits for a token; ``room_s`` is set if it got none."""
@@ -104,6 +101,7 @@
         self.stepped_at = now
         self.next_at = now
         self.heard = 0.0
+        self.is_whole = False
         self.heard_at = -math.inf
         self.version: int | None = None
         self.probed_at = -math.inf
@@ -204,7 +202,7 @@
         """Return whether all gateways count this one, so that its share is its own."""
         if self.gateways.is_counted(anyio.current_time()):
             return True
-        return self.heard >= _ALL_HEARD and now - self.heard_at <= PAUSE_S
+        return self.is_whole and now - self.heard_at <= PAUSE_S
 
     async def _exchange(self, version: int) -> None:
         """Ask the owners in rank until one answers, and decide about the waiting requests."""
@@ -295,14 +293,16 @@
         echo = self.vote.current_echo(now)
         share_s = self.share.take() if echo is not None else 0.0
         loyal_s = self.vote.loyal_s(now)
-        deposit = Deposit(self.gateways.node, self.weight, share_s, loyal_s, echo)
+        deposit = Deposit(
+            self.gateways.node, self.weight, share_s, loyal_s, self.gateways.has_read_own, echo
+        )
         number = self.calls.next_number()
         return QuotaAsk(number, self.shard, version, deposit, tuple(demands.values()))
 
     def _on_answer(self, answer: QuotaAnswer, asked_at: float, outcome: str) -> QuotaAnswer:
         self.metrics.quota_exchanges.labels(outcome=outcome).inc()
         self.vote.on_answer(answer.echo, asked_at)
-        self.heard, self.heard_at = answer.heard, asked_at
+        self.heard, self.is_whole, self.heard_at = answer.heard, answer.is_whole, asked_at
         return answer
 
     def _apply(
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_messages.py
@@ -36,11 +36,13 @@
     """What the owner grants.
 
     ``echo`` is the owner's time, which the next question names; ``heard`` the share of all gateways
-    that ask this owner; ``is_active`` whether deposits are needed often.
+    that ask this owner, ``is_whole`` whether these are exactly those of one list; ``is_active``
+    whether deposits are needed often.
     """
 
     number: int
     echo: tuple[int, float] = (0, -math.inf)
     heard: float = 0.0
+    is_whole: bool = False
     is_active: bool = False
     grants: tuple[Grant, ...] = ()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_owners.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_owners.py
@@ -38,7 +38,14 @@
             pools = self.shards[ask.shard] = QuotaPools(self.nonce, self.margin, now)
         is_current = pools.deposit(ask.number, ask.deposit, now)
         grants = pools.grant(ask.deposit.node, ask.version, ask.demands, now, is_current=is_current)
-        return QuotaAnswer(ask.number, echo, pools.heard, pools.is_active(now), tuple(grants))
+        return QuotaAnswer(
+            ask.number,
+            echo,
+            heard=pools.heard,
+            is_whole=pools.is_whole,
+            is_active=pools.is_active(now),
+            grants=tuple(grants),
+        )
 
     def advance(self, now: float) -> None:
         """Drop what pools may not hold any more."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/quotas.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/quotas.py
@@ -64,6 +64,18 @@
             self.has_quotas = any(customer.quota is not None for customer in customers)
         return table if self.has_quotas else None
 
+    async def follow_joining_gateways(self) -> None:
+        """Read the list of gateways early while this one waits for the others to count it.
+
+        When all gateways start at once, their owner then hears the whole list within a second or
+        two, and not only after a heartbeat.
+        """
+        gateways = self.exchanges[0].gateways
+        is_counted = gateways.is_counted(anyio.current_time())
+        is_whole = all(exchange.is_whole for exchange in self.exchanges)
+        if self.current() is not None and not is_counted and not is_whole:
+            await gateways.read_joined()
+
     async def admit(
         self, request: ClientRequest, route: Route, deadline: float
     ) -> QuotaCharge | None:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -217,6 +217,7 @@
         self.timers.every(defaults.PEER_IDLE_S, self.store.peers.close_idle)
         self.timers.every(defaults.ACCOUNTS_SWEEP_S, self.accounts.delete_idle_accounts)
         self.timers.every(defaults.GATEWAY_HEARTBEAT_S, self.gateways.send_heartbeat)
+        self.timers.every(defaults.QUOTA_JOIN_INTERVAL_S, self.quotas.follow_joining_gateways)
 
     def _count_failure(self, task: str) -> None:
         self.metrics.task_failures.labels(task=task).inc()
--- a/tests/admission/test_quota_pools.py
+++ b/tests/admission/test_quota_pools.py
@@ -25,7 +25,7 @@
     def ask(self, now, share_s=0.1, version=1, rate=RATE, burst=RATE, *, echo=None, **needs):
         self.number += 1
         named = (NONCE, now - 0.01) if echo is None else echo
-        deposit = Deposit(self.node, self.weight, share_s, self.loyal_s, named)
+        deposit = Deposit(self.node, self.weight, share_s, self.loyal_s, True, named)
         is_current = self.pools.deposit(self.number, deposit, now)
         demand = Demand(1, rate, burst, **needs)
         return self.pools.grant(self.node, version, [demand], now, is_current=is_current)[0]
@@ -62,14 +62,14 @@
 def test_repeated_question_deposits_once():
     """Guards against a datagram that the network delivers twice."""
     owner = pools()
-    deposit = Deposit("g1", 1.0, 0.1, 10.0, (NONCE, 1.0))
+    deposit = Deposit("g1", 1.0, 0.1, 10.0, True, (NONCE, 1.0))
     found = [owner.deposit(5, deposit, 1.1), owner.deposit(5, deposit, 1.2)]
     assert_that((found, owner.shares), Equals(([True, False], 0.1)))
 
 
 def test_share_is_bounded_whatever_a_gateway_says():
     owner = pools()
-    owner.deposit(1, Deposit("g1", 5.0, 1_000.0, 10.0, (NONCE, 1.0)), 1.1)
+    owner.deposit(1, Deposit("g1", 5.0, 1_000.0, 10.0, True, (NONCE, 1.0)), 1.1)
     assert_that(owner.shares, Equals(MAX_SHARE_S))
 
 
@@ -173,6 +173,36 @@
     assert_that(owner.shares - before, LessThan(0.5 * MARGIN.silent))
 
 
+def vote(owner, node, number, *, gateways, is_settled=True):
+    deposit = Deposit(node, 1 / gateways, 0.0, 10.0, is_settled, (NONCE, 1.0))
+    owner.deposit(number, deposit, 1.1)
+
+
+def test_whole_list_is_heard_once_all_of_it_ask_here():
+    owner = pools()
+    found = []
+    for number in range(3):
+        vote(owner, f"g{number}", number, gateways=3)
+        found.append(owner.is_whole)
+    assert_that(found, Equals([False, False, True]))
+
+
+def test_gateways_with_different_lists_are_not_the_whole():
+    """Guards against gateways that start at once and each take themselves for the only one."""
+    owner = pools()
+    vote(owner, "g1", 1, gateways=2)
+    vote(owner, "g2", 2, gateways=4)
+    vote(owner, "g3", 3, gateways=4)
+    assert_that((owner.heard, owner.is_whole), Equals((1.0, False)))
+
+
+def test_gateway_that_has_not_read_the_list_since_it_joined_is_not_the_whole():
+    """Guards against a gateway that joined before another's row was written."""
+    owner = pools()
+    vote(owner, "g1", 1, gateways=1, is_settled=False)
+    assert_that(owner.is_whole, Equals(False))
+
+
 def test_minority_does_not_count_silent_gateways():
     """Guards against two halves that both count each other's accrual."""
     owner = pools()
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -113,6 +113,7 @@
             members=dict(fleet.members),
             nodes=tuple(sorted(fleet.members)),
             is_counted=lambda now: self.has_store,
+            has_read_own=True,
         )
         log, metrics = _Log(), GatewayMetrics()
         self.log = log
