Tell all gateways which programs have begun

Requests of programs that have begun go first, also at a gateway that sees the program for the first time: the first turn of a sub-agent names no previous turn. Weighed: letting the owner judge each request (a question for each refused new program, also while nothing is left).

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_exchange.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_exchange.py
@@ -8,6 +8,7 @@
 import msgspec
 import xxhash
 
+from skylarkferry_admission.begun_programs import BegunPrograms
 from skylarkferry_admission.quota_buckets import (
     PAUSE_S,
     Demand,
@@ -30,6 +31,9 @@
 from skylarkferry_gateway.quota_messages import MAX_DEMANDS, QUOTA_SHARDS, QuotaAnswer, QuotaAsk
 from skylarkferry_gateway.quota_owners import OwnedPools, QuotaOwnerRanks
 
+_MAX_PROGRAMS = 20_000
+"""Programs that are remembered as begun; some minutes of a deployment."""
+
 
 class QuotaWaiter:
     """A request that waits for a token; ``room_s`` is set if it got none."""
@@ -97,6 +101,7 @@
         self.share = ShareClock(now)
         self.vote = OwnerVote(now)
         self.customers: dict[CustomerId, CustomerQuota] = {}
+        self.programs = BegunPrograms(_MAX_PROGRAMS)
         self.needed = anyio.Event()
         self.stepped_at = now
         self.next_at = now
@@ -215,6 +220,7 @@
             before = self.vote.owner
             if self.vote.use(node, self.clock()):
                 self.ranks.on_change(self.shard, before, node)
+                self.programs.on_new_owner()
             is_known = self.vote.current_echo(self.clock()) is not None
             answer = await self._ask(node, version, demands)
             if answer is None:
@@ -272,7 +278,7 @@
         """Ask one owner, twice if needed; what was given back or deposited is sent once."""
         ask = self._question(version, demands)
         if node == self.gateways.node:
-            return self._on_answer(self.owned.answer(ask), self.clock(), "own")
+            return self._on_answer(ask, self.owned.answer(ask), self.clock(), "own")
         address = self.ranks.address(node)
         asked_at = self.clock()
         answer = await self.calls.ask_quota(address, ask, defaults.QUOTA_RESEND_S)
@@ -286,7 +292,7 @@
         if answer is None:
             self.metrics.quota_exchanges.labels(outcome="silent").inc()
             return None
-        return self._on_answer(answer, asked_at, "answered")
+        return self._on_answer(ask, answer, asked_at, "answered")
 
     def _question(self, version: int, demands: dict[CustomerId, Demand]) -> QuotaAsk:
         now = self.clock()
@@ -297,9 +303,20 @@
             self.gateways.node, self.weight, share_s, loyal_s, self.gateways.has_read_own, echo
         )
         number = self.calls.next_number()
-        return QuotaAsk(number, self.shard, version, deposit, tuple(demands.values()))
+        return QuotaAsk(
+            number,
+            self.shard,
+            version,
+            started=self.programs.to_tell(),
+            position=self.programs.position,
+            deposit=deposit,
+            demands=tuple(demands.values()),
+        )
 
-    def _on_answer(self, answer: QuotaAnswer, asked_at: float, outcome: str) -> QuotaAnswer:
+    def _on_answer(
+        self, ask: QuotaAsk, answer: QuotaAnswer, asked_at: float, outcome: str
+    ) -> QuotaAnswer:
+        self.programs.on_told(len(ask.started), answer.started, answer.position)
         self.metrics.quota_exchanges.labels(outcome=outcome).inc()
         self.vote.on_answer(answer.echo, asked_at)
         self.heard, self.is_whole, self.heard_at = answer.heard, answer.is_whole, asked_at
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_owners.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_owners.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from skylarkferry_admission.begun_programs import StartLog
 from skylarkferry_admission.quota_limits import QuotaMargin
 from skylarkferry_admission.quota_pools import QuotaPools
 from skylarkferry_core.coordination import ranked_coordinators
@@ -10,7 +11,7 @@
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway.gateway_list import GatewayList
 from skylarkferry_gateway.metrics import GatewayMetrics
-from skylarkferry_gateway.quota_messages import QuotaAnswer, QuotaAsk
+from skylarkferry_gateway.quota_messages import QUOTA_SHARDS, QuotaAnswer, QuotaAsk
 
 _MAX_CANDIDATES = 3
 """Gateways that are tried for a shard; if all are silent, this gateway is its own owner."""
@@ -26,6 +27,7 @@
         self.margin = margin
         self.clock = clock
         self.shards: dict[int, QuotaPools] = {}
+        self.starts = [StartLog() for _ in range(QUOTA_SHARDS)]
 
     def answer(self, ask: QuotaAsk) -> QuotaAnswer:
         """Return what the asking gateway gets."""
@@ -38,6 +40,9 @@
             pools = self.shards[ask.shard] = QuotaPools(self.nonce, self.margin, now)
         is_current = pools.deposit(ask.number, ask.deposit, now)
         grants = pools.grant(ask.deposit.node, ask.version, ask.demands, now, is_current=is_current)
+        starts = self.starts[ask.shard]
+        told = starts.since(ask.position)
+        starts.add(ask.started)
         return QuotaAnswer(
             ask.number,
             echo,
@@ -45,6 +50,8 @@
             is_whole=pools.is_whole,
             is_active=pools.is_active(now),
             grants=tuple(grants),
+            started=told,
+            position=starts.next,
         )
 
     def advance(self, now: float) -> None:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/quotas.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/quotas.py
@@ -6,10 +6,11 @@
 
 import anyio
 
+from skylarkferry_admission.begun_programs import program_number
 from skylarkferry_core.customers import Customer, Quota
 from skylarkferry_core.errors import CustomerLimitError
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.ids import CustomerId, ProgramId
+from skylarkferry_core.ids import CustomerId
 from skylarkferry_core.routes import Route, RoutingTable
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
@@ -24,8 +25,8 @@
 )
 from skylarkferry_gateway.watchers import ConfigWatcher
 
-_MAX_PROGRAMS = 20_000
-"""Programs that are remembered as begun; the last minutes of the busiest gateway."""
+_MAX_LOGGED = 20_000
+"""Customers whose last log line is remembered."""
 _LOG_INTERVAL_S = 1.0
 """Least time between log lines about one customer's refusals."""
 
@@ -50,7 +51,6 @@
         self.clock = clock
         self.log = log
         self.metrics = metrics
-        self.programs: OrderedDict[tuple[CustomerId, ProgramId], None] = OrderedDict()
         self.refusals = _Refusals()
         self.table: RoutingTable | None = None
         self.has_quotas = False
@@ -83,26 +83,19 @@
         customer = request.customer
         if customer is None or customer.quota is None:
             return None
-        program = (customer.name, request.metadata.program_id)
-        is_begun = self._is_begun(request, route, program)
+        program = program_number(customer.name, request.metadata.program_id)
+        programs = self.exchanges[shard_for(customer.name)].programs
+        is_later = bool(request.metadata.previous_turn) or request.metadata.is_resumption
+        # A request that is not streamed is a tool call of a program that has begun.
+        is_begun = is_later or not route.is_streamed or program in programs
         refusal = await self.charge(customer.name, deadline, is_begun=is_begun)
         if refusal is not None:
             self._on_refused(customer, customer.quota, is_begun=is_begun)
             raise refusal
         if request.metadata.program_id:
-            self.programs[program] = None
-            self.programs.move_to_end(program)
-            if len(self.programs) > _MAX_PROGRAMS:
-                self.programs.popitem(last=False)
+            programs.begin(program)
         return QuotaCharge(self, customer.name)
 
-    def _is_begun(
-        self, request: ClientRequest, route: Route, program: tuple[CustomerId, ProgramId]
-    ) -> bool:
-        """Return whether the request's program has begun; tool calls belong to one that has."""
-        is_later = bool(request.metadata.previous_turn) or request.metadata.is_resumption
-        return is_later or not route.is_streamed or program in self.programs
-
     async def charge(
         self, customer: CustomerId, deadline: float, *, is_begun: bool
     ) -> CustomerLimitError | None:
@@ -164,7 +157,7 @@
             return
         self.refusals[customer.name] = (now, 0)
         self.refusals.move_to_end(customer.name)
-        if len(self.refusals) > _MAX_PROGRAMS:
+        if len(self.refusals) > _MAX_LOGGED:
             self.refusals.popitem(last=False)
         exchange = self.exchanges[shard_for(customer.name)]
         self.log.emit(
