Read the list of gateways early only while this one joins

The early reads went on in a store outage of more than 12.5 s, each 0.5 s from each gateway, when the store has least to spare. Heartbeats read the list then. Tests of when a gateway counts, and of three gateways that start together.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
@@ -125,8 +125,11 @@
             return  # logged by the store client
 
     async def read_joined(self) -> None:
-        """Read which gateways have joined since the last heartbeat; none counts as gone."""
-        if self.known_from is None:
+        """Read which gateways join at the same time as this one; none counts as gone.
+
+        Later, also in an outage, the list is read with the heartbeats only.
+        """
+        if self.known_from is None or anyio.current_time() >= self.known_from:
             return
         try:
             rows = await self._read(anyio.current_time() + defaults.GATEWAY_HEARTBEAT_S / 2)
--- a/tests/gateway/test_gateway_list.py
+++ b/tests/gateway/test_gateway_list.py
@@ -92,3 +92,44 @@
     monkeypatch.setattr(defaults, "GATEWAY_HEARTBEAT_S", 0.1)
     gateways = [await rig.add_gateway(f"g{number}") for number in range(3)]
     await wait_until(lambda: all(len(gateway.gateways.nodes) == 3 for gateway in gateways))
+
+
+async def test_gateway_is_counted_until_others_may_have_taken_it_off_their_lists(rig):
+    """Guards against a share of quotas that the others have divided among themselves."""
+    await gateway_list(rig, "g1").send_heartbeat()
+    gateway = gateway_list(rig, "g1")
+    await gateway.send_heartbeat()
+    now = anyio.current_time()
+    found = [gateway.is_counted(now + later_s) for later_s in (0.0, 12.0, 12.6)]
+    assert_that(found, Equals([True, True, False]))
+
+
+async def test_gateway_that_others_may_have_dropped_waits_until_they_have_read_its_row(rig):
+    await gateway_list(rig, "g1").send_heartbeat()
+    gateway = gateway_list(rig, "g1")
+    await gateway.send_heartbeat()
+    gateway.updated_at -= 13.0  # as after an outage
+    await gateway.send_heartbeat()
+    now = anyio.current_time()
+    assert_that([gateway.is_counted(now + s) for s in (0.0, 6.1)], Equals([False, True]))
+
+
+async def test_gateways_that_join_together_know_each_other_before_the_next_heartbeat(rig):
+    gateways = [gateway_list(rig, f"g{number}") for number in range(3)]
+    for gateway in gateways:
+        await gateway.send_heartbeat()
+    found = [gateway.has_read_own for gateway in gateways]
+    for gateway in gateways:
+        await gateway.read_joined()
+    sizes = [len(gateway.nodes) for gateway in gateways]
+    assert_that((found, sizes), Equals(([False] * 3, [3, 3, 3])))
+
+
+async def test_early_reads_take_no_gateway_off_the_list(rig):
+    """Guards against reads between heartbeats that count as heartbeats without an update."""
+    await gateway_list(rig, "g2").send_heartbeat()
+    gateway = gateway_list(rig, "g1")
+    await gateway.send_heartbeat()
+    for _ in range(5):
+        await gateway.read_joined()
+    assert_that(gateway.nodes, Equals(("g1", "g2")))
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -170,6 +170,20 @@
     assert_that((response.status_code, charged(gateway)), Equals((200, 1.0)))
 
 
+async def test_gateways_that_start_together_serve_before_the_next_heartbeat(rig, monkeypatch):
+    """Guards against 6 s without tokens, until all have read each other's row."""
+    monkeypatch.setattr(defaults, "GATEWAY_HEARTBEAT_S", 5.0)
+    await rig.add_replica("r1")
+    rig.configure(limited(2, 20.0, 20.0))
+    for index in range(3):
+        authenticate(await rig.add_gateway(f"g{index}"))
+    began = anyio.current_time()
+    await wait_until(lambda: all(has_full_pool(gateway) for gateway in rig.gateways))
+    await anyio.sleep(0.5)
+    found = statuses(await send_many(rig, 3))
+    assert_that((found, anyio.current_time() - began < 4.5), Equals(([200] * 3, True)))
+
+
 async def test_end_of_an_owner_is_bridged(rig):
     await rig.add_replica("r1")
     await add_gateways(rig, 3, rate=40.0, burst=40.0)
