Give tokens back to one owner only

A question that stayed without an answer was sent to the next owner with the tokens that it gave back. That owner ignored them only because it does not know the gateway yet.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_exchange.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_exchange.py
@@ -225,6 +225,11 @@
             answer = await self._ask(node, version, demands)
             if answer is None:
                 self.ranks.on_silent(node)
+                # The silent owner may have taken what was given back.
+                demands = {
+                    name: msgspec.structs.replace(item, returned=0)
+                    for name, item in demands.items()
+                }
                 continue
             demands = self._apply(answer, demands, waiting)
             if not is_known and any(waiting.values()):
--- a/tests/gateway/test_quota_fleet.py
+++ b/tests/gateway/test_quota_fleet.py
@@ -18,6 +18,8 @@
 )
 from skylarkferry_admission.quota_limits import QuotaMargin
 from skylarkferry_core.events import EventKind
+from skylarkferry_gateway.quota_exchange import shard_for
+from skylarkferry_gateway.quota_owners import OwnedPools
 
 GATEWAYS = 27
 WARM_UP_S = 4.0
@@ -382,3 +384,32 @@
     fleet = simulate(count, seed, work, margin)
     bound = window_bound(rate, burst, margin)
     assert_that(most_in_window(fleet.runs["c"]), LessThan(bound + 1e-9))
+
+
+def test_tokens_given_back_to_a_silent_owner_are_not_given_to_the_next():
+    """Guards against a token that two owners take back."""
+    held, found = [], []
+
+    async def work(fleet):
+        fleet.add_customer("c", 30.0, 30.0)
+        await anyio.sleep(WARM_UP_S)
+        owner = fleet.owner("c")
+        node = next(node for node in fleet.members if node != owner)
+        await fleet.request("c", node)
+        exchange = fleet.processes[node].exchanges[shard_for("c")]
+        bucket = exchange.customers["c"].bucket
+        bucket.tokens += 5
+        held.append(bucket.tokens)
+        fleet.cut = {(owner, node)}
+        answer = OwnedPools.answer
+
+        def record(self, ask):
+            found.extend(demand.returned for demand in ask.demands if ask.deposit.node == node)
+            return answer(self, ask)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(OwnedPools, "answer", record)
+            await anyio.sleep(1.0)
+
+    simulate(5, 1, work)
+    assert_that(sum(found), Equals(held[0]))
