Place fewer requests on hosts that report to be slow

The fourth figure of a load report was decoded and not used. Speeds are measured with the slowdown taken out, so that it does not count twice.

Without reports all choices are as before (digests made with the code before) and `Ended` has the bytes that it had before the field.

--- a/packages/skylarkferry-core/src/skylarkferry_core/interfaces.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/interfaces.py
@@ -104,7 +104,8 @@
     ``prefill_tokens_since_report`` and ``calls_since_report`` count what this node sent after the
     load was reported. ``cached_tokens`` estimates how much of the prompt is in the upstream's
     cache; ``cache_confidence`` (0 to 1) is the confidence in this estimate. ``connect_s`` is the
-    expected time to open a connection, 0 if an idle one can be used.
+    expected time to open a connection, 0 if an idle one can be used. ``slowdown`` is how long work
+    takes on the host at this moment, relative to the usual time that ``speed`` states.
     """
 
     upstream: UpstreamId
@@ -120,6 +121,7 @@
     calls_since_report: int = 0
     speed: Speed = Speed()
     connect_s: float = 0.0
+    slowdown: float = 1.0
 
 
 class PlacementRequest(msgspec.Struct, frozen=True):
--- a/packages/skylarkferry-core/src/skylarkferry_core/placements.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/placements.py
@@ -102,6 +102,33 @@
         return calls_at(item), item.connect_s, is_far, self.random.random()
 
 
+class LeastDelayPlacement:
+    """Choose the upstream that ends a call first, where hosts report how slow they are.
+
+    The delay counts in the usual time of a call. Among equal ones, the rank is that of
+    ``LeastLoadPlacement``.
+    """
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+
+    def place(
+        self, request: PlacementRequest, candidates: Sequence[Candidate], site: SiteSpec
+    ) -> UpstreamId | None:
+        """Return the usable upstream with the least delay."""
+        found = usable_candidates(request, candidates)
+        if not found:
+            return None
+        return min(found, key=lambda item: self._rank(request, item)).upstream
+
+    def _rank(
+        self, request: PlacementRequest, item: Candidate
+    ) -> tuple[float, int, float, bool, float]:
+        is_far = item.failure_domain != request.failure_domain
+        delay = call_delay(item)
+        return delay, calls_at(item), item.connect_s, is_far, self.random.random()
+
+
 class StickyPlacement:
     """The program's last upstream if it is usable, else the least loaded one."""
 
@@ -136,8 +163,8 @@
         if not found:
             return None
         key = request.prefix or request.program_id
-        limit = self.bound * (sum(map(calls_at, found)) + 1) / len(found)
-        within = [item for item in found if calls_at(item) < limit]
+        limit = self.bound * (sum(map(_slowed_calls, found)) + 1) / len(found)
+        within = [item for item in found if _slowed_calls(item) < limit]
         return max(within or found, key=lambda item: rendezvous(key, item.upstream)).upstream
 
 
@@ -183,6 +210,19 @@
     return candidate.load.queued + candidate.load.running + candidate.calls_since_report
 
 
+def _slowed_calls(candidate: Candidate) -> float:
+    """Return the calls at an upstream, weighted by how long its host takes for them."""
+    return calls_at(candidate) * candidate.slowdown
+
+
+def call_delay(candidate: Candidate) -> float:
+    """Return the expected time in which the slots end a call and those before it.
+
+    It counts in the usual time of a call.
+    """
+    return candidate.slowdown * (calls_at(candidate) + 1) / candidate.load.slots
+
+
 def cached_at(request: PlacementRequest, candidate: Candidate) -> float:
     """Return the expected number of prompt tokens in the upstream's cache."""
     return min(candidate.cached_tokens, request.prompt_tokens) * candidate.cache_confidence
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
@@ -90,6 +90,7 @@
                 context.on_reply(decision, reply)
                 body = await exchange.body()
                 await exchange.finish()
+                context.check_slowdown(attempts, decision, now)
                 return reply, body
             raise AnswerInvalidError("no response in time")
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/coordinator.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/coordinator.py
@@ -94,13 +94,7 @@
             view.update_load(ended.load, followed, now - max(0.0, ended.load_age_s))
         view.record_outcome(ended.outcome, now)
         if ended.speed is not None:
-            self.placer.speeds.observe(
-                attempt.upstream.entry.upstream,
-                ended.speed.prefill_tokens,
-                ended.speed.prefill_s,
-                ended.speed.output_tokens,
-                ended.speed.decode_s,
-            )
+            self.placer.observe_speed(attempt.upstream, ended.speed, now)
 
     def forget_expired(self, now: float) -> None:
         """Forget the attempts whose end was not reported."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
@@ -161,7 +161,7 @@
     rows: list[Row]
 
 
-class ReportedLoad(msgspec.Struct, frozen=True):
+class ReportedLoad(msgspec.Struct, frozen=True, omit_defaults=True):
     """Load that an upstream reports in a response.
 
     ``slowdown`` is how long work takes on its host at this moment, relative to the usual time;
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -72,6 +72,12 @@
             ["service"],
             registry=self.registry,
         )
+        self.slowdown = Gauge(
+            "skylarkferry_gateway_slowdown",
+            "Mean slowdown of a service's hosts, from those that report one.",
+            ["service"],
+            registry=self.registry,
+        )
         self.config_version = Gauge(
             "skylarkferry_gateway_config_version",
             "Version of the routing table in force.",
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement.py
@@ -12,15 +12,17 @@
 from skylarkferry_core.outcome_counts import suspects
 from skylarkferry_core.placements import (
     CompletionPlacement,
+    LeastDelayPlacement,
     LeastLoadPlacement,
     PrefixHashPlacement,
 )
 from skylarkferry_core.prefix_homes import PrefixHomes, first_home_engines
 from skylarkferry_core.routes import EngineSpec
+from skylarkferry_core.slowdowns import USUAL
 from skylarkferry_core.speeds import SpeedEstimates
 from skylarkferry_core.states import PoolKind, UpstreamState
 from skylarkferry_gateway import defaults
-from skylarkferry_gateway.placement_messages import PlacementQuery
+from skylarkferry_gateway.placement_messages import PlacementQuery, SpeedSample
 from skylarkferry_gateway.upstream_views import UpstreamView
 from skylarkferry_gateway.upstreams import Upstream
 
@@ -64,6 +66,7 @@
         )
         self.completion = CompletionPlacement(rng, sample=sample)
         self.least_load = LeastLoadPlacement(rng)
+        self.least_delay = LeastDelayPlacement(rng)
         self.affinity = PrefixHashPlacement(rng)
         self.homes = homes
 
@@ -97,6 +100,8 @@
             chosen = self.completion.place(request, candidates, site)
         elif query.is_sticky and query.affinity_key:
             chosen = self.affinity.place(request, candidates, site)
+        elif any(self.view_of(item).slowdown.is_reported for item in usable):
+            chosen = self.least_delay.place(request, candidates, site)
         else:
             chosen = self.least_load.place(request, candidates, site)
         selected = next((item for item in usable if item.entry.upstream == chosen), usable[0])
@@ -108,6 +113,20 @@
             view.report_age_s(now),
         )
 
+    def observe_speed(self, upstream: Upstream, sample: SpeedSample, now: float) -> None:
+        """Update an engine's speed from a call, without what its host was slowed down by then."""
+        slowdown = self.view_of(upstream).slowdown
+        if sample.decode_s > 0:
+            slowdown.check(sample.output_tokens / sample.decode_s, now)
+        factor = slowdown.value(now)
+        self.speeds.observe(
+            upstream.entry.upstream,
+            sample.prefill_tokens,
+            sample.prefill_s / factor,
+            sample.output_tokens,
+            sample.decode_s / factor,
+        )
+
     def _cached_tokens(
         self,
         query: PlacementQuery,
@@ -185,6 +204,12 @@
             running_output_tokens=running * _ASSUMED_OUTPUT_TOKENS,
             slots=slots,
         )
+        speed = self.speeds.speed(item.entry.upstream)
+        slowdown = view.slowdown.value(now)
+        if engine is not None and slowdown != USUAL:
+            speed = Speed(
+                speed.prefill_tokens_per_s / slowdown, speed.decode_tokens_per_s / slowdown
+            )
         return Candidate(
             upstream=item.entry.upstream,
             pool=PoolName(item.entry.service),
@@ -193,8 +218,9 @@
             failure_domain=item.entry.failure_domain,
             load=load,
             cached_tokens=cached_tokens,
-            speed=self.speeds.speed(item.entry.upstream),
+            speed=speed,
             connect_s=0.0 if is_connected else _CONNECT_S,
+            slowdown=slowdown,
         )
 
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -111,8 +111,13 @@
             report_age_ms=_ms_text(decision.report_age_s),
             cached=decision.cached_tokens,
             left_ms=_ms_text(attempts.remaining_s(now)),
+            **self._slowdown_field(decision, now),
         )
 
+    def _slowdown_field(self, decision: Selection, now: float) -> dict[str, float]:
+        slowdown = decision.upstream.local.slowdown
+        return {"slowdown": round(slowdown.value(now), 2)} if slowdown.is_reported else {}
+
     def exchange(self, upstream: Upstream) -> Exchange:
         """Return a new exchange with an upstream."""
         return Exchange(
@@ -174,6 +179,13 @@
             self.reports.apply(decision.upstream, reply.metadata.report, now)
             decision.load, decision.load_at = reply.metadata.report.load, now
 
+    def check_slowdown(self, attempts: Attempts, decision: Selection, sent_at: float) -> None:
+        """Compare the slowdown that a plain service reports with the time of a complete call."""
+        slowdown = decision.upstream.local.slowdown
+        now = anyio.current_time()
+        if attempts.engine is None and slowdown.is_reported and now > sent_at:
+            slowdown.check(1.0 / (now - sent_at), now)
+
     def on_failure_status(self, decision: Selection, reply: Reply) -> None:
         """Count a failure against the upstream, except a timeout response sent at the deadline."""
         if reply.status == HTTPStatus.GATEWAY_TIMEOUT:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -321,13 +321,7 @@
             (self.events - 1) * engine.tokens_per_event,
             ended_at - self.first_event_at,
         )
-        self.context.selector.placer.speeds.observe(
-            decision.upstream.entry.upstream,
-            sample.prefill_tokens,
-            sample.prefill_s,
-            sample.output_tokens,
-            sample.decode_s,
-        )
+        self.context.selector.placer.observe_speed(decision.upstream, sample, ended_at)
 
 
 def _origin(entry: UpstreamEntry) -> StreamOrigin:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_reports.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_reports.py
@@ -22,12 +22,25 @@
         """Apply the report of an upstream's latest response."""
         if report.load is not None:
             upstream.local.update_load(report.load, upstream.local.in_flight, now)
+            self._log_doubt(upstream)
         if report.is_leaving:
             self._apply_leaving(upstream)
         if not isinstance(report.limit_per_s, UnsetType):
             self._apply_limit(upstream, report.limit_per_s)
         self._log_malformed(upstream, report.malformed)
 
+    def _log_doubt(self, upstream: Upstream) -> None:
+        """Log when the changes of a reported slowdown begin or cease to be doubted."""
+        is_doubted = upstream.local.slowdown.is_doubted
+        if is_doubted != upstream.is_slowdown_doubted:
+            upstream.is_slowdown_doubted = is_doubted
+            self.log.emit(
+                EventKind.GATEWAY_SLOWDOWN_DOUBTED,
+                upstream=upstream.entry.upstream,
+                service=upstream.entry.service,
+                doubted=is_doubted,
+            )
+
     def _apply_leaving(self, upstream: Upstream) -> None:
         """Record that the process is leaving, which is final."""
         if not upstream.is_leaving:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_views.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_views.py
@@ -6,6 +6,7 @@
 
 from skylarkferry_core.breakers import Breaker
 from skylarkferry_core.outcome_counts import OutcomeCounts
+from skylarkferry_core.slowdowns import SlowdownEstimate
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.messages import PromptPart, ReportedLoad
 
@@ -73,12 +74,15 @@
         self.slots = max(slots, 1)
         self.reported_at: float | None = None
         self.prompt_cache = PromptCacheEstimate()
+        self.slowdown = SlowdownEstimate()
 
     def update_load(self, load: ReportedLoad, followed: int, reported_at: float) -> None:
         """Record a reported load, which includes ``followed`` requests of this observer."""
         self.reported_at = reported_at
         self.other_requests = max(float(load.running + load.queued - followed), 0.0)
         self.slots = max(load.slots, 1)
+        if load.slowdown is not None:
+            self.slowdown.report(load.slowdown, reported_at)
 
     def requests(self, now: float) -> int:
         """Return the estimated number of requests at the upstream, from all gateways."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -30,6 +30,7 @@
         self.limit: UpstreamLimit | None = None
         self.malformed_headers: tuple[str, ...] = ()
         self.is_misdirected = False
+        self.is_slowdown_doubted = False
         self.removed_at: float | None = None
 
     @property
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
@@ -4,6 +4,7 @@
 
 from skylarkferry_core.errors import PlatformUnavailableError
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.ids import ServiceName
 from skylarkferry_core.routes import RoutingTable
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_daemon.timers import TimerService
@@ -15,7 +16,7 @@
 from skylarkferry_gateway.store_calls import pause_after
 from skylarkferry_gateway.stream_origins import StreamOrigins
 from skylarkferry_gateway.upstream_log import LeavingSource, UpstreamLog
-from skylarkferry_gateway.upstreams import Upstreams
+from skylarkferry_gateway.upstreams import Upstream, Upstreams
 from skylarkferry_gateway.version_assignments import VersionAssignments
 
 
@@ -70,6 +71,15 @@
                 self.log.on_leaving(upstream, LeavingSource.LIST)
         for service, members in self.upstreams.by_service.items():
             self.metrics.upstreams.labels(service=service).set(len(members))
+            self._count_slowdown(service, members)
+
+    def _count_slowdown(self, service: ServiceName, members: list[Upstream]) -> None:
+        """Show the mean slowdown of a service's hosts, if any reports one."""
+        now = anyio.current_time()
+        slowdowns = [item.local.slowdown for item in members if item.local.slowdown.is_reported]
+        if slowdowns:
+            mean = sum(slowdown.value(now) for slowdown in slowdowns) / len(slowdowns)
+            self.metrics.slowdown.labels(service=service).set(mean)
 
     async def close_idle(self) -> None:
         """Close connections that are past their idle limit."""
--- a/tests/gateway/test_upstream_reports.py
+++ b/tests/gateway/test_upstream_reports.py
@@ -86,3 +86,40 @@
     rig.register_replica("r1", born=2)
     await gateway.upstream_watcher.read()
     assert_that(gateway.upstreams.upstreams["r1"].limit, Equals(None))
+
+
+async def test_malformed_slowdown_is_logged_once_and_the_load_stays_in_force(rig):
+    await rig.add_replica("r1")
+    gateway = await add_gateway(rig)
+    for load in ("3,0,4,slow", "2,0,4,slow"):
+        await send_with_report(rig, Skylarkferry_Server_Load=load)
+    view = gateway.upstreams.upstreams["r1"].local
+    assert_that((view.other_requests, view.slowdown.is_reported), Equals((1.0, False)))
+    refused = logged(gateway, EventKind.GATEWAY_REPORT_REFUSED, "upstream", "detail")
+    detail = "skylarkferry-server-load: slowdown b'slow'"
+    assert_that(refused, Equals([("r1", detail)]))
+
+
+async def test_reported_slowdown_is_logged_with_the_choice_and_shown_by_service(rig):
+    await rig.add_replica("r1")
+    gateway = await add_gateway(rig)
+    for _ in range(2):
+        await send_with_report(rig, Skylarkferry_Server_Load="1,0,4,250")
+    placed = [
+        event.fields.get("slowdown")
+        for event in gateway.log.ring
+        if event.number == EventKind.GATEWAY_PLACED.number
+    ]
+    assert_that(placed, Equals([None, "2.5"]))
+    shown = b'skylarkferry_gateway_slowdown{service="tools"} 2.5'
+    await wait_until(lambda: shown in gateway.metrics.text())
+
+
+async def test_slowdown_that_contradicts_the_speed_is_logged(rig):
+    await rig.add_replica("r1")
+    gateway = await add_gateway(rig)
+    slowdown = gateway.upstreams.upstreams["r1"].local.slowdown
+    slowdown.measured.count, slowdown.corrected.square = 1_000, 10.0
+    await send_with_report(rig, Skylarkferry_Server_Load="1,0,4,250")
+    doubted = logged(gateway, EventKind.GATEWAY_SLOWDOWN_DOUBTED, "upstream", "doubted")
+    assert_that(doubted, Equals([("r1", "True")]))
--- a/tests/platform_adapter/test_codec.py
+++ b/tests/platform_adapter/test_codec.py
@@ -116,6 +116,24 @@
     assert_that(report.load, Equals(expected))
 
 
+@pytest.mark.parametrize(
+    ("value", "malformed"),
+    [
+        (b"4,0,16", ()),
+        (b"4,0,16,120", ()),
+        (b"4,0,16,120,x", ()),
+        (b"4,0,16,slow", ("skylarkferry-server-load: slowdown b'slow'",)),
+        (b"5,1,16,slow,7", ("skylarkferry-server-load: slowdown b'slow'",)),
+        (b"4,0,16,", ("skylarkferry-server-load: slowdown b''",)),
+        (b"4,0,16,0", ("skylarkferry-server-load: slowdown b'0'",)),
+    ],
+)
+def test_malformed_slowdown_is_told_apart_from_the_figures_that_stay_in_force(value, malformed):
+    """Guards against a slowdown that is dropped unseen, and a line for each change of the load."""
+    report = CODEC.decode_reply([(b"skylarkferry-server-load", value)]).report
+    assert_that((report.malformed, report.load is not None), Equals((malformed, True)))
+
+
 @pytest.mark.parametrize(
     ("values", "expected"),
     [
