Count all bytes held for requests in one account, refuse beyond it

Large responses were counted until they were complete, not while a slow client read them; request bodies were not counted. The account has shares for bodies, responses and streams, and one bound for all. Work under way is not cut off for new work. Internal ports are not limited.

Ordinary loads stay far below: on 128 MB, 12.8 MB of bodies and, as before, 19.2 MB of responses at once.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -12,6 +12,7 @@
 from skylarkferry_core.routes import EngineSpec, Route, RoutingTable
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.exchanges import Reply
+from skylarkferry_gateway.held_memory import HeldBytes
 from skylarkferry_gateway.messages import ClientRequest
 from skylarkferry_gateway.stream_origins import StreamRow
 from skylarkferry_gateway.upstreams import Upstream
@@ -38,7 +39,8 @@
     ``stream_row`` is the row by which the version of the last attempt is recorded, if it is;
     ``is_stream_kept`` is whether the stream counts as relayed, ``has_moved`` whether its path has
     led to other services lately.
-    ``answer_by`` bounds the deadline at a planned stop.
+    ``held`` is the memory of complete responses.  ``answer_by`` bounds the deadline at a planned
+    stop.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         self.ambiguous_error: SkylarkferryError | None = None
         self.refusal: SkylarkferryError | None = None
         self.last_reply: tuple[Reply, bytes] | None = None
+        self.held: list[HeldBytes] = []
         self.required_version: str | None = None
         self.stream_row: StreamRow | None = None
         self.is_stream_kept = False
@@ -71,6 +74,12 @@
             return False
         return self.required_version in (None, upstream.entry.software_version)
 
+    def release_held(self) -> None:
+        """Release the memory of the responses, once the client has its response."""
+        for held in self.held:
+            held.release()
+        self.held.clear()
+
     @property
     def engine(self) -> EngineSpec | None:
         """Return the engine parameters if the service is a model engine, else ``None``."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
@@ -25,13 +25,16 @@
 
     async def relay(self, attempts: Attempts, client: ClientConnection) -> int:
         """Respond to the client and return the status; raise the error to respond with instead."""
-        if attempts.route.is_repeatable:
-            reply, body = await self._fetch(attempts, client)
-        else:
-            with anyio.CancelScope(shield=True):
+        try:
+            if attempts.route.is_repeatable:
                 reply, body = await self._fetch(attempts, client)
-        headers = self.context.codec.client_headers(reply.headers)
-        await client.respond(reply.status, headers, body)
+            else:
+                with anyio.CancelScope(shield=True):
+                    reply, body = await self._fetch(attempts, client)
+            headers = self.context.codec.client_headers(reply.headers)
+            await client.respond(reply.status, headers, body)
+        finally:
+            attempts.release_held()
         return reply.status
 
     async def _fetch(self, attempts: Attempts, client: ClientConnection) -> tuple[Reply, bytes]:
@@ -89,6 +92,7 @@
                 )
                 context.on_reply(decision, reply)
                 body = await exchange.body()
+                attempts.held.append(exchange.take_held())
                 await exchange.finish()
                 context.check_slowdown(attempts, decision, now)
                 return reply, body
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -83,8 +83,26 @@
 
 TURN_CACHE_MEMORY_SHARE = 0.15
 """Share of the process's memory limit for the cache of retained turns."""
+HELD_MEMORY_SHARE = 0.25
+"""Share of the process's memory limit for all that it holds for requests under way.
+
+A body or response is held twice while its parts are joined.  With that, the turn cache and 32 MB at
+rest, a process stays below the smallest limit, 128 MB.
+"""
+NEW_WORK_MEMORY_SHARE = 0.9
+"""Part of that memory beyond which new requests are refused, so that those under way can end."""
+BODY_MEMORY_SHARE = 0.1
 RESPONSE_MEMORY_SHARE = 0.15
-"""Share of the process's memory limit for large responses; a complete one is held twice."""
+STREAM_MEMORY_SHARE = 0.1
+"""Shares of the limit for request bodies, responses, and streams whose clients read slowly.
+
+Together they exceed what may be held, as they are not all used at once.
+"""
+REFUSED_BODY_S = 0.3
+"""Time for which the body of a refused request is received and dropped.
+
+A connection that is closed before would be reset, and the client might lose the refusal.
+"""
 BREAKER_MAX_OPEN_S = 4.0
 """Longest time a breaker stays open, so that a recovered upstream is used again within seconds."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
@@ -18,6 +18,7 @@
 from skylarkferry_core.events import EventKind
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.held_memory import HeldBytes, MemoryShare
 from skylarkferry_gateway.http_client import HttpConnection
 from skylarkferry_gateway.interfaces import HeaderCodec
 from skylarkferry_gateway.messages import (
@@ -27,7 +28,6 @@
     UpstreamRequestMetadata,
 )
 from skylarkferry_gateway.metrics import GatewayMetrics
-from skylarkferry_gateway.response_memory import HeldResponse, ResponseMemory
 from skylarkferry_gateway.upstreams import Upstream
 
 _NOT_EXECUTED_STATUSES = (
@@ -77,7 +77,7 @@
         self,
         upstream: Upstream,
         codec: HeaderCodec,
-        memory: ResponseMemory,
+        memory: MemoryShare,
         *,
         log: EventLog,
         metrics: GatewayMetrics,
@@ -86,7 +86,7 @@
         self.codec = codec
         self.log = log
         self.metrics = metrics
-        self.held = HeldResponse(memory)
+        self.held = HeldBytes(memory)
         self.connection: HttpConnection | None = None
         self.idle_s: float | None = None
         self.alive_at = -math.inf
@@ -221,6 +221,11 @@
         assert self.connection is not None
         return await self.connection.body(defaults.MAX_ANSWER_BYTES, self.held.grow_to)
 
+    def take_held(self) -> HeldBytes:
+        """Return the memory of the response, which the caller releases."""
+        held, self.held = self.held, HeldBytes(self.held.share)
+        return held
+
     async def finish(self) -> None:
         """Release the connection for reuse after the end of the response."""
         assert self.connection is not None
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
@@ -17,12 +17,15 @@
     BodyTimeoutError,
     BodyTooLargeError,
     HeaderTooLargeError,
+    OverloadedError,
     SkylarkferryError,
 )
 from skylarkferry_core.http_messages import PROBLEM_TYPE, details_of
 from skylarkferry_core.routes import ClientLimits
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.held_memory import HeldBytes
 from skylarkferry_gateway.messages import Headers
+from skylarkferry_gateway.request_memory import RequestMemory
 from skylarkferry_gateway.sockets import is_readable
 
 
@@ -64,11 +67,14 @@
         limits: Callable[[], ClientLimits],
         handler: Handler,
         is_stopping: Callable[[], bool],
+        memory: RequestMemory | None = None,
     ) -> None:
         self.stream = stream
         self.limits = limits
         self.handler = handler
         self.is_stopping = is_stopping
+        self.memory = memory
+        self.held_body: HeldBytes | None = None
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits().header_bytes)
         self.input_chunks: deque[bytes] = deque()
         self.input_bytes = 0
@@ -136,8 +142,18 @@
 
     async def _serve_one(self) -> bool:
         """Serve one request and return whether the connection can take another."""
+        try:
+            return await self._read_and_handle()
+        finally:
+            if self.held_body is not None:
+                self.held_body.release()
+                self.held_body = None
+
+    async def _read_and_handle(self) -> bool:
         try:
             received = await self._read_request()
+        except OverloadedError as error:
+            return await self._refuse(error)
         except SkylarkferryError as error:
             await self.send_error(error, closes_connection=True)
             return False
@@ -150,6 +166,18 @@
         self.request_scope = None
         return self._can_reuse()
 
+    async def _refuse(self, error: OverloadedError) -> bool:
+        """Refuse a request whose body was not received; one without a body costs no connection."""
+        self.response_state = ResponseState.NONE
+        if self.http.their_state is h11.DONE:
+            await self.send_error(error)
+            return self._can_reuse()
+        await self.send_error(error, closes_connection=True)
+        with anyio.move_on_after(defaults.REFUSED_BODY_S):
+            while await self._next_chunk():
+                pass
+        return False
+
     def _can_reuse(self) -> bool:
         if self.is_disconnected or self.response_state is not ResponseState.DONE:
             return False
@@ -226,21 +254,36 @@
             self.idle_scope.cancel()
 
     async def _read_body(self, request: h11.Request, limits: ClientLimits) -> bytes:
-        if _content_length(request) > limits.body_bytes:
+        stated_bytes = _content_length(request)
+        if stated_bytes > limits.body_bytes:
             raise BodyTooLargeError(f"request body exceeds {limits.body_bytes} bytes")
+        if self.memory is not None:
+            self.held_body = self._admit(self.memory, stated_bytes)
         if self.http.they_are_waiting_for_100_continue:
             await self._send(self.http.send(h11.InformationalResponse(status_code=100, headers=[])))
         parts: list[bytes] = []
         size = 0
         while isinstance(event := await self._next_event(), h11.Data):
-            parts.append(bytes(event.data))
             size += len(event.data)
             if size > limits.body_bytes:
                 raise BodyTooLargeError(f"request body exceeds {limits.body_bytes} bytes")
+            if self.memory is not None and self.held_body is not None:
+                self.memory.grow(self.held_body, size)
+            parts.append(bytes(event.data))
         if not isinstance(event, h11.EndOfMessage):
             raise ClientLeftError
         return b"".join(parts)
 
+    def _admit(self, memory: RequestMemory, stated_bytes: int) -> HeldBytes:
+        """Return the memory for the body; raise ``OverloadedError`` before any of it is read."""
+        try:
+            return memory.admit(stated_bytes)
+        except OverloadedError:
+            if self.http.their_state is not h11.SEND_BODY or stated_bytes:
+                raise
+            self.http.next_event()  # the end of a request without a body
+            raise
+
     async def _next_event(self) -> h11.Event:
         while True:
             try:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -1,7 +1,12 @@
 """Counters and latency histograms of the gateway."""
 
+from functools import partial
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from skylarkferry_core.histories import TurnCache
+from skylarkferry_gateway.held_memory import MemoryAccount
+
 _LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0)
 _PLACEMENT_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05)
 
@@ -168,6 +173,17 @@
             ["reason"],
             registry=self.registry,
         )
+        self.held_bytes = Gauge(
+            "skylarkferry_gateway_held_bytes",
+            "Bytes that the process holds, by what they are for.",
+            ["use"],
+            registry=self.registry,
+        )
+        self.memory_refusals = Counter(
+            "skylarkferry_gateway_memory_refusals",
+            "Requests refused because the process held too many bytes.",
+            registry=self.registry,
+        )
         self.task_failures = Counter(
             "skylarkferry_gateway_task_failures",
             "Background tasks that failed with an unexpected error, by task.",
@@ -180,6 +196,12 @@
             registry=self.registry,
         )
 
+    def follow_memory(self, account: MemoryAccount, turns: TurnCache) -> None:
+        """Show what the account and the cache hold whenever the metrics are read."""
+        for use, share in account.shares.items():
+            self.held_bytes.labels(use=use.value).set_function(partial(getattr, share, "used"))
+        self.held_bytes.labels(use="turn_cache").set_function(lambda: turns.held_bytes)
+
     def text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -19,10 +19,10 @@
 from skylarkferry_gateway.attempts import Attempts
 from skylarkferry_gateway.crash_watch import CrashWatch
 from skylarkferry_gateway.exchanges import Exchange, Reply
+from skylarkferry_gateway.held_memory import MemoryAccount, MemoryUse
 from skylarkferry_gateway.interfaces import HeaderCodec
 from skylarkferry_gateway.messages import UpstreamRequestMetadata
 from skylarkferry_gateway.metrics import GatewayMetrics
-from skylarkferry_gateway.response_memory import ResponseMemory
 from skylarkferry_gateway.selection import Selection, UpstreamSelector
 from skylarkferry_gateway.stream_resumptions import StreamResumptions
 from skylarkferry_gateway.upstream_log import UpstreamLog
@@ -45,13 +45,14 @@
         selector: UpstreamSelector,
         crashes: CrashWatch,
         resumptions: StreamResumptions,
-        response_memory: ResponseMemory,
+        memory: MemoryAccount,
         *,
         log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
         self.codec = codec
-        self.response_memory = response_memory
+        self.memory = memory
+        self.response_memory = memory.shares[MemoryUse.RESPONSES]
         self.crashes = crashes
         self.resumptions = resumptions
         self.reports = UpstreamReports(selector.limits, UpstreamLog(log, metrics), log)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -23,6 +23,7 @@
 from skylarkferry_gateway.failover_store import FailoverStore
 from skylarkferry_gateway.gateway import Gateway
 from skylarkferry_gateway.gateway_list import GatewayList, GatewayMember
+from skylarkferry_gateway.held_memory import MemoryAccount, MemoryUse
 from skylarkferry_gateway.http_server import ClientConnection, Handler, ReceivedRequest
 from skylarkferry_gateway.interfaces import Platform
 from skylarkferry_gateway.limit_shares import LimitShares
@@ -35,7 +36,7 @@
 from skylarkferry_gateway.placement_calls import PlacementCalls
 from skylarkferry_gateway.process_checks import ProcessChecker
 from skylarkferry_gateway.relay_context import RelayContext
-from skylarkferry_gateway.response_memory import ResponseMemory
+from skylarkferry_gateway.request_memory import RequestMemory
 from skylarkferry_gateway.selection import UpstreamSelector
 from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.settings import GatewaySettings
@@ -90,9 +91,11 @@
         self.accounts = AccountManager(store, self.owners, log, successors)
         self.claims = PartitionClaims(self.owners, self.accounts, self.gateways)
         self.budgets = ProgramBudgets(self.owners, self.accounts, store, successors, log)
-        memory = ResponseMemory(int(settings.memory_bytes * defaults.RESPONSE_MEMORY_SHARE))
+        self.memory = memory = MemoryAccount(settings.memory_bytes)
+        self.request_memory = RequestMemory(memory, log, metrics)
+        metrics.follow_memory(memory, cache)
         turns = TurnStore(store, cache, log)
-        turn_services = TurnServices(self.budgets, turns, memory, log)
+        turn_services = TurnServices(self.budgets, turns, memory.shares[MemoryUse.RESPONSES], log)
         checker = ProcessChecker(self.upstreams, rng)
         self.crashes = CrashWatch(store, checker, log, metrics)
         self.config = ConfigWatcher(directory, self.origins, log, metrics)
@@ -188,7 +191,11 @@
 
     async def _serve_client(self, stream: SocketStream) -> None:
         client = ClientConnection(
-            stream, self.gateway.limits, self.gateway.handle, lambda: self.is_stopping
+            stream,
+            self.gateway.limits,
+            self.gateway.handle,
+            lambda: self.is_stopping,
+            self.request_memory,
         )
         self.clients.add(client)
         try:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -67,6 +67,7 @@
         try:
             return await self._relay()
         finally:
+            self.attempts.release_held()
             self.context.resumptions.on_relay_ended(self.attempts)
 
     async def _relay(self) -> int:
@@ -210,6 +211,7 @@
         """Pass a non-200 response to the client, or return ``None`` for a failure to retry."""
         with anyio.move_on_at(self.attempts.event_deadline(anyio.current_time())):
             body = await exchange.body()
+            self.attempts.held.append(exchange.take_held())
             await exchange.finish()
             is_failure = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
             if is_failure:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/turns.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/turns.py
@@ -20,8 +20,8 @@
 from skylarkferry_gateway.budgets import ProgramBudgets
 from skylarkferry_gateway.decoding import decode
 from skylarkferry_gateway.failover_store import FailoverStore
+from skylarkferry_gateway.held_memory import HeldBytes, MemoryShare
 from skylarkferry_gateway.messages import ClientRequest, Reservation
-from skylarkferry_gateway.response_memory import HeldResponse, ResponseMemory
 from skylarkferry_gateway.store_calls import key_part, retry_until, row_key, write_once
 from skylarkferry_gateway.stream_events import StreamEvent
 
@@ -157,7 +157,7 @@
         self.tokens_per_event = engine.tokens_per_event if engine is not None else 1
         self.tokens = 0
         self.output = bytearray()
-        self.held = HeldResponse(turn_services.memory)
+        self.held = HeldBytes(turn_services.memory)
         self.chain: list[Turn] = []
         self.has_reserved = False
 
@@ -250,5 +250,5 @@
 
     budgets: ProgramBudgets
     turns: TurnStore
-    memory: ResponseMemory
+    memory: MemoryShare
     log: EventLog
