Read streams on when their clients pause, within the memory for streams

A stream was read only as fast as its client took it, and an upstream cuts off a response that stays unread for some seconds: the work was lost, though the client came back. A slow client now holds its upstream back for 1 s; then the stream is read on and kept within the account, or ended (804) if there is no memory for 1 s more. A client that reads on, however slowly, holds its upstream back as before and costs no memory; a stream that keeps up is not ended because of others.

Weighed: docs/design/memory.md.

`pytest -n 2` on test_slow_stream_readers, test_stream_relay, test_turns, test_endless_responses, test_stream_continuations, test_planned_stop: all passed.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -98,6 +98,12 @@
 
 Together they exceed what may be held, as they are not all used at once.
 """
+STREAM_HOLD_S = 1.0
+"""Time for which a slow client may hold its upstream's stream back.
+
+Upstreams cut off a response that stays unread for some seconds; a pause of a client's network of
+less than that costs no memory here.
+"""
 REFUSED_BODY_S = 0.3
 """Time for which the body of a refused request is received and dropped.
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
@@ -26,7 +26,7 @@
 from skylarkferry_gateway.held_memory import HeldBytes
 from skylarkferry_gateway.messages import Headers
 from skylarkferry_gateway.request_memory import RequestMemory
-from skylarkferry_gateway.sockets import is_readable
+from skylarkferry_gateway.sockets import is_readable, is_writable
 
 
 class ClientLeftError(Exception):
@@ -332,6 +332,10 @@
         first = self.http.send(h11.Data(data=data)) if data else b""
         await self._send(head + (first or b""))
 
+    def is_writable(self) -> bool:
+        """Return whether the client's socket accepts bytes without a wait."""
+        return is_writable(self.stream)
+
     async def send_data(self, data: bytes) -> None:
         """Send further bytes of the response body."""
         await self._send(self.http.send(h11.Data(data=data)))
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -184,6 +184,12 @@
             "Requests refused because the process held too many bytes.",
             registry=self.registry,
         )
+        self.slow_streams = Counter(
+            "skylarkferry_gateway_slow_streams",
+            "Streams read ahead of slow clients, and those ended for lack of memory.",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.task_failures = Counter(
             "skylarkferry_gateway_task_failures",
             "Background tasks that failed with an unexpected error, by task.",
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -15,11 +15,13 @@
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.attempts import Attempts
 from skylarkferry_gateway.exchanges import Exchange, Reply
+from skylarkferry_gateway.held_memory import MemoryUse
 from skylarkferry_gateway.http_server import ClientConnection, ResponseState
 from skylarkferry_gateway.messages import StreamOrigin, UpstreamEntry, UpstreamRequestMetadata
 from skylarkferry_gateway.placement_messages import SpeedSample
 from skylarkferry_gateway.relay_context import RelayContext
 from skylarkferry_gateway.selection import Selection
+from skylarkferry_gateway.stream_backlog import BacklogFullError, StreamBacklog
 from skylarkferry_gateway.stream_events import EventSplitter, StreamEvent
 from skylarkferry_gateway.stream_position import StreamPosition
 
@@ -55,6 +57,9 @@
         self.listener = listener
         self.body = body
         self.position = StreamPosition(attempts.request.metadata.last_event_id)
+        self.backlog = StreamBacklog(
+            client, context.tasks, context.memory.shares[MemoryUse.STREAMS], context.metrics
+        )
         self.events = 0
         self.first_event_at: float | None = None
 
@@ -66,7 +71,10 @@
         """
         try:
             return await self._relay()
+        except BacklogFullError as error:
+            raise StreamBrokenError(str(error)) from error
         finally:
+            self.backlog.close()
             self.attempts.release_held()
             self.context.resumptions.on_relay_ended(self.attempts)
 
@@ -85,6 +93,7 @@
     async def _finish_without_upstream(self, now: float) -> int:
         failure = self.attempts.final_error(now)
         if self.client.response_state is ResponseState.STREAMING:
+            await self.backlog.flush()
             raise StreamBrokenError(failure.detail) from failure
         if self.attempts.last_reply is not None:
             return await self._respond(*self.attempts.last_reply)
@@ -263,7 +272,7 @@
         self.events += len(events)
         data = b"".join(event.raw for event in events)
         if self.client.response_state is ResponseState.STREAMING:
-            await self.client.send_data(data)
+            await self.backlog.send(data)
             return
         self.first_event_at = anyio.current_time()
         headers = self.context.codec.client_headers(reply.headers)
@@ -300,6 +309,7 @@
         if self.client.response_state is not ResponseState.STREAMING:
             headers = self.context.codec.client_headers(reply.headers)
             await self.client.start_response(reply.status, headers, b"")
+        await self.backlog.flush()
         await self.client.end_response()
 
     def _record_prompt(self, decision: Selection) -> None:
