Bound the large request bodies in flight to one upstream

An upstream that holds more than its memory (232 MB) crashes, and reports neither its memory nor its use. A gateway has at most 4 MB of bodies above 128 KiB in flight to one upstream: 30 gateways that do not know of each other send 126 MB, about half, as an upstream may hold a body twice. An upstream without room is no candidate; if none has room, the request is refused with 503 and a short Retry-After (825). Bodies up to 128 KiB are not counted, and no decision about them changes.

--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -97,6 +97,7 @@
     GATEWAY_CHAIN_READ = (809, Level.INFO, "A chain of turns was read from the store.")
     GATEWAY_RESPONSE_SKIPPED = (810, Level.WARNING, "A response is not the request's; why.")
     GATEWAY_MEMORY_FULL = (824, Level.WARNING, "A request was refused: too much memory is in use.")
+    GATEWAY_BODIES_FULL = (825, Level.WARNING, "All usable upstreams hold many large bodies.")
     GATEWAY_SLOWDOWN_DOUBTED = (840, Level.WARNING, "A reported slowdown contradicts the speed.")
     GATEWAY_CONFIGURED = (850, Level.INFO, "The process now uses a newer routing table.")
     GATEWAY_UPSTREAM_SEEN = (851, Level.INFO, "An upstream was listed and may receive requests.")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -39,7 +39,8 @@
     ``stream_row`` is the row by which the version of the last attempt is recorded, if it is;
     ``is_stream_kept`` is whether the stream counts as relayed, ``has_moved`` whether its path has
     led to other services lately.
-    ``held`` is the memory of complete responses.  ``answer_by`` bounds the deadline at a planned
+    ``held`` is the memory of complete responses, ``body_bytes`` the size of the body that upstreams
+    get.  ``answer_by`` bounds the deadline at a planned
     stop.
     """
 
@@ -63,6 +64,7 @@
         self.refusal: SkylarkferryError | None = None
         self.last_reply: tuple[Reply, bytes] | None = None
         self.held: list[HeldBytes] = []
+        self.body_bytes = len(request.body)
         self.required_version: str | None = None
         self.stream_row: StreamRow | None = None
         self.is_stream_kept = False
@@ -70,7 +72,7 @@
 
     def accepts(self, upstream: Upstream) -> bool:
         """Return whether the request may be sent to the upstream, which takes new requests."""
-        if upstream in self.tried_upstreams:
+        if upstream in self.tried_upstreams or not upstream.has_room_for(self.body_bytes):
             return False
         return self.required_version in (None, upstream.entry.software_version)
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
@@ -79,7 +79,7 @@
 
     async def _exchange(self, attempts: Attempts, decision: Selection) -> tuple[Reply, bytes]:
         context = self.context
-        async with context.exchange(decision.upstream) as exchange:
+        async with context.exchange(decision.upstream, attempts.body_bytes) as exchange:
             await exchange.connect(attempts.idle_limit_s)
             decision.alive_at = exchange.alive_at
             now = anyio.current_time()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -37,6 +37,18 @@
 """Most bytes of a response handed to the socket at once; each part has ``CLIENT_SEND_S``."""
 PIPELINED_BYTES = 65_536
 """Bytes read ahead from a client while its request is served; beyond that, reading pauses."""
+COUNTED_BODY_BYTES = 131_072
+"""Bodies up to this size are not bounded at an upstream.
+
+They are 0 to 100 KB as a rule, and all that an upstream runs and queues (64) together hold 8 MB.
+"""
+UPSTREAM_BODY_BYTES = 4_194_304
+"""Bytes of larger bodies that this gateway has in flight to one upstream.
+
+An upstream that holds more than its memory, 232 MB, crashes; it does not report its memory.  Thirty
+gateways that do not know of each other's bodies send at most 126 MB, about half of it.  The largest
+body by default has this size; a larger one is sent only while no other is in flight.
+"""
 MAX_ANSWER_BYTES = 8_388_608
 """Largest response body that is buffered as a whole, and largest output of a retained turn."""
 STREAM_PIECE_BYTES = 4_096
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
@@ -70,7 +70,8 @@
     """Context of one exchange.
 
     Leaving it before ``finish`` closes the connection, to stop the upstream's work.
-    ``alive_at`` is a monotonic time at which the process at the connection's end was alive.
+    ``body_bytes`` is the size of the request's body.  ``alive_at`` is a monotonic time at which the
+    process at the connection's end was alive.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         codec: HeaderCodec,
         memory: MemoryShare,
         *,
+        body_bytes: int,
         log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
@@ -87,6 +89,7 @@
         self.log = log
         self.metrics = metrics
         self.held = HeldBytes(memory)
+        self.body_bytes = body_bytes if body_bytes > defaults.COUNTED_BODY_BYTES else 0
         self.connection: HttpConnection | None = None
         self.idle_s: float | None = None
         self.alive_at = -math.inf
@@ -94,6 +97,7 @@
     async def __aenter__(self) -> "Exchange":
         """Add the request to the upstream's requests in flight."""
         self.upstream.local.in_flight += 1
+        self.upstream.body_bytes += self.body_bytes
         return self
 
     async def __aexit__(
@@ -104,6 +108,7 @@
     ) -> None:
         """Remove the request from those in flight and close a connection that was not released."""
         self.upstream.local.in_flight -= 1
+        self.upstream.body_bytes -= self.body_bytes
         self.held.release()
         if self.connection is not None:
             await self.connection.abort()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -184,6 +184,11 @@
             "Requests refused because the process held too many bytes.",
             registry=self.registry,
         )
+        self.body_refusals = Counter(
+            "skylarkferry_gateway_body_refusals",
+            "Attempts not made because all usable upstreams held many large request bodies.",
+            registry=self.registry,
+        )
         self.slow_streams = Counter(
             "skylarkferry_gateway_slow_streams",
             "Streams read ahead of slow clients, and those ended for lack of memory.",
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -66,9 +66,11 @@
         attempts.refusal = self.crashes.refusal(attempts.request)
         if attempts.refusal is not None:
             return None
-        decision = await self.selector.select(attempts)
+        decision = await self._select(attempts)
         if decision is None:
-            if self.selector.is_limited(attempts):
+            if self._is_full_of_bodies(attempts):
+                attempts.refusal = self._refuse_body(attempts)
+            elif self.selector.is_limited(attempts):
                 attempts.refusal = self._refuse_beyond_limits(attempts)
             elif self.selector.needs_store(attempts):
                 attempts.refusal = PlatformUnavailableError(
@@ -83,6 +85,42 @@
         self._log_decision(attempts, decision, now)
         return decision
 
+    async def _select(self, attempts: Attempts) -> Selection | None:
+        """Return the next upstream; choose again if it filled up while a coordinator was asked."""
+        decision = await self.selector.select(attempts)
+        if decision is None or decision.upstream.has_room_for(attempts.body_bytes):
+            return decision
+        self.selector.on_attempt_ended(decision)
+        decision = await self.selector.select(attempts)
+        if decision is None or decision.upstream.has_room_for(attempts.body_bytes):
+            return decision
+        self.selector.on_attempt_ended(decision)
+        return None
+
+    def _is_full_of_bodies(self, attempts: Attempts) -> bool:
+        """Return whether upstreams would be usable if not for the large bodies that they hold."""
+        members = self.selector.upstreams.for_service(attempts.service)
+        return any(
+            item.accepts_requests and not item.has_room_for(attempts.body_bytes)
+            for item in members
+            if item not in attempts.tried_upstreams
+            and attempts.required_version in (None, item.entry.software_version)
+        )
+
+    def _refuse_body(self, attempts: Attempts) -> SkylarkferryError:
+        self.metrics.body_refusals.inc()
+        self.log.emit(
+            EventKind.GATEWAY_BODIES_FULL,
+            attempts.request.metadata.program_id,
+            request=attempts.request.metadata.request_id,
+            service=attempts.service,
+            bytes=attempts.body_bytes,
+        )
+        return OverloadedError(
+            "the upstreams hold as many large request bodies as they may",
+            retry_after_s=defaults.RETRY_AFTER_S,
+        )
+
     def _refuse_beyond_limits(self, attempts: Attempts) -> SkylarkferryError:
         self.metrics.limit_refusals.inc()
         self.log.emit(
@@ -119,10 +157,15 @@
         slowdown = decision.upstream.local.slowdown
         return {"slowdown": round(slowdown.value(now), 2)} if slowdown.is_reported else {}
 
-    def exchange(self, upstream: Upstream) -> Exchange:
-        """Return a new exchange with an upstream."""
+    def exchange(self, upstream: Upstream, body_bytes: int) -> Exchange:
+        """Return a new exchange with an upstream, for a request with a body of this size."""
         return Exchange(
-            upstream, self.codec, self.response_memory, log=self.log, metrics=self.metrics
+            upstream,
+            self.codec,
+            self.response_memory,
+            body_bytes=body_bytes,
+            log=self.log,
+            metrics=self.metrics,
         )
 
     def reply_deadline(self, attempts: Attempts, decision: Selection, now: float) -> float:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -56,6 +56,7 @@
         self.client = client
         self.listener = listener
         self.body = body
+        attempts.body_bytes = len(body)
         self.position = StreamPosition(attempts.request.metadata.last_event_id)
         self.backlog = StreamBacklog(
             client, context.tasks, context.memory.shares[MemoryUse.STREAMS], context.metrics
@@ -140,7 +141,7 @@
 
     async def _exchange(self, decision: Selection) -> int | None:
         context, attempts = self.context, self.attempts
-        async with context.exchange(decision.upstream) as exchange:
+        async with context.exchange(decision.upstream, len(self.body)) as exchange:
             await exchange.connect(attempts.idle_limit_s)
             decision.alive_at = exchange.alive_at
             await self._check_process(exchange, decision)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -32,6 +32,14 @@
         self.is_misdirected = False
         self.is_slowdown_doubted = False
         self.removed_at: float | None = None
+        self.body_bytes = 0
+        """Bytes of large request bodies in flight from this gateway."""
+
+    def has_room_for(self, body_bytes: int) -> bool:
+        """Return whether a body of this size may be sent in addition to those in flight."""
+        if body_bytes <= defaults.COUNTED_BODY_BYTES or not self.body_bytes:
+            return True
+        return self.body_bytes + body_bytes <= defaults.UPSTREAM_BODY_BYTES
 
     @property
     def accepts_requests(self) -> bool:
