--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -29,6 +29,10 @@
 """No attempt starts with less time left; a round trip with the shortest work takes as long."""
 CLIENT_SEND_S = 10.0
 """A client that accepts no byte for this time counts as gone; three usual deadlines."""
+SCARCE_CLIENT_SEND_S = 2.0
+"""The same while memory is scarce; equals the client's limit for stream gaps."""
+SCARCE_MEMORY_SHARE = 0.5
+"""Part of the memory for requests beyond which it counts as scarce."""
 LARGE_BODY_BYTES = 32_768
 """Larger bodies are sent while the response is read, because an upstream may respond early."""
 RECEIVE_BYTES = 65_536
@@ -105,10 +109,11 @@
 """Part of that memory beyond which new requests are refused, so that those under way can end."""
 BODY_MEMORY_SHARE = 0.1
 RESPONSE_MEMORY_SHARE = 0.15
-STREAM_MEMORY_SHARE = 0.1
+STREAM_MEMORY_SHARE = 0.05
 """Shares of the limit for request bodies, responses, and streams whose clients read slowly.
 
-Together they exceed what may be held, as they are not all used at once.
+Slow readers alone do not use up what new work needs: responses and streams together stay below
+``NEW_WORK_MEMORY_SHARE`` of all.
 """
 STREAM_HOLD_S = 1.0
 """Time for which a slow client may hold its upstream's stream back.
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/held_memory.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/held_memory.py
@@ -42,6 +42,10 @@
             body_bytes
         )
 
+    def is_scarce(self) -> bool:
+        """Return whether so much is held that clients have to read faster."""
+        return self.used > self.limit_bytes * defaults.SCARCE_MEMORY_SHARE
+
 
 class MemoryShare:
     """Bytes held for one use, at most ``limit_bytes``, within those of the account."""
