Choose coordinators and peers by the links of their hosts too

Hosts of gateways differ by twenty-five times in their links, and a host with 11 Mbit/s was chosen as coordinator and for calls to the store like one with 300. The row of a gateway has the rate of its link now, if the settings name it. Hosts below a quarter of the widest link do not coordinate; peers are asked for store calls in proportion to the scarcer of cores and link. Where no link is known, the row has the bytes of earlier versions, and the order of coordinators and peers is the same (tested).

`pytest -n 2` on core/test_coordination, test_coordinator, test_gateway_list, test_failover_store, test_held_memory, test_role: all passed.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/coordinators.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/coordinators.py
@@ -9,7 +9,7 @@
 from skylarkferry_core.ids import NodeId, ServiceName
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
-from skylarkferry_gateway.gateway_list import GatewayList
+from skylarkferry_gateway.gateway_list import GatewayList, GatewayMember
 
 _MAX_CANDIDATES = 3
 """Gateways that are tried for a shard; if all are silent, this gateway is probably cut off."""
@@ -33,6 +33,7 @@
         self.log = log
         self.ranked: dict[Shard, list[NodeId]] = {}
         self.ranked_nodes: set[NodeId] = set()
+        self.ranked_members: dict[NodeId, GatewayMember] = {}
         self.avoided_until: dict[NodeId, float] = {}
 
     def coordinator(self, service: ServiceName, shard: int) -> NodeId | None:
@@ -45,7 +46,8 @@
 
     def _ranked(self, service: ServiceName, shard: int) -> list[NodeId]:
         members = self.gateways.members
-        if self.ranked_nodes != members.keys():
+        if self.ranked_members is not members or self.ranked_nodes != members.keys():
+            self.ranked_members = members
             self.ranked_nodes = set(members)
             self.ranked = {}
             self.avoided_until = {
@@ -54,7 +56,9 @@
         key = (service, shard)
         if key not in self.ranked:
             cores = {node: member.cores for node, member in members.items()}
-            self.ranked[key] = ranked_coordinators(service, shard, cores)[:_MAX_CANDIDATES]
+            links = {node: member.link_bytes_per_s for node, member in members.items()}
+            ranked = ranked_coordinators(service, shard, cores, links)
+            self.ranked[key] = ranked[:_MAX_CANDIDATES]
         return self.ranked[key]
 
     def address(self, node: NodeId) -> str:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/failover_store.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/failover_store.py
@@ -1,7 +1,8 @@
 """Store client that fails over from the direct path to gateways that still reach the store."""
 
+import math
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import TypeVar
 
 import anyio
@@ -29,24 +30,32 @@
 
 _PEERS_PER_CALL = 2
 """Peers asked per call: the store may refuse two gateways at once, but rarely three."""
+_MIN_PEER_SHARE = 0.01
+"""Least share of a peer, so that each is asked at times."""
 _PROBE_KEY = "crashes//probe"
 """A row that is never written; it is read to check if the store answers again."""
 
 
 class FailoverStore:
-    """A store that is called through peers while it does not answer this process."""
+    """A store that is called through peers while it does not answer this process.
+
+    ``peer_shares`` returns what the hosts of peers can do for others, 1 where it is not known.
+    """
 
     def __init__(
         self,
         direct: Store,
         peers: PeerClient,
         peer_addresses: Callable[[], set[str]],
+        peer_shares: Callable[[], Mapping[str, float]],
+        *,
         rng: random.Random,
         log: EventLog,
     ) -> None:
         self.direct = direct
         self.peers = peers
         self.peer_addresses = peer_addresses
+        self.peer_shares = peer_shares
         self.rng = rng
         self.log = log
         self.last_peer = ""
@@ -190,9 +199,17 @@
         candidates = [
             item for item in self.peer_addresses() if self.avoided_until.get(item, 0.0) <= now
         ]
-        candidates.sort(key=lambda item: (item != self.last_peer, self.rng.random()))
+        shares = self.peer_shares()
+        candidates.sort(key=lambda item: (item != self.last_peer, self._delay(shares.get(item))))
         return candidates[:_PEERS_PER_CALL]
 
+    def _delay(self, share: float | None) -> float:
+        """Return a random time; a peer is the first in proportion to its share.
+
+        Without shares the order of the peers is that of the random numbers.
+        """
+        return -math.log(1.0 - self.rng.random()) / max(share or 1.0, _MIN_PEER_SHARE)
+
     def _set_relayed(self, is_relayed: bool, detail: str) -> None:
         if is_relayed:
             self.relay_failed_at = None
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway_list.py
@@ -6,6 +6,7 @@
 import msgspec
 import xxhash
 
+from skylarkferry_core.coordination import host_shares
 from skylarkferry_core.errors import (
     MalformedDataError,
     PlatformUnavailableError,
@@ -28,15 +29,26 @@
 """Reads without an update after which the row of a gateway is deleted; ten minutes."""
 _MAX_LOGGED_NAMES = 10
 _MAX_CORES = 1_024
+_MAX_LINK_BYTES_PER_S = 1e12
 _JOIN_HEARTBEATS = 1.2
 """Heartbeats after which all other gateways have read a new row."""
 
 
 class GatewayMember(msgspec.Struct, frozen=True, array_like=True):
-    """A gateway's row: its address for other gateways, and the processor cores of its host."""
+    """A gateway's row: its address for other gateways, and the cores and link of its host.
+
+    The rate of the link is 0 if it is not known; earlier versions write and read rows without it.
+    """
 
     address: str
     cores: Annotated[float, msgspec.Meta(gt=0, le=_MAX_CORES)]
+    link_bytes_per_s: Annotated[float, msgspec.Meta(ge=0, le=_MAX_LINK_BYTES_PER_S)] = 0.0
+
+    def encode(self) -> bytes:
+        """Encode the row, as earlier versions do if the link is not known."""
+        if not self.link_bytes_per_s:
+            return msgspec.msgpack.encode((self.address, self.cores))
+        return msgspec.msgpack.encode(self)
 
 
 _MEMBER = msgspec.msgpack.Decoder(GatewayMember)
@@ -80,6 +92,18 @@
         """Return the addresses of the other running gateways."""
         return {member.address for node, member in self.members.items() if node != self.node}
 
+    def peer_shares(self) -> dict[str, float]:
+        """Return by address what the hosts of the others can do for this gateway, 1 at most.
+
+        It is empty while no link is known, as all hosts then count alike.
+        """
+        links = {node: member.link_bytes_per_s for node, member in self.members.items()}
+        if not any(links.values()):
+            return {}
+        cores = {node: member.cores for node, member in self.members.items()}
+        shares = host_shares(cores, links)
+        return {self.members[node].address: share for node, share in shares.items()}
+
     def is_first(self) -> bool:
         """Return whether this gateway does what one gateway does for all."""
         readable = (node for node in self.nodes if node not in self.unreadable)
@@ -114,7 +138,7 @@
         return await retry_until(lambda: self.store.scan(_PREFIX), deadline_at)
 
     async def _update_row(self, deadline_at: float) -> None:
-        write = Write(_PREFIX + self.node, msgspec.msgpack.encode(self.member))
+        write = Write(_PREFIX + self.node, self.member.encode())
         await retry_until(lambda: self.store.transact([], [write]), deadline_at)
 
     def _apply(self, rows: list[Row]) -> None:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/held_memory.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/held_memory.py
@@ -26,6 +26,7 @@
     def __init__(self, process_limit_bytes: int) -> None:
         self.limit_bytes = int(process_limit_bytes * defaults.HELD_MEMORY_SHARE)
         self.used = 0
+        self.was_full = False
         self.shares = {
             use: MemoryShare(self, int(process_limit_bytes * share))
             for use, share in (
@@ -42,6 +43,14 @@
             body_bytes
         )
 
+    def is_full(self) -> bool:
+        """Return whether new work is refused, until what is held is not even scarce any more."""
+        if not self.admits(0):
+            self.was_full = True
+        elif not self.is_scarce():
+            self.was_full = False
+        return self.was_full
+
     def is_scarce(self) -> bool:
         """Return whether so much is held that clients have to read faster."""
         return self.used > self.limit_bytes * defaults.SCARCE_MEMORY_SHARE
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -61,14 +61,19 @@
         self.settings = settings
         rng = random.Random(settings.incarnation)
         peers = PeerClient()
-        self.store = store = FailoverStore(platform.store, peers, self._peers, rng, log)
+        self.store = store = FailoverStore(
+            platform.store, peers, self._peers, self._peer_shares, rng=rng, log=log
+        )
         directory = platform.directory(store)
         self.log = log
         self.metrics = metrics
         self.timers = TimerService()
         self.upstreams = Upstreams()
         self.gateways = GatewayList(
-            store, settings.node, GatewayMember(settings.peer_listen, settings.cores), log
+            store,
+            settings.node,
+            GatewayMember(settings.peer_listen, settings.cores, settings.link_bytes_per_s),
+            log,
         )
         limits = LimitShares(self.gateways, time.time)
         versions = ServiceVersions(self.upstreams)
@@ -222,6 +227,7 @@
             is_known
             and not self.is_stopping
             and self.store.unavailable_s() < defaults.NOT_READY_AFTER_S
+            and not self.memory.is_full()
         )
         if is_ready != self.was_ready:
             self.was_ready = is_ready
@@ -230,6 +236,7 @@
                 ready=is_ready,
                 store_lost_ms=round(self.store.unavailable_s() * 1_000),
                 stopping=self.is_stopping,
+                memory_full=self.memory.is_full(),
             )
         return is_ready
 
@@ -244,6 +251,9 @@
     def _peers(self) -> set[str]:
         return self.owners.peers()
 
+    def _peer_shares(self) -> dict[str, float]:
+        return self.gateways.peer_shares()
+
     async def _read_owners(self) -> None:
         now = anyio.current_time()
         try:
--- a/tests/core/test_coordination.py
+++ b/tests/core/test_coordination.py
@@ -5,6 +5,7 @@
 
 from skylarkferry_core.coordination import (
     MAX_SHARD_UPSTREAMS,
+    host_shares,
     ranked_coordinators,
     shard_count,
     shard_of,
@@ -58,3 +59,31 @@
 def test_no_gateway_is_listed():
     assert_that(ranked_coordinators("s", 0, {}), Equals([]))
     assert_that(ranked_coordinators("s", 0, {"g1": 0.0}), Contains("g1"))
+
+
+def test_hosts_with_a_narrow_link_do_not_coordinate():
+    """Guards against coordinators whose answers wait behind their own responses."""
+    cores = {"wide": 1.0, "narrow": 1.0, "half": 1.0, "slow": 0.2}
+    links = {"wide": 37.5e6, "narrow": 1.4e6, "half": 15e6, "slow": 37.5e6}
+    assert_that(sorted(ranked_coordinators("s", 0, cores, links)), Equals(["half", "wide"]))
+
+
+def test_order_of_coordinators_does_not_depend_on_links_that_are_not_known():
+    cores = {f"g{number}": 1.0 for number in range(20)}
+    unknown = dict.fromkeys(cores, 0.0)
+    some = unknown | {"g3": 37.5e6}
+    expected = ranked_coordinators("s", 0, cores)
+    assert_that(ranked_coordinators("s", 0, cores, unknown), Equals(expected))
+    assert_that(ranked_coordinators("s", 0, cores, some), Equals(expected))
+
+
+def test_fast_hosts_coordinate_if_only_slow_hosts_have_wide_links():
+    cores, links = {"fast": 2.0, "slow": 0.3}, {"fast": 1.4e6, "slow": 37.5e6}
+    assert_that(ranked_coordinators("s", 0, cores, links), Equals(["fast"]))
+
+
+def test_share_of_a_host_is_that_of_what_it_has_least_of():
+    cores = {"a": 2.0, "b": 1.0, "c": 2.0, "d": 0.5}
+    links = {"a": 40e6, "b": 40e6, "c": 4e6, "d": 0.0}
+    expected = {"a": 1.0, "b": 0.5, "c": 0.1, "d": 0.25}
+    assert_that(host_shares(cores, links), Equals(expected))
--- a/tests/gateway/test_coordinator.py
+++ b/tests/gateway/test_coordinator.py
@@ -8,8 +8,11 @@
 
 from skylarkferry_core.ids import FailureDomain, ProgramId, ServiceName, UpstreamId
 from skylarkferry_core.routes import ClientLimits, EngineSpec, RoutingTable, ServiceSpec
+from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import coordinator as coordinator_module
 from skylarkferry_gateway.coordinator import PlacementCoordinator
+from skylarkferry_gateway.coordinators import Coordinators
+from skylarkferry_gateway.gateway_list import GatewayMember
 from skylarkferry_gateway.messages import PromptPart, ReportedLoad, UpstreamEntry
 from skylarkferry_gateway.placement_messages import Ended, PlacementQuery, SpeedSample
 from skylarkferry_gateway.upstream_views import AttemptOutcome
@@ -176,3 +179,16 @@
         coordinator.end(PEER, Ended(number, AttemptOutcome.SERVED, speed=sample), 0.1)
     chosen = {place(coordinator, 100 + number, 0.2) for number in range(4)}
     assert_that("e1" in chosen, Equals(False))
+
+
+@pytest.mark.anyio
+async def test_coordinator_changes_when_a_link_becomes_known(anyio_backend):
+    """Guards against a ranking that is kept while gateways restart with rows that tell more."""
+    names = [f"g{number}" for number in range(6)]
+    gateways = SimpleNamespace(members={name: GatewayMember(name, 1.0) for name in names})
+    coordinators = Coordinators(gateways, EventLog("node", 10))
+    first = coordinators.coordinator(SERVICE, 0)
+    gateways.members = {
+        name: GatewayMember(name, 1.0, 1e6 if name == first else 40e6) for name in names
+    }
+    assert_that(coordinators.coordinator(SERVICE, 0), Not(Equals(first)))
--- a/tests/gateway/test_failover_store.py
+++ b/tests/gateway/test_failover_store.py
@@ -1,10 +1,15 @@
+import random
+from collections import Counter
+
 import anyio
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from gateway_rig import MAX_OUTPUT_TOKENS, config, headers, send, turn_headers, wait_until
+from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.failover_store import FailoverStore
 from skylarkferry_standins.replica import EVENT_COUNT
 from skylarkferry_standins.row_store import StoreFault
 
@@ -131,3 +136,39 @@
     assert_that(anyio.current_time() - began, LessThan(defaults.PEER_TIMEOUT_S))
     assert_that(answer.status_code, Equals(503))
     assert_that(float(answer.headers["Retry-After"]), Equals(defaults.ISOLATED_RETRY_AFTER_S))
+
+
+def first_peers(shares, calls=2_000):
+    """Return how often each of these peers is asked first."""
+    addresses = sorted(shares) if shares else ["a", "b", "c"]
+    store = FailoverStore(
+        None,
+        None,
+        lambda: addresses,
+        lambda: shares,
+        rng=random.Random(1),
+        log=EventLog("node", 10),
+    )
+    return Counter(store._candidates()[0] for _ in range(calls))
+
+
+async def test_peers_are_asked_in_proportion_to_their_hosts():
+    """Guards against reads through a host whose link is a twenty-fifth of that of another."""
+    counts = first_peers({"narrow": 0.04, "middle": 0.4, "wide": 1.0})
+    assert 30 < counts["narrow"] < 110
+    assert 1.8 < counts["wide"] / counts["middle"] < 3.2
+
+
+async def test_peers_count_alike_while_no_link_is_known():
+    counts = first_peers({})
+    assert max(counts.values()) < 1.2 * min(counts.values())
+
+
+async def test_order_of_peers_is_that_of_earlier_versions_while_no_link_is_known():
+    addresses = [f"peer-{number}" for number in range(9)]
+    store = FailoverStore(
+        None, None, lambda: addresses, dict, rng=random.Random(3), log=EventLog("node", 10)
+    )
+    rng = random.Random(3)
+    expected = sorted(addresses, key=lambda item: rng.random())[:2]
+    assert_that(store._candidates(), Equals(expected))
--- a/tests/gateway/test_gateway_list.py
+++ b/tests/gateway/test_gateway_list.py
@@ -1,4 +1,7 @@
+import math
+
 import anyio
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
@@ -92,3 +95,32 @@
     monkeypatch.setattr(defaults, "GATEWAY_HEARTBEAT_S", 0.1)
     gateways = [await rig.add_gateway(f"g{number}") for number in range(3)]
     await wait_until(lambda: all(len(gateway.gateways.nodes) == 3 for gateway in gateways))
+
+
+async def test_row_without_a_link_has_the_bytes_of_earlier_versions(rig):
+    await gateway_list(rig, "g1").send_heartbeat()
+    row = rig.store.value("gateways", "", "g1")
+    assert_that(msgspec.msgpack.decode(row), Equals(["g1.example:1", 1.0]))
+
+
+async def test_rows_with_and_without_a_link_are_read(rig):
+    """Guards against gateways of two versions that take each other's rows for malformed."""
+    gateway, other, older = (gateway_list(rig, name) for name in ("g1", "g2", "g3"))
+    gateway.member = GatewayMember("127.0.0.1:1", 1.0, 4e6)
+    other.member = GatewayMember("127.0.0.1:2", 1.0, 40e6)
+    older.member = GatewayMember("127.0.0.1:3", 2.0)
+    for item in (other, older, gateway, gateway):
+        await item.send_heartbeat()
+    assert_that(gateway.unreadable, Equals(set()))
+    shares = gateway.peer_shares()
+    expected = {"127.0.0.1:1": 0.1, "127.0.0.1:2": 0.5, "127.0.0.1:3": 1.0}
+    assert_that(shares, Equals(expected))
+
+
+@pytest.mark.parametrize("link", [-1.0, math.nan, math.inf, "wide"])
+async def test_row_with_a_malformed_link_names_no_gateway(rig, link):
+    gateway = gateway_list(rig, "g1")
+    row = msgspec.msgpack.encode(("127.0.0.1:2", 1.0, link))
+    rig.store.put("gateways", "", "g2", row)
+    await gateway.send_heartbeat()
+    assert_that((set(gateway.members), gateway.unreadable), Equals(({"g1"}, {"g2"})))
--- a/tests/gateway/test_held_memory.py
+++ b/tests/gateway/test_held_memory.py
@@ -167,3 +167,16 @@
         await wait_until(lambda: rig.arrivals() == 1)
         with anyio.fail_after(3):
             await wait_until(lambda: not gateway.clients)
+
+
+async def test_gateway_without_memory_for_new_work_is_not_ready_until_there_is_enough(rig):
+    """Guards against new connections to a gateway that refuses all they send."""
+    gateway = await rig.add_gateway()
+    share = gateway.memory.shares[MemoryUse.RESPONSES]
+    assert_that(gateway.is_ready(), Equals(True))
+    held = fill(gateway)
+    assert_that(gateway.is_ready(), Equals(False))
+    held.release()
+    scarce = gateway.is_ready()
+    share.release(share.used)
+    assert_that((scarce, gateway.is_ready()), Equals((False, True)))
