--- a/packages/skylarkferry-core/src/skylarkferry_core/slowdowns.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/slowdowns.py
@@ -67,6 +67,8 @@
 
     def value(self, now: float) -> float:
         """Return the slowdown to expect, the mean of the reports if their changes are doubted."""
+        if self.reported_at is None:
+            return USUAL
         return self.mean if self.is_doubted else self._expected(now)
 
     def _expected(self, now: float) -> float:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_backlog.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_backlog.py
@@ -59,7 +59,8 @@
         self._keep(data)
         if not self.is_sending and self.tasks is not None:
             self.is_sending = True
-            self.tasks.start_soon(self._send_kept)
+            self.scope = anyio.CancelScope()
+            self.tasks.start_soon(self._send_kept, self.scope)
         if await self._wait_until_sent(self.behind_since + defaults.STREAM_HOLD_S):
             return
         if not self.is_ahead:
@@ -105,10 +106,10 @@
         self.has_progress = anyio.Event()
         await self.has_progress.wait()
 
-    async def _send_kept(self) -> None:
+    async def _send_kept(self, scope: anyio.CancelScope) -> None:
         """Send what is kept until nothing is left."""
         try:
-            with self.scope:
+            with scope:
                 while self.parts:
                     part = self.parts.popleft()
                     await self.client.send_data(part)
--- a/tests/gateway/test_slow_stream_readers.py
+++ b/tests/gateway/test_slow_stream_readers.py
@@ -172,3 +172,18 @@
         received = await read_all(client, pause_s=0.0005)
     assert_that(received.endswith(b"\r\n0\r\n\r\n"), Equals(True))
     assert streams_of(gateway).most_used < 200_000
+
+
+async def test_client_may_pause_several_times(rig, engine):
+    """Guards against a backlog that works once for each stream."""
+    gateway = await rig.add_gateway()
+    loop = asyncio.get_running_loop()
+    received = bytearray()
+    async with streaming(gateway, "id-1") as client:
+        for _ in range(3):
+            await anyio.sleep(0.5)
+            for _ in range(40):
+                received += await loop.sock_recv(client, 65_536)
+        received += await read_all(client)
+    numbers = [received.count(f"id: {number}\n".encode()) for number in range(1, EVENTS + 1, 7)]
+    assert_that((set(numbers), engine.cut_off), Equals(({1}, 0)))
