Create what a backlog waits with only when a client is slow

A scope and an event for each stream cost several microseconds.

`pytest tests/gateway/test_slow_stream_readers.py`: 6 passed.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_backlog.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_backlog.py
@@ -39,8 +39,8 @@
         self.behind_since = 0.0
         self.is_sending = False
         self.is_ahead = False
-        self.scope = anyio.CancelScope()
-        self.has_progress = anyio.Event()
+        self.scope: anyio.CancelScope | None = None
+        self.progress: anyio.Event | None = None
         self.failure: ClientLeftError | None = None
 
     async def send(self, data: bytes) -> None:
@@ -103,8 +103,12 @@
         return not self.is_sending
 
     async def _wait_for_progress(self) -> None:
-        self.has_progress = anyio.Event()
-        await self.has_progress.wait()
+        self.progress = anyio.Event()
+        await self.progress.wait()
+
+    def _report_progress(self) -> None:
+        if self.progress is not None:
+            self.progress.set()
 
     async def _send_kept(self, scope: anyio.CancelScope) -> None:
         """Send what is kept until nothing is left."""
@@ -115,12 +119,12 @@
                     await self.client.send_data(part)
                     self.size -= len(part)
                     self.held.resize(self.size)
-                    self.has_progress.set()
+                    self._report_progress()
         except ClientLeftError as error:
             self.failure = error
         finally:
             self.is_sending = False
-            self.has_progress.set()
+            self._report_progress()
 
     async def flush(self) -> None:
         """Wait until the client has accepted all bytes; raise ``ClientLeftError``."""
@@ -131,7 +135,8 @@
 
     def close(self) -> None:
         """Stop sending and release the memory."""
-        self.scope.cancel()
+        if self.scope is not None:
+            self.scope.cancel()
         self.parts.clear()
         self.held.release()
         self.size = 0
