--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -14,6 +14,7 @@
 from skylarkferry_core.states import FinalWord
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.exchanges import Reply
+from skylarkferry_gateway.held_memory import HeldBytes
 from skylarkferry_gateway.messages import ClientRequest
 from skylarkferry_gateway.quota_charges import QuotaCharge
 from skylarkferry_gateway.stream_origins import StreamRow
@@ -42,7 +43,8 @@
     ``is_stream_kept`` is whether the stream counts as relayed, ``has_moved`` whether its path has
     led to other services lately.
     ``answer_by`` bounds the deadline at a planned stop.  ``charge`` holds the tokens of its
-    customer's quota, ``None`` without a quota.
+    customer's quota, ``None`` without a quota.  ``held`` is the memory of complete responses,
+    ``body_bytes`` the size of the body that upstreams get.
     """
 
     def __init__(
@@ -64,6 +66,8 @@
         self.ambiguous_error: SkylarkferryError | None = None
         self.refusal: SkylarkferryError | None = None
         self.last_reply: tuple[Reply, bytes] | None = None
+        self.held: list[HeldBytes] = []
+        self.body_bytes = len(request.body)
         self.required_version: str | None = None
         self.stream_row: StreamRow | None = None
         self.is_stream_kept = False
@@ -87,10 +91,16 @@
 
     def accepts(self, upstream: Upstream) -> bool:
         """Return whether the request may be sent to the upstream, which takes new requests."""
-        if upstream in self.tried_upstreams:
+        if upstream in self.tried_upstreams or not upstream.has_room_for(self.body_bytes):
             return False
         return self.required_version in (None, upstream.entry.software_version)
 
+    def release_held(self) -> None:
+        """Release the memory of the responses, once the client has its response."""
+        for held in self.held:
+            held.release()
+        self.held.clear()
+
     @property
     def engine(self) -> EngineSpec | None:
         """Return the engine parameters if the service is a model engine, else ``None``."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -29,6 +29,10 @@
 """No attempt starts with less time left; a round trip with the shortest work takes as long."""
 CLIENT_SEND_S = 10.0
 """A client that accepts no byte for this time counts as gone; three usual deadlines."""
+SCARCE_CLIENT_SEND_S = 2.0
+"""The same while memory is scarce; equals the client's limit for stream gaps."""
+SCARCE_MEMORY_SHARE = 0.5
+"""Part of the memory for requests beyond which it counts as scarce."""
 LARGE_BODY_BYTES = 32_768
 """Larger bodies are sent while the response is read, because an upstream may respond early."""
 RECEIVE_BYTES = 65_536
@@ -37,6 +41,18 @@
 """Most bytes of a response handed to the socket at once; each part has ``CLIENT_SEND_S``."""
 PIPELINED_BYTES = 65_536
 """Bytes read ahead from a client while its request is served; beyond that, reading pauses."""
+COUNTED_BODY_BYTES = 131_072
+"""Bodies up to this size are not bounded at an upstream.
+
+They are 0 to 100 KB as a rule, and all that an upstream runs and queues (64) together hold 8 MB.
+"""
+UPSTREAM_BODY_BYTES = 4_194_304
+"""Bytes of larger bodies that this gateway has in flight to one upstream.
+
+An upstream that holds more than its memory, 232 MB, crashes; it does not report its memory.  Thirty
+gateways that do not know of each other's bodies send at most 126 MB, about half of it.  The largest
+body by default has this size; a larger one is sent only while no other is in flight.
+"""
 MAX_ANSWER_BYTES = 8_388_608
 """Largest response body that is buffered as a whole, and largest output of a retained turn."""
 STREAM_PIECE_BYTES = 4_096
@@ -83,8 +99,33 @@
 
 TURN_CACHE_MEMORY_SHARE = 0.15
 """Share of the process's memory limit for the cache of retained turns."""
+HELD_MEMORY_SHARE = 0.25
+"""Share of the process's memory limit for all that it holds for requests under way.
+
+A body or response is held twice while its parts are joined.  With that, the turn cache and 32 MB at
+rest, a process stays below the smallest limit, 128 MB.
+"""
+NEW_WORK_MEMORY_SHARE = 0.9
+"""Part of that memory beyond which new requests are refused, so that those under way can end."""
+BODY_MEMORY_SHARE = 0.1
 RESPONSE_MEMORY_SHARE = 0.15
-"""Share of the process's memory limit for large responses; a complete one is held twice."""
+STREAM_MEMORY_SHARE = 0.05
+"""Shares of the limit for request bodies, responses, and streams whose clients read slowly.
+
+Slow readers alone do not use up what new work needs: responses and streams together stay below
+``NEW_WORK_MEMORY_SHARE`` of all.
+"""
+STREAM_HOLD_S = 1.0
+"""Time for which a slow client may hold its upstream's stream back.
+
+Upstreams cut off a response that stays unread for some seconds; a pause of a client's network of
+less than that costs no memory here.
+"""
+REFUSED_BODY_S = 0.3
+"""Time for which the body of a refused request is received and dropped.
+
+A connection that is closed before would be reset, and the client might lose the refusal.
+"""
 BREAKER_MAX_OPEN_S = 4.0
 """Longest time a breaker stays open, so that a recovered upstream is used again within seconds."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
@@ -18,6 +18,7 @@
 from skylarkferry_core.events import EventKind
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.held_memory import HeldBytes, MemoryShare
 from skylarkferry_gateway.http_client import HttpConnection
 from skylarkferry_gateway.interfaces import HeaderCodec
 from skylarkferry_gateway.messages import (
@@ -27,7 +28,6 @@
     UpstreamRequestMetadata,
 )
 from skylarkferry_gateway.metrics import GatewayMetrics
-from skylarkferry_gateway.response_memory import HeldResponse, ResponseMemory
 from skylarkferry_gateway.upstreams import Upstream
 
 _NOT_EXECUTED_STATUSES = (
@@ -70,15 +70,17 @@
     """Context of one exchange.
 
     Leaving it before ``finish`` closes the connection, to stop the upstream's work.
-    ``alive_at`` is a monotonic time at which the process at the connection's end was alive.
+    ``body_bytes`` is the size of the request's body.  ``alive_at`` is a monotonic time at which the
+    process at the connection's end was alive.
     """
 
     def __init__(
         self,
         upstream: Upstream,
         codec: HeaderCodec,
-        memory: ResponseMemory,
+        memory: MemoryShare,
         *,
+        body_bytes: int,
         log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
@@ -86,7 +88,8 @@
         self.codec = codec
         self.log = log
         self.metrics = metrics
-        self.held = HeldResponse(memory)
+        self.held = HeldBytes(memory)
+        self.body_bytes = body_bytes if body_bytes > defaults.COUNTED_BODY_BYTES else 0
         self.connection: HttpConnection | None = None
         self.idle_s: float | None = None
         self.alive_at = -math.inf
@@ -94,6 +97,7 @@
     async def __aenter__(self) -> "Exchange":
         """Add the request to the upstream's requests in flight."""
         self.upstream.local.in_flight += 1
+        self.upstream.body_bytes += self.body_bytes
         return self
 
     async def __aexit__(
@@ -104,6 +108,7 @@
     ) -> None:
         """Remove the request from those in flight and close a connection that was not released."""
         self.upstream.local.in_flight -= 1
+        self.upstream.body_bytes -= self.body_bytes
         self.held.release()
         if self.connection is not None:
             await self.connection.abort()
@@ -221,6 +226,11 @@
         assert self.connection is not None
         return await self.connection.body(defaults.MAX_ANSWER_BYTES, self.held.grow_to)
 
+    def take_held(self) -> HeldBytes:
+        """Return the memory of the response, which the caller releases."""
+        held, self.held = self.held, HeldBytes(self.held.share)
+        return held
+
     async def finish(self) -> None:
         """Release the connection for reuse after the end of the response."""
         assert self.connection is not None
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -19,10 +19,10 @@
 from skylarkferry_gateway.attempts import Attempts
 from skylarkferry_gateway.crash_watch import CrashWatch
 from skylarkferry_gateway.exchanges import Exchange, Reply
+from skylarkferry_gateway.held_memory import MemoryAccount, MemoryUse
 from skylarkferry_gateway.interfaces import HeaderCodec
 from skylarkferry_gateway.messages import UpstreamRequestMetadata
 from skylarkferry_gateway.metrics import GatewayMetrics
-from skylarkferry_gateway.response_memory import ResponseMemory
 from skylarkferry_gateway.selection import Selection, UpstreamSelector
 from skylarkferry_gateway.stream_resumptions import StreamResumptions
 from skylarkferry_gateway.upstream_log import UpstreamLog
@@ -45,13 +45,14 @@
         selector: UpstreamSelector,
         crashes: CrashWatch,
         resumptions: StreamResumptions,
-        response_memory: ResponseMemory,
+        memory: MemoryAccount,
         *,
         log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
         self.codec = codec
-        self.response_memory = response_memory
+        self.memory = memory
+        self.response_memory = memory.shares[MemoryUse.RESPONSES]
         self.crashes = crashes
         self.resumptions = resumptions
         self.reports = UpstreamReports(selector.limits, UpstreamLog(log, metrics), log)
@@ -69,9 +70,11 @@
             attempts.refusal = await attempts.charge.prepare(attempts.deadline)
             if attempts.refusal is not None:
                 return None
-        decision = await self.selector.select(attempts)
+        decision = await self._select(attempts)
         if decision is None:
-            if self.selector.is_limited(attempts):
+            if self._is_full_of_bodies(attempts):
+                attempts.refusal = self._refuse_body(attempts)
+            elif self.selector.is_limited(attempts):
                 attempts.refusal = self._refuse_beyond_limits(attempts)
             elif self.selector.needs_store(attempts):
                 attempts.refusal = PlatformUnavailableError(
@@ -86,6 +89,42 @@
         self._log_decision(attempts, decision, now)
         return decision
 
+    async def _select(self, attempts: Attempts) -> Selection | None:
+        """Return the next upstream; choose again if it filled up while a coordinator was asked."""
+        decision = await self.selector.select(attempts)
+        if decision is None or decision.upstream.has_room_for(attempts.body_bytes):
+            return decision
+        self.selector.on_attempt_ended(decision)
+        decision = await self.selector.select(attempts)
+        if decision is None or decision.upstream.has_room_for(attempts.body_bytes):
+            return decision
+        self.selector.on_attempt_ended(decision)
+        return None
+
+    def _is_full_of_bodies(self, attempts: Attempts) -> bool:
+        """Return whether upstreams would be usable if not for the large bodies that they hold."""
+        members = self.selector.upstreams.for_service(attempts.service)
+        return any(
+            item.accepts_requests and not item.has_room_for(attempts.body_bytes)
+            for item in members
+            if item not in attempts.tried_upstreams
+            and attempts.required_version in (None, item.entry.software_version)
+        )
+
+    def _refuse_body(self, attempts: Attempts) -> SkylarkferryError:
+        self.metrics.body_refusals.inc()
+        self.log.emit(
+            EventKind.GATEWAY_BODIES_FULL,
+            attempts.request.metadata.program_id,
+            request=attempts.request.metadata.request_id,
+            service=attempts.service,
+            bytes=attempts.body_bytes,
+        )
+        return OverloadedError(
+            "the upstreams hold as many large request bodies as they may",
+            retry_after_s=defaults.RETRY_AFTER_S,
+        )
+
     def _refuse_beyond_limits(self, attempts: Attempts) -> SkylarkferryError:
         self.metrics.limit_refusals.inc()
         self.log.emit(
@@ -115,12 +154,22 @@
             report_age_ms=_ms_text(decision.report_age_s),
             cached=decision.cached_tokens,
             left_ms=_ms_text(attempts.remaining_s(now)),
+            **self._slowdown_field(decision, now),
         )
 
-    def exchange(self, upstream: Upstream) -> Exchange:
-        """Return a new exchange with an upstream."""
+    def _slowdown_field(self, decision: Selection, now: float) -> dict[str, float]:
+        slowdown = decision.upstream.local.slowdown
+        return {"slowdown": round(slowdown.value(now), 2)} if slowdown.is_reported else {}
+
+    def exchange(self, upstream: Upstream, body_bytes: int) -> Exchange:
+        """Return a new exchange with an upstream, for a request with a body of this size."""
         return Exchange(
-            upstream, self.codec, self.response_memory, log=self.log, metrics=self.metrics
+            upstream,
+            self.codec,
+            self.response_memory,
+            body_bytes=body_bytes,
+            log=self.log,
+            metrics=self.metrics,
         )
 
     def reply_deadline(self, attempts: Attempts, decision: Selection, now: float) -> float:
@@ -181,6 +230,13 @@
             self.reports.apply(decision.upstream, reply.metadata.report, now)
             decision.load, decision.load_at = reply.metadata.report.load, now
 
+    def check_slowdown(self, attempts: Attempts, decision: Selection, sent_at: float) -> None:
+        """Compare the slowdown that a plain service reports with the time of a complete call."""
+        slowdown = decision.upstream.local.slowdown
+        now = anyio.current_time()
+        if attempts.engine is None and slowdown.is_reported and now > sent_at:
+            slowdown.check(1.0 / (now - sent_at), now)
+
     def on_failure_status(self, decision: Selection, reply: Reply) -> None:
         """Count a failure against the upstream, except a timeout response sent at the deadline."""
         if reply.status == HTTPStatus.GATEWAY_TIMEOUT:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -26,6 +26,7 @@
 from skylarkferry_gateway.failover_store import FailoverStore
 from skylarkferry_gateway.gateway import Gateway
 from skylarkferry_gateway.gateway_list import GatewayList, GatewayMember
+from skylarkferry_gateway.held_memory import MemoryAccount, MemoryUse
 from skylarkferry_gateway.http_server import ClientConnection, Handler, ReceivedRequest
 from skylarkferry_gateway.interfaces import Platform
 from skylarkferry_gateway.limit_shares import LimitShares
@@ -42,7 +43,7 @@
 from skylarkferry_gateway.quota_owners import OwnedPools, QuotaOwnerRanks
 from skylarkferry_gateway.quotas import QuotaStage
 from skylarkferry_gateway.relay_context import RelayContext
-from skylarkferry_gateway.response_memory import ResponseMemory
+from skylarkferry_gateway.request_memory import RequestMemory
 from skylarkferry_gateway.selection import UpstreamSelector
 from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.settings import GatewaySettings
@@ -67,14 +68,19 @@
         self.settings = settings
         rng = random.Random(settings.incarnation)
         peers = PeerClient()
-        self.store = store = FailoverStore(platform.store, peers, self._peers, rng, log)
+        self.store = store = FailoverStore(
+            platform.store, peers, self._peers, self._peer_shares, rng=rng, log=log
+        )
         directory = platform.directory(store)
         self.log = log
         self.metrics = metrics
         self.timers = TimerService()
         self.upstreams = Upstreams()
         self.gateways = GatewayList(
-            store, settings.node, GatewayMember(settings.peer_listen, settings.cores), log
+            store,
+            settings.node,
+            GatewayMember(settings.peer_listen, settings.cores, settings.link_bytes_per_s),
+            log,
         )
         limits = LimitShares(self.gateways, time.time)
         versions = ServiceVersions(self.upstreams)
@@ -97,9 +103,11 @@
         self.accounts = AccountManager(store, self.owners, log, successors)
         self.claims = PartitionClaims(self.owners, self.accounts, self.gateways)
         self.budgets = ProgramBudgets(self.owners, self.accounts, store, successors, log)
-        memory = ResponseMemory(int(settings.memory_bytes * defaults.RESPONSE_MEMORY_SHARE))
+        self.memory = memory = MemoryAccount(settings.memory_bytes)
+        self.request_memory = RequestMemory(memory, log, metrics)
+        metrics.follow_memory(memory, cache)
         turns = TurnStore(store, cache, log)
-        turn_services = TurnServices(self.budgets, turns, memory, log)
+        turn_services = TurnServices(self.budgets, turns, memory.shares[MemoryUse.RESPONSES], log)
         checker = ProcessChecker(self.upstreams, rng)
         self.crashes = CrashWatch(store, checker, log, metrics)
         self.config = ConfigWatcher(directory, self.origins, log, metrics)
@@ -230,7 +238,11 @@
 
     async def _serve_client(self, stream: SocketStream) -> None:
         client = ClientConnection(
-            stream, self.gateway.limits, self.gateway.handle, lambda: self.is_stopping
+            stream,
+            self.gateway.limits,
+            self.gateway.handle,
+            lambda: self.is_stopping,
+            self.request_memory,
         )
         self.clients.add(client)
         try:
@@ -257,6 +269,7 @@
             is_known
             and not self.is_stopping
             and self.store.unavailable_s() < defaults.NOT_READY_AFTER_S
+            and not self.memory.is_full()
         )
         if is_ready != self.was_ready:
             self.was_ready = is_ready
@@ -265,6 +278,7 @@
                 ready=is_ready,
                 store_lost_ms=round(self.store.unavailable_s() * 1_000),
                 stopping=self.is_stopping,
+                memory_full=self.memory.is_full(),
             )
         return is_ready
 
@@ -279,6 +293,9 @@
     def _peers(self) -> set[str]:
         return self.owners.peers()
 
+    def _peer_shares(self) -> dict[str, float]:
+        return self.gateways.peer_shares()
+
     async def _read_owners(self) -> None:
         now = anyio.current_time()
         try:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -15,11 +15,13 @@
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.attempts import Attempts
 from skylarkferry_gateway.exchanges import Exchange, Reply
+from skylarkferry_gateway.held_memory import MemoryUse
 from skylarkferry_gateway.http_server import ClientConnection, ResponseState
 from skylarkferry_gateway.messages import StreamOrigin, UpstreamEntry, UpstreamRequestMetadata
 from skylarkferry_gateway.placement_messages import SpeedSample
 from skylarkferry_gateway.relay_context import RelayContext
 from skylarkferry_gateway.selection import Selection
+from skylarkferry_gateway.stream_backlog import BacklogFullError, StreamBacklog
 from skylarkferry_gateway.stream_events import EventSplitter, StreamEvent
 from skylarkferry_gateway.stream_position import StreamPosition
 
@@ -54,7 +56,11 @@
         self.client = client
         self.listener = listener
         self.body = body
+        attempts.body_bytes = len(body)
         self.position = StreamPosition(attempts.request.metadata.last_event_id)
+        self.backlog = StreamBacklog(
+            client, context.tasks, context.memory.shares[MemoryUse.STREAMS], context.metrics
+        )
         self.events = 0
         self.first_event_at: float | None = None
 
@@ -66,7 +72,11 @@
         """
         try:
             return await self._relay()
+        except BacklogFullError as error:
+            raise StreamBrokenError(str(error)) from error
         finally:
+            self.backlog.close()
+            self.attempts.release_held()
             self.context.resumptions.on_relay_ended(self.attempts)
 
     async def _relay(self) -> int:
@@ -84,6 +94,7 @@
     async def _finish_without_upstream(self, now: float) -> int:
         failure = self.attempts.final_error(now)
         if self.client.response_state is ResponseState.STREAMING:
+            await self.backlog.flush()
             raise StreamBrokenError(failure.detail) from failure
         if self.attempts.last_reply is not None:
             return await self._respond(*self.attempts.last_reply)
@@ -131,7 +142,7 @@
 
     async def _exchange(self, decision: Selection) -> int | None:
         context, attempts = self.context, self.attempts
-        async with context.exchange(decision.upstream) as exchange:
+        async with context.exchange(decision.upstream, len(self.body)) as exchange:
             await exchange.connect(attempts.idle_limit_s)
             decision.alive_at = exchange.alive_at
             await self._check_process(exchange, decision)
@@ -211,6 +222,7 @@
         """Pass a non-200 response to the client, or return ``None`` for a failure to retry."""
         with anyio.move_on_at(self.attempts.event_deadline(anyio.current_time())):
             body = await exchange.body()
+            self.attempts.held.append(exchange.take_held())
             await exchange.finish()
             is_failure = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
             if is_failure:
@@ -262,7 +274,7 @@
         self.events += len(events)
         data = b"".join(event.raw for event in events)
         if self.client.response_state is ResponseState.STREAMING:
-            await self.client.send_data(data)
+            await self.backlog.send(data)
             return
         self.first_event_at = anyio.current_time()
         headers = self.context.codec.client_headers(reply.headers)
@@ -299,6 +311,7 @@
         if self.client.response_state is not ResponseState.STREAMING:
             headers = self.context.codec.client_headers(reply.headers)
             await self.client.start_response(reply.status, headers, b"")
+        await self.backlog.flush()
         await self.client.end_response()
 
     def _record_prompt(self, decision: Selection) -> None:
@@ -322,13 +335,7 @@
             (self.events - 1) * engine.tokens_per_event,
             ended_at - self.first_event_at,
         )
-        self.context.selector.placer.speeds.observe(
-            decision.upstream.entry.upstream,
-            sample.prefill_tokens,
-            sample.prefill_s,
-            sample.output_tokens,
-            sample.decode_s,
-        )
+        self.context.selector.placer.observe_speed(decision.upstream, sample, ended_at)
 
 
 def _origin(entry: UpstreamEntry) -> StreamOrigin:
