Count each id of a cached turn by its size

All ancestors were counted as long as the newest one, and the turn's own id not at all. A caller that sends ids of some KB made the cache hold many times its limit.

--- a/packages/skylarkferry-core/src/skylarkferry_core/histories.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/histories.py
@@ -13,7 +13,7 @@
 """Number of ancestor ids in a stored turn; one round of parallel reads loads as many turns."""
 
 _TURN_BYTES = 400
-"""Memory of a cached turn beside its content and its ancestors."""
+"""Memory of a cached turn beside its content, its ancestors and the excess of long ids."""
 _ANCESTOR_BYTES = 80
 """Least memory of an ancestor's id, which a turn read from the store shares with no other."""
 
@@ -49,7 +49,7 @@
         """Add or replace a turn, then evict until the cache fits its limit."""
         self._drop(turn_id)
         self.turns[turn_id] = turn
-        self.held_bytes += _memory_bytes(turn)
+        self.held_bytes += _memory_bytes(turn_id, turn)
         while self.held_bytes > self.limit_bytes and self.turns:
             self._drop(next(iter(self.turns)))
 
@@ -63,14 +63,14 @@
     def _drop(self, turn_id: TurnId) -> None:
         dropped = self.turns.pop(turn_id, None)
         if dropped is not None:
-            self.held_bytes -= _memory_bytes(dropped)
+            self.held_bytes -= _memory_bytes(turn_id, dropped)
 
 
-def _memory_bytes(turn: Turn) -> int:
-    ancestors = turn.ancestors
-    # The ids of a chain are about equally long; those qualified by a customer are longer.
-    ancestor_bytes = max(_ANCESTOR_BYTES, getsizeof(ancestors[-1])) if ancestors else 0
-    return len(turn.content) + _TURN_BYTES + len(ancestors) * ancestor_bytes
+def _memory_bytes(turn_id: TurnId, turn: Turn) -> int:
+    ids = sum(max(getsizeof(item), _ANCESTOR_BYTES) for item in turn.ancestors)
+    # Callers choose their ids: each is counted, as one may be some KB long and the next short.
+    ids += sum(max(getsizeof(item) - _ANCESTOR_BYTES, 0) for item in (turn_id, turn.previous))
+    return len(turn.content) + _TURN_BYTES + ids
 
 
 def prompt_of(chain: Sequence[Turn], content: bytes) -> bytes:
--- a/tests/core/test_histories.py
+++ b/tests/core/test_histories.py
@@ -25,3 +25,25 @@
     held_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     assert_that(held_bytes, LessThan(1.2 * LIMIT_BYTES))
+
+
+def decoded(turn):
+    """Return a turn whose ids are its own, as those of a turn that was read from the store."""
+    return msgspec.msgpack.decode(msgspec.msgpack.encode(turn), type=Turn)
+
+
+# Guards against ids of some KB that are counted as short ones: those before a short id in a chain,
+# and those of turns that continue nothing.
+@pytest.mark.parametrize("ancestors", [0, MAX_ANCESTORS - 1])
+def test_memory_of_long_ids_stays_within_the_limit_of_the_cache(ancestors):
+    cache = TurnCache(LIMIT_BYTES)
+    long = "i" * 2_000
+    tracemalloc.start()
+    for number in range(1_000):
+        ids = [TurnId(f"gears\u2044{number}-{item}-{long}") for item in range(ancestors)]
+        last = TurnId("gears\u2044t")
+        turn = Turn(last, (*ids, last), b"") if ancestors else Turn(TurnId(""), (), b"")
+        cache.put(TurnId(f"gears\u2044{number}-{long}"), decoded(turn))
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert_that(held_bytes, LessThan(1.2 * LIMIT_BYTES))
