Take told streams of customers beside ids that equal their row keys

A caller without a key on a public route could send the row key of a customer's stream as an id. The gateway then refused what an ending gateway told of the customer's stream.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_origins.py
@@ -212,7 +212,10 @@
         taken = 0
         for item in streams:
             told = _Known(item.origin, now - item.age_s)
-            known = self.known.get(item.stream) or self.told.get(item.stream)
+            # An id that is not its own row key names another stream than this row does.
+            is_id = key_part(item.stream) == item.stream
+            known = self.known.get(item.stream) if is_id else None
+            known = known or self.told.get(item.stream)
             if known is None and _can_resume(told, now):
                 self.told[item.stream] = told
                 taken += 1
