Send requests of two customers with one id on separate connections

Responses are matched by the request id, which two customers may share. A late response to one customer's request was passed to the other on a connection that was reused.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
@@ -77,7 +77,7 @@
     async def _exchange(self, attempts: Attempts, decision: Selection) -> tuple[Reply, bytes]:
         context = self.context
         async with context.exchange(decision.upstream) as exchange:
-            await exchange.connect(attempts.idle_limit_s)
+            await exchange.connect(attempts.idle_limit_s, attempts.request)
             decision.alive_at = exchange.alive_at
             now = anyio.current_time()
             attempts.attempts_made += 1
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
@@ -108,10 +108,10 @@
         if self.connection is not None:
             await self.connection.abort()
 
-    async def connect(self, idle_limit_s: float) -> None:
-        """Acquire a connection; raise ``UpstreamLostError`` with nothing sent."""
+    async def connect(self, idle_limit_s: float, request: ClientRequest) -> None:
+        """Acquire a connection for a request; raise ``UpstreamLostError`` with nothing sent."""
         now = anyio.current_time()
-        self.connection = await self.upstream.acquire_connection(now, idle_limit_s)
+        self.connection = await self.upstream.acquire_connection(now, idle_limit_s, request)
         self.alive_at = min(now, self.connection.idle_since)
         state = "reused" if self.connection.exchanges else "new"
         self.metrics.upstream_connections.labels(state=state).inc()
@@ -154,6 +154,7 @@
         Raise ``ConnectionLostError`` or ``AnswerInvalidError``: the request may have been executed.
         """
         assert self.connection is not None
+        self.connection.callers.add(request)
         headers = [
             *self.codec.forwarded_headers(request.headers),
             *self.codec.upstream_headers(request_metadata),
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
@@ -14,12 +14,15 @@
     MalformedDataError,
     UpstreamLostError,
 )
+from skylarkferry_core.ids import CustomerId
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.decoding import check_address
-from skylarkferry_gateway.messages import Headers
+from skylarkferry_gateway.messages import ClientRequest, Headers
 from skylarkferry_gateway.sockets import is_readable
 
 _MAX_HEAD_BYTES = 65_536
+_MAX_RECENT_REQUESTS = 64
+"""Requests of a connection whose customers are kept; a response comes late by a few requests."""
 _MAX_INTERIM_RESPONSES = 8
 """Interim (1xx) responses accepted before a response; servers send one or two."""
 
@@ -50,6 +53,30 @@
     return HttpConnection(stream)
 
 
+class RecentCallers:
+    """Customers of the latest requests on a connection, by request id."""
+
+    def __init__(self) -> None:
+        self.by_request_id: dict[str, CustomerId | None] = {}
+
+    def add(self, request: ClientRequest) -> None:
+        """Record a request that is sent; forget the oldest one if there are too many."""
+        request_id = request.metadata.request_id
+        self.by_request_id.pop(request_id, None)
+        self.by_request_id[request_id] = _customer_name(request)
+        if len(self.by_request_id) > _MAX_RECENT_REQUESTS:
+            del self.by_request_id[next(iter(self.by_request_id))]
+
+    def has_other(self, request: ClientRequest) -> bool:
+        """Return whether another customer, or nobody, has sent a request with this id."""
+        name = _customer_name(request)
+        return self.by_request_id.get(request.metadata.request_id, name) != name
+
+
+def _customer_name(request: ClientRequest) -> CustomerId | None:
+    return request.customer.name if request.customer is not None else None
+
+
 class HttpConnection:
     """One connection; ``idle_since`` is the monotonic time at which the last exchange ended."""
 
@@ -61,6 +88,7 @@
         self.opened_at = self.idle_since = anyio.current_time()
         self.idle_s = defaults.POOL_IDLE_S
         self.exchanges = 0
+        self.callers = RecentCallers()
 
     async def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
         """Send a request; raise ``ConnectionLostError`` if the connection breaks."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -131,7 +131,7 @@
     async def _exchange(self, decision: Selection) -> int | None:
         context, attempts = self.context, self.attempts
         async with context.exchange(decision.upstream) as exchange:
-            await exchange.connect(attempts.idle_limit_s)
+            await exchange.connect(attempts.idle_limit_s, attempts.request)
             decision.alive_at = exchange.alive_at
             await self._check_process(exchange, decision)
             sent_at = anyio.current_time()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -7,7 +7,7 @@
 from skylarkferry_core.request_limits import UpstreamLimit
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.http_client import HttpConnection, connect
-from skylarkferry_gateway.messages import UpstreamEntry
+from skylarkferry_gateway.messages import ClientRequest, UpstreamEntry
 from skylarkferry_gateway.upstream_views import UpstreamView
 
 _REMOVED_KEEP_S = 60.0
@@ -46,13 +46,26 @@
         """Return whether an idle connection is within its limits; it may have been closed."""
         return any(connection.is_within_limits(now, idle_limit_s) for connection in self.idle)
 
-    async def acquire_connection(self, now: float, idle_limit_s: float) -> HttpConnection:
-        """Return a reusable idle connection or a new one; raise ``UpstreamLostError``."""
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.is_reusable(now, idle_limit_s):
-                return connection
-            await connection.abort()
+    async def acquire_connection(
+        self, now: float, idle_limit_s: float, request: ClientRequest
+    ) -> HttpConnection:
+        """Return a reusable idle connection or a new one; raise ``UpstreamLostError``.
+
+        It has carried no request of another customer with the same id, whose late response could
+        not be told from that to this request.
+        """
+        skipped: list[HttpConnection] = []
+        try:
+            while self.idle:
+                connection = self.idle.pop()
+                if connection.callers.has_other(request):
+                    skipped.append(connection)
+                elif connection.is_reusable(now, idle_limit_s):
+                    return connection
+                else:
+                    await connection.abort()
+        finally:
+            self.idle.extend(reversed(skipped))
         return await connect(self.entry.address)
 
     async def release_connection(self, connection: HttpConnection, idle_s: float | None) -> None:
