Answer an unknown turn 503 while a version may be missing

A gateway that had missed the version that moves a key looked for the turn under the former customer, and answered 404, which clients take as final.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/access.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/access.py
@@ -72,16 +72,17 @@
         headers = self.codec.headers_without_key(request.headers)
         return request_for(request, route, access.customer, headers)
 
-    def check_unrouted(self, table: RoutingTable) -> None:
-        """Raise ``PlatformUnavailableError`` if a missed version may route the request.
+    def check_unknown(self, table: RoutingTable, change: str) -> None:
+        """Raise ``PlatformUnavailableError`` if a missed version may make known what is not.
 
-        A client takes the absence of a route, like that of a key, as final.
+        ``change`` says what that version would do.  A client takes the absence of a route or turn,
+        like that of a key, as final.
         """
         age_s = self.config.age_s(anyio.current_time())
         if table.customers and may_have_missed_a_version(age_s):
             self.metrics.access_refusals.labels(cause=RefusalCause.UNCONFIRMED.value).inc()
             raise PlatformUnavailableError(
-                "this gateway may have missed the version that adds the route",
+                f"this gateway may have missed the version that {change}",
                 retry_after_s=UNCERTAIN_RETRY_AFTER_S,
             )
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
@@ -11,6 +11,7 @@
     SkylarkferryError,
     UnknownRouteError,
     UnknownStreamError,
+    UnknownTurnError,
 )
 from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import ServiceName
@@ -122,7 +123,7 @@
             )
         route = table.match(request.host, request.path)
         if route is None:
-            self.access.check_unrouted(table)
+            self.access.check_unknown(table, "adds the route")
             raise UnknownRouteError(f"no matching route in configuration version {table.version}")
         return route, table
 
@@ -141,7 +142,12 @@
         attempts = await self._stream_attempts(request, route, table, service)
         store_deadline = attempts.deadline + defaults.DEADLINE_SLACK_S
         work = ActiveTurn(request, route, attempts.engine, self.turn_services, store_deadline)
-        body = await work.begin()
+        try:
+            body = await work.begin()
+        except UnknownTurnError:
+            # The turn may be that of the customer to which the key has moved.
+            self.access.check_unknown(table, "moves the key")
+            raise
         try:
             relay = StreamRelay(self.context, attempts, client, work, body)
             status = await relay.relay()
