--- a/packages/skylarkferry-admission/src/skylarkferry_admission/access.py
+++ b/packages/skylarkferry-admission/src/skylarkferry_admission/access.py
@@ -21,7 +21,7 @@
 """Retry-After while a customer's name cannot be sent: beyond any deadline, as retries cannot help
 before the configuration is corrected."""
 MAX_NAME_CHARS = 100
-"""Longest customer name; it is part of ids in datagrams, which hold some 1,000 bytes."""
+"""Longest customer name; it is part of the ids in each datagram between gateways."""
 
 
 class RefusalCause(Enum):
