Refuse a turn at once when its budget's owner cannot grant

Cause: an owner that answers "the store does not answer" was replaced like an owner that is gone. The gateway that asked called two successors and claimed the partition, and its client was told that no owner can be found.

An owner's answer that it has no store now ends the request with the owner's reason if the asking gateway does not reach the store either; the same answer of a successor ends the search. A turn that needs a write which is already under way is refused as well once the store counts as lost, instead of waiting for that write. Event 885 names the owner and how long this process has been without the store.

Weighed: waiting for the store at the owner (holds the request and the client learns the same), claiming in every case (counts a loss although the owner lives).

tests/gateway/test_budgets.py -k true_reason failed before with "'the allowance cannot grow' not in 'the store does not answer; no owner can be found'", for a refusing and for a silent store, and passes now. pytest -n 2 tests/gateway/test_{budgets,accounts,failover_store, partition_successors,partition_claims}.py tests/core/test_events.py: all 60 pass; check is clean.

--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -153,6 +153,11 @@
     BUDGET_OWNER_SILENT = (882, Level.WARNING, "A partition's owner did not answer as its owner.")
     BUDGET_PARTITION_HANDED = (883, Level.INFO, "Another gateway took a budget partition over.")
     BUDGET_PARTITION_TAKEN = (884, Level.INFO, "This process goes on for a stopping owner.")
+    BUDGET_OWNER_UNABLE = (
+        885,
+        Level.WARNING,
+        "A partition's owner answered that it cannot grant without the store.",
+    )
     GATEWAY_STARTING = (886, Level.INFO, "The process has read its settings and begins to listen.")
     GATEWAY_FAILED = (887, Level.ERROR, "The process ends by an error; which ones.")
     GATEWAY_LISTEN_FAILED = (888, Level.WARNING, "A port could not be opened; it is tried again.")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -32,6 +32,7 @@
 """Rows written per call at a handover; the store accepts 100 entries per call."""
 _DELETIONS_PER_CALL = 45
 """Rows deleted per call, each with a condition."""
+_GROWTH_UNAVAILABLE = "the store does not answer; the allowance cannot grow"
 
 
 class Successors(Protocol):
@@ -45,6 +46,10 @@
     """The store has not yet confirmed a write of the owner: a larger allowance, or its claim."""
 
 
+class GrowthUnavailableError(PlatformUnavailableError):
+    """The owner answers, but the store does not, so that an allowance cannot grow."""
+
+
 class AccountManager:
     """Reserve and settle tokens of the programs in this process's partitions."""
 
@@ -120,7 +125,8 @@
         """Reserve the maximum number of tokens that a turn may generate.
 
         Raise ``TokensSpentError``, ``NotOwnerError`` if another process now owns the partition,
-        ``AllowancePendingError`` if the store answers too late, or ``PlatformUnavailableError``.
+        ``AllowancePendingError`` if the store answers too late, ``GrowthUnavailableError`` if it is
+        lost, or ``PlatformUnavailableError``.
         """
         number = budget_partition(reservation.program_id)
         await self._wait_for_claim(number, deadline_at)
@@ -167,7 +173,11 @@
         deadline_at: float,
     ) -> None:
         """Wait until a larger allowance was written or its write failed; it may be tried again."""
-        growth = program.growth or self._start_growth(owned, program, reservation)
+        growth = program.growth
+        if growth is None:
+            growth = self._start_growth(owned, program, reservation)
+        elif self.store.unavailable_s() > defaults.STORE_LOST_AFTER_S:
+            raise GrowthUnavailableError(_GROWTH_UNAVAILABLE)
         try:
             with anyio.fail_after(max(deadline_at - anyio.current_time(), 0)):
                 await growth.ended.wait()
@@ -193,7 +203,7 @@
             self._log_budget_spent(reservation, account)
             raise TokensSpentError(error.detail) from error
         if self.store.unavailable_s() > defaults.STORE_LOST_AFTER_S:
-            raise PlatformUnavailableError("the store does not answer; the allowance cannot grow")
+            raise GrowthUnavailableError(_GROWTH_UNAVAILABLE)
         assert self.tasks is not None
         program.growth = growth = Growth()
         self.tasks.start_soon(self._grow, owned, program, reservation, allowance, growth)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/budgets.py
@@ -14,7 +14,11 @@
 from skylarkferry_daemon.background_tasks import TaskStarter
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
-from skylarkferry_gateway.accounts import AccountManager, AllowancePendingError
+from skylarkferry_gateway.accounts import (
+    AccountManager,
+    AllowancePendingError,
+    GrowthUnavailableError,
+)
 from skylarkferry_gateway.failover_store import FailoverStore
 from skylarkferry_gateway.messages import Reservation
 from skylarkferry_gateway.ownership import OwnerTable
@@ -54,8 +58,9 @@
     async def reserve(self, reservation: Reservation) -> None:
         """Reserve tokens for a turn.
 
-        Raise ``TokensSpentError`` if the budget does not cover them, and
-        ``PlatformUnavailableError`` if neither an owner nor the store answers in time.
+        Raise ``TokensSpentError`` if the budget does not cover them, ``GrowthUnavailableError`` if
+        the owner answers but cannot grant without the store, and ``PlatformUnavailableError`` if
+        neither an owner nor the store answers in time.
         """
         deadline_at = anyio.current_time() + defaults.RESERVE_TIMEOUT_S
         number = budget_partition(reservation.program_id)
@@ -132,9 +137,36 @@
             if anyio.current_time() + defaults.OWNER_WAIT_S > deadline_at:
                 raise AllowancePendingError(reply.detail, retry_after_s=defaults.RETRY_AFTER_S)
             return False  # the owner answers: it is asked again, and its partition not claimed
+        if reply.verdict is Verdict.NO_STORE:
+            await self._replace_unable_owner(number, ownership, reply.detail, deadline_at)
+            return False
         self._log_owner_failure(number, ownership.owner, reply.detail)
         return await self._replace_owner(number, ownership, reservation, deadline_at)
 
+    async def _replace_unable_owner(
+        self, number: PartitionNumber, ownership: Ownership, detail: str, deadline_at: float
+    ) -> None:
+        """Claim the partition of an owner that answers, but that alone does not reach the store.
+
+        Raise ``GrowthUnavailableError`` at once if this process does not reach it either: nobody
+        else can grant then, and neither a claim nor a wait would change that.
+        """
+        self.log.emit(
+            EventKind.BUDGET_OWNER_UNABLE,
+            owner=ownership.owner,
+            partition=number,
+            store_lost_ms=round(self.store.unavailable_s() * 1_000),
+            detail=detail,
+        )
+        unable = GrowthUnavailableError(f"the owner of the program's budget answers: {detail}")
+        if self.store.unavailable_s() > 0:
+            raise unable
+        claim_by = min(deadline_at, anyio.current_time() + defaults.OWNER_WAIT_S)
+        try:
+            await self._claim(number, ownership.generation, claim_by)
+        except PlatformUnavailableError as error:
+            raise unable from error
+
     async def _replace_owner(
         self,
         number: PartitionNumber,
@@ -162,6 +194,8 @@
                 continue
             if reply.verdict is Verdict.SPENT:
                 raise TokensSpentError(reply.detail)
+            if reply.verdict is Verdict.NO_STORE:
+                raise GrowthUnavailableError(f"the owner's successor answers: {reply.detail}")
             if reply.verdict is Verdict.GRANTED:
                 self.owner_table.on_taken_over(number, address)
                 self.turn_owners[reservation.turn] = address
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -1,7 +1,7 @@
 import anyio
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, LessThan
+from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 
 from budget_programs import REQUEST_NUMBERS, generated_tokens, send_at_once, spend
 from gateway_rig import (
@@ -16,6 +16,7 @@
     budget_partition,
 )
 from skylarkferry_core.ids import ProgramId
+from skylarkferry_gateway import defaults
 from skylarkferry_standins.replica import EVENT_COUNT, Behaviour
 from skylarkferry_standins.row_store import StoreFault
 
@@ -174,3 +175,53 @@
     partitions = gateway.accounts.partitions.values()
     programs = [program for owned in partitions for program in owned.programs.values()]
     return [turn for program in programs for turn in program.account.reserved]
+
+
+# Guards against a wrong reason, and against calls that wait, while the store is away for all.
+@pytest.mark.parametrize("fault", [StoreFault.REFUSED, StoreFault.SILENT])
+async def test_turn_beyond_its_allowance_is_refused_at_once_with_the_true_reason(rig, fault):
+    replica = await rig.add_replica("e1", "engine")
+    owner, other = [await rig.add_gateway(f"g{n}") for n in range(2)]
+    assert_that(await spend(rig, "program", 600, 2, [owner, other]), Equals([200, 200]))
+    number = budget_partition(ProgramId("program"))
+    assert_that((owner.accounts.owns(number), other.accounts.owns(number)), Equals((True, False)))
+    account = owner.accounts.partitions[number].programs[ProgramId("program")].account
+    account.reserve("rest", account.allowance - account.committed())
+    rig.store.fault = lambda request: fault
+    await wait_until(
+        lambda: all(
+            gateway.store.unavailable_s() > defaults.STORE_LOST_AFTER_S for gateway in rig.gateways
+        )
+    )
+    asked = []
+    reserve_at = other.store.peers.reserve
+
+    async def reserve(address, reservation):
+        asked.append(address)
+        return await reserve_at(address, reservation)
+
+    other.store.peers.reserve = reserve
+    fields = turn_headers("refused", "program", 600)
+    response = await send(rig, "/turn/1", fields, b"p", gateway=other)
+    assert_that(response.status_code, Equals(503))
+    assert_that(response.json()["detail"], Contains("the allowance cannot grow"))
+    assert_that(asked, Equals([owner.settings.peer_listen]))
+    events = {event.number for event in other.log.ring}
+    assert_that((885 in events, 882 in events), Equals((True, False)))
+    assert_that(len(replica.runs), Equals(2))
+
+
+# Guards against refusals by an owner that alone does not reach the store.
+async def test_partition_of_an_owner_without_the_store_is_claimed_by_one_that_reaches_it(rig):
+    await rig.add_replica("e1", "engine")
+    faults = {"owner": StoreFault.NONE}
+    address = await rig.add_store_listener(lambda request: faults["owner"])
+    owner = await rig.add_gateway("g0", address)
+    assert_that(await spend(rig, "program", 1_000, 1, [owner]), Equals([200]))
+    other = await rig.add_gateway("g1")
+    owner.store.peer_addresses = set
+    faults["owner"] = StoreFault.REFUSED
+    await wait_until(lambda: owner.store.unavailable_s() > defaults.STORE_LOST_AFTER_S)
+    assert_that(await spend(rig, "program", 1_000, 6, [other]), Equals([200] * 6))
+    assert_that(other.accounts.owns(budget_partition(ProgramId("program"))), Equals(True))
+    assert_that(885 in {event.number for event in other.log.ring}, Equals(True))
