Grow allowances ahead of need, in the background

Cause: an allowance grew only when it was used up, so that a program entered an outage of the store with what was left of a third of its budget.

After a program's first turn was granted, its owner writes a row of half of the budget, together with those of the partition's other programs within 0.1 s, in one transaction. Turns that fit do not wait for it; a turn that does not fit waits for this write instead of making one of its own. Beyond half of the budget, the growth on need takes the rest at once. Nothing is written ahead while the store does not answer, or for programs that an earlier owner recorded.

--- a/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
@@ -22,6 +22,11 @@
 """The first allowance is a third of the budget."""
 GROWTH_DIVISOR = 3
 """An allowance grows by at least a third of the budget, so that few turns need a write."""
+AHEAD_DIVISOR = 2
+"""An allowance is raised to half of the budget ahead of need.
+
+It covers half of the turns without the store, and the loss of the owner costs no more than that.
+"""
 NO_OWNER = Incarnation("")
 _MAX_STORED = 1 << 62
 """Largest number in a row; the next owner adds to it, and the encoding holds up to 64 bits."""
@@ -182,9 +187,27 @@
         """
         if not self.covers(need):
             raise BudgetExhaustedError("the budget does not cover the next turn")
-        grown = self.allowance + self.limit // GROWTH_DIVISOR
         remaining = self.limit - self.base - self.unrecorded(need)
-        return min(max(self.committed() + need, grown), remaining)
+        needed = self.committed() + need
+        if self.base == 0 and needed > self._half():
+            return remaining  # one write serves the second half of the program
+        return min(max(needed, self.allowance + self.limit // GROWTH_DIVISOR), remaining)
+
+    def allowance_ahead(self) -> int | None:
+        """Return the allowance to write before the next turns need it, ``None`` if none is due.
+
+        It is half of the budget and covers at least one more turn of the longest length so far. The
+        account of a program that an earlier owner recorded grows on need only, because what is left
+        of its budget may not survive the loss of one more owner.
+        """
+        if self.base or not self.longest_turn or self.allowance >= self._half():
+            return None
+        target = max(self._half(), self.committed() + self.longest_turn)
+        target = min(target, self.limit - self.unrecorded(self.longest_turn))
+        return target if target > self.allowance else None
+
+    def _half(self) -> int:
+        return self.limit // AHEAD_DIVISOR
 
     def row_for(self, allowance: int) -> AccountRow:
         """Return the row that covers an allowance."""
--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -153,6 +153,11 @@
     BUDGET_OWNER_SILENT = (882, Level.WARNING, "A partition's owner did not answer as its owner.")
     BUDGET_PARTITION_HANDED = (883, Level.INFO, "Another gateway took a budget partition over.")
     BUDGET_PARTITION_TAKEN = (884, Level.INFO, "This process goes on for a stopping owner.")
+    BUDGET_ALLOWANCES_GROWN = (
+        840,
+        Level.INFO,
+        "Rows of a partition's programs now allow more tokens, ahead of need.",
+    )
     BUDGET_OWNER_UNABLE = (
         885,
         Level.WARNING,
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/accounts.py
@@ -22,6 +22,7 @@
 from skylarkferry_daemon.background_tasks import TaskStarter
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.ahead_growth import AheadGrowth
 from skylarkferry_gateway.interfaces import Store
 from skylarkferry_gateway.messages import HandedPartition, Reservation
 from skylarkferry_gateway.ownership import OwnerTable, owner_key
@@ -68,6 +69,7 @@
         self.claim_locks: dict[PartitionNumber, anyio.Lock] = {}
         self.is_closed = False
         self.tasks: TaskStarter | None = None
+        self.ahead_growth = AheadGrowth(store, log, self._is_current, self._resolve_conflict)
 
     def owns(self, number: PartitionNumber) -> bool:
         """Return True if this process owns the partition and has not noticed its loss."""
@@ -136,9 +138,14 @@
         program = owned.account(reservation, anyio.current_time())
         while not program.account.fits(reservation.tokens):
             await self._wait_for_growth(owned, program, reservation, deadline_at)
-            if self.partitions.get(number) is not owned:
+            if not self._is_current(owned):
                 raise NotOwnerError(f"partition {number} is no longer owned by this process")
         program.account.reserve(reservation.turn, reservation.tokens)
+        self.ahead_growth.consider(owned, program, self.tasks)
+
+    def _is_current(self, owned: PartitionAccounts) -> bool:
+        """Return True unless the partition was lost, released or claimed again meanwhile."""
+        return self.partitions.get(owned.partition.number) is owned
 
     async def _wait_for_claim(self, number: PartitionNumber, deadline_at: float) -> None:
         """Wait until a claim under way has ended, whose effect others may see before this process.
@@ -268,7 +275,7 @@
     def _drop_partition(self, owned: PartitionAccounts) -> None:
         """Forget a partition, unless this process has claimed it again meanwhile."""
         number = owned.partition.number
-        if self.partitions.get(number) is owned:
+        if self._is_current(owned):
             del self.partitions[number]
             self.log.emit(EventKind.BUDGET_PARTITION_LOST, partition=number)
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -143,6 +143,11 @@
 """Time after which an unused account is deleted; sixty times the usual retention of turns."""
 ACCOUNTS_SWEEP_S = 60.0
 """Interval between sweeps for unused accounts."""
+AHEAD_GROWTH_DELAY_S = 0.1
+"""Wait for more programs of a partition before their allowances are written ahead of need.
+
+It ends within a program's first turn, which takes some 300 ms.
+"""
 
 PLACEMENT_TIMEOUT_S = 0.05
 """Longest wait for a coordinator: twice the round trip between regions, and a pause of its host."""
--- a/tests/core/test_account_ledger.py
+++ b/tests/core/test_account_ledger.py
@@ -137,8 +137,14 @@
             account.version = self.version
         return owner.can_grant
 
-    def run_turn(self, owner, limit, need, outcome):
-        """Grant a turn if its owner may."""
+    def grow_ahead(self, owner, outcome):
+        """Write a larger allowance after a turn was granted, if one is due."""
+        allowance = owner.account.allowance_ahead()
+        if allowance is not None:
+            self._grow(owner, allowance, outcome)
+
+    def run_turn(self, owner, limit, need, outcome, ahead=None):
+        """Grant a turn if its owner may; ``ahead`` is what becomes of the growth ahead of need."""
         if not owner.can_grant:
             return Answer.UNAVAILABLE
         account = owner.open_account(limit, need)
@@ -156,6 +162,8 @@
         self.turns.append((owner, turn, need))
         self.longest_turn = max(self.longest_turn, need)
         self.tokens += need
+        if ahead is not None:
+            self.grow_ahead(owner, ahead)
         return Answer.GRANTED
 
     def settle(self, turn, unused):
@@ -177,7 +185,10 @@
 
 
 class Round(NamedTuple):
-    """A change of owners, settlements of the last turns, then turns of one length at one owner."""
+    """A change of owners, settlements of the last turns, then turns of one length at one owner.
+
+    ``ahead`` is what becomes of writes ahead of need, ``None`` if there are none.
+    """
 
     change: str
     owner: int
@@ -185,6 +196,7 @@
     outcome: Outcome
     count: int
     unused: tuple[int, ...]
+    ahead: Outcome | None
 
 
 ROUNDS = st.builds(
@@ -195,6 +207,7 @@
     st.sampled_from(Outcome),
     st.sampled_from([1, 30, 30]),
     st.one_of(st.just(()), st.just(()), st.lists(TOKENS, max_size=3).map(tuple)),
+    st.sampled_from([None, *Outcome]),
 )
 
 STEPS = st.lists(ROUNDS, max_size=12)
@@ -221,7 +234,7 @@
     need = lengths[step.is_long]
     answer, count = Answer.GRANTED, step.count
     while answer is Answer.GRANTED and count:
-        answer = ledger.run_turn(owner, limit, need, step.outcome)
+        answer = ledger.run_turn(owner, limit, need, step.outcome, step.ahead)
         count -= 1
     return need if answer is Answer.SPENT else None
 
--- a/tests/core/test_accounts.py
+++ b/tests/core/test_accounts.py
@@ -48,6 +48,34 @@
     assert_that((account.unrecorded(333), account.unrecorded(334)), Equals((333, 0)))
 
 
+@pytest.mark.parametrize(
+    ("limit", "need", "ahead"),
+    [(800, 100, 400), (300, 100, 200), (200, 60, 120), (100, 20, 50), (100, 1, 50)],
+)
+def test_allowance_grows_ahead_to_half_of_the_budget_and_one_more_turn(limit, need, ahead):
+    account = Account(limit, 0, None, 0)
+    assert_that(account.allowance_ahead(), Equals(None))
+    account.reserve(TurnId("a"), need)
+    assert_that(account.allowance_ahead(), Equals(ahead))
+    account.allowance = ahead
+    assert_that(account.allowance_ahead(), Equals(None))
+
+
+def test_allowance_of_a_program_with_an_earlier_row_grows_on_need_only():
+    account = Account(800, 1, AccountRow(500, 266, 100), 3)
+    account.allowance = account.next_allowance(100)
+    account.reserve(TurnId("a"), 100)
+    assert_that((account.allowance, account.allowance_ahead()), Equals((266, None)))
+
+
+def test_second_half_of_the_budget_is_granted_by_one_row():
+    account = Account(800, 0, None, 0)
+    account.allowance = 400
+    for turn in range(4):
+        account.reserve(TurnId(str(turn)), 100)
+    assert_that(account.next_allowance(100), Equals(800))
+
+
 def test_row_keeps_what_a_lost_owner_may_have_granted():
     account = Account(1_000, 1, None, 0)
     account.allowance = account.next_allowance(MAX_TURN_TOKENS)
