Let a gateway that starts in an outage ask its peers for what they read last

Cause: peers relay calls to the store only. A gateway that starts while the store is away for all had no configuration, upstream list or owner list, and answered everything with 503 until the store was back.

Each gateway keeps the result of its last own read of these three. A read that fails at the store and through peers, and that this process has never made successfully, is answered once from what a peer remembers. The read goes over the call between gateways that exists, with a new kind; nothing is passed on at second hand, and the store's own answer replaces it as soon as there is one. Event 841 has the name, the peer and the age. A starting gateway knows no addresses without the store: calls between gateways therefore name the caller's address (some 40 bytes), and gateways that believe its predecessor to own a partition call it. A gateway at a new address that nobody knows learns nothing until the store is back.

Weighed: addresses in the settings (the platform names none), sending lists to every gateway that is listed (bytes in calm for what is seldom needed), the list of gateways as well (a gateway joins it by a write, which fails).

--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -158,6 +158,11 @@
         Level.INFO,
         "Rows of a partition's programs now allow more tokens, ahead of need.",
     )
+    GATEWAY_ROWS_FROM_PEER = (
+        841,
+        Level.WARNING,
+        "The store does not answer this new process; a peer told what it read last.",
+    )
     BUDGET_OWNER_UNABLE = (
         885,
         Level.WARNING,
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/failover_store.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/failover_store.py
@@ -24,6 +24,7 @@
     RelayedReply,
     raise_for_outcome,
 )
+from skylarkferry_gateway.remembered_rows import RememberedRows
 
 Result = TypeVar("Result")
 
@@ -53,6 +54,7 @@
         self.avoided_until: dict[str, float] = {}
         self.is_relayed = False
         self.relay_failed_at: float | None = None
+        self.remembered = RememberedRows()
 
     async def read(self, key: str) -> Row:
         """Return the row, with version 0 if absent; raise ``PlatformUnavailableError``."""
@@ -65,7 +67,15 @@
             reply = await self._relayed(RelayedCall(CallKind.READ, key))
             return Snapshot(reply.rows[0], reply.version)
 
-        return await self._call(lambda: self.direct.snapshot(key), relayed)
+        try:
+            snapshot = await self._call(lambda: self.direct.snapshot(key), relayed)
+        except PlatformUnavailableError:
+            reply = await self._remembered_at_peers(key)
+            if reply is None or not reply.rows:
+                raise
+            return Snapshot(reply.rows[0], reply.version)
+        self.remembered.keep_snapshot(key, snapshot)
+        return snapshot
 
     async def scan(self, prefix: str) -> list[Row]:
         """Return the rows whose key starts with ``prefix``, in key order."""
@@ -73,7 +83,15 @@
         async def relayed() -> list[Row]:
             return (await self._relayed(RelayedCall(CallKind.SCAN, prefix))).rows
 
-        return await self._call(lambda: self.direct.scan(prefix), relayed)
+        try:
+            rows = await self._call(lambda: self.direct.scan(prefix), relayed)
+        except PlatformUnavailableError:
+            reply = await self._remembered_at_peers(prefix)
+            if reply is None:
+                raise
+            return reply.rows
+        self.remembered.keep_rows(prefix, rows)
+        return rows
 
     async def transact(self, conditions: Sequence[Condition], writes: Sequence[Write]) -> int:
         """Apply all writes atomically and return the new version of the written rows.
@@ -103,7 +121,37 @@
                 await anyio.sleep(min(wait_s, defaults.UPSTREAMS_POLL_S))
             return Changes(reply.rows, reply.version)
 
-        return await self._call(lambda: self.direct.changes(table, after, wait_s), relayed)
+        changes = await self._call(lambda: self.direct.changes(table, after, wait_s), relayed)
+        self.remembered.keep_changes(table, changes)
+        return changes
+
+    async def _remembered_at_peers(self, name: str) -> RelayedReply | None:
+        """Return what a peer read last under a name that this process has never read.
+
+        A process that starts while the store is away thus knows what its peers know. It is no
+        read of the store: nothing is concluded from what is absent.
+        """
+        if not self.remembered.may_borrow(name):
+            return None
+        addresses = sorted(self.peer_addresses(), key=lambda item: self.rng.random())
+        for address in addresses[:_PEERS_PER_CALL]:
+            try:
+                reply = await self.peers.store(address, RelayedCall(CallKind.REMEMBERED, name))
+                raise_for_outcome(reply)
+            except (PeerDownError, PeerSilentError, PlatformUnavailableError):
+                continue
+            if not self.remembered.may_borrow(name):
+                return None  # another call has read it meanwhile
+            self.remembered.borrowed.add(name)
+            self.log.emit(
+                EventKind.GATEWAY_ROWS_FROM_PEER,
+                name=name,
+                peer=address,
+                rows=len(reply.rows),
+                age_ms=round(reply.age_s * 1_000),
+            )
+            return reply
+        return None
 
     def unavailable_s(self) -> float:
         """Return the seconds for which neither path has reached the store; 0 if one does."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/interfaces.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/interfaces.py
@@ -58,6 +58,9 @@
         Raise ``PlatformUnavailableError``.
         """
 
+    def names(self) -> tuple[str, ...]:
+        """Return the keys and prefixes that it reads from the store."""
+
 
 class HeaderCodec(Protocol):
     """Translation between header fields and request metadata, and of engines' reports."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/ownership.py
@@ -23,6 +23,8 @@
 ACCOUNTS = "accounts"
 _OWNERSHIP = msgspec.msgpack.Decoder(Ownership)
 _LIST = "account-owners"
+OWNER_LIST = row_key(_LIST, "", "")
+"""Prefix of the owner list's rows."""
 _OWNER = "owner"
 _PROGRAM = "program."
 """Row names: a partition's own row, and the prefix of program ids in its program rows."""
@@ -68,7 +70,7 @@
             if self.read_at is not None and self.read_at >= asked_at:
                 return
             began = anyio.current_time()
-            rows = await retry_until(lambda: self.store.scan(row_key(_LIST, "", "")), deadline_at)
+            rows = await retry_until(lambda: self.store.scan(OWNER_LIST), deadline_at)
             for row in rows:
                 try:
                     number = PartitionNumber(int(row.key.rpartition("/")[2]))
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -23,7 +23,7 @@
 from skylarkferry_core.ids import ProgramId, TurnId
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.accounts import AccountManager, AllowancePendingError
-from skylarkferry_gateway.decoding import decode
+from skylarkferry_gateway.decoding import check_address, decode
 from skylarkferry_gateway.http_client import HttpConnection, connect
 from skylarkferry_gateway.http_server import ClientConnection, ClientLeftError, ReceivedRequest
 from skylarkferry_gateway.interfaces import Store
@@ -35,6 +35,7 @@
     ToldStreams,
 )
 from skylarkferry_gateway.relayed_calls import CallKind, RelayedCall, RelayedReply, perform_call
+from skylarkferry_gateway.remembered_rows import RememberedRows
 from skylarkferry_gateway.stream_origins import StreamOrigins
 from skylarkferry_gateway.transfer_timeout import TransferTimeout
 
@@ -46,6 +47,9 @@
 _STREAM = b"/stream"
 _STREAMS = b"/streams"
 _PARTITION = b"/partition"
+_PEER_HEADER = b"skylarkferry-peer"
+"""Names the address at which the calling gateway serves calls of others."""
+_MAX_CALLERS = 8
 _MAX_REPLY_BYTES = 65_536
 """Largest reply to a call that is not relayed to the store."""
 _MAX_PROGRESS_RESPONSES = 1 + round(defaults.PEER_TRANSFER_TIMEOUT_S / defaults.PEER_PROGRESS_S)
@@ -116,17 +120,47 @@
     """The connection to a peer failed; no call was sent."""
 
 
+class PeerCallers:
+    """Addresses of the gateways that called last; a process that starts knows no others."""
+
+    def __init__(self) -> None:
+        self.addresses: dict[str, None] = {}
+
+    def add(self, value: bytes) -> None:
+        """Add the address that a call names; a malformed one is left out."""
+        address = value.decode("latin-1")
+        try:
+            check_address(address)
+        except MalformedDataError:
+            return
+        self.addresses.pop(address, None)
+        self.addresses[address] = None
+        if len(self.addresses) > _MAX_CALLERS:
+            del self.addresses[next(iter(self.addresses))]
+
+
 class PeerServer:
     """Serve calls from other gateways."""
 
-    def __init__(self, accounts: AccountManager, store: Store, origins: StreamOrigins) -> None:
+    def __init__(
+        self,
+        accounts: AccountManager,
+        store: Store,
+        origins: StreamOrigins,
+        remembered: RememberedRows | None = None,
+        callers: PeerCallers | None = None,
+    ) -> None:
         self.accounts = accounts
         self.store = store
         self.origins = origins
+        self.remembered = remembered or RememberedRows()
+        self.callers = callers or PeerCallers()
         self.feeds = anyio.Semaphore(defaults.PEER_FEEDS)
 
     async def handle(self, received: ReceivedRequest, client: ClientConnection) -> None:
         """Serve one call."""
+        if caller := received.header(_PEER_HEADER):
+            self.callers.add(caller)
         if received.target == _SETTLE:
             settlement = decode(_SETTLEMENT.decode, received.body)
             self.accounts.settle(settlement.program_id, settlement.turn, settlement.tokens)
@@ -150,6 +184,10 @@
 
     async def perform(self, call: RelayedCall, client: ClientConnection) -> None:
         """Make a store call for another gateway, which hears meanwhile that it is worked on."""
+        if call.kind is CallKind.REMEMBERED:
+            reply = msgspec.json.encode(self.remembered.reply(call.name))
+            await client.respond(200, [], reply)
+            return
         async with AsyncExitStack() as stack:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(_send_progress, client)
@@ -201,9 +239,10 @@
 
 
 class PeerClient:
-    """Call other gateways over persistent connections."""
+    """Call other gateways over persistent connections; each call names this one's own address."""
 
-    def __init__(self) -> None:
+    def __init__(self, own_address: str = "") -> None:
+        self.own_address = own_address
         self.idle: dict[str, list[HttpConnection]] = {}
         self.answered_at = 0.0
         self.silent_at = 0.0
@@ -281,7 +320,10 @@
         connection = await self._connection(address)
         is_kept = False
         try:
-            await connection.send(b"POST", target, [(b"host", address.encode())], body)
+            headers = [(b"host", address.encode())]
+            if self.own_address:
+                headers.append((_PEER_HEADER, self.own_address.encode()))
+            await connection.send(b"POST", target, headers, body)
             head = await connection.read_head(_MAX_PROGRESS_RESPONSES, on_progress)
             data = await connection.body(limit_bytes, on_progress)
             is_kept = connection.finish(None)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relayed_calls.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relayed_calls.py
@@ -21,6 +21,8 @@
     SCAN = "scan"
     TRANSACT = "transact"
     CHANGES = "changes"
+    REMEMBERED = "remembered"
+    """Not a call at the store: the result of the peer's own last read."""
 
 
 class CallOutcome(Enum):
@@ -44,12 +46,16 @@
 
 
 class RelayedReply(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Result of a call; ``version`` is that of the store, or of the rows written."""
+    """Result of a call; ``version`` is that of the store, or of the rows written.
+
+    ``age_s`` is the time since a remembered result was read.
+    """
 
     outcome: CallOutcome
     rows: list[Row] = []
     version: int = 0
     detail: str = ""
+    age_s: float = 0.0
 
 
 async def perform_call(store: Store, call: RelayedCall) -> RelayedReply:
@@ -79,6 +85,8 @@
         case CallKind.TRANSACT:
             version = await store.transact(call.conditions, call.writes)
             return RelayedReply(CallOutcome.DONE, version=version)
+        case CallKind.REMEMBERED:
+            return RelayedReply(CallOutcome.REFUSED, detail="nothing is remembered")
 
 
 def raise_for_outcome(reply: RelayedReply) -> RelayedReply:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -28,10 +28,10 @@
 from skylarkferry_gateway.limit_shares import LimitShares
 from skylarkferry_gateway.listeners import Listeners, Serve, accept_waiting
 from skylarkferry_gateway.metrics import GatewayMetrics
-from skylarkferry_gateway.ownership import OwnerTable
+from skylarkferry_gateway.ownership import OWNER_LIST, OwnerTable
 from skylarkferry_gateway.partition_claims import PartitionClaims
 from skylarkferry_gateway.partition_successors import PartitionSuccessors
-from skylarkferry_gateway.peers import PeerClient, PeerServer
+from skylarkferry_gateway.peers import PeerCallers, PeerClient, PeerServer
 from skylarkferry_gateway.placement_calls import PlacementCalls
 from skylarkferry_gateway.process_checks import ProcessChecker
 from skylarkferry_gateway.relay_context import RelayContext
@@ -59,9 +59,11 @@
     ) -> None:
         self.settings = settings
         rng = random.Random(settings.incarnation)
-        peers = PeerClient()
+        peers = PeerClient(settings.peer_listen)
+        self.callers = PeerCallers()
         self.store = store = FailoverStore(platform.store, peers, self._peers, rng, log)
         directory = platform.directory(store)
+        store.remembered.names = frozenset({*directory.names(), OWNER_LIST})
         self.log = log
         self.metrics = metrics
         self.timers = TimerService()
@@ -132,7 +134,13 @@
             self.budgets.tasks = self.accounts.tasks = self.context.tasks = background
             self._start_background_work(background)
             listeners = Listeners(background, self.log)
-            peer_server = PeerServer(self.accounts, self.store.direct, self.origins)
+            peer_server = PeerServer(
+                self.accounts,
+                self.store.direct,
+                self.origins,
+                self.store.remembered,
+                self.callers,
+            )
             optional = [
                 (self.settings.metrics_listen, self._answer_metrics),
                 (self.settings.peer_listen, peer_server.handle),
@@ -235,7 +243,8 @@
         await client.respond(200, headers, self.metrics.text())
 
     def _peers(self) -> set[str]:
-        return self.owners.peers()
+        """Return the owners of partitions, or while no list was read, who has called this one."""
+        return self.owners.peers() or set(self.callers.addresses)
 
     async def _read_owners(self) -> None:
         now = anyio.current_time()
