Learn and spread the Retry-After of refusals in an outage

Cause: a request that was refused because the store does not answer was told to come back after 1 s, whatever the client accepts and however long the outage had lasted, and all clients that were refused together came back together.

An outage is expected to end after the time that the last one took; one that has lasted longer, or the first one, is expected to last as long again. The wait is drawn between that time and 1.5 times as much. It is at most a third of the time that the client has left, and from three quarters of that on if the outage may last longer. The refusal for lack of a configuration gets the same. A gateway that is cut off alone still says 20 ms.

Weighed: always a third of the client's time (late after a short interruption), a table of earlier outages (the last one says as much with one number).

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -77,7 +77,7 @@
 RETRY_AFTER_S = 0.2
 """Retry-After of a refusal for lack of capacity: about one tool call or a third of a turn."""
 OUTAGE_RETRY_AFTER_S = 1.0
-"""Retry-After while the store is down: a third of the usual 3 s deadline; clients obey it."""
+"""Longest Retry-After while the store is down, for a client that does not say how long it waits."""
 ISOLATED_RETRY_AFTER_S = 0.02
 """Retry-After of a gateway that reaches neither store nor peers; another can serve at once."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/failover_store.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/failover_store.py
@@ -12,6 +12,7 @@
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.interfaces import Changes, Snapshot, Store
+from skylarkferry_gateway.outage_retries import OutageRetries
 from skylarkferry_gateway.peers import (
     PeerClient,
     PeerDownError,
@@ -55,6 +56,7 @@
         self.is_relayed = False
         self.relay_failed_at: float | None = None
         self.remembered = RememberedRows()
+        self.retries = OutageRetries(rng)
 
     async def read(self, key: str) -> Row:
         """Return the row, with version 0 if absent; raise ``PlatformUnavailableError``."""
@@ -162,17 +164,20 @@
         is_lost = self.unavailable_s() > defaults.STORE_LOST_AFTER_S
         return is_lost and self.peers.silent_at > self.peers.answered_at
 
-    def retry_after_s(self) -> float:
+    def retry_after_s(self, time_left_s: float) -> float:
         """Return the Retry-After, in seconds, of a request refused because the store is lost.
 
-        The retry reaches another gateway, which can serve it if only this gateway is cut off.
+        ``time_left_s`` is how long its client still waits, infinite if that is not known. If only
+        this gateway is cut off, the retry reaches another one, which can serve it.
         """
         if self.is_isolated():
             return defaults.ISOLATED_RETRY_AFTER_S
-        return defaults.OUTAGE_RETRY_AFTER_S
+        self.retries.observe(self.unavailable_s())
+        return self.retries.retry_after_s(time_left_s)
 
     async def probe(self) -> None:
         """Read from the store if it is lost, to check whether it answers again."""
+        self.retries.observe(self.unavailable_s())
         if self.direct.unavailable_s() == 0:
             return
         try:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
@@ -1,5 +1,7 @@
 """Handling of client requests: decoding, routing, relaying and logging."""
 
+import math
+
 import anyio
 
 from skylarkferry_core.errors import (
@@ -79,7 +81,7 @@
             outcome = "left"
         except SkylarkferryError as error:
             outcome, reason = f"{int(error.status)} {error.code.value}", error.detail
-            await self._respond_with_error(error, client)
+            await self._respond_with_error(error, client, _time_left_s(request))
         except Exception as error:
             self.log.emit(
                 EventKind.TASK_FAILED,
@@ -89,7 +91,7 @@
             )
             # An upstream may have executed the request before the error.
             unknown = OutcomeUnknownError("internal error of the gateway")
-            await self._respond_with_error(unknown, client)
+            await self._respond_with_error(unknown, client, _time_left_s(request))
         finally:
             self.metrics.requests_under_way.dec()
             self._log_outcome(request, route, outcome, reason, received_at)
@@ -113,9 +115,7 @@
     def _find_route(self, request: ClientRequest) -> tuple[Route, RoutingTable]:
         table = self.config.current
         if table is None:
-            raise NoConfigurationError(
-                "no configuration has been read yet", retry_after_s=defaults.OUTAGE_RETRY_AFTER_S
-            )
+            raise NoConfigurationError("no configuration has been read yet")
         route = table.match(request.host, request.path)
         if route is None:
             raise UnknownRouteError(f"no matching route in configuration version {table.version}")
@@ -177,12 +177,14 @@
     ) -> Attempts:
         return Attempts(request, route, table, service, self.planned_stop.answer_by)
 
-    async def _respond_with_error(self, error: SkylarkferryError, client: ClientConnection) -> None:
+    async def _respond_with_error(
+        self, error: SkylarkferryError, client: ClientConnection, time_left_s: float
+    ) -> None:
         if client.response_state is not ResponseState.NONE:
             return
         closes_connection = isinstance(error, PlatformUnavailableError | NoConfigurationError)
         if closes_connection and error.retry_after_s is None:
-            error.retry_after_s = self.store.retry_after_s()
+            error.retry_after_s = self.store.retry_after_s(time_left_s)
         try:
             await client.send_error(error, closes_connection=closes_connection)
         except ClientLeftError:
@@ -214,5 +216,12 @@
         )
 
 
+def _time_left_s(request: ClientRequest | None) -> float:
+    """Return how long the client of a request still waits; infinite if that is not known."""
+    if request is None:
+        return math.inf
+    return request.metadata.time_left_s - (anyio.current_time() - request.received_at)
+
+
 def _request_id(request: ClientRequest | None) -> str:
     return request.metadata.request_id if request is not None else ""
