Grow an allowance ahead only if it does not cover two more turns

With a budget of 8 turns the first allowance covers 2, so that a row is written at the first turn as before; with 24 turns it covers 8 and is left alone until 6 are used. Weighed: three turns (rows for budgets of up to 12 turns that most programs would not need).

test_programs_that_use_little_of_their_budgets_write_no_row fails before with a row written. check clean; pytest -n 2 tests/core/test_account{s,_ledger}.py tests/gateway/test_{allowance_growth,ownership_renewal}.py: all 49 pass.

--- a/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/accounts.py
@@ -32,6 +32,11 @@
 
 It covers half of the turns without the store, and the loss of the owner costs no more than that.
 """
+AHEAD_TURNS = 2
+"""An allowance grows ahead of need if it does not cover this many more turns.
+
+Programs that use little of their budgets thus need no row.
+"""
 NO_OWNER = Incarnation("")
 _MAX_STORED = 1 << 62
 """Largest number in a row; the next owner adds to it, and the encoding holds up to 64 bits."""
@@ -231,6 +236,8 @@
         """
         if self.base or not self.longest_turn or self.allowance >= self._half():
             return None
+        if self.allowance - self.committed() >= AHEAD_TURNS * self.longest_turn:
+            return None
         target = max(self._half(), self.committed() + self.longest_turn)
         target = min(target, self.limit - self.unrecorded(self.longest_turn))
         return target if target > self.allowance else None
--- a/tests/gateway/test_allowance_growth.py
+++ b/tests/gateway/test_allowance_growth.py
@@ -105,6 +105,24 @@
     assert_that(calls["allowances"], LessThan(CALLS_ON_NEED + 1))
 
 
+# Guards against growth ahead of need that writes rows of programs that need none.
+async def test_programs_that_use_little_of_their_budgets_write_no_row(rig):
+    await add_engine(rig)
+    gateway = await rig.add_gateway()
+    written = []
+
+    def record(request):
+        written.extend(row_writes(request))
+        return StoreFault.NONE
+
+    rig.store.fault = record
+    for number in range(4):
+        fields = turn_headers(f"t-{number}", "program", 24 * MAX_OUTPUT_TOKENS)
+        assert_that((await send(rig, "/turn/1", fields, b"p")).status_code, Equals(200))
+        await anyio.sleep(PAUSE_S)
+    assert_that((written, account_of(gateway, "program").version), Equals(([], 0)))
+
+
 async def test_allowances_of_a_partition_grow_in_one_transaction(rig):
     await add_engine(rig)
     gateway = await rig.add_gateway()
