Start the second gateway of a test after the first owns the partition

Cause: a gateway claims its share of unowned partitions by itself, so that on a slow machine the second one of a test could own the partition before the first claimed it. One test also waits for the growth ahead that its first turn starts. The tests state the same.

--- a/tests/gateway/test_allowance_growth.py
+++ b/tests/gateway/test_allowance_growth.py
@@ -174,9 +174,10 @@
 
 async def test_owner_that_lost_its_partition_drops_it_at_a_write_ahead_of_need(rig):
     await add_engine(rig)
-    first, second = [await rig.add_gateway(f"g{n}") for n in range(2)]
     number = budget_partition(ProgramId("program"))
+    first = await rig.add_gateway("g0")
     await first.accounts.claim(number, 0, anyio.current_time() + 5)
+    second = await rig.add_gateway("g1")
     await second.accounts.claim(number, 1, anyio.current_time() + 5)
     reservation = Reservation(ProgramId("program"), BUDGET, TurnId("t"), MAX_OUTPUT_TOKENS)
     await first.accounts.reserve(reservation, anyio.current_time() + 5)
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -181,11 +181,14 @@
 @pytest.mark.parametrize("fault", [StoreFault.REFUSED, StoreFault.SILENT])
 async def test_turn_beyond_its_allowance_is_refused_at_once_with_the_true_reason(rig, fault):
     replica = await rig.add_replica("e1", "engine")
-    owner, other = [await rig.add_gateway(f"g{n}") for n in range(2)]
-    assert_that(await spend(rig, "program", 600, 2, [owner, other]), Equals([200, 200]))
+    owner = await rig.add_gateway("g0")
+    assert_that(await spend(rig, "program", 600, 1, [owner]), Equals([200]))
+    other = await rig.add_gateway("g1")
+    assert_that(await spend(rig, "program", 600, 1, [other]), Equals([200]))
     number = budget_partition(ProgramId("program"))
     assert_that((owner.accounts.owns(number), other.accounts.owns(number)), Equals((True, False)))
     account = owner.accounts.partitions[number].programs[ProgramId("program")].account
+    await wait_until(lambda: account.version > 0)
     account.reserve("rest", account.allowance - account.committed())
     rig.store.fault = lambda request: fault
     await wait_until(
--- a/tests/gateway/test_ownership_renewal.py
+++ b/tests/gateway/test_ownership_renewal.py
@@ -97,8 +97,9 @@
 
 
 async def test_partition_that_another_one_claimed_is_dropped_by_a_renewal(rig, clock):
-    first, second = [await rig.add_gateway(f"g{number}") for number in range(2)]
+    first = await rig.add_gateway("g0")
     await claim(first)
+    second = await rig.add_gateway("g1")
     await claim(second, 1)
     await first.renewal.renew_all()
     assert_that(first.accounts.owns(NUMBER), Equals(True))  # proven a short time ago
@@ -109,8 +110,9 @@
 
 async def lose_owner(rig):
     """Return an owner whose partition lost another one."""
-    first, second = [await rig.add_gateway(f"g{number}") for number in range(2)]
+    first = await rig.add_gateway("g0")
     await claim(first)
+    second = await rig.add_gateway("g1")
     first.scope.cancel()
     await first.ended.wait()
     await claim(second, 1)
