--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_server.py
@@ -3,6 +3,7 @@
 import math
 from collections import deque
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from enum import Enum
 from http import HTTPStatus
 
@@ -281,7 +282,8 @@
         except OverloadedError:
             if self.http.their_state is not h11.SEND_BODY or stated_bytes:
                 raise
-            self.http.next_event()  # the end of a request without a body
+            with suppress(h11.RemoteProtocolError):  # a malformed chunk is refused all the same
+                self.http.next_event()  # the end of a request without a body
             raise
 
     async def _next_event(self) -> h11.Event:
