--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_backlog.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_backlog.py
@@ -124,6 +124,9 @@
             self.failure = error
         finally:
             self.is_sending = False
+            if self.size and self.failure is None:
+                # An unexpected end must not let the stream pass for complete.
+                self.failure = ClientLeftError()
             self._report_progress()
 
     async def flush(self) -> None:
