Bound the stock that a gateway asks for

The stock of a very large quota was above the largest count that a question may carry. Its owner dropped the question, and with it the demands of all other customers of the shard.

--- a/packages/skylarkferry-admission/src/skylarkferry_admission/quota_limits.py
+++ b/packages/skylarkferry-admission/src/skylarkferry_admission/quota_limits.py
@@ -46,6 +46,8 @@
 _MIN_SPREAD_PART = 0.25
 """Least part of a quota for stock and passing, if the bound allows nothing above the burst: this
 time's accrual, up to this part of the burst."""
+_MAX_LOCAL = 100_000
+"""Most tokens that one gateway keeps, far below the largest count that a question may carry."""
 _MIN_POOL = 1.0
 """A pool that cannot hold one token would never grant any."""
 
@@ -94,4 +96,4 @@
 
 def local_limit(quota: Quota, margin: QuotaMargin, weight: float) -> int:
     """Return how many tokens a gateway with this share of the accrual may keep."""
-    return math.floor(stock_limits(quota, margin).local * weight)
+    return math.floor(min(stock_limits(quota, margin).local * weight, _MAX_LOCAL))
--- a/tests/admission/test_quota_buckets.py
+++ b/tests/admission/test_quota_buckets.py
@@ -1,7 +1,9 @@
+import msgspec
+import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from skylarkferry_admission.quota_buckets import Grant, OwnerVote, QuotaBucket, ShareClock
+from skylarkferry_admission.quota_buckets import Demand, Grant, OwnerVote, QuotaBucket, ShareClock
 from skylarkferry_admission.quota_limits import MAX_SHARE_S, QuotaMargin
 from skylarkferry_core.customers import Quota
 
@@ -102,3 +104,13 @@
     bucket.give_back()
     demand = bucket.demand(MARGIN, 1 / 27, 0.1, begun=0, new=0)
     assert_that((demand.returned, bucket.tokens), Equals((1, 0)))
+
+
+@pytest.mark.parametrize("quota", [Quota(1_000.0, 1e9), Quota(1e11, 1e12)])
+def test_demand_of_a_very_large_quota_can_be_decoded(quota):
+    """Guards against a question that its owner drops, with the demands of all other customers."""
+    bucket = QuotaBucket(1, quota, 0.0)
+    bucket.take(0.0, is_begun=True)
+    demand = bucket.demand(MARGIN, 1 / 27, 0.0, begun=1, new=0)
+    decoded = msgspec.msgpack.decode(msgspec.msgpack.encode(demand), type=Demand)
+    assert_that(decoded, Equals(demand))
