Count deposits of a replaced gateway whose wall clock is behind

Numbers of questions begin with the wall clock, and the last number of a name was kept for good. A gateway restarted on a host whose clock is behind deposited nothing until the clock caught up.

--- a/packages/skylarkferry-admission/src/skylarkferry_admission/quota_pools.py
+++ b/packages/skylarkferry-admission/src/skylarkferry_admission/quota_pools.py
@@ -219,8 +219,10 @@
         The share of a late question may have been kept for long, so that it does not count.
         """
         self.advance(now)
-        last, _ = self.numbers.get(deposit.node, (-1, now))
-        if number <= last:
+        last, counted_at = self.numbers.get(deposit.node, (-1, now))
+        # Numbers begin with the wall clock, which may be behind at a host that replaces another.
+        # A question that was counted so long ago names a time that is too old by now.
+        if number <= last and now - counted_at <= 2 * VOTE_S:
             return False
         self.numbers[deposit.node] = (number, now)
         echo = deposit.echo
--- a/tests/admission/test_quota_pools.py
+++ b/tests/admission/test_quota_pools.py
@@ -210,3 +210,17 @@
     asker.ask(1.0, share_s=0.0)
     asker.ask(1.5, share_s=0.0)
     assert_that(owner.shares, Equals(0.0))
+
+
+def test_restarted_gateway_whose_wall_clock_is_behind_deposits_again():
+    """Guards against a share that is lost for as long as the clock of a new host is behind."""
+    owner = pools()
+    former, others = Asker(owner, "g1", 0.5), Asker(owner, "g2", 0.5)
+    former.number = 1_000
+    former.ask(1.0)
+    restarted = Asker(owner, "g1", 0.5)
+    for step in range(40):
+        now = 1.5 + step * 0.1
+        restarted.ask(now)
+        others.ask(now)
+    assert_that(owner.heard, Equals(1.0))
