Let waiting requests run when the last quota is removed

An exchange without quotas left the requests that waited for it alone. They were held for 0.3 s and then refused by a quota that was no longer configured.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_exchange.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_exchange.py
@@ -179,12 +179,20 @@
         if table is None:
             self.share.advance(now, is_counted=False)
             self.share.clear()
+            self._drop_customers()
             self.next_at = now + defaults.QUOTA_QUIET_INTERVAL_S
             return
         self.use(table)
         await self._exchange(table.version)
         self._probe_silent()
 
+    def _drop_customers(self) -> None:
+        """Let all waiting requests run once no customer has a quota."""
+        for known in self.customers.values():
+            for waiter in known.waiters:
+                waiter.grant()
+        self.customers.clear()
+
     def _drop_after_pause(self, now: float) -> None:
         """Drop what a paused process held: its tokens may have been accrued again elsewhere."""
         paused_s = now - self.stepped_at
--- a/tests/gateway/test_quota_fleet.py
+++ b/tests/gateway/test_quota_fleet.py
@@ -17,7 +17,10 @@
     window_bound,
 )
 from skylarkferry_admission.quota_limits import QuotaMargin
+from skylarkferry_core.customers import Customer, CustomerKeys, CustomerTable
 from skylarkferry_core.events import EventKind
+from skylarkferry_core.ids import CustomerId
+from skylarkferry_core.routes import ClientLimits, RoutingTable
 from skylarkferry_gateway.quota_exchange import shard_for
 from skylarkferry_gateway.quota_owners import OwnedPools
 
@@ -413,3 +416,25 @@
 
     simulate(5, 1, work)
     assert_that(sum(found), Equals(held[0]))
+
+
+def test_request_that_waits_when_the_last_quota_is_removed_runs():
+    """Guards against a refusal by a quota that no configuration has any more."""
+    found = []
+
+    async def work(fleet):
+        fleet.add_customer("c", 30.0, 30.0)
+        await anyio.sleep(WARM_UP_S)
+        node = next(item for item in fleet.members if item != fleet.owner("c"))
+        exchange = fleet.processes[node].exchanges[shard_for("c")]
+        while not exchange.needed.is_set():
+            fleet.tasks.start_soon(fleet.request, "c", node)
+            await anyio.sleep(0.0)
+        fleet.customers["c"] = Customer(CustomerId("c"), None, None)
+        table = CustomerTable(CustomerKeys(customer) for customer in fleet.customers.values())
+        fleet.config.current = RoutingTable(9, (), {}, ClientLimits(), table)
+        await anyio.sleep(1.0)
+        found.append(fleet.refusals["c"])
+
+    simulate(GATEWAYS, 1, work)
+    assert_that(found, Equals([[]]))
