Ask for the token of a further attempt only if an upstream is left

A request without another upstream asked the quota's owner first. Its response was known, but was held for the exchange, up to 0.3 s with silent owners, or replaced by a refusal of the quota.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -66,11 +66,14 @@
         attempts.refusal = self.crashes.refusal(attempts.request)
         if attempts.refusal is not None:
             return None
-        if attempts.charge is not None:
-            attempts.refusal = await attempts.charge.prepare(attempts.deadline)
-            if attempts.refusal is not None:
-                return None
-        decision = await self._select(attempts)
+        decision = None
+        # Without an upstream, the response is known, and is not held until a token is there.
+        if attempts.charge is None or self.selector.has_untried(attempts):
+            if attempts.charge is not None:
+                attempts.refusal = await attempts.charge.prepare(attempts.deadline)
+                if attempts.refusal is not None:
+                    return None
+            decision = await self._select(attempts)
         if decision is None:
             if self._is_full_of_bodies(attempts):
                 attempts.refusal = self._refuse_body(attempts)
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -160,6 +160,16 @@
     assert_that(found, Equals((2, 2.0)))
 
 
+async def test_attempt_without_an_upstream_asks_for_no_token(rig):
+    """Guards against a known response that is held back until a token is granted or refused."""
+    replica = await rig.add_replica("r1")
+    replica.behaviour = lambda request: Behaviour.LOSE_ANSWER
+    await add_gateways(rig, 1, rate=100.0, burst=100.0)
+    await anyio.sleep(0.5)
+    await send(rig, "/get/1", headers("id-1"))
+    assert_that((rig.arrivals(), charged(rig.gateways[0])), Equals((1, 1.0)))
+
+
 async def test_turns_are_charged(rig):
     await rig.add_replica("e1", "engine")
     await add_gateways(rig, 1, rate=100.0, burst=100.0)
