Count losses while an account without a row counts lost owners

A program that was refused by the new owner of a partition, and so had no tokens of it, did not keep the partition's losses from being forgotten.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/partition_accounts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/partition_accounts.py
@@ -97,12 +97,13 @@
         return HandedPartition(owned.number, owned.ownership, owned.version, programs, rows, age_s)
 
     def has_unrecorded_grants(self) -> bool:
-        """Return whether a program has tokens without a row in a partition that lost an owner."""
+        """Return whether an account without a row counts lost owners.
+
+        This includes a program that was refused so far: once the losses are forgotten, it may still
+        be granted tokens without a row, and the next owner would not count those of lost owners.
+        """
         accounts = [program.account for program in self.programs.values()]
-        return any(
-            account.lost_owners and account.may_be_unknown() and account.longest_turn
-            for account in accounts
-        )
+        return any(account.lost_owners and account.may_be_unknown() for account in accounts)
 
     def remove_idle(self, now: float) -> list[Condition]:
         """Remove accounts unused for ``ACCOUNT_IDLE_S``; return the keys and versions of rows."""
--- a/tests/gateway/test_ownership_renewal.py
+++ b/tests/gateway/test_ownership_renewal.py
@@ -4,11 +4,11 @@
 import msgspec
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, LessThan
 
 from gateway_rig import wait_until
 from skylarkferry_core.accounts import Ownership, budget_partition
-from skylarkferry_core.errors import PlatformUnavailableError
+from skylarkferry_core.errors import PlatformUnavailableError, TokensSpentError
 from skylarkferry_core.ids import ProgramId, TurnId
 from skylarkferry_gateway import defaults, ownership_proofs
 from skylarkferry_gateway.accounts import GrowthUnavailableError
@@ -168,3 +168,51 @@
     await reserve(owner, "t1", 400)
     assert_that(owner.accounts.partitions.get(NUMBER) is owned, Equals(True))
     assert_that(owned.partition.ownership.losses, Equals(0))
+
+
+async def return_store(rig, *gateways):
+    rig.store.fault = lambda request: StoreFault.NONE
+    await wait_until(lambda: all(item.store.unavailable_s() == 0 for item in gateways))
+
+
+# Guards against tokens beyond the budget by a program that was refused before a loss was forgotten,
+# and granted tokens without a row after it: the next owner would count one lost owner of two.
+async def test_losses_count_while_a_program_that_was_refused_may_get_tokens_without_a_row(
+    rig, clock
+):
+    size, granted = 50, 0
+    first = await rig.add_gateway("g0")
+    second = await rig.add_gateway("g1")
+    await claim(first)
+    await lose_store(rig, first, second)
+    for turn in range(BUDGET // 3 // size):
+        await reserve(first, f"a{turn}", size)
+        granted += size
+    first.scope.cancel()
+    await first.ended.wait()
+    await return_store(rig, second)
+    await claim(second, 1)
+    clock(defaults.UNRECORDED_GRANTS_S + 1)
+    await lose_store(rig, second)
+    with pytest.raises(GrowthUnavailableError):
+        await reserve(second, "b", size)
+    await return_store(rig, second)
+    clock(defaults.ACCOUNT_IDLE_S)
+    await second.renewal.renew_all()
+    third = await rig.add_gateway("g2")
+    await lose_store(rig, second, third)
+    for turn in range(BUDGET // 6 // size):
+        try:
+            await reserve(second, f"c{turn}", size)
+        except GrowthUnavailableError:
+            break
+        granted += size
+    second.scope.cancel()
+    await second.ended.wait()
+    await return_store(rig, third)
+    await claim(third, 2)
+    with pytest.raises(TokensSpentError):
+        for turn in range(BUDGET // size + 1):
+            await reserve(third, f"d{turn}", size)
+            granted += size
+    assert_that(granted, LessThan(BUDGET + size + 1))
