--- a/packages/skylarkferry-admission/src/skylarkferry_admission/estimates.py
+++ b/packages/skylarkferry-admission/src/skylarkferry_admission/estimates.py
@@ -19,6 +19,9 @@
 """Weight of a newly reported slowdown, which changes many times per second."""
 _MAX_DURATION_S = 60.0
 _MAX_TOKENS = 10_000_000
+MAX_SLOWER = 2.0
+"""An upstream that takes this many times as long as the best one, queue included, gets nothing that
+can wait for the best one."""
 _OUTCOMES_KEPT = 400
 _OUTCOMES_PER_UPDATE = 10
 _MIN_ESTIMATE_S = 1e-4
