Add the messages of requests that wait at a coordinator

A coordinator can only name an upstream, or none, at once. A request that waits needs a question that says what its place in the queue depends on, news that it still waits, and a rejection with a time.

A withdrawal is Ended with the outcome ABANDONED, as for a question that was not answered in time. A gateway of an earlier version drops the new kinds as malformed, and the asker decides by its own view.

Weighed: further fields in PlacementQuery and Answer (all fields are encoded, so each datagram of every deployment would grow).

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -146,6 +146,15 @@
 
 PLACEMENT_TIMEOUT_S = 0.05
 """Longest wait for a coordinator: twice the round trip between regions, and a pause of its host."""
+COORDINATOR_SILENCE_S = 0.2
+"""Silence of a coordinator after which a request does not wait for it any more."""
+QUEUE_NEWS_S = 0.08
+"""Interval at which a coordinator tells gateways that their requests still wait.
+
+Two messages fit into ``COORDINATOR_SILENCE_S``, so that one may be lost.
+"""
+QUEUE_SWEEP_S = 0.02
+"""Interval at which requests that wait are decided anew; 5% of a usual target latency."""
 COORDINATOR_BACKOFF_S = 2.0
 """Time without questions to a coordinator that does not answer or cannot choose."""
 ATTEMPTS_SWEEP_S = 0.5
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement_messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement_messages.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from skylarkferry_core.ids import FailureDomain, ProgramId, ServiceName, UpstreamId
+from skylarkferry_admission.decisions import RejectReason
+from skylarkferry_core.ids import CustomerId, FailureDomain, ProgramId, ServiceName, UpstreamId
 from skylarkferry_gateway import decoding
 from skylarkferry_gateway.messages import PromptPart, ReportedLoad
 from skylarkferry_gateway.upstream_views import AttemptOutcome
@@ -75,7 +76,51 @@
     speed: SpeedSample | None = None
 
 
-Message = Ask | Answer | Ended
+class QueueTerms(msgspec.Struct, frozen=True, array_like=True):
+    """What the place of a request in a coordinator's queue depends on.
+
+    ``finish_s`` is the time left until its program should be done.  ``is_begun`` says that the
+    request itself shows that its program is in progress.
+    """
+
+    priority: int
+    finish_s: float
+    target_latency_s: float
+    customer: CustomerId
+    quota_per_s: float | None
+    is_begun: bool
+
+
+class Enqueue(msgspec.Struct, frozen=True, array_like=True, tag="enqueue"):
+    """Ask for an upstream, and wait for one if necessary; ``Ended`` withdraws the question."""
+
+    number: int
+    query: PlacementQuery
+    terms: QueueTerms
+
+
+class Queued(msgspec.Struct, frozen=True, array_like=True, tag="queued"):
+    """The requests with these numbers wait; repeated until each has its answer."""
+
+    numbers: tuple[int, ...]
+
+
+class Rejected(msgspec.Struct, frozen=True, array_like=True, tag="rejected"):
+    """A request is not given to an upstream and has not run.
+
+    ``estimate_s`` is how long it would take at an upstream, ``error_s`` the 95th percentile of the
+    error of such estimates, ``queued`` the number of requests that wait.
+    """
+
+    number: int
+    reason: RejectReason
+    retry_after_s: float
+    estimate_s: float = 0.0
+    error_s: float = 0.0
+    queued: int = 0
+
+
+Message = Ask | Answer | Ended | Enqueue | Queued | Rejected
 
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
