Let requests wait at their coordinator where capacity is scarce

Where customers are configured or upstreams report a slowdown, the first attempt of a request asks the coordinator's queue. The gateway waits as long as news comes that the request waits, asks again once after 50 ms, and withdraws the question if the client leaves, the deadline passes or the coordinator is silent for 0.2 s; then it asks the next coordinator and at last decides by its own view. A rejection is answered at once with 503 and the time that the coordinator names. Further attempts and resumed streams are placed at once, as before, and so are all requests elsewhere.

The question is repeated because a lost first reply would otherwise send the gateway to another coordinator for 2 s, which does not know what is under way.

--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement_calls.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/placement_calls.py
@@ -2,6 +2,7 @@
 
 import itertools
 import time
+from collections.abc import Iterable
 
 import anyio
 from anyio.abc import UDPSocket
@@ -12,7 +13,18 @@
 from skylarkferry_gateway import defaults, placement_messages
 from skylarkferry_gateway.coordinator import PlacementCoordinator
 from skylarkferry_gateway.metrics import GatewayMetrics
-from skylarkferry_gateway.placement_messages import Answer, Ask, Ended, Message, PlacementQuery
+from skylarkferry_gateway.placement_messages import (
+    Answer,
+    Ask,
+    Ended,
+    Enqueue,
+    Message,
+    PlacementQuery,
+    Queued,
+    QueueTerms,
+    Rejected,
+)
+from skylarkferry_gateway.shard_queues import Outgoing, ShardQueues
 from skylarkferry_gateway.upstream_views import AttemptOutcome
 
 _MAX_DATAGRAM_BYTES = 8_192
@@ -22,11 +34,18 @@
 
 
 class _Waiting:
-    """A question that waits for its answer."""
+    """A question that waits for its answer; ``news`` is set by each message about it."""
 
     def __init__(self) -> None:
         self.answer: Answer | None = None
         self.answered = anyio.Event()
+        self.rejected: Rejected | None = None
+        self.news = anyio.Event()
+
+    @property
+    def decision(self) -> Answer | Rejected | None:
+        """Return the final answer, if it has arrived."""
+        return self.answer or self.rejected
 
 
 class PlacementCalls:
@@ -40,11 +59,15 @@
         self,
         address: str,
         coordinator: PlacementCoordinator,
+        queues: ShardQueues,
+        *,
         log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
         self.address = address
         self.coordinator = coordinator
+        self.queues = queues
+        self.has_waiting = anyio.Event()
         self.log = log
         self.metrics = metrics
         # Numbers of an earlier process at this address are not used again.
@@ -58,6 +81,7 @@
         socket = await anyio.create_udp_socket(local_host=host, local_port=int(port))
         async with socket, anyio.create_task_group() as tasks:
             tasks.start_soon(self._send_queued, socket)
+            tasks.start_soon(self._serve_queues)
             await self._receive(socket)
 
     async def _send_queued(self, socket: UDPSocket) -> None:
@@ -86,13 +110,49 @@
             case Ask():
                 answer = self.coordinator.place(sender, message.number, message.query, now)
                 self._enqueue(sender, answer)
+            case Enqueue():
+                self._deliver(self.queues.ask(sender, message, now))
             case Ended():
-                self.coordinator.end(sender, message, now)
-            case Answer():
-                waiting = self.waiting.get(message.number)
-                if waiting is not None:
-                    waiting.answer = message
-                    waiting.answered.set()
+                self._deliver(self.queues.end(sender, message, now))
+            case Answer() | Queued() | Rejected():
+                self._on_reply(message)
+
+    def _on_reply(self, message: Answer | Queued | Rejected) -> None:
+        numbers = message.numbers if isinstance(message, Queued) else (message.number,)
+        for number in numbers:
+            waiting = self.waiting.get(number)
+            if waiting is None:
+                continue
+            if isinstance(message, Answer):
+                waiting.answer = message
+                waiting.answered.set()
+            elif isinstance(message, Rejected):
+                waiting.rejected = message
+            waiting.news.set()
+
+    def _deliver(self, outgoing: Iterable[Outgoing]) -> None:
+        """Send what a coordinator's queues decided, to this gateway without a datagram."""
+        for address, message in outgoing:
+            if address != self.address:
+                self._enqueue(address, message)
+            elif isinstance(message, Answer | Queued | Rejected):
+                self._on_reply(message)
+        if self.queues.is_waiting:
+            self.has_waiting.set()
+
+    async def _serve_queues(self) -> None:
+        """Decide about waiting requests anew, and tell gateways regularly that they wait."""
+        news_at = 0.0
+        while True:
+            await self.has_waiting.wait()
+            await anyio.sleep(defaults.QUEUE_SWEEP_S)
+            now = anyio.current_time()
+            self._deliver(self.queues.decide(now))
+            if now >= news_at:
+                news_at = now + defaults.QUEUE_NEWS_S
+                self._deliver(self.queues.waiting_news())
+            if not self.queues.is_waiting:
+                self.has_waiting = anyio.Event()
 
     def _enqueue(self, address: str, message: Message) -> bool:
         """Queue a message without waiting; return False if it is too long or the queue is full."""
@@ -126,9 +186,50 @@
         self.metrics.placement_latency.observe(anyio.current_time() - asked_at)
         return waiting.answer
 
+    async def ask_queue(
+        self, address: str, query: PlacementQuery, terms: QueueTerms, deadline: float
+    ) -> Answer | Rejected | None:
+        """Return a coordinator's decision, however long it lets the request wait.
+
+        Return ``None`` if the coordinator falls silent or the deadline passes.  The question is
+        sent again once, as a datagram may be lost.  Without a decision it is withdrawn, also if
+        the client leaves.
+        """
+        number = next(self.numbers)
+        waiting = self.waiting[number] = _Waiting()
+        is_taken, is_repeated = False, False
+        question = Enqueue(number, query, terms)
+        try:
+            self._send_question(address, question)
+            silence_s = defaults.PLACEMENT_TIMEOUT_S
+            while waiting.decision is None:
+                silent_at = anyio.current_time() + silence_s
+                with anyio.move_on_at(min(silent_at, deadline)):
+                    await waiting.news.wait()
+                if waiting.news.is_set():
+                    waiting.news = anyio.Event()
+                    silence_s = defaults.COORDINATOR_SILENCE_S
+                elif is_repeated or anyio.current_time() >= deadline:
+                    return None
+                else:
+                    is_repeated, silence_s = True, defaults.PLACEMENT_TIMEOUT_S
+                    self._send_question(address, question)
+            is_taken = True
+            return waiting.decision
+        finally:
+            del self.waiting[number]
+            if not is_taken:
+                self.end(address, Ended(number, AttemptOutcome.ABANDONED))
+
+    def _send_question(self, address: str, question: Enqueue) -> None:
+        if address == self.address:
+            self._deliver(self.queues.ask(address, question, anyio.current_time()))
+        else:
+            self._enqueue(address, question)
+
     def end(self, address: str, ended: Ended) -> None:
         """Tell a coordinator that an attempt ended."""
         if address == self.address:
-            self.coordinator.end(address, ended, anyio.current_time())
+            self._deliver(self.queues.end(address, ended, anyio.current_time()))
         else:
             self._enqueue(address, ended)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -67,6 +67,8 @@
             return None
         decision = await self.selector.select(attempts)
         if decision is None:
+            if attempts.refusal is not None:
+                return None
             if self.selector.is_limited(attempts):
                 attempts.refusal = self._refuse_beyond_limits(attempts)
             elif self.selector.needs_store(attempts):
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -39,6 +39,7 @@
 from skylarkferry_gateway.selection import UpstreamSelector
 from skylarkferry_gateway.service_versions import ServiceVersions
 from skylarkferry_gateway.settings import GatewaySettings
+from skylarkferry_gateway.shard_queues import ShardQueues
 from skylarkferry_gateway.stream_handover import StreamHandover
 from skylarkferry_gateway.stream_origins import StreamOrigins
 from skylarkferry_gateway.stream_resumptions import StreamResumptions
@@ -105,7 +106,10 @@
             metrics=metrics,
         )
         self.coordinator = PlacementCoordinator(self.upstreams, self.config, rng)
-        self.placement_calls = PlacementCalls(settings.peer_listen, self.coordinator, log, metrics)
+        self.queues = ShardQueues(self.coordinator, rng, log, metrics)
+        self.placement_calls = PlacementCalls(
+            settings.peer_listen, self.coordinator, self.queues, log=log, metrics=metrics
+        )
         selector = UpstreamSelector(
             self.upstreams,
             self.assignments,
@@ -205,6 +209,7 @@
 
     async def _forget_expired_attempts(self) -> None:
         self.coordinator.forget_expired(anyio.current_time())
+        self.queues.sweep(anyio.current_time())
         self.metrics.coordinated_attempts.set(len(self.coordinator.attempts))
 
     def is_ready(self) -> bool:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/selection.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/selection.py
@@ -7,8 +7,12 @@
 import anyio
 import msgspec
 
+from skylarkferry_admission.decisions import RejectReason
 from skylarkferry_core.coordination import shards_for
+from skylarkferry_core.errors import OverloadedError
+from skylarkferry_core.events import EventKind
 from skylarkferry_core.ids import (
+    CustomerId,
     FailureDomain,
     NodeId,
     PoolName,
@@ -30,12 +34,20 @@
     Answer,
     Ended,
     PlacementQuery,
+    QueueTerms,
+    Rejected,
     SpeedSample,
 )
 from skylarkferry_gateway.upstream_views import AttemptOutcome
 from skylarkferry_gateway.upstreams import Upstream, Upstreams
 from skylarkferry_gateway.version_assignments import VersionAssignments
 
+_QUEUE_COORDINATORS = 2
+"""Coordinators that may let a request wait before this gateway decides by its own view."""
+_REFUSAL_TEXTS = {
+    RejectReason.DEADLINE: "no upstream could complete the request before its deadline",
+    RejectReason.QUEUE_FULL: "too many requests that go before this one wait",
+}
 _SAMPLE = 8
 """Engines that this gateway compares without a coordinator, among those with an old load report."""
 
@@ -87,6 +99,7 @@
         self.coordinators = coordinators
         self.calls = calls
         self.domain = domain
+        self.slowdown_services: set[ServiceName] = set()
         self.placer = Placer(lambda upstream: upstream.local, rng, _SAMPLE, PrefixHomes())
 
     def choose_service(self, request: ClientRequest, route: Route) -> ServiceName:
@@ -105,7 +118,7 @@
         preferred = shards_for(_shard_key(attempts.request), len(shards))
         for shard in preferred:
             selection = await self._select_in(attempts, shards[shard], shard, len(shards))
-            if selection is not None:
+            if selection is not None or attempts.refusal is not None:
                 return selection
         members = self.upstreams.for_service(attempts.service)
         return await self._select_in(attempts, members, None, len(shards))
@@ -120,8 +133,11 @@
         query = self._query(attempts, members, usable, now)
         if attempts.engine is not None and shard is not None:
             query = msgspec.structs.replace(query, shard=shard, shards=shards)
-            selection = await self._ask_coordinator(query, usable)
-            if selection is not None:
+            if self._may_wait(attempts):
+                selection = await self._ask_queue(attempts, query, members)
+            else:
+                selection = await self._ask_coordinator(query, usable)
+            if selection is not None or attempts.refusal is not None:
                 return selection
             now = anyio.current_time()
             usable = self._usable(attempts, members, now)  # the list may have changed meanwhile
@@ -154,6 +170,90 @@
             self.coordinators.avoid(node, query.service, reason)
         if answer is None or not answer.upstream:
             return None
+        return self._selection(answer, usable, node, address)
+
+    def _may_wait(self, attempts: Attempts) -> bool:
+        """Return whether a coordinator may let the request wait, or reject it.
+
+        It may only where customers are configured or upstreams report a slowdown, and only before
+        the request was sent for the first time; a stream that has begun goes on at once.
+        """
+        is_first = attempts.attempts_made == 0 and not attempts.request.metadata.is_resumption
+        has_queue = bool(attempts.table.customers) or attempts.service in self.slowdown_services
+        return is_first and has_queue
+
+    async def _ask_queue(
+        self, attempts: Attempts, query: PlacementQuery, members: Sequence[Upstream]
+    ) -> Selection | None:
+        """Return a coordinator's choice after it let the request wait for as long as necessary.
+
+        A rejection becomes the refusal of ``attempts``.  If a coordinator falls silent, the next
+        one is asked; ``None`` means that this gateway decides by its own view.
+        """
+        for _ in range(_QUEUE_COORDINATORS):
+            node = self.coordinators.coordinator(query.service, query.shard)
+            if node is None:
+                return None
+            address = self.coordinators.address(node)
+            asked_at = anyio.current_time()
+            query = msgspec.structs.replace(query, time_left_s=attempts.remaining_s(asked_at))
+            terms = _queue_terms(attempts, asked_at)
+            decision = await self.calls.ask_queue(address, query, terms, attempts.deadline)
+            waited_s = anyio.current_time() - asked_at
+            if isinstance(decision, Rejected):
+                self._refuse(attempts, node, decision, waited_s)
+                return None
+            if decision is None and anyio.current_time() >= attempts.deadline:
+                late = Rejected(0, RejectReason.DEADLINE, defaults.RETRY_AFTER_S)
+                self._refuse(attempts, node, late, waited_s)
+                return None
+            if decision is not None and waited_s > defaults.PLACEMENT_TIMEOUT_S:
+                self._log_waited(attempts, node, waited_s)
+            reason = self._silence_reason(decision, waited_s=0.0)
+            if reason is not None:
+                self.coordinators.avoid(node, query.service, reason)
+            if decision is not None and decision.upstream:
+                usable = self._usable(attempts, members, anyio.current_time())
+                return self._selection(decision, usable, node, address)
+        return None
+
+    def _refuse(
+        self, attempts: Attempts, node: NodeId, rejected: Rejected, waited_s: float
+    ) -> None:
+        metadata = attempts.request.metadata
+        self.calls.log.emit(
+            EventKind.GATEWAY_REJECTED,
+            metadata.program_id,
+            request=metadata.request_id,
+            service=attempts.service,
+            coordinator=node,
+            reason=rejected.reason.value,
+            waited_ms=round(waited_s * 1_000),
+            estimate_ms=round(rejected.estimate_s * 1_000),
+            error_ms=round(rejected.error_s * 1_000),
+            queued=rejected.queued,
+            retry_ms=round(rejected.retry_after_s * 1_000),
+        )
+        attempts.refusal = OverloadedError(
+            _REFUSAL_TEXTS.get(rejected.reason, "the upstreams accept no more requests now"),
+            retry_after_s=rejected.retry_after_s,
+        )
+
+    def _log_waited(self, attempts: Attempts, node: NodeId, waited_s: float) -> None:
+        metadata = attempts.request.metadata
+        self.calls.log.emit(
+            EventKind.GATEWAY_QUEUED,
+            metadata.program_id,
+            request=metadata.request_id,
+            service=attempts.service,
+            coordinator=node,
+            waited_ms=round(waited_s * 1_000),
+        )
+
+    def _selection(
+        self, answer: Answer, usable: Sequence[Upstream], node: NodeId, address: str
+    ) -> Selection | None:
+        """Return the selection of an answer, or withdraw it if its upstream cannot be used."""
         chosen = next((item for item in usable if item.entry.upstream == answer.upstream), None)
         if chosen is None or not chosen.accepts_requests:
             self.calls.end(address, Ended(answer.number, AttemptOutcome.ABANDONED))
@@ -177,6 +277,8 @@
 
     def on_attempt_ended(self, selection: Selection) -> None:
         """Report the end of an attempt to the coordinator that chose its upstream."""
+        if selection.load is not None:
+            self._note_slowdown(selection.upstream.entry.service, selection.load)
         ticket = selection.ticket
         if ticket is None:
             return
@@ -186,6 +288,12 @@
             Ended(ticket.number, selection.outcome, selection.load, age_s, selection.speed),
         )
 
+    def _note_slowdown(self, service: ServiceName, load: ReportedLoad) -> None:
+        if load.slowdown is not None:
+            self.slowdown_services.add(service)
+        else:
+            self.slowdown_services.discard(service)
+
     def _query(
         self,
         attempts: Attempts,
@@ -238,6 +346,20 @@
         return _untried(attempts, self.upstreams.for_service(attempts.service))
 
 
+def _queue_terms(attempts: Attempts, now: float) -> QueueTerms:
+    request, route = attempts.request, attempts.route
+    metadata, customer = request.metadata, request.customer
+    quota = customer.quota if customer is not None else None
+    return QueueTerms(
+        priority=request.priority if request.priority is not None else route.priority,
+        finish_s=metadata.finish_s - (now - request.received_at),
+        target_latency_s=route.target_latency_s,
+        customer=customer.name if customer is not None else CustomerId(""),
+        quota_per_s=quota.rate_per_s if quota is not None else None,
+        is_begun=bool(metadata.previous_turn) or not route.is_streamed,
+    )
+
+
 def _untried(attempts: Attempts, members: Sequence[Upstream]) -> list[Upstream]:
     return [item for item in members if item.accepts_requests and attempts.accepts(item)]
 
