--- a/packages/skylarkferry-admission/src/skylarkferry_admission/queues.py
+++ b/packages/skylarkferry-admission/src/skylarkferry_admission/queues.py
@@ -33,7 +33,7 @@
     """A request that an upstream is sought for; times are monotonic.
 
     ``finish_at`` is when its program should be done, ``work_s`` how long it takes in a slot.
-    ``is_begun`` says that its program is in progress, ``is_returning`` that it was refused before.
+    ``is_begun`` says that its program is in progress.
     """
 
     key: Hashable
@@ -44,7 +44,6 @@
     target_latency_s: float
     priority: int = 0
     is_begun: bool = False
-    is_returning: bool = False
     customer: CustomerId = CustomerId("")
     quota_per_s: float | None = None
 
@@ -135,6 +134,7 @@
         priority = _level(item)[0]
         latest_start = self._due_at(item) - item.work_s
         if latest_start < now:
+            # Otherwise a client could go first by stating a time in the past.
             return (priority, 2, latest_start, item.arrived_at)
         return (priority, int(item.customer in over), latest_start, item.arrived_at)
 
@@ -226,16 +226,9 @@
 
 
 def _level(request: QueuedRequest) -> tuple[int, int]:
-    """Return priority and stage; what the lower levels ask for is served before a request."""
+    """Return priority and stage; lower levels are served first."""
     priority = min(max(request.priority, 0), _LAST_PRIORITY)
-    return priority, _stage(request)
-
-
-def _stage(request: QueuedRequest) -> int:
-    """Return 0 for programs in progress, 1 for requests that were refused before, 2 for others."""
-    if request.is_begun:
-        return 0
-    return 1 if request.is_returning else 2
+    return priority, 0 if request.is_begun else 1
 
 
 def _time_left(seconds: float) -> float:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/shard_queues.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/shard_queues.py
@@ -109,7 +109,6 @@
         self.memory = MemoryReservations()
         self.placed: dict[Key, _Placed] = {}
         self.begun: OrderedDict[Program, None] = OrderedDict()
-        self.refused: OrderedDict[Program, None] = OrderedDict()
         self.reported_at: dict[str, float] = {}
 
     @property
@@ -164,7 +163,6 @@
                 target_latency_s=terms.target_latency_s,
                 priority=terms.priority,
                 is_begun=terms.is_begun or program in self.begun,
-                is_returning=program in self.refused,
                 customer=terms.customer,
                 quota_per_s=terms.quota_per_s,
             ),
@@ -241,7 +239,6 @@
         return [(sender, Answer(number)) for sender, number in keys]
 
     def _reject(self, key: Key, waiting: _Waiting, decision: Reject, queued: int) -> Outgoing:
-        _remember(self.refused, waiting.program)
         self.metrics.queue_rejections.labels(reason=decision.reason.value).inc()
         sender, number = key
         rejected = Rejected(
--- a/tests/capacity_replay.py
+++ b/tests/capacity_replay.py
@@ -110,7 +110,6 @@
         self.report = Report()
         self.queue = ShardQueue(Random(seed))
         self.estimates = CompletionEstimates()
-        self.refused_programs = set()
 
     def at(self, time, action, *arguments):
         heapq.heappush(self.events, (time, next(self.order), action, arguments))
@@ -232,7 +231,6 @@
         self.report.refused += 1
         if self.now - send.sent_at > 0.25 * send.program.kind.target_s:
             self.report.held += 1
-        self.refused_programs.add(send.program.number)
         delay_s = min(retry_after_s, CLIENT_WAIT_S / 3)
         if send.program.sends > 1:
             delay_s = self.rng.uniform(0.1, 0.4)
@@ -255,7 +253,6 @@
             target_latency_s=program.kind.target_s,
             priority=program.kind.priority,
             is_begun=program.turn > 0 or program.was_placed,
-            is_returning=program.number in self.refused_programs,
             customer=CustomerId(program.customer),
             quota_per_s=self.quotas.get(program.customer),
         )
