Decide about a queue less often when nothing can change

A question that finds all upstreams full does not go through the queue again, and customers over their shares are determined every 50 ms instead of for each order.

Cost of one end and one question at 20 engines, on a busy machine: with 1 request waiting 0.66 ms instead of 0.87 ms, with 100 1.19 instead of 1.59 ms, with 400 2.17 instead of 3.07 ms.

--- a/packages/skylarkferry-admission/src/skylarkferry_admission/queues.py
+++ b/packages/skylarkferry-admission/src/skylarkferry_admission/queues.py
@@ -22,6 +22,8 @@
 """Time constant of what arrives; a few times a turn."""
 _MIN_SLOTS_SHARE = 0.02
 """Least share of the slots that requests which go first are expected to leave."""
+_SHARES_INTERVAL_S = 0.05
+"""Interval at which customers over their shares are determined; a tenth of a usual turn."""
 _QUEUED_PER_SLOT = 4
 """Requests that wait for each slot of the shard at most; several times what engines queue."""
 _MIN_RETRY_S, _MAX_RETRY_S = 0.05, 2.0
@@ -74,6 +76,8 @@
         self.committed: set[Hashable] = set()
         self.arrivals: dict[tuple[int, int], DecayingSum] = {}
         self.work_shares = WorkShares()
+        self.over: set[CustomerId] = set()
+        self.over_until = -math.inf
 
     def add(self, request: QueuedRequest, capacity: Capacity, now: float) -> Wait | Reject:
         """Let a request wait, or reject it at once."""
@@ -125,7 +129,10 @@
         """Return the requests in the order in which they get upstreams."""
         if len(self.requests) < 2:
             return list(self.requests.values())
-        over = self.work_shares.over_share(now)
+        if now >= self.over_until:
+            self.over = self.work_shares.over_share(now)
+            self.over_until = now + _SHARES_INTERVAL_S
+        over = self.over
         return sorted(self.requests.values(), key=lambda item: self._rank(item, over, now))
 
     def _rank(
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/shard_queues.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/shard_queues.py
@@ -143,7 +143,7 @@
         if isinstance(decision, Reject):
             return [self._reject(key, waiting, decision, len(shard.waiting))]
         shard.waiting[key] = waiting
-        outgoing = self._decide(shard, now)
+        outgoing = self._decide(shard, now) if self._has_free_slot(query, spec, now) else []
         if key in shard.waiting:
             outgoing.append((sender, Queued((message.number,))))
         return outgoing
