Name the share of a burst and its owner by what they are

Votes and loyalty were figurative names for a gateway's share of the burst at the owner that it asks. Names and texts only. tests/admission/test_quota*, tests/gateway/test_quota*: 94 passed.

--- a/packages/skylarkferry-admission/src/skylarkferry_admission/quota_buckets.py
+++ b/packages/skylarkferry-admission/src/skylarkferry_admission/quota_buckets.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from skylarkferry_admission.quota_limits import (
-    LOYAL_AFTER_S,
+    BURST_HELD_S,
+    BURST_MOVED_AFTER_S,
     MAX_SHARE_S,
-    VOTE_S,
     QuotaMargin,
     local_limit,
 )
@@ -90,7 +90,7 @@
         self.kept_s = 0.0
 
 
-class OwnerVote:
+class BurstOwner:
     """Which owner has this gateway's share of the burst, and since when."""
 
     def __init__(self, now: float) -> None:
@@ -100,7 +100,7 @@
         self.echo_at = -math.inf
 
     def use(self, owner: str, now: float) -> bool:
-        """Vote for an owner from now; return whether it is another one."""
+        """Use an owner from now on; return whether it is another one."""
         if owner == self.owner:
             return False
         self.owner = owner
@@ -108,13 +108,13 @@
         self.echo = None
         return True
 
-    def loyal_s(self, now: float) -> float:
+    def sole_owner_s(self, now: float) -> float:
         """Return the time for which no other owner was asked."""
         return now - self.left_at
 
-    def is_loyal(self, now: float) -> bool:
+    def counts_burst(self, now: float) -> bool:
         """Return whether the share of the burst counts at the owner."""
-        return self.loyal_s(now) >= LOYAL_AFTER_S
+        return self.sole_owner_s(now) >= BURST_MOVED_AFTER_S
 
     def on_answer(self, echo: tuple[int, float], asked_at: float) -> None:
         """Keep the owner's time, which the next question names."""
@@ -123,7 +123,7 @@
 
     def current_echo(self, now: float) -> tuple[int, float] | None:
         """Return the owner's time to name; ``None`` if the owner would take it as too old."""
-        return self.echo if now - self.echo_at < VOTE_S else None
+        return self.echo if now - self.echo_at < BURST_HELD_S else None
 
 
 class _Room:
--- a/packages/skylarkferry-admission/src/skylarkferry_admission/quota_limits.py
+++ b/packages/skylarkferry-admission/src/skylarkferry_admission/quota_limits.py
@@ -10,16 +10,16 @@
 
 from skylarkferry_core.customers import Quota
 
-VOTE_S = 1.0
+BURST_HELD_S = 1.0
 """Time for which a gateway's share of the burst stays at an owner that it does not ask any more.
 
 It is counted from the owner's answer that the gateway's last question names, so that no delay of a
 datagram extends it.
 """
-LOYAL_AFTER_S = 1.05
+BURST_MOVED_AFTER_S = 1.05
 """Time without a question to another owner after which the share of the burst counts at this one.
 
-Longer than ``VOTE_S`` by more than clocks of different hosts deviate in that time.
+Longer than ``BURST_HELD_S`` by more than clocks of different hosts deviate in that time.
 """
 MAX_SHARE_S = 0.18
 """Accrual that a gateway keeps before it deposits it; two intervals of exchange nearly fit in."""
@@ -32,10 +32,12 @@
 is kept in buckets.
 """
 _LOCAL_PART = 0.75
-"""Part of what is left for gateways' own stock; the rest lets an owner without votes pass tokens
-on."""
+"""Part of what is left for gateways' own stock.
+
+The rest lets an owner without shares of the burst pass tokens on.
+"""
 _PASSING_OWNERS = 3
-"""Owners that may have heard from the same gateway within ``VOTE_S``: those that are tried."""
+"""Owners that may have heard from one gateway within ``BURST_HELD_S``: those that are tried."""
 _AHEAD_S = 0.1
 """Accrual that a full pool holds above the burst.
 
--- a/packages/skylarkferry-admission/src/skylarkferry_admission/quota_pools.py
+++ b/packages/skylarkferry-admission/src/skylarkferry_admission/quota_pools.py
@@ -12,9 +12,9 @@
 
 from skylarkferry_admission.quota_buckets import Demand, Grant
 from skylarkferry_admission.quota_limits import (
-    LOYAL_AFTER_S,
+    BURST_HELD_S,
+    BURST_MOVED_AFTER_S,
     MAX_SHARE_S,
-    VOTE_S,
     QuotaMargin,
     StockLimits,
     stock_limits,
@@ -44,22 +44,22 @@
     """What a gateway deposits for all customers of a shard.
 
     ``share_s`` seconds of accrual, of which the gateway has the share ``weight``.  It has asked no
-    other owner for ``loyal_s``.  ``is_settled`` is whether it has read the list of gateways since
-    it entered its own row.  ``echo`` is the time that this owner named in its last answer.
+    other owner for ``sole_owner_s``.  ``is_settled`` is whether it has read the list of gateways
+    since it entered its own row.  ``echo`` is the time that this owner named in its last answer.
     """
 
     node: str
     weight: Annotated[float, msgspec.Meta(ge=0, le=1)]
     share_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_SHARE_S)]
-    loyal_s: Annotated[float, msgspec.Meta(ge=0)]
+    sole_owner_s: Annotated[float, msgspec.Meta(ge=0)]
     is_settled: bool = False
     echo: tuple[int, float] | None = None
 
 
-class _Vote(msgspec.Struct):
+class _BurstShare(msgspec.Struct):
     until: float
     weight: float
-    is_loyal: bool
+    counts_burst: bool
     is_settled: bool
 
 
@@ -158,42 +158,44 @@
     def __init__(self, nonce: int, margin: QuotaMargin, now: float) -> None:
         self.nonce = nonce
         self.margin = margin
-        self.votes: dict[str, _Vote] = {}
+        self.burst_shares: dict[str, _BurstShare] = {}
         self.numbers: dict[str, tuple[int, float]] = {}
         self.pools: dict[int, _Pool] = {}
         self.shares = 0.0
         self.base = 0.0
-        self.loyal = 0.0
+        self.moved = 0.0
         self.heard = 0.0
         self.is_whole = False
         self.at = now
         self.granted_at = -math.inf
 
     def advance(self, now: float) -> None:
-        """Drop the votes that are over, and what pools may not hold without them.
+        """Drop the shares of the burst that are over, and what pools may not hold without them.
 
-        A paused process has no votes when it wakes, so that it holds nothing.
+        A paused process has no shares of the burst when it wakes, so that it holds nothing.
         """
-        if self.loyal > _MAJORITY:
+        if self.moved > _MAJORITY:
             silent = min(self.margin.silent, max(1.0 - self.heard, 0.0))
-            self.shares += silent * min(max(now - self.at, 0.0), VOTE_S)
+            self.shares += silent * min(max(now - self.at, 0.0), BURST_HELD_S)
         self.at = now
-        expired = [node for node, vote in self.votes.items() if vote.until < now]
+        expired = [node for node, share in self.burst_shares.items() if share.until < now]
         if expired:
             for node in expired:
-                del self.votes[node]
-            self._count_votes()
-        if len(self.numbers) > 2 * len(self.votes) + 1:
+                del self.burst_shares[node]
+            self._count_burst_shares()
+        if len(self.numbers) > 2 * len(self.burst_shares) + 1:
             self.numbers = {
-                node: item for node, item in self.numbers.items() if now - item[1] <= 2 * VOTE_S
+                node: item
+                for node, item in self.numbers.items()
+                if now - item[1] <= 2 * BURST_HELD_S
             }
 
-    def _count_votes(self) -> None:
-        before = self.loyal, self.heard
-        self.heard = sum(vote.weight for vote in self.votes.values())
-        self.loyal = sum(vote.weight for vote in self.votes.values() if vote.is_loyal)
+    def _count_burst_shares(self) -> None:
+        before = self.moved, self.heard
+        self.heard = sum(share.weight for share in self.burst_shares.values())
+        self.moved = sum(share.weight for share in self.burst_shares.values() if share.counts_burst)
         self.is_whole = self._hears_whole_list()
-        if self.loyal < before[0] or self.heard < before[1]:
+        if self.moved < before[0] or self.heard < before[1]:
             self.base = self.shares  # pools made later cannot have more
             for pool in self.pools.values():
                 pool.settle(self.shares, self._cap(pool))
@@ -204,17 +206,17 @@
         A gateway that is not on their list entered its row after all of them had read it, so that
         its own list is longer.
         """
-        votes = list(self.votes.values())
-        is_one_list = len({vote.weight for vote in votes}) == 1
-        is_settled = all(vote.is_settled for vote in votes)
+        burst_shares = list(self.burst_shares.values())
+        is_one_list = len({share.weight for share in burst_shares}) == 1
+        is_settled = all(share.is_settled for share in burst_shares)
         return is_one_list and is_settled and abs(self.heard - 1.0) < _ROUNDING
 
     def _cap(self, pool: _Pool) -> float:
         limits = pool.limits
-        return min(self.loyal, 1.0) * limits.pool + min(self.heard, 1.0) * limits.passing
+        return min(self.moved, 1.0) * limits.pool + min(self.heard, 1.0) * limits.passing
 
     def deposit(self, number: int, deposit: Deposit, now: float) -> bool:
-        """Take a gateway's deposit and vote; return False if the question is late or repeated.
+        """Take a deposit and a share of the burst; return False for a late or repeated question.
 
         The share of a late question may have been kept for long, so that it does not count.
         """
@@ -222,19 +224,19 @@
         last, counted_at = self.numbers.get(deposit.node, (-1, now))
         # Numbers begin with the wall clock, which may be behind at a host that replaces another.
         # A question that was counted so long ago names a time that is too old by now.
-        if number <= last and now - counted_at <= 2 * VOTE_S:
+        if number <= last and now - counted_at <= 2 * BURST_HELD_S:
             return False
         self.numbers[deposit.node] = (number, now)
         echo = deposit.echo
-        if echo is None or echo[0] != self.nonce or not 0 <= now - echo[1] <= VOTE_S:
+        if echo is None or echo[0] != self.nonce or not 0 <= now - echo[1] <= BURST_HELD_S:
             return False
         weight = min(max(deposit.weight, 0.0), 1.0)
-        is_loyal = deposit.loyal_s >= LOYAL_AFTER_S
-        vote = _Vote(echo[1] + VOTE_S, weight, is_loyal, deposit.is_settled)
-        before = self.votes.get(deposit.node)
-        self.votes[deposit.node] = vote
-        if before is None or msgspec.structs.replace(before, until=vote.until) != vote:
-            self._count_votes()
+        counts_burst = deposit.sole_owner_s >= BURST_MOVED_AFTER_S
+        share = _BurstShare(echo[1] + BURST_HELD_S, weight, counts_burst, deposit.is_settled)
+        before = self.burst_shares.get(deposit.node)
+        self.burst_shares[deposit.node] = share
+        if before is None or msgspec.structs.replace(before, until=share.until) != share:
+            self._count_burst_shares()
         # Gateways that have different lists may claim more than the whole together.
         self.shares += min(max(deposit.share_s, 0.0), MAX_SHARE_S) * weight / max(self.heard, 1.0)
         return True
@@ -300,4 +302,4 @@
 
     def is_active(self, now: float) -> bool:
         """Return whether tokens were granted lately, so that deposits are needed often."""
-        return now - self.granted_at <= 2 * VOTE_S
+        return now - self.granted_at <= 2 * BURST_HELD_S
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_exchange.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/quota_exchange.py
@@ -11,9 +11,9 @@
 from skylarkferry_admission.begun_programs import BegunPrograms
 from skylarkferry_admission.quota_buckets import (
     PAUSE_S,
+    BurstOwner,
     Demand,
     Grant,
-    OwnerVote,
     QuotaBucket,
     ShareClock,
 )
@@ -99,7 +99,7 @@
         self.metrics = metrics
         now = clock()
         self.share = ShareClock(now)
-        self.vote = OwnerVote(now)
+        self.burst_owner = BurstOwner(now)
         self.customers: dict[CustomerId, CustomerQuota] = {}
         self.programs = BegunPrograms(_MAX_PROGRAMS)
         self.needed = anyio.Event()
@@ -225,11 +225,11 @@
         demands = self._demands(waiting, now)
         answer = None
         for node in self.ranks.candidates(self.shard):
-            before = self.vote.owner
-            if self.vote.use(node, self.clock()):
+            before = self.burst_owner.owner
+            if self.burst_owner.use(node, self.clock()):
                 self.ranks.on_change(self.shard, before, node)
                 self.programs.on_new_owner()
-            is_known = self.vote.current_echo(self.clock()) is not None
+            is_known = self.burst_owner.current_echo(self.clock()) is not None
             answer = await self._ask(node, version, demands)
             if answer is None:
                 self.ranks.on_silent(node)
@@ -309,11 +309,11 @@
 
     def _question(self, version: int, demands: dict[CustomerId, Demand]) -> QuotaAsk:
         now = self.clock()
-        echo = self.vote.current_echo(now)
+        echo = self.burst_owner.current_echo(now)
         share_s = self.share.take() if echo is not None else 0.0
-        loyal_s = self.vote.loyal_s(now)
+        sole_owner_s = self.burst_owner.sole_owner_s(now)
         deposit = Deposit(
-            self.gateways.node, self.weight, share_s, loyal_s, self.gateways.has_read_own, echo
+            self.gateways.node, self.weight, share_s, sole_owner_s, self.gateways.has_read_own, echo
         )
         number = self.calls.next_number()
         return QuotaAsk(
@@ -331,7 +331,7 @@
     ) -> QuotaAnswer:
         self.programs.on_told(len(ask.started), answer.started, answer.position)
         self.metrics.quota_exchanges.labels(outcome=outcome).inc()
-        self.vote.on_answer(answer.echo, asked_at)
+        self.burst_owner.on_answer(answer.echo, asked_at)
         self.heard, self.is_whole, self.heard_at = answer.heard, answer.is_whole, asked_at
         return answer
 
@@ -370,7 +370,7 @@
                     waiter.refuse(known.bucket.room_s(now, is_begun=waiter.is_begun))
 
     def _probe_silent(self) -> None:
-        """Find out whether owners that were silent answer again, without a vote for them."""
+        """Find out whether silent owners answer again; the share of the burst stays where it is."""
         now = self.clock()
         if self.ranks.silent and now - self.probed_at >= defaults.QUOTA_PROBE_INTERVAL_S:
             self.probed_at = now
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/quotas.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/quotas.py
@@ -166,7 +166,7 @@
             rate=quota.rate_per_s,
             burst=quota.burst,
             refused=count,
-            owner=exchange.vote.owner,
-            loyal=exchange.vote.is_loyal(now),
+            owner=exchange.burst_owner.owner,
+            counts_burst=exchange.burst_owner.counts_burst(now),
             heard=round(exchange.heard, 2),
         )
--- a/tests/admission/test_quota_buckets.py
+++ b/tests/admission/test_quota_buckets.py
@@ -3,7 +3,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from skylarkferry_admission.quota_buckets import Demand, Grant, OwnerVote, QuotaBucket, ShareClock
+from skylarkferry_admission.quota_buckets import BurstOwner, Demand, Grant, QuotaBucket, ShareClock
 from skylarkferry_admission.quota_limits import MAX_SHARE_S, QuotaMargin
 from skylarkferry_core.customers import Quota
 
@@ -31,20 +31,24 @@
     assert_that(share.take(), Equals(0.0))
 
 
-def test_change_of_owner_begins_a_new_vote_without_the_former_owners_time():
-    vote = OwnerVote(0.0)
-    vote.use("g1", 0.0)
-    vote.on_answer((1, 5.0), 0.5)
-    assert_that((vote.current_echo(1.0), vote.is_loyal(2.0)), Equals(((1, 5.0), True)))
-    vote.use("g2", 2.0)
-    assert_that((vote.current_echo(2.0), vote.is_loyal(2.5)), Equals((None, False)))
+def test_change_of_owner_moves_the_burst_share_without_the_former_owners_time():
+    burst_owner = BurstOwner(0.0)
+    burst_owner.use("g1", 0.0)
+    burst_owner.on_answer((1, 5.0), 0.5)
+    assert_that(
+        (burst_owner.current_echo(1.0), burst_owner.counts_burst(2.0)), Equals(((1, 5.0), True))
+    )
+    burst_owner.use("g2", 2.0)
+    assert_that(
+        (burst_owner.current_echo(2.0), burst_owner.counts_burst(2.5)), Equals((None, False))
+    )
 
 
 def test_old_time_of_an_owner_is_not_named():
-    vote = OwnerVote(0.0)
-    vote.use("g1", 0.0)
-    vote.on_answer((1, 5.0), 0.5)
-    assert_that(vote.current_echo(1.6), Equals(None))
+    burst_owner = BurstOwner(0.0)
+    burst_owner.use("g1", 0.0)
+    burst_owner.on_answer((1, 5.0), 0.5)
+    assert_that(burst_owner.current_echo(1.6), Equals(None))
 
 
 def test_requests_take_stock_and_then_ask():
--- a/tests/admission/test_quota_limits.py
+++ b/tests/admission/test_quota_limits.py
@@ -4,9 +4,9 @@
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from skylarkferry_admission.quota_limits import (
-    LOYAL_AFTER_S,
+    BURST_HELD_S,
+    BURST_MOVED_AFTER_S,
     MAX_SHARE_S,
-    VOTE_S,
     QuotaMargin,
     local_limit,
     stock_limits,
@@ -56,4 +56,4 @@
 
 def test_share_of_the_burst_counts_only_after_it_ended_elsewhere():
     """Guards against a share that two owners count at the same time."""
-    assert_that(LOYAL_AFTER_S, GreaterThan(VOTE_S))
+    assert_that(BURST_MOVED_AFTER_S, GreaterThan(BURST_HELD_S))
--- a/tests/admission/test_quota_pools.py
+++ b/tests/admission/test_quota_pools.py
@@ -15,17 +15,17 @@
 class Asker:
     """A gateway's questions to one owner; ``now`` is the time of both."""
 
-    def __init__(self, pools, node="g1", weight=1.0, loyal_s=10.0):
+    def __init__(self, pools, node="g1", weight=1.0, sole_owner_s=10.0):
         self.pools = pools
         self.node = node
         self.weight = weight
-        self.loyal_s = loyal_s
+        self.sole_owner_s = sole_owner_s
         self.number = 0
 
     def ask(self, now, share_s=0.1, version=1, rate=RATE, burst=RATE, *, echo=None, **needs):
         self.number += 1
         named = (NONCE, now - 0.01) if echo is None else echo
-        deposit = Deposit(self.node, self.weight, share_s, self.loyal_s, True, named)
+        deposit = Deposit(self.node, self.weight, share_s, self.sole_owner_s, True, named)
         is_current = self.pools.deposit(self.number, deposit, now)
         demand = Demand(1, rate, burst, **needs)
         return self.pools.grant(self.node, version, [demand], now, is_current=is_current)[0]
@@ -73,7 +73,7 @@
     assert_that(owner.shares, Equals(MAX_SHARE_S))
 
 
-def test_pool_lapses_with_the_votes_of_its_gateways():
+def test_pool_lapses_with_the_burst_shares_of_its_gateways():
     """Guards against an owner that is cut off, or wakes up, with a full pool."""
     owner = pools()
     asker = Asker(owner)
@@ -101,7 +101,7 @@
 def test_share_of_the_burst_of_a_gateway_that_just_came_does_not_count():
     """Guards against a burst share that still counts at the owner that the gateway asked before."""
     owner = pools()
-    asker = Asker(owner, loyal_s=0.5)
+    asker = Asker(owner, sole_owner_s=0.5)
     now = asker.fill(0.0, 3.0)
     granted = asker.ask(now, share_s=0.0, begun=1_000).begun
     assert_that(granted, Equals(int(stock_limits(Quota(RATE, RATE), MARGIN).passing)))
@@ -173,7 +173,7 @@
     assert_that(owner.shares - before, LessThan(0.5 * MARGIN.silent))
 
 
-def vote(owner, node, number, *, gateways, is_settled=True):
+def ask_as(owner, node, number, *, gateways, is_settled=True):
     deposit = Deposit(node, 1 / gateways, 0.0, 10.0, is_settled, (NONCE, 1.0))
     owner.deposit(number, deposit, 1.1)
 
@@ -182,7 +182,7 @@
     owner = pools()
     found = []
     for number in range(3):
-        vote(owner, f"g{number}", number, gateways=3)
+        ask_as(owner, f"g{number}", number, gateways=3)
         found.append(owner.is_whole)
     assert_that(found, Equals([False, False, True]))
 
@@ -190,16 +190,16 @@
 def test_gateways_with_different_lists_are_not_the_whole():
     """Guards against gateways that start at once and each take themselves for the only one."""
     owner = pools()
-    vote(owner, "g1", 1, gateways=2)
-    vote(owner, "g2", 2, gateways=4)
-    vote(owner, "g3", 3, gateways=4)
+    ask_as(owner, "g1", 1, gateways=2)
+    ask_as(owner, "g2", 2, gateways=4)
+    ask_as(owner, "g3", 3, gateways=4)
     assert_that((owner.heard, owner.is_whole), Equals((1.0, False)))
 
 
 def test_gateway_that_has_not_read_the_list_since_it_joined_is_not_the_whole():
     """Guards against a gateway that joined before another's row was written."""
     owner = pools()
-    vote(owner, "g1", 1, gateways=1, is_settled=False)
+    ask_as(owner, "g1", 1, gateways=1, is_settled=False)
     assert_that(owner.is_whole, Equals(False))
 
 
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -57,7 +57,7 @@
 def has_full_pool(gateway):
     """Return whether all shares of the burst have counted at the gateway's owners."""
     return all(
-        exchange.vote.is_loyal(exchange.clock()) and exchange.heard > 0.99
+        exchange.burst_owner.counts_burst(exchange.clock()) and exchange.heard > 0.99
         for exchange in gateway.quotas.exchanges
     )
 
@@ -197,7 +197,7 @@
     await rig.add_replica("r1")
     await add_gateways(rig, 3, rate=40.0, burst=40.0)
     await anyio.sleep(1.5)
-    owner = rig.gateways[0].quotas.exchanges[0].vote.owner
+    owner = rig.gateways[0].quotas.exchanges[0].burst_owner.owner
     ended = next(item for item in rig.gateways if item.settings.node == owner)
     ended.scope.cancel()
     await ended.ended.wait()
