Let the soak tell processes under one upstream id apart

Trace (gateway-1's log): tool-2 said at 50.953 that it leaves as the process born 5 (852); it crashed and was listed as born 6 (51.801) and born 7 (53.306, 851), and got c2-232 at 53.340; its answer said that it leaves (852 at 53.371), and it got nothing more. A process that starts under an id is another one, so the case is allowed; the check compared ids only. It compares processes now, and is as strict for each of them.

--- a/packages/skylarkferry-soak/src/skylarkferry_soak/checks.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/checks.py
@@ -170,17 +170,21 @@
 
 
 def announced_leaving_is_obeyed(observations: Observations) -> Iterator[Finding]:
-    """Find requests sent to an upstream long after the gateway relayed that it is leaving."""
+    """Find requests sent to an upstream long after the gateway relayed that it is leaving.
+
+    Only the process that said so is leaving; one that starts under its id may get requests.
+    """
     sent = {attempt.request_id: attempt for attempt in observations.attempts}
-    relayed_at: dict[tuple[str, str], float] = {}
+    relayed_at: dict[tuple[str, str, int], float] = {}
     for run in _sole_runs(observations):
         attempt = sent[run.request_id]
         if attempt.says_leaving and attempt.is_complete:
-            key = (attempt.gateway, run.upstream)
+            key = (attempt.gateway, run.upstream, run.born_ms)
             relayed_at[key] = min(relayed_at.get(key, float("inf")), attempt.ended_at)
     for run in observations.runs:
         attempt = sent[run.request_id]
-        heard_at = relayed_at.get((attempt.gateway, run.upstream), float("inf"))
+        key = (attempt.gateway, run.upstream, run.born_ms)
+        heard_at = relayed_at.get(key, float("inf"))
         is_late = attempt.sent_at > heard_at + DRAIN_NOTICE_S
         if is_late and not _is_interrupted(observations, attempt.gateway, heard_at, run.ran_at):
             yield Finding("announced_leaving_is_obeyed", f"{run.request_id} ran at {run.upstream}")
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/observations.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/observations.py
@@ -59,7 +59,7 @@
 class UpstreamRun(msgspec.Struct, frozen=True):
     """One run of a request as its upstream, of a software version, observed it.
 
-    ``is_resumption`` tells whether the run continues a stream.
+    ``is_resumption`` tells whether the run continues a stream, ``born_ms`` which process it was.
     """
 
     request_id: str
@@ -68,6 +68,7 @@
     ran_at: float
     version: str = ""
     is_resumption: bool = False
+    born_ms: int = 0
 
 
 class FaultInterval(msgspec.Struct):
--- a/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
@@ -78,7 +78,15 @@
         for run in new_runs:
             is_resumption = "last-event-id" in run.headers
             self.observations.runs.append(
-                UpstreamRun(run.request_id, self.name, run.body, now, self.version, is_resumption)
+                UpstreamRun(
+                    run.request_id,
+                    self.name,
+                    run.body,
+                    now,
+                    self.version,
+                    is_resumption,
+                    self.replica.born_ms,
+                )
             )
         if new_runs and self.crash is not None and CRASH_MARKER in request.body:
             return await self.crash(self)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -211,6 +211,16 @@
     assert_that(violated_checks(many_requests), Equals({"announced_leaving_is_obeyed"}))
 
 
+# Seed 7102 found c2-232 at tool-2: its process had said so 2.4 s and two restarts before.
+def test_process_that_starts_under_the_id_of_a_leaving_one_may_get_requests(many_requests):
+    many_requests.attempts[4].says_leaving = True
+    runs = many_requests.runs
+    for index, run in enumerate(runs):
+        if run.request_id.startswith("many-") and run.ran_at > 21.0:
+            runs[index] = msgspec.structs.replace(run, born_ms=run.born_ms + 1)
+    assert_that(violated_checks(many_requests), Equals(set()))
+
+
 def test_gateway_that_restarted_may_send_to_a_leaving_upstream(many_requests):
     many_requests.attempts[4].says_leaving = True
     many_requests.process_starts["g1"].append(21.0)
