--- a/review/harness-2/harness_2.py
+++ b/review/harness-2/harness_2.py
@@ -20,7 +20,7 @@
 from skylarkferry_standins.ports import free_address
 from skylarkferry_standins.replica import Replica
 from skylarkferry_standins.row_store import RowStore
-from skylarkferry_standins.wire_server import WireReply, WireServer
+from skylarkferry_standins.wire_server import WireServer
 
 HOST = "ficu95.example"
 STORE_ANSWER_S = 0.004
@@ -279,6 +279,7 @@
         self.gateways = []
         self.replicas = {}
         self.tasks = None
+        self.has_result = False
 
     async def start(self, tasks, document) -> None:
         self.tasks = tasks
@@ -326,6 +327,10 @@
     def end(self) -> None:
         for gateway in self.gateways:
             gateway.kill()
+            if not self.has_result:
+                lines = (self.folder / f"{gateway.name}.log").read_text(errors="replace")
+                for line in lines.splitlines()[-20:]:
+                    self.record.write(f"log of {gateway.name}: {line}")
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
@@ -399,6 +404,7 @@
             with anyio.fail_after(110):
                 async with anyio.create_task_group() as tasks:
                     result = await scenario(deployment, tasks, trouble)
+                    deployment.has_result = result != NOT_RUN
                     tasks.cancel_scope.cancel()
             return result
         finally:
@@ -414,4 +420,3 @@
     os._exit(result) if result != NOT_RUN else sys.exit(NOT_RUN)
 
 
-__all__ = ["WireReply"]
