--- a/review/harness-2/harness_2.py
+++ b/review/harness-2/harness_2.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -44,8 +45,9 @@
         self.file.flush()
 
     def say(self, text: str) -> None:
-        print(text, flush=True)
         self.write(text)
+        with contextlib.suppress(BrokenPipeError):
+            print(text, flush=True)
 
 
 class Store(RowStore):
