--- a/review/6/case.py
+++ b/review/6/case.py
@@ -148,6 +148,7 @@
                 self.sent += 1
                 reply = await client.send("POST", "/stock-order/2f", headers, b"o" * 600)
                 self.answered += reply.status == 200
+                self.record.write(f"order {identity} to {self.gateway.name}: {reply.status}")
             except (OSError, EOFError, TimeoutError) as error:
                 ran = any(identity in r.received_ids for r in self.deployment.replicas.values())
                 if is_kept and ran:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -100,6 +100,7 @@
             pass
         client.close()
         outcomes.append(any(identity in r.received_ids for r in deployment.replicas.values()))
+        deployment.record.write(f"first turn {identity} sent; reached a replica: {outcomes[-1]}")
         await asyncio.sleep(0.5)
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -167,6 +167,7 @@
                 pass
             client.close()
             first.append(any(identity in r.received_ids for r in deployment.replicas.values()))
+            record.write(f"first turn {identity} sent; reached a replica: {first[-1]}")
             await asyncio.sleep(0.3)
 
     await asyncio.gather(first_turns(), *[go_on(session) for session in sessions])
