--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
@@ -88,15 +88,14 @@
             request_metadata = context.upstream_request_metadata(attempts, decision, now)
             reply_deadline = context.reply_deadline(attempts, decision, now)
             with anyio.move_on_at(reply_deadline):
-                reply = await exchange.send(
-                    attempts.request, attempts.request.body, request_metadata
-                )
+                body = (attempts.request.body,)
+                reply = await exchange.send(attempts.request, body, request_metadata)
                 context.on_reply(decision, reply)
-                body = await exchange.body()
+                content = await exchange.body()
                 attempts.held.append(exchange.take_held())
                 await exchange.finish()
                 context.check_slowdown(attempts, decision, now)
-                return reply, body
+                return reply, content
             raise AnswerInvalidError("no response in time")
 
     def _evaluate(
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -37,6 +37,9 @@
 """Size of one receive call: one full TCP window."""
 SEND_BYTES = 65_536
 """Most bytes of a response handed to the socket at once; each part has ``CLIENT_SEND_S``."""
+BODY_SEND_BYTES = 131_072
+"""Most bytes of a request body handed to the socket at once; the event loop copies what the socket
+does not accept."""
 PIPELINED_BYTES = 65_536
 """Bytes read ahead from a client while its request is served; beyond that, reading pauses."""
 COUNTED_BODY_BYTES = 131_072
@@ -96,7 +99,7 @@
 """Retry-After of a gateway that reaches neither store nor peers; another can serve at once."""
 
 TURN_CACHE_MEMORY_SHARE = 0.15
-"""Share of the process's memory limit for the cache of retained turns."""
+"""Share of the process's memory limit for retained turns, cached or in use by requests."""
 HELD_MEMORY_SHARE = 0.25
 """Share of the process's memory limit for all that it holds for requests under way.
 
@@ -113,6 +116,10 @@
 Slow readers alone do not use up what new work needs: responses and streams together stay below
 ``NEW_WORK_MEMORY_SHARE`` of all.
 """
+TRANSFER_MEMORY_SHARE = 0.05
+"""Share of the limit for the buffers of store calls that carry turns."""
+TRANSFER_COPIES = 4
+"""Bytes of buffers for each byte of content in a store call: base64, JSON and decoded."""
 STREAM_HOLD_S = 1.0
 """Time for which a slow client may hold its upstream's stream back.
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
@@ -1,7 +1,7 @@
 """One HTTP exchange with an upstream: connection, request and response."""
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
 from http import HTTPStatus
 from types import TracebackType
@@ -142,7 +142,7 @@
 
     async def _process_report(self, connection: HttpConnection) -> int:
         headers = [(b"host", self.upstream.entry.address.encode())]
-        await connection.send(b"GET", self.codec.process_report_target(), headers, b"")
+        await connection.send(b"GET", self.codec.process_report_target(), headers, ())
         head = await connection.read_head()
         body = await connection.body(_MAX_REPORT_BYTES)
         if not connection.finish(None):
@@ -152,9 +152,12 @@
         return self.codec.decode_process_report(body)
 
     async def send(
-        self, request: ClientRequest, body: bytes, request_metadata: UpstreamRequestMetadata
+        self,
+        request: ClientRequest,
+        body: Sequence[bytes],
+        request_metadata: UpstreamRequestMetadata,
     ) -> Reply:
-        """Send the request and return the head of its response.
+        """Send the request, with its body in parts, and return the head of its response.
 
         Raise ``ConnectionLostError`` or ``AnswerInvalidError``: the request may have been executed.
         """
@@ -165,7 +168,7 @@
             *self.codec.upstream_headers(request_metadata),
         ]
         send = partial(self.connection.send, request.method, request.target, headers, body)
-        if len(body) <= defaults.LARGE_BODY_BYTES:
+        if sum(map(len, body)) <= defaults.LARGE_BODY_BYTES:
             await send()
             return await self._matching_reply(request)
         return await self._send_large(request, send)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/failover_store.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/failover_store.py
@@ -12,7 +12,7 @@
 from skylarkferry_core.interfaces import Condition, Row, Write
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
-from skylarkferry_gateway.interfaces import Changes, Snapshot, Store
+from skylarkferry_gateway.interfaces import Changes, Snapshot, Span, Store
 from skylarkferry_gateway.outage_retries import OutageRetries
 from skylarkferry_gateway.peers import (
     PeerClient,
@@ -104,6 +104,22 @@
         self.remembered.keep_rows(prefix, rows)
         return rows
 
+    async def scan_span(self, span: Span) -> list[Row]:
+        """Return the rows of a span, in key order; raise ``PlatformUnavailableError``."""
+
+        async def relayed() -> list[Row]:
+            call = RelayedCall(
+                CallKind.SCAN, span.prefix, first=span.first, end=span.end, rows=span.rows
+            )
+            rows = (await self._relayed(call)).rows
+            # A peer of an earlier version returns all rows of the part.
+            names = [row.key.rpartition("/")[2] for row in rows]
+            return [
+                row for row, name in zip(rows, names, strict=True) if span.first <= name < span.end
+            ]
+
+        return await self._call(lambda: self.direct.scan_span(span), relayed)
+
     async def transact(self, conditions: Sequence[Condition], writes: Sequence[Write]) -> int:
         """Apply all writes atomically and return the new version of the written rows.
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/gateway.py
@@ -165,14 +165,12 @@
         store_deadline = attempts.deadline + defaults.DEADLINE_SLACK_S
         work = ActiveTurn(request, route, attempts.engine, self.turn_services, store_deadline)
         try:
-            body = await work.begin()
+            relay = StreamRelay(self.context, attempts, client, work, await work.begin())
+            status = await relay.relay()
         except UnknownTurnError:
             # The turn may be that of the customer to which the key has moved.
             self.access.check_unknown(table, "moves the key")
             raise
-        try:
-            relay = StreamRelay(self.context, attempts, client, work, body)
-            status = await relay.relay()
         finally:
             work.settle()
         if relay.first_event_at is not None:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/held_memory.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/held_memory.py
@@ -1,5 +1,6 @@
 """Account of the bytes that this process holds for requests, with a share for each use."""
 
+from collections.abc import Callable
 from enum import Enum
 
 from skylarkferry_core.errors import AnswerInvalidError
@@ -10,16 +11,22 @@
 
 
 class MemoryUse(Enum):
-    """What held bytes are for; ``RESPONSES`` includes the output of turns under way."""
+    """What held bytes are for.
+
+    ``RESPONSES`` includes the output of turns under way; ``TRANSFERS`` are the buffers of store
+    calls that carry turns.
+    """
 
     BODIES = "bodies"
     RESPONSES = "responses"
     STREAMS = "streams"
+    TRANSFERS = "transfers"
 
 
 class MemoryAccount:
     """Bytes held for all uses together, at most ``limit_bytes``.
 
+    ``on_release`` is called whenever bytes were released.
     New work is admitted below a part of it only, so that work under way has room to end.
     """
 
@@ -27,12 +34,14 @@
         self.limit_bytes = int(process_limit_bytes * defaults.HELD_MEMORY_SHARE)
         self.used = 0
         self.was_full = False
+        self.on_release: Callable[[], None] = _do_nothing
         self.shares = {
             use: MemoryShare(self, int(process_limit_bytes * share))
             for use, share in (
                 (MemoryUse.BODIES, defaults.BODY_MEMORY_SHARE),
                 (MemoryUse.RESPONSES, defaults.RESPONSE_MEMORY_SHARE),
                 (MemoryUse.STREAMS, defaults.STREAM_MEMORY_SHARE),
+                (MemoryUse.TRANSFERS, defaults.TRANSFER_MEMORY_SHARE),
             )
         }
 
@@ -83,6 +92,8 @@
         """Release reserved bytes."""
         self.used -= count
         self.account.used -= count
+        if count:
+            self.account.on_release()
 
 
 class HeldBytes:
@@ -112,3 +123,7 @@
         """Release the memory."""
         self.share.release(self.reserved)
         self.reserved = 0
+
+
+def _do_nothing() -> None:
+    return
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 client connections: one exchange at a time, with a distinct error for each failure."""
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import suppress
 
 import anyio
@@ -21,6 +21,7 @@
 from skylarkferry_gateway.sockets import is_readable
 
 _MAX_HEAD_BYTES = 65_536
+_ZEROS = bytes(65_536)
 _MAX_RECENT_REQUESTS = 64
 """Requests of a connection whose customers are kept; a response comes late by a few requests."""
 _MAX_INTERIM_RESPONSES = 8
@@ -90,24 +91,35 @@
         self.exchanges = 0
         self.callers = RecentCallers()
 
-    async def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
-        """Send a request; raise ``ConnectionLostError`` if the connection breaks."""
-        sized_headers = [*headers, (b"content-length", str(len(body)).encode())]
+    async def send(
+        self, method: bytes, target: bytes, headers: Headers, body: Sequence[bytes]
+    ) -> None:
+        """Send a request with its body in parts, which are not joined.
+
+        Raise ``ConnectionLostError`` if the connection breaks.
+        """
+        size = sum(map(len, body))
+        sized_headers = [*headers, (b"content-length", str(size).encode())]
         self.request = h11.Request(method=method, target=target, headers=sized_headers)
         self.is_request_sent = False
-        data = self._encode(self.request, body)
+        head = self._pass_to_parser(self.request, size)
         try:
-            await self.stream.send(data)
+            for data in _batches(head, body):
+                await self.stream.send(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise ConnectionLostError(f"connection lost while sending: {error!r}") from error
         self.is_request_sent = True
 
-    def _encode(self, request: h11.Request, body: bytes) -> bytes:
-        parts = [self.http.send(request)]
-        if body:
-            parts.append(self.http.send(h11.Data(data=body)))
-        parts.append(self.http.send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
+    def _pass_to_parser(self, request: h11.Request, size: int) -> bytes:
+        """Tell the parser that a request with a body of this size is sent; return its head.
+
+        The parser only counts the bytes of a body.
+        """
+        head = self.http.send(request) or b""
+        for start in range(0, size, len(_ZEROS)):
+            self.http.send_with_data_passthrough(h11.Data(data=_ZEROS[: size - start]))
+        self.http.send(h11.EndOfMessage())
+        return head
 
     async def read_head(
         self,
@@ -184,15 +196,10 @@
                 "the connection was closed after the response to another request"
             )
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
-        self._encode(
-            self.request, b"" if self._has_empty_body() else b"\0" * self._request_body_bytes()
-        )
+        self._pass_to_parser(self.request, self._request_body_bytes())
         if trailing:
             self.http.receive_data(trailing)
 
-    def _has_empty_body(self) -> bool:
-        return self._request_body_bytes() == 0
-
     def _request_body_bytes(self) -> int:
         assert self.request is not None
         return int(dict(self.request.headers)[b"content-length"])
@@ -224,3 +231,19 @@
         """Close at once, which makes the server stop the current request."""
         with suppress(OSError):
             await anyio.aclose_forcefully(self.stream)
+
+
+def _batches(head: bytes, body: Sequence[bytes]) -> Iterator[bytes]:
+    """Yield a request in batches of at most ``BODY_SEND_BYTES``, so that only one is copied."""
+    batch = [head]
+    size = len(head)
+    for part in body:
+        for start in range(0, len(part), defaults.BODY_SEND_BYTES):
+            piece = part[start : start + defaults.BODY_SEND_BYTES]
+            if size + len(piece) > defaults.BODY_SEND_BYTES:
+                yield b"".join(batch)
+                batch, size = [], 0
+            batch.append(piece)
+            size += len(piece)
+    if batch:
+        yield b"".join(batch)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/interfaces.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/interfaces.py
@@ -34,9 +34,21 @@
     age_s: float = 0.0
 
 
+class Span(msgspec.Struct, frozen=True):
+    """Rows of a part, ``prefix``, from the name ``first`` to before ``end``, at most ``rows``."""
+
+    prefix: str
+    first: str
+    end: str
+    rows: int
+
+
 class Store(Table, Protocol):
     """The platform's table store and its change feed; keys have the form ``table/part/key``."""
 
+    async def scan_span(self, span: Span) -> list[Row]:
+        """Return the rows of a span, in key order; raise ``PlatformUnavailableError``."""
+
     async def snapshot(self, key: str) -> Snapshot:
         """Return a row and the version after which to follow its changes."""
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -218,6 +218,11 @@
             "Requests refused because the process held too many bytes.",
             registry=self.registry,
         )
+        self.chain_refusals = Counter(
+            "skylarkferry_gateway_chain_refusals",
+            "Turns refused because there was no memory for the turns before them.",
+            registry=self.registry,
+        )
         self.body_refusals = Counter(
             "skylarkferry_gateway_body_refusals",
             "Attempts not made because all usable upstreams held many large request bodies.",
@@ -245,7 +250,11 @@
         """Show what the account and the cache hold whenever the metrics are read."""
         for use, share in account.shares.items():
             self.held_bytes.labels(use=use.value).set_function(partial(getattr, share, "used"))
-        self.held_bytes.labels(use="turn_cache").set_function(lambda: turns.held_bytes)
+        self.held_bytes.labels(use="turn_cache").set_function(
+            lambda: turns.held_bytes - turns.in_use_bytes
+        )
+        self.held_bytes.labels(use="turns_in_use").set_function(lambda: turns.in_use_bytes)
+        self.held_bytes.labels(use="turns_reserved").set_function(lambda: turns.reserved_bytes)
 
     def text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -15,6 +15,7 @@
     ConnectionLostError,
     MalformedDataError,
     NotOwnerError,
+    OverloadedError,
     PlatformUnavailableError,
     SkylarkferryError,
     TokensSpentError,
@@ -34,9 +35,16 @@
     ToldStream,
     ToldStreams,
 )
-from skylarkferry_gateway.relayed_calls import CallKind, RelayedCall, RelayedReply, perform_call
+from skylarkferry_gateway.relayed_calls import (
+    CallKind,
+    CallOutcome,
+    RelayedCall,
+    RelayedReply,
+    perform_call,
+)
 from skylarkferry_gateway.remembered_rows import RememberedRows
 from skylarkferry_gateway.stream_origins import StreamOrigins
+from skylarkferry_gateway.transfer_room import TransferRoom
 from skylarkferry_gateway.transfer_timeout import TransferTimeout
 
 Reply = TypeVar("Reply")
@@ -149,12 +157,15 @@
         origins: StreamOrigins,
         remembered: RememberedRows | None = None,
         callers: PeerCallers | None = None,
+        *,
+        transfers: TransferRoom | None = None,
     ) -> None:
         self.accounts = accounts
         self.store = store
         self.origins = origins
         self.remembered = remembered or RememberedRows()
         self.callers = callers or PeerCallers()
+        self.transfers = transfers
         self.feeds = anyio.Semaphore(defaults.PEER_FEEDS)
 
     async def handle(self, received: ReceivedRequest, client: ClientConnection) -> None:
@@ -193,10 +204,22 @@
                 tasks.start_soon(_send_progress, client)
                 if call.kind is CallKind.CHANGES:
                     await stack.enter_async_context(self.feeds)
-                reply = msgspec.json.encode(await perform_call(self.store, call))
+                reply = msgspec.json.encode(await self._perform_within_memory(call))
                 tasks.cancel_scope.cancel()
             await client.respond(200, [], reply)
 
+    async def _perform_within_memory(self, call: RelayedCall) -> RelayedReply:
+        """Make a store call once there is memory for the rows that it carries."""
+        size = call.content_bytes
+        if self.transfers is None or not size:
+            return await perform_call(self.store, call)
+        deadline_at = anyio.current_time() + defaults.PEER_STORE_TIMEOUT_S
+        try:
+            async with self.transfers.hold(size, deadline_at, is_write=bool(call.writes)):
+                return await perform_call(self.store, call)
+        except OverloadedError as error:
+            return RelayedReply(CallOutcome.REFUSED, detail=error.detail)
+
     async def _take_streams(self, body: bytes, client: ClientConnection) -> None:
         """Keep the streams of a gateway that ends, unless this one has told its own already."""
         if self.origins.has_told:
@@ -323,7 +346,7 @@
             headers = [(b"host", address.encode())]
             if self.own_address:
                 headers.append((_PEER_HEADER, self.own_address.encode()))
-            await connection.send(b"POST", target, headers, body)
+            await connection.send(b"POST", target, headers, (body,))
             head = await connection.read_head(_MAX_PROGRESS_RESPONSES, on_progress)
             data = await connection.body(limit_bytes, on_progress)
             is_kept = connection.finish(None)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relayed_calls.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relayed_calls.py
@@ -11,7 +11,10 @@
     WriteConflictError,
 )
 from skylarkferry_core.interfaces import Condition, Row, Write
-from skylarkferry_gateway.interfaces import Store
+from skylarkferry_gateway.interfaces import Span, Store
+
+MAX_ROW_BYTES = 49_152
+"""Longest value of a row; in base64 it has the 64 KiB that the store accepts."""
 
 
 class CallKind(Enum):
@@ -36,13 +39,30 @@
 
 
 class RelayedCall(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One store call; ``name`` is a row key, a prefix or a table, ``after`` is a version."""
+    """One store call; ``name`` is a row key, a prefix or a table, ``after`` is a version.
+
+    A scan with a number of ``rows`` is that of the names from ``first`` to before ``end``.
+    """
 
     kind: CallKind
     name: str = ""
     after: int = 0
     conditions: tuple[Condition, ...] = ()
     writes: tuple[Write, ...] = ()
+    first: str = ""
+    end: str = ""
+    rows: int = 0
+
+    @property
+    def span(self) -> Span | None:
+        """Return the span of a scan, ``None`` if it is that of a whole part."""
+        return Span(self.name, self.first, self.end, self.rows) if self.rows else None
+
+    @property
+    def content_bytes(self) -> int:
+        """Return the most bytes of rows that the call carries, 0 if that is not known."""
+        written = sum(len(write.value or b"") for write in self.writes)
+        return written + self.rows * MAX_ROW_BYTES
 
 
 class RelayedReply(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -78,7 +98,9 @@
             snapshot = await store.snapshot(call.name)
             return RelayedReply(CallOutcome.DONE, [snapshot.row], snapshot.version)
         case CallKind.SCAN:
-            return RelayedReply(CallOutcome.DONE, await store.scan(call.name))
+            span = call.span
+            rows = await (store.scan(call.name) if span is None else store.scan_span(span))
+            return RelayedReply(CallOutcome.DONE, rows)
         case CallKind.CHANGES:
             changes = await store.changes(call.name, call.after, 0.0)
             return RelayedReply(CallOutcome.DONE, list(changes.rows), changes.version)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -20,6 +20,8 @@
 from skylarkferry_gateway.access import AccessControl
 from skylarkferry_gateway.accounts import AccountManager
 from skylarkferry_gateway.budgets import ProgramBudgets
+from skylarkferry_gateway.chain_memory import ChainMemory
+from skylarkferry_gateway.chain_reads import ChainReader
 from skylarkferry_gateway.coordinator import PlacementCoordinator
 from skylarkferry_gateway.coordinators import Coordinators
 from skylarkferry_gateway.crash_watch import CrashWatch
@@ -51,6 +53,8 @@
 from skylarkferry_gateway.stream_handover import StreamHandover
 from skylarkferry_gateway.stream_origins import StreamOrigins
 from skylarkferry_gateway.stream_resumptions import StreamResumptions
+from skylarkferry_gateway.transfer_room import TransferRoom
+from skylarkferry_gateway.turn_rows import TurnRows
 from skylarkferry_gateway.turns import TurnServices, TurnStore
 from skylarkferry_gateway.upstream_log import UpstreamLog
 from skylarkferry_gateway.upstreams import Upstreams
@@ -110,7 +114,10 @@
         self.memory = memory = MemoryAccount(settings.memory_bytes)
         self.request_memory = RequestMemory(memory, log, metrics)
         metrics.follow_memory(memory, cache)
-        turns = TurnStore(store, cache, log)
+        self.transfers = TransferRoom(memory)
+        turn_rows = TurnRows(store, self.transfers)
+        chains = ChainReader(turn_rows, cache, ChainMemory(cache, log, metrics))
+        turns = TurnStore(turn_rows, cache, chains)
         turn_services = TurnServices(self.budgets, turns, memory.shares[MemoryUse.RESPONSES], log)
         checker = ProcessChecker(self.upstreams, rng)
         self.crashes = CrashWatch(store, checker, log, metrics)
@@ -189,6 +196,7 @@
                 self.origins,
                 self.store.remembered,
                 self.callers,
+                transfers=self.transfers,
             )
             optional = [
                 (self.settings.metrics_listen, self._answer_metrics),
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -29,6 +29,9 @@
 class StreamListener(Protocol):
     """Observer of relayed events, notified of the stream's end before the client is."""
 
+    def on_accepted(self) -> None:
+        """Learn that an upstream runs the request and that no other one will get its body."""
+
     def on_events(self, events: list[StreamEvent]) -> None:
         """Record events about to be sent; raise ``SkylarkferryError`` if they cannot be kept."""
 
@@ -49,14 +52,14 @@
         attempts: Attempts,
         client: ClientConnection,
         listener: StreamListener,
-        body: bytes,
+        body: tuple[bytes, ...],
     ) -> None:
         self.context = context
         self.attempts = attempts
         self.client = client
         self.listener = listener
         self.body = body
-        attempts.body_bytes = len(body)
+        attempts.body_bytes = sum(map(len, body))
         self.position = StreamPosition(attempts.request.metadata.last_event_id)
         self.backlog = StreamBacklog(
             client, context.tasks, context.memory.shares[MemoryUse.STREAMS], context.metrics
@@ -142,7 +145,7 @@
 
     async def _exchange(self, decision: Selection) -> int | None:
         context, attempts = self.context, self.attempts
-        async with context.exchange(decision.upstream, len(self.body)) as exchange:
+        async with context.exchange(decision.upstream, attempts.body_bytes) as exchange:
             await exchange.connect(attempts.idle_limit_s, attempts.request)
             decision.alive_at = exchange.alive_at
             await self._check_process(exchange, decision)
@@ -164,6 +167,7 @@
                 raise rejection
             if reply.status != HTTPStatus.OK:
                 return await self._relay_other_status(exchange, decision, reply)
+            self._on_accepted()
             self.position.begin_response(reply.metadata.media_type)
             self._record_prompt(decision)
             await self._relay_events(exchange, decision, reply)
@@ -175,6 +179,12 @@
         await self._complete(reply)
         return reply.status
 
+    def _on_accepted(self) -> None:
+        """Drop the body if no other upstream can continue the stream."""
+        if not self.attempts.route.is_resumable:
+            self.body = ()
+            self.listener.on_accepted()
+
     async def _check_process(self, exchange: Exchange, decision: Selection) -> None:
         """Verify that the process which gets the stream has the listed software version.
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/turns.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/turns.py
@@ -3,141 +3,41 @@
 import anyio
 import msgspec
 
-from skylarkferry_core.customer_ids import id_as_sent
-from skylarkferry_core.errors import (
-    AnswerInvalidError,
-    BadRequestError,
-    PlatformUnavailableError,
-    UnknownTurnError,
-    WriteConflictError,
-)
+from skylarkferry_core.errors import AnswerInvalidError, PlatformUnavailableError
 from skylarkferry_core.events import EventKind
-from skylarkferry_core.histories import NO_TURN, Turn, TurnCache, following_turn, prompt_of
+from skylarkferry_core.histories import Lineage, Turn, TurnCache, lineage_after, prompt_of
 from skylarkferry_core.ids import TurnId
-from skylarkferry_core.interfaces import Condition, Write
 from skylarkferry_core.routes import EngineSpec, Route
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.budgets import ProgramBudgets
-from skylarkferry_gateway.decoding import decode
-from skylarkferry_gateway.failover_store import FailoverStore
+from skylarkferry_gateway.chain_memory import HeldChain
+from skylarkferry_gateway.chain_reads import ChainReader
 from skylarkferry_gateway.held_memory import HeldBytes, MemoryShare
 from skylarkferry_gateway.messages import ClientRequest, Reservation
-from skylarkferry_gateway.store_calls import key_part, retry_until, row_key, write_once
 from skylarkferry_gateway.stream_events import StreamEvent
-
-_TABLE = "turns"
-_HEAD_NAME = "0000"
-_CHUNK_BYTES = 45_000
-"""Bytes of content per row; with base64 and envelope, a row stays within the store's 64 KiB."""
-_CALL_BYTES = 600_000
-"""Bytes of content per store call; in base64, a call stays within the store's 1 MB."""
-
-
-class TurnHead(msgspec.Struct, frozen=True, array_like=True):
-    """First row of a stored turn; ``rows`` is the number of rows with the rest of its content."""
-
-    turn: Turn
-    rows: int = 0
-
-
-_HEAD = msgspec.msgpack.Decoder(TurnHead)
+from skylarkferry_gateway.turn_rows import TurnRows
 
 
 class TurnStore:
     """Completed turns, cached in memory; each is written to the store before its stream ends."""
 
-    def __init__(self, store: FailoverStore, cache: TurnCache, log: EventLog) -> None:
-        self.store = store
+    def __init__(
+        self,
+        rows: TurnRows,
+        cache: TurnCache,
+        chains: ChainReader,
+    ) -> None:
+        self.rows = rows
+        self.store = rows.store
         self.cache = cache
-        self.log = log
+        self.chains = chains
 
     async def save(self, turn_id: TurnId, turn: Turn, deadline_at: float) -> None:
         """Make a turn durable; raise ``PlatformUnavailableError`` if that may have failed."""
-        part = key_part(turn_id)
-        chunks = _split(turn.content)
-        head = TurnHead(msgspec.structs.replace(turn, content=chunks[0]), len(chunks) - 1)
-        for first in range(1, len(chunks), _CALL_BYTES // _CHUNK_BYTES):
-            end = min(first + _CALL_BYTES // _CHUNK_BYTES, len(chunks))
-            numbers = range(first, end)
-            writes = [Write(row_key(_TABLE, part, f"{n:04d}"), chunks[n]) for n in numbers]
-            await write_once(self.store, [Condition(writes[0].key, 0)], writes, deadline_at)
-        write = Write(row_key(_TABLE, part, _HEAD_NAME), msgspec.msgpack.encode(head))
-        try:
-            await write_once(self.store, [Condition(write.key, 0)], [write], deadline_at)
-        except WriteConflictError as error:
-            raise BadRequestError("a turn with this request id is already stored") from error
+        await self.rows.write(turn_id, turn, deadline_at)
         self.cache.put(turn_id, turn)
 
-    async def load_chain(self, turn_id: TurnId, deadline_at: float) -> list[Turn]:
-        """Return the chain of turns that ends with ``turn_id``, oldest first.
-
-        Raise ``UnknownTurnError`` only if the store certainly has no such turn, and
-        ``PlatformUnavailableError`` if a turn of the chain cannot be read.
-        """
-        chain: list[Turn] = []
-        while turn_id != NO_TURN:
-            newest = await self._load(turn_id, deadline_at)
-            if newest is None:
-                raise UnknownTurnError(f"no turn {id_as_sent(turn_id)}")
-            ancestors = await self._load_all(newest.ancestors, deadline_at)
-            chain = [*ancestors, newest, *chain]
-            turn_id = chain[0].previous
-        return chain
-
-    async def _load_all(self, turn_ids: tuple[TurnId, ...], deadline_at: float) -> list[Turn]:
-        """Return turns that must exist; those not in memory are read concurrently."""
-        found = {turn_id: self.cache.get(turn_id) for turn_id in turn_ids}
-        missing = [turn_id for turn_id, turn in found.items() if turn is None]
-
-        async def read(turn_id: TurnId) -> None:
-            try:
-                found[turn_id] = await self._load(turn_id, deadline_at)
-            except PlatformUnavailableError as error:
-                failures.append(error)
-
-        failures: list[PlatformUnavailableError] = []
-        if missing:
-            async with anyio.create_task_group() as tasks:
-                for turn_id in missing:
-                    tasks.start_soon(read, turn_id)
-            if failures:
-                raise failures[0]
-        turns = [turn for turn in found.values() if turn is not None]
-        if len(turns) < len(turn_ids):
-            raise PlatformUnavailableError("an earlier turn of the chain is missing from the store")
-        return turns
-
-    async def _load(self, turn_id: TurnId, deadline_at: float) -> Turn | None:
-        cached = self.cache.get(turn_id)
-        if cached is not None:
-            return cached
-        if self.store.unavailable_s() > defaults.STORE_LOST_AFTER_S:
-            raise PlatformUnavailableError(
-                "the store does not answer; the turn is not in this process's cache"
-            )
-        part = key_part(turn_id)
-        row = await retry_until(
-            lambda: self.store.read(row_key(_TABLE, part, _HEAD_NAME)), deadline_at
-        )
-        if row.version == 0:
-            return None
-        head = decode(_HEAD.decode, row.value)
-        turn = head.turn
-        if head.rows:
-            rows = await retry_until(
-                lambda: self.store.scan(row_key(_TABLE, part, "")), deadline_at
-            )
-            rest = b"".join(item.value for item in rows[1 : head.rows + 1])
-            turn = msgspec.structs.replace(turn, content=turn.content + rest)
-        self.cache.put(turn_id, turn)
-        return turn
-
-
-def _split(content: bytes) -> list[bytes]:
-    starts = range(0, max(len(content), 1), _CHUNK_BYTES)
-    return [content[start : start + _CHUNK_BYTES] for start in starts]
-
 
 class ActiveTurn:
     """One turn in progress: records its stream, stores the turn and settles its budget."""
@@ -159,13 +59,15 @@
         self.tokens = 0
         self.output = bytearray()
         self.held = HeldBytes(turn_services.memory)
-        self.chain: list[Turn] = []
+        self.chain: HeldChain | None = None
+        self.lineage = Lineage()
         self.has_reserved = False
 
-    async def begin(self) -> bytes:
-        """Read the chain, reserve the budget and return the request body for the upstream.
+    async def begin(self) -> tuple[bytes, ...]:
+        """Read the chain, reserve the budget and return the parts of the body for the upstream.
 
-        Raise ``UnknownTurnError``, ``TokensSpentError`` or ``PlatformUnavailableError``.
+        Raise ``OverloadedError``, ``UnknownTurnError``, ``TokensSpentError`` or
+        ``PlatformUnavailableError``.
         """
         metadata = self.request.metadata
         if self.route.retains_context:
@@ -185,7 +87,7 @@
                 )
             )
             self.has_reserved = True
-        return prompt_of(self.chain, self.request.body)
+        return prompt_of(self.chain.turns if self.chain is not None else [], self.request.body)
 
     async def _read_chain(self) -> None:
         previous = self.request.metadata.previous_turn
@@ -193,17 +95,25 @@
             return
         turns = self.turn_services.turns
         was_known = turns.cache.get(previous) is not None
-        deadline_at = min(self.deadline_at, anyio.current_time() + defaults.CHAIN_READ_TIMEOUT_S)
-        self.chain = await turns.load_chain(previous, deadline_at)
+        began = anyio.current_time()
+        self.chain = await turns.chains.hold(previous, self.deadline_at)
+        self.lineage = lineage_after(previous, self.chain.turns)
         if not was_known:
             self.turn_services.log.emit(
                 EventKind.GATEWAY_CHAIN_READ,
                 self.request.metadata.program_id,
                 request=self.request.metadata.request_id,
                 previous=previous,
-                turns=len(self.chain),
+                turns=len(self.chain.turns),
+                bytes=self.chain.plan.chain_bytes,
+                ms=round((anyio.current_time() - began) * 1_000),
             )
 
+    def on_accepted(self) -> None:
+        """Release the chain, which only another attempt would need."""
+        if self.chain is not None:
+            self.chain.release()
+
     def on_events(self, events: list[StreamEvent]) -> None:
         """Count and record events before they are sent to the client.
 
@@ -226,8 +136,7 @@
             return
         started = anyio.current_time()
         content = self.request.body + self.output
-        parent = self.chain[-1] if self.chain else None
-        turn = following_turn(self.request.metadata.previous_turn, parent, content)
+        turn = self.lineage.turn(content)
         await self.turn_services.turns.save(self.turn_id, turn, self.deadline_at)
         self.turn_services.log.emit(
             EventKind.GATEWAY_TURN_KEPT,
@@ -240,6 +149,7 @@
     def settle(self) -> None:
         """Settle the reservation with the tokens that were sent, and release the turn's memory."""
         self.held.release()
+        self.on_accepted()
         if self.has_reserved:
             self.turn_services.budgets.settle(
                 self.request.metadata.program_id, self.turn_id, self.tokens
--- a/tests/gateway/test_long_peer_answers.py
+++ b/tests/gateway/test_long_peer_answers.py
@@ -7,9 +7,11 @@
 from gateway_rig import headers, large_config, send, wait_until
 from skylarkferry_core.interfaces import Row, Write
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.held_memory import MemoryAccount
 from skylarkferry_gateway.interfaces import Changes
 from skylarkferry_gateway.peers import PeerClient, PeerServer, PeerSilentError
 from skylarkferry_gateway.relayed_calls import CallKind, CallOutcome, RelayedCall
+from skylarkferry_gateway.transfer_room import TransferRoom
 from skylarkferry_standins.ports import free_address
 from skylarkferry_standins.row_store import StoreFault
 from slow_link import SMALL_LINK_MBPS, SlowLink, slow_store
@@ -91,17 +93,24 @@
 
 
 class CountingStore:
-    """A store whose changes are large; counts the calls that it answers at the same time."""
+    """A store whose answers are large; counts the calls that it answers at the same time."""
 
     def __init__(self):
         self.current = self.most = 0
 
     async def changes(self, table, after, wait_s):
+        await self._answer()
+        return Changes([Row("op//config", b"x" * 100_000, 1)], 1)
+
+    async def scan_span(self, span):
+        await self._answer()
+        return [Row(f"{span.prefix}{number:04d}", b"x" * 45_000, 1) for number in range(span.rows)]
+
+    async def _answer(self):
         self.current += 1
         self.most = max(self.most, self.current)
         await anyio.sleep(0.05)
         self.current -= 1
-        return Changes([Row("op//config", b"x" * 100_000, 1)], 1)
 
 
 class Client:
@@ -126,6 +135,21 @@
     assert_that(store.most, Equals(defaults.PEER_FEEDS))
 
 
+# Guards against a peer that exceeds its memory for gateways that the store rejects.
+async def test_turns_for_many_gateways_are_not_held_in_memory_at_once(anyio_backend):
+    store = CountingStore()
+    transfers = TransferRoom(MemoryAccount(128 << 20))
+    server = PeerServer(None, store, None, transfers=transfers)
+    call = RelayedCall(CallKind.SCAN, "turns/t/", first="0001", end="0005", rows=4)
+    clients = [Client() for _ in range(24)]
+    async with anyio.create_task_group() as tasks:
+        for client in clients:
+            tasks.start_soon(server.perform, call, client)
+    assert_that([client.answers for client in clients], Equals([[200]] * 24))
+    most = transfers.share.limit_bytes // (call.content_bytes * defaults.TRANSFER_COPIES)
+    assert_that((store.most, transfers.share.used), Equals((most, 0)))
+
+
 async def test_large_write_through_a_peer_has_time_on_small_links(rig):
     connected = await rig.add_gateway("connected")
     link = SlowLink(connected.settings.peer_listen, 1_000.0, up_mbps=SMALL_LINK_MBPS / 2)
--- a/tests/processes/test_slow_readers.py
+++ b/tests/processes/test_slow_readers.py
@@ -3,12 +3,7 @@
 import asyncio
 import contextlib
 import json
-import os
 import socket
-import subprocess
-import sys
-import time
-from pathlib import Path
 
 import anyio
 import httpx
@@ -16,17 +11,14 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from boot_files import BOOT_TOML
+from gateway_process import SMALLEST_MEMORY_MB, GatewayProcess, listening
 from gateway_rig import config, entry, headers, turn_headers
-from skylarkferry_platform import boot
-from skylarkferry_standins.ports import free_address
 from skylarkferry_standins.replica import Replica
 from skylarkferry_standins.row_store import RowStore
-from skylarkferry_standins.wire_server import WireReply, WireServer
+from skylarkferry_standins.wire_server import WireReply
 
 pytestmark = pytest.mark.anyio
 
-MEMORY_MB = 128
 RESPONSE_BYTES = 6_000_000
 """Size of a response and of a stream; the buffers of a socket on loopback take some 3 MB."""
 STREAM = b"".join(
@@ -49,65 +41,6 @@
         return WireReply(200, reply.headers, body)
 
 
-class GatewayProcess:
-    """A gateway process at an address of its own."""
-
-    def __init__(self, directory, store_address):
-        self.ip = f"127.{os.getpid() % 250 + 2}.{time.monotonic_ns() // 1_000 % 250}.77"
-        text = BOOT_TOML.replace("10.1.0.38", self.ip).replace("10.200.1.7:8142", store_address)
-        path = directory / "boot.toml"
-        path.write_text(text.replace("memoryMb = 170", f"memoryMb = {MEMORY_MB}"))
-        self.log = (directory / "log").open("wb")
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "skylarkferry_platform"],
-            env={**os.environ, boot.PATH_VARIABLE: str(path)},
-            stdout=self.log,
-            stderr=subprocess.STDOUT,
-        )
-
-    def peak_mb(self):
-        """Return the most memory that the process had in use."""
-        status = Path(f"/proc/{self.process.pid}/status").read_text()
-        line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
-        return int(line.split()[1]) / 1_024
-
-    async def wait_until_ready(self):
-        async with httpx.AsyncClient() as client:
-            with anyio.fail_after(20):
-                while True:
-                    with contextlib.suppress(httpx.TransportError):
-                        if (await client.get(f"http://{self.ip}:8141/")).status_code == 200:
-                            return
-                    await anyio.sleep(0.1)
-
-    async def send(self, client, path, fields, body=b""):
-        url = f"http://{self.ip}:8149{path}"
-        return await client.post(url, headers=fields, content=body)
-
-    async def end(self):
-        self.process.kill()
-        self.process.wait()
-        self.log.close()
-        await anyio.sleep(0.2)  # a listener is not closed while a connection arrives
-
-
-@contextlib.asynccontextmanager
-async def listening(tasks, handler):
-    """Serve a handler at a free address."""
-    address = free_address()
-    host, _, port = address.rpartition(":")
-    listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
-    scope = anyio.CancelScope()
-
-    async def serve():
-        with scope:
-            await listener.serve(WireServer(handler).serve)
-
-    tasks.start_soon(serve)
-    yield address
-    scope.cancel()
-
-
 @contextlib.asynccontextmanager
 async def gateway_before_upstreams(directory):
     """Run a gateway process before one plain service and one engine."""
@@ -171,5 +104,5 @@
         peak_mb = gateway.peak_mb()
     print(f"peak {peak_mb:.1f} MB, {refused} of {len(served)} other requests refused")
     assert_that(is_running, Equals(True))
-    assert peak_mb < MEMORY_MB
+    assert peak_mb < SMALLEST_MEMORY_MB
     assert_that(set(served), Equals({200}))
