--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -113,6 +113,11 @@
     GATEWAY_MEMORY_FULL = (824, Level.WARNING, "A request was refused: too much memory is in use.")
     GATEWAY_BODIES_FULL = (825, Level.WARNING, "All usable upstreams hold many large bodies.")
     GATEWAY_CHAIN_REFUSED = (826, Level.WARNING, "A turn was refused: no memory for its chain now.")
+    GATEWAY_CHAIN_UNREAD = (
+        827,
+        Level.WARNING,
+        "A turn was refused: its chain is not read in time.",
+    )
     GATEWAY_SLOWDOWN_DOUBTED = (845, Level.WARNING, "A reported slowdown contradicts the speed.")
     GATEWAY_CONFIGURED = (850, Level.INFO, "The process now uses a newer routing table.")
     GATEWAY_UPSTREAM_SEEN = (851, Level.INFO, "An upstream was listed and may receive requests.")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/chain_memory.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/chain_memory.py
@@ -1,5 +1,7 @@
 """Memory of the chains of turns that requests under way need, given out in order of arrival."""
 
+from collections.abc import Callable
+
 import anyio
 import msgspec
 
@@ -36,7 +38,10 @@
 
 
 class ChainMemory:
-    """Memory of all chains in use, within the limit of the cache of turns."""
+    """Memory of all chains in use, within the limit of the cache of turns.
+
+    ``on_shortage`` is called when a chain has to wait.
+    """
 
     def __init__(self, cache: TurnCache, log: EventLog, metrics: GatewayMetrics) -> None:
         self.cache = cache
@@ -45,6 +50,7 @@
         self.queue = RoomQueue()
         self.waiting_bytes = 0
         self.hold_s = 0.0
+        self.on_shortage: Callable[[], None] = _do_nothing
 
     def try_hold(self, plan: ChainPlan) -> "HeldChain | None":
         """Return the chain with its memory, or ``None`` if it has to wait for it."""
@@ -54,6 +60,7 @@
     async def hold(self, plan: ChainPlan, deadline_at: float) -> "HeldChain":
         """Return the chain once there is room for all of it; raise ``OverloadedError``."""
         chain = HeldChain(self, plan)
+        self.on_shortage()
         wait_s = max(deadline_at - anyio.current_time(), 0) * _WAIT_SHARE
         expected_s = self.expected_wait_s(plan.most_bytes)
         if plan.most_bytes > self.cache.limit_bytes or expected_s > wait_s:
@@ -103,7 +110,10 @@
 
 
 class HeldChain:
-    """A chain of turns that stays in memory until it is released; ``turns`` is oldest first."""
+    """A chain of turns that stays in memory until each of its ``uses`` has released it.
+
+    ``turns`` is oldest first.
+    """
 
     def __init__(self, memory: ChainMemory, plan: ChainPlan) -> None:
         self.memory = memory
@@ -113,6 +123,7 @@
         self.turns: list[Turn] = []
         self.reserved = 0
         self.taken_at: float | None = None
+        self.uses = 1
 
     def take(self) -> bool:
         """Use the turns that are cached and reserve the rest, or change nothing without room."""
@@ -150,7 +161,10 @@
         self.memory.queue.admit()
 
     def release(self) -> None:
-        """End the use of the turns, which stay in the cache as long as there is room."""
+        """End one use; the turns then stay in the cache as long as there is room."""
+        self.uses -= 1
+        if self.uses > 0:
+            return
         taken_at, self.taken_at = self.taken_at, None
         if taken_at is None:
             return
@@ -164,3 +178,7 @@
     def _unreserve(self, count: int) -> None:
         self.reserved -= count
         self.cache.unreserve(count)
+
+
+def _do_nothing() -> None:
+    return
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/chain_reads.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/chain_reads.py
@@ -1,138 +1,161 @@
-"""Chains of retained turns, from memory or read from the store."""
+"""Chains that requests need: from memory, or by a read that all requests for a chain share."""
+
+import math
+from copy import copy
 
 import anyio
 
-from skylarkferry_core.customer_ids import id_as_sent
 from skylarkferry_core.errors import (
+    OverloadedError,
     PlatformUnavailableError,
     SkylarkferryError,
-    UnknownTurnError,
 )
-from skylarkferry_core.histories import NO_TURN, Turn, TurnCache, memory_bytes
+from skylarkferry_core.events import EventKind
+from skylarkferry_core.histories import NO_TURN, TurnCache
 from skylarkferry_core.ids import TurnId
+from skylarkferry_daemon.background_tasks import TaskStarter
+from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.chain_memory import ChainMemory, ChainPlan, HeldChain
-from skylarkferry_gateway.turn_rows import TurnHead, TurnRows
-
-
-class ChainReader:
-    """Hold the chains of requests: their turns are cached, or read once there is room for all."""
-
-    def __init__(self, rows: TurnRows, cache: TurnCache, memory: ChainMemory) -> None:
-        self.rows = rows
+from skylarkferry_gateway.chain_reader import ChainReader
+from skylarkferry_gateway.read_progress import ReadProgress
+
+_CHECK_S = 0.1
+"""Interval between checks of a read's progress."""
+
+
+class SharedRead:
+    """A read of one chain; it goes on while a request that left may come back for it."""
+
+    def __init__(self) -> None:
+        self.progress = ReadProgress()
+        self.scope = anyio.CancelScope(deadline=-math.inf)
+        self.waiters = 0
+        self.done = anyio.Event()
+        self.chain: HeldChain | None = None
+        self.error: SkylarkferryError = PlatformUnavailableError("the read of the turns was ended")
+
+    def join(self, needed_until: float) -> None:
+        """Add a request, whose client may come back until a monotonic time."""
+        self.waiters += 1
+        self.progress.is_needed = True
+        self.scope.deadline = max(self.scope.deadline, needed_until)
+
+    def leave(self) -> None:
+        """Remove a request that does not wait any more."""
+        self.waiters -= 1
+        self.progress.is_needed = self.waiters > 0
+        if self.chain is not None:
+            self.chain.release()
+
+    def end(self) -> None:
+        """Hand the chain to the requests that wait for it."""
+        if self.chain is not None:
+            self.chain.uses = self.waiters
+            if not self.waiters:
+                self.chain.release()
+        self.done.set()
+
+
+class ChainReads:
+    """Give requests the chains that they continue."""
+
+    def __init__(
+        self, reader: ChainReader, cache: TurnCache, memory: ChainMemory, log: EventLog
+    ) -> None:
+        self.reader = reader
         self.cache = cache
         self.memory = memory
+        self.log = log
+        self.tasks: TaskStarter | None = None
+        self.reads: dict[TurnId, SharedRead] = {}
+        memory.on_shortage = self._end_unneeded
 
-    async def hold(self, turn_id: TurnId, deadline_at: float) -> HeldChain:
+    async def hold(self, turn_id: TurnId, deadline_at: float, needed_until: float) -> HeldChain:
         """Return the chain of turns that ends with ``turn_id``; the caller releases it.
 
-        Raise ``UnknownTurnError`` only if the store certainly has no such turn,
-        ``PlatformUnavailableError`` if a turn of the chain cannot be read, and ``OverloadedError``
-        if there is no memory for it.
+        A read that is too slow for ``deadline_at`` goes on for a later try, until ``needed_until``.
+        Raise as ``ChainReader.read`` does, and ``OverloadedError`` for such a read.
         """
-        newest = await self._newest(turn_id, deadline_at)
-        plan = await self._plan(turn_id, newest.turn, deadline_at)
-        heads = {turn_id: newest}
-        del newest
-        chain = self.memory.try_hold(plan)
-        if chain is None:
-            heads.clear()  # what is not in the account is not kept while the chain waits
-            chain = await self.memory.hold(plan, deadline_at)
+        chain = self._from_cache(turn_id)
+        if chain is not None:
+            return chain
+        read = self.reads.get(turn_id)
+        if read is None:
+            read = self.reads[turn_id] = SharedRead()
+            assert self.tasks is not None
+            self.tasks.start_soon(self._read, turn_id, read, deadline_at)
+        read.join(max(needed_until, deadline_at))
         try:
-            read_by = min(deadline_at, anyio.current_time() + defaults.CHAIN_READ_TIMEOUT_S)
-            await self._fill(chain, heads, read_by)
+            return await self._wait(turn_id, read, deadline_at)
         except BaseException:
-            chain.release()
+            read.leave()
             raise
-        return chain
 
-    async def _newest(self, turn_id: TurnId, deadline_at: float) -> TurnHead:
-        cached = self.cache.get(turn_id)
-        if cached is not None:
-            return TurnHead(cached)
-        read_by = min(deadline_at, anyio.current_time() + defaults.CHAIN_READ_TIMEOUT_S)
-        head = await self._read_head(turn_id, read_by)
-        if head is None:
-            raise UnknownTurnError(f"no turn {id_as_sent(turn_id)}")
-        return head
-
-    async def _plan(self, turn_id: TurnId, newest: Turn, deadline_at: float) -> ChainPlan:
-        """Return what has to be held for the chain that ends with a turn."""
-        size = newest.chain_bytes or await self._measure(turn_id, deadline_at)
-        overhead = memory_bytes(turn_id, newest) - len(newest.content)
-        return ChainPlan((*newest.ancestors, turn_id), size, overhead)
-
-    async def _measure(self, turn_id: TurnId, deadline_at: float) -> int:
-        """Return the most bytes of a chain whose turns do not record it."""
+    def _from_cache(self, turn_id: TurnId) -> HeldChain | None:
+        """Return the chain if all of its turns are cached and have room."""
+        turn_ids: list[TurnId] = []
         size = 0
-        turn_ids = [turn_id]
-        while turn_ids:
-            current = turn_ids.pop()
-            cached = self.cache.get(current)
-            head = TurnHead(cached) if cached else await self._ancestor(current, deadline_at)
-            size += head.most_bytes
-            if head.turn.previous != NO_TURN:
-                turn_ids.append(head.turn.previous)
-        return size
-
-    async def _fill(
-        self, chain: HeldChain, heads: dict[TurnId, TurnHead], deadline_at: float
-    ) -> None:
-        """Read the turns that are not cached; older ones follow from the oldest that is known.
+        following = turn_id
+        while following != NO_TURN:
+            newest = self.cache.get(following)
+            if newest is None:
+                return None
+            known = [*newest.ancestors, following]
+            turns = [turn for turn in map(self.cache.get, known) if turn is not None]
+            if len(turns) < len(known):
+                return None
+            size += sum(len(turn.content) for turn in turns)
+            turn_ids = [*known, *turn_ids]
+            following = turns[0].previous
+        chain = self.memory.try_hold(ChainPlan(tuple(turn_ids), size, 0))
+        if chain is not None:
+            chain.complete(turn_ids)
+        return chain
 
-        ``heads`` holds first rows that were read already.
-        """
-        turn_ids = list(chain.plan.turn_ids)
-        for turn_id, head in heads.items():
-            if turn_id not in chain.by_id:
-                chain.add(turn_id, await self.rows.read_rest(turn_id, head, deadline_at))
-        known = turn_ids
-        while known:
-            await self._read_all(chain, known, deadline_at)
-            before = chain.by_id[turn_ids[0]].previous
-            if before == NO_TURN:
-                break
-            await self._read_all(chain, [before], deadline_at)
-            known = [*chain.by_id[before].ancestors]
-            turn_ids = [*known, before, *turn_ids]
-        chain.complete(turn_ids)
-
-    async def _read_all(self, chain: HeldChain, turn_ids: list[TurnId], deadline_at: float) -> None:
-        """Read turns concurrently; raise the first failure."""
-        failures: list[SkylarkferryError] = []
-
-        async def read(turn_id: TurnId) -> None:
-            try:
-                chain.add(turn_id, await self._read(turn_id, deadline_at))
-            except SkylarkferryError as error:
-                failures.append(error)
-                tasks.cancel_scope.cancel()
-
-        missing = [turn_id for turn_id in turn_ids if turn_id not in chain.by_id]
-        if missing:
-            async with anyio.create_task_group() as tasks:
-                for turn_id in missing:
-                    tasks.start_soon(read, turn_id)
-        if failures:
-            raise failures[0]
-
-    async def _read(self, turn_id: TurnId, deadline_at: float) -> Turn:
-        cached = self.cache.get(turn_id)
-        if cached is not None:
-            return cached
-        head = await self._ancestor(turn_id, deadline_at)
-        return await self.rows.read_rest(turn_id, head, deadline_at)
-
-    async def _ancestor(self, turn_id: TurnId, deadline_at: float) -> TurnHead:
-        """Return the first row of a turn that must exist, as a later one names it."""
-        head = await self._read_head(turn_id, deadline_at)
-        if head is None:
-            raise PlatformUnavailableError("an earlier turn of the chain is missing from the store")
-        return head
-
-    async def _read_head(self, turn_id: TurnId, deadline_at: float) -> TurnHead | None:
-        if self.rows.store.unavailable_s() > defaults.STORE_LOST_AFTER_S:
-            raise PlatformUnavailableError(
-                "the store does not answer; the turn is not in this process's cache"
-            )
-        return await self.rows.read_head(turn_id, deadline_at)
+    async def _read(self, turn_id: TurnId, read: SharedRead, deadline_at: float) -> None:
+        try:
+            with read.scope:
+                read.chain = await self.reader.read(turn_id, deadline_at, read.progress)
+        except SkylarkferryError as error:
+            read.error = error
+        finally:
+            del self.reads[turn_id]
+            read.end()
+
+    async def _wait(self, turn_id: TurnId, read: SharedRead, deadline_at: float) -> HeldChain:
+        while not read.done.is_set():
+            self._check(turn_id, read, deadline_at)
+            with anyio.move_on_after(_CHECK_S):
+                await read.done.wait()
+        if read.chain is None:
+            raise copy(read.error)
+        return read.chain
+
+    def _check(self, turn_id: TurnId, read: SharedRead, deadline_at: float) -> None:
+        """Raise an error if the store is silent or the read will not end in time."""
+        silent_s = read.progress.silent_s()
+        remaining_s = read.progress.remaining_s()
+        ends_at = anyio.current_time() + (remaining_s or 0.0)
+        if silent_s < defaults.CHAIN_READ_TIMEOUT_S and ends_at < deadline_at:
+            return
+        self.log.emit(
+            EventKind.GATEWAY_CHAIN_UNREAD,
+            previous=turn_id,
+            arrived_bytes=read.progress.arrived_bytes,
+            missing_bytes=read.progress.missing_bytes,
+            silent_ms=round(silent_s * 1_000),
+            remaining_ms=round(remaining_s * 1_000) if remaining_s is not None else "none",
+        )
+        if silent_s >= defaults.CHAIN_READ_TIMEOUT_S:
+            raise PlatformUnavailableError("the store did not answer in time")
+        raise OverloadedError(
+            "the turns before this one are still being read",
+            retry_after_s=round(max(remaining_s or 0.0, defaults.RETRY_AFTER_S), 3),
+        )
+
+    def _end_unneeded(self) -> None:
+        """End reads for which no request waits, as others need their memory."""
+        for read in self.reads.values():
+            if not read.waiters:
+                read.scope.cancel()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -118,6 +118,8 @@
 """
 TRANSFER_MEMORY_SHARE = 0.05
 """Share of the limit for the buffers of store calls that carry turns."""
+TRANSFER_WINDOW_S = 0.1
+"""Time on the host's link of the turns that are read at the same time."""
 TRANSFER_COPIES = 4
 """Bytes of buffers for each byte of content in a store call: base64, JSON and decoded."""
 STREAM_HOLD_S = 1.0
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/failover_store.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/failover_store.py
@@ -12,7 +12,7 @@
 from skylarkferry_core.interfaces import Condition, Row, Write
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
-from skylarkferry_gateway.interfaces import Changes, Snapshot, Span, Store
+from skylarkferry_gateway.interfaces import Changes, Snapshot, Span, Store, ignore_arrival
 from skylarkferry_gateway.outage_retries import OutageRetries
 from skylarkferry_gateway.peers import (
     PeerClient,
@@ -104,21 +104,27 @@
         self.remembered.keep_rows(prefix, rows)
         return rows
 
-    async def scan_span(self, span: Span) -> list[Row]:
-        """Return the rows of a span, in key order; raise ``PlatformUnavailableError``."""
+    async def scan_span(
+        self, span: Span, on_arrival: Callable[[int], None] = ignore_arrival
+    ) -> list[Row]:
+        """Return the rows of a span, in key order; raise ``PlatformUnavailableError``.
+
+        ``on_arrival`` is called with the number of bytes of the answer whenever some arrive, and
+        with 0 when a peer tells that it works.
+        """
 
         async def relayed() -> list[Row]:
             call = RelayedCall(
                 CallKind.SCAN, span.prefix, first=span.first, end=span.end, rows=span.rows
             )
-            rows = (await self._relayed(call)).rows
+            rows = (await self._relayed(call, on_arrival)).rows
             # A peer of an earlier version returns all rows of the part.
             names = [row.key.rpartition("/")[2] for row in rows]
             return [
                 row for row, name in zip(rows, names, strict=True) if span.first <= name < span.end
             ]
 
-        return await self._call(lambda: self.direct.scan_span(span), relayed)
+        return await self._call(lambda: self.direct.scan_span(span, on_arrival), relayed)
 
     async def transact(self, conditions: Sequence[Condition], writes: Sequence[Write]) -> int:
         """Apply all writes atomically and return the new version of the written rows.
@@ -241,14 +247,16 @@
         now = anyio.current_time()
         return self.relay_failed_at is None or now - self.relay_failed_at > defaults.RELAY_BACKOFF_S
 
-    async def _relayed(self, call: RelayedCall) -> RelayedReply:
+    async def _relayed(
+        self, call: RelayedCall, on_arrival: Callable[[int], None] = ignore_arrival
+    ) -> RelayedReply:
         """Make a call through the first peer that succeeds; raise ``_NoPeerError`` if none does.
 
         A write that a peer may have performed is not repeated through another peer.
         """
         for address in self._candidates():
             try:
-                reply = await self.peers.store(address, call)
+                reply = await self.peers.store(address, call, on_arrival)
                 result = raise_for_outcome(reply)
             except (PeerDownError, PeerSilentError, PlatformUnavailableError) as error:
                 self.avoided_until[address] = anyio.current_time() + defaults.PEER_BACKOFF_S
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/interfaces.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/interfaces.py
@@ -34,6 +34,10 @@
     age_s: float = 0.0
 
 
+def ignore_arrival(count: int) -> None:
+    """Ignore that bytes of an answer have arrived."""
+
+
 class Span(msgspec.Struct, frozen=True):
     """Rows of a part, ``prefix``, from the name ``first`` to before ``end``, at most ``rows``."""
 
@@ -46,8 +50,13 @@
 class Store(Table, Protocol):
     """The platform's table store and its change feed; keys have the form ``table/part/key``."""
 
-    async def scan_span(self, span: Span) -> list[Row]:
-        """Return the rows of a span, in key order; raise ``PlatformUnavailableError``."""
+    async def scan_span(
+        self, span: Span, on_arrival: Callable[[int], None] = ignore_arrival
+    ) -> list[Row]:
+        """Return the rows of a span, in key order; raise ``PlatformUnavailableError``.
+
+        ``on_arrival`` is called with the number of bytes of the answer whenever some arrive.
+        """
 
     async def snapshot(self, key: str) -> Snapshot:
         """Return a row and the version after which to follow its changes."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -27,7 +27,7 @@
 from skylarkferry_gateway.decoding import check_address, decode
 from skylarkferry_gateway.http_client import HttpConnection, connect
 from skylarkferry_gateway.http_server import ClientConnection, ClientLeftError, ReceivedRequest
-from skylarkferry_gateway.interfaces import Store
+from skylarkferry_gateway.interfaces import Store, ignore_arrival
 from skylarkferry_gateway.messages import (
     HandedPartition,
     Reservation,
@@ -215,7 +215,10 @@
             return await perform_call(self.store, call)
         deadline_at = anyio.current_time() + defaults.PEER_STORE_TIMEOUT_S
         try:
-            async with self.transfers.hold(size, deadline_at, is_write=bool(call.writes)):
+            is_read = not call.writes
+            async with self.transfers.hold(
+                size, deadline_at, is_read=is_read, is_first=not is_read
+            ):
                 return await perform_call(self.store, call)
         except OverloadedError as error:
             return RelayedReply(CallOutcome.REFUSED, detail=error.detail)
@@ -279,14 +282,21 @@
         """Report a turn's use to the owner; raise ``PeerSilentError`` or ``PeerDownError``."""
         await self._call(address, _SETTLE, msgspec.json.encode(settlement))
 
-    async def store(self, address: str, call: RelayedCall) -> RelayedReply:
-        """Make a store call through a peer; raise ``PeerSilentError`` or ``PeerDownError``."""
+    async def store(
+        self, address: str, call: RelayedCall, on_arrival: Callable[[int], None] = ignore_arrival
+    ) -> RelayedReply:
+        """Make a store call through a peer; raise ``PeerSilentError`` or ``PeerDownError``.
+
+        ``on_arrival`` is called with the number of bytes of the answer whenever some arrive, and
+        with 0 when the peer tells that it works.
+        """
         body = await self._call(
             address,
             _STORE,
             msgspec.json.encode(call),
             timeout_s=defaults.PEER_STORE_TIMEOUT_S,
             limit_bytes=defaults.MAX_ANSWER_BYTES,
+            on_arrival=on_arrival,
         )
         return _decode(address, body, _RELAYED_REPLY)
 
@@ -313,13 +323,19 @@
         *,
         timeout_s: float = defaults.PEER_TIMEOUT_S,
         limit_bytes: int = _MAX_REPLY_BYTES,
+        on_arrival: Callable[[int], None] = ignore_arrival,
     ) -> bytes:
         send_s = len(body) / defaults.LINK_BYTES_PER_S
         with anyio.move_on_after(send_s + timeout_s) as scope:
             timeout = TransferTimeout(scope, timeout_s, defaults.PEER_TRANSFER_TIMEOUT_S)
 
+            arrived = 0
+
             def on_progress(size: int = 0) -> None:
+                nonlocal arrived
                 timeout.on_progress()
+                on_arrival(max(size - arrived, 0))
+                arrived = max(size, arrived)
                 self.answered_at = anyio.current_time()
 
             try:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/role.py
@@ -21,7 +21,8 @@
 from skylarkferry_gateway.accounts import AccountManager
 from skylarkferry_gateway.budgets import ProgramBudgets
 from skylarkferry_gateway.chain_memory import ChainMemory
-from skylarkferry_gateway.chain_reads import ChainReader
+from skylarkferry_gateway.chain_reader import ChainReader
+from skylarkferry_gateway.chain_reads import ChainReads
 from skylarkferry_gateway.coordinator import PlacementCoordinator
 from skylarkferry_gateway.coordinators import Coordinators
 from skylarkferry_gateway.crash_watch import CrashWatch
@@ -114,10 +115,8 @@
         self.memory = memory = MemoryAccount(settings.memory_bytes)
         self.request_memory = RequestMemory(memory, log, metrics)
         metrics.follow_memory(memory, cache)
-        self.transfers = TransferRoom(memory)
-        turn_rows = TurnRows(store, self.transfers)
-        chains = ChainReader(turn_rows, cache, ChainMemory(cache, log, metrics))
-        turns = TurnStore(turn_rows, cache, chains)
+        self.transfers = TransferRoom(memory, settings.link_bytes_per_s)
+        turns = self._turns(cache)
         turn_services = TurnServices(self.budgets, turns, memory.shares[MemoryUse.RESPONSES], log)
         checker = ProcessChecker(self.upstreams, rng)
         self.crashes = CrashWatch(store, checker, log, metrics)
@@ -157,6 +156,14 @@
         self.clients: set[ClientConnection] = set()
         self.client_left = anyio.Event()
 
+    def _turns(self, cache: TurnCache) -> TurnStore:
+        """Build the parts that store turns and read their chains within the memory account."""
+        rows = TurnRows(self.store, self.transfers)
+        memory = ChainMemory(cache, self.log, self.metrics)
+        reader = ChainReader(rows, cache, memory)
+        self.chains = ChainReads(reader, cache, memory, self.log)
+        return TurnStore(rows, cache, self.chains)
+
     def _quotas(self) -> QuotaStage:
         """Build the stage of customers' quotas and its exchange with other gateways."""
         bounds = self.settings.quota_bounds
@@ -188,6 +195,7 @@
         async with AsyncExitStack() as stack, anyio.create_task_group() as tasks:
             self.background = background = BackgroundTasks(tasks, self.log, self._count_failure)
             self.budgets.tasks = self.accounts.tasks = self.context.tasks = background
+            self.chains.tasks = background
             self._start_background_work(background)
             listeners = Listeners(background, self.log)
             peer_server = PeerServer(
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/turns.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/turns.py
@@ -1,5 +1,7 @@
 """Caller-driven turns: their budget, the chain they continue, and their stored record."""
 
+import math
+
 import anyio
 import msgspec
 
@@ -12,7 +14,7 @@
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.budgets import ProgramBudgets
 from skylarkferry_gateway.chain_memory import HeldChain
-from skylarkferry_gateway.chain_reads import ChainReader
+from skylarkferry_gateway.chain_reads import ChainReads
 from skylarkferry_gateway.held_memory import HeldBytes, MemoryShare
 from skylarkferry_gateway.messages import ClientRequest, Reservation
 from skylarkferry_gateway.stream_events import StreamEvent
@@ -26,7 +28,7 @@
         self,
         rows: TurnRows,
         cache: TurnCache,
-        chains: ChainReader,
+        chains: ChainReads,
     ) -> None:
         self.rows = rows
         self.store = rows.store
@@ -96,7 +98,10 @@
         turns = self.turn_services.turns
         was_known = turns.cache.get(previous) is not None
         began = anyio.current_time()
-        self.chain = await turns.chains.hold(previous, self.deadline_at)
+        deadline_at = self.deadline_at - defaults.DEADLINE_SLACK_S - defaults.MIN_ATTEMPT_S
+        finish_s = self.request.metadata.finish_s
+        needed_until = self.request.received_at + finish_s if math.isfinite(finish_s) else 0.0
+        self.chain = await turns.chains.hold(previous, deadline_at, needed_until)
         self.lineage = lineage_after(previous, self.chain.turns)
         if not was_known:
             self.turn_services.log.emit(
@@ -111,8 +116,9 @@
 
     def on_accepted(self) -> None:
         """Release the chain, which only another attempt would need."""
-        if self.chain is not None:
-            self.chain.release()
+        chain, self.chain = self.chain, None
+        if chain is not None:
+            chain.release()
 
     def on_events(self, events: list[StreamEvent]) -> None:
         """Count and record events before they are sent to the client.
--- a/tests/gateway/test_long_peer_answers.py
+++ b/tests/gateway/test_long_peer_answers.py
@@ -138,7 +138,7 @@
 # Guards against a peer that exceeds its memory for gateways that the store rejects.
 async def test_turns_for_many_gateways_are_not_held_in_memory_at_once(anyio_backend):
     store = CountingStore()
-    transfers = TransferRoom(MemoryAccount(128 << 20))
+    transfers = TransferRoom(MemoryAccount(128 << 20), 1e9)
     server = PeerServer(None, store, None, transfers=transfers)
     call = RelayedCall(CallKind.SCAN, "turns/t/", first="0001", end="0005", rows=4)
     clients = [Client() for _ in range(24)]
