--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -111,7 +111,11 @@
     GATEWAY_QUOTA_OWNER = (835, Level.INFO, "Another gateway is asked for a shard of the quotas.")
     GATEWAY_QUOTA_DROPPED = (836, Level.WARNING, "A pause ended: tokens held before are dropped.")
     GATEWAY_MEMORY_FULL = (824, Level.WARNING, "A request was refused: too much memory is in use.")
-    GATEWAY_BODIES_FULL = (825, Level.WARNING, "All usable upstreams hold many large bodies.")
+    GATEWAY_BODIES_FULL = (
+        825,
+        Level.WARNING,
+        "An upstream had no room for a large body for too long.",
+    )
     GATEWAY_CHAIN_REFUSED = (826, Level.WARNING, "A turn was refused: no memory for its chain now.")
     GATEWAY_CHAIN_UNREAD = (
         827,
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/attempts.py
@@ -1,6 +1,7 @@
 """Retry state of one client request: attempts made, upstreams tried, deadlines, last error."""
 
 import math
+from collections.abc import Callable
 
 from skylarkferry_core.errors import (
     AnswerTimeoutError,
@@ -42,6 +43,7 @@
     ``stream_row`` is the row by which the version of the last attempt is recorded, if it is;
     ``is_stream_kept`` is whether the stream counts as relayed, ``has_moved`` whether its path has
     led to other services lately.
+    ``has_given_up`` is whether ``refusal`` ends the request.
     ``answer_by`` bounds the deadline at a planned stop.  ``charge`` holds the tokens of its
     customer's quota, ``None`` without a quota.  ``held`` is the memory of complete responses,
     ``body_bytes`` the size of the body that upstreams get.
@@ -65,6 +67,8 @@
         self.tried_upstreams: set[Upstream] = set()
         self.ambiguous_error: SkylarkferryError | None = None
         self.refusal: SkylarkferryError | None = None
+        self.has_given_up = False
+        self.has_client_left: Callable[[], bool] = lambda: False
         self.last_reply: tuple[Reply, bytes] | None = None
         self.held: list[HeldBytes] = []
         self.body_bytes = len(request.body)
@@ -91,7 +95,7 @@
 
     def accepts(self, upstream: Upstream) -> bool:
         """Return whether the request may be sent to the upstream, which takes new requests."""
-        if upstream in self.tried_upstreams or not upstream.has_room_for(self.body_bytes):
+        if upstream in self.tried_upstreams:
             return False
         return self.required_version in (None, upstream.entry.software_version)
 
@@ -131,6 +135,8 @@
 
     def can_attempt(self, now: float) -> bool:
         """Return whether another attempt is allowed and enough time remains for it."""
+        if self.has_given_up:
+            return False
         if self.ambiguous_error is not None and not self.route.is_repeatable:
             return False
         has_time = self.remaining_s(now) >= defaults.MIN_ATTEMPT_S
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/buffered_relay.py
@@ -11,7 +11,7 @@
 )
 from skylarkferry_core.states import FinalWord
 from skylarkferry_gateway.attempts import Attempts
-from skylarkferry_gateway.exchanges import Reply
+from skylarkferry_gateway.exchanges import Reply, UpstreamFullError
 from skylarkferry_gateway.http_server import ClientConnection
 from skylarkferry_gateway.relay_context import RelayContext
 from skylarkferry_gateway.selection import Selection
@@ -25,23 +25,24 @@
 
     async def relay(self, attempts: Attempts, client: ClientConnection) -> int:
         """Respond to the client and return the status; raise the error to respond with instead."""
+        attempts.has_client_left = lambda: client.is_disconnected
         try:
             if attempts.route.is_repeatable:
-                reply, body = await self._fetch(attempts, client)
+                reply, body = await self._fetch(attempts)
             else:
                 with anyio.CancelScope(shield=True):
-                    reply, body = await self._fetch(attempts, client)
+                    reply, body = await self._fetch(attempts)
             headers = self.context.codec.client_headers(reply.headers)
             await client.respond(reply.status, headers, body)
         finally:
             attempts.release_held()
         return reply.status
 
-    async def _fetch(self, attempts: Attempts, client: ClientConnection) -> tuple[Reply, bytes]:
+    async def _fetch(self, attempts: Attempts) -> tuple[Reply, bytes]:
         while True:
             now = anyio.current_time()
             decision = None
-            if attempts.can_attempt(now) and not client.is_disconnected:
+            if attempts.can_attempt(now) and not attempts.has_client_left():
                 decision = await self.context.choose_upstream(attempts, now)
             if decision is None:
                 if attempts.last_reply is not None:
@@ -61,7 +62,10 @@
         try:
             reply, body = await self._exchange(attempts, decision)
         except SkylarkferryError as error:
-            self.context.count_failure(decision, error)
+            if isinstance(error, UpstreamFullError):
+                self.context.count_abandoned(decision)
+            else:
+                self.context.count_failure(decision, error)
             self.context.report_failed_attempt(attempts, decision, error)
             attempts.count_failed(error)
             if error.word is not FinalWord.NOT_RUN:
@@ -80,7 +84,7 @@
 
     async def _exchange(self, attempts: Attempts, decision: Selection) -> tuple[Reply, bytes]:
         context = self.context
-        async with context.exchange(decision.upstream, attempts.body_bytes) as exchange:
+        async with context.exchange(attempts, decision) as exchange:
             await exchange.connect(attempts.idle_limit_s, attempts.request)
             decision.alive_at = exchange.alive_at
             now = anyio.current_time()
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/exchanges.py
@@ -18,6 +18,7 @@
 from skylarkferry_core.events import EventKind
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.body_window import BodyInWindow
 from skylarkferry_gateway.held_memory import HeldBytes, MemoryShare
 from skylarkferry_gateway.http_client import HttpConnection
 from skylarkferry_gateway.interfaces import HeaderCodec
@@ -66,12 +67,16 @@
         return self.status not in _NOT_EXECUTED_STATUSES
 
 
+class UpstreamFullError(UpstreamLostError):
+    """The upstream does not read the large bodies that were sent to it; nothing more was sent."""
+
+
 class Exchange:
     """Context of one exchange.
 
     Leaving it before ``finish`` closes the connection, to stop the upstream's work.
-    ``body_bytes`` is the size of the request's body.  ``alive_at`` is a monotonic time at which the
-    process at the connection's end was alive.
+    ``body_in_window`` counts the request's body until the upstream has it.  ``alive_at`` is a
+    monotonic time at which the process at the connection's end was alive.
     """
 
     def __init__(
@@ -80,7 +85,7 @@
         codec: HeaderCodec,
         memory: MemoryShare,
         *,
-        body_bytes: int,
+        body: BodyInWindow,
         log: EventLog,
         metrics: GatewayMetrics,
     ) -> None:
@@ -89,7 +94,7 @@
         self.log = log
         self.metrics = metrics
         self.held = HeldBytes(memory)
-        self.body_bytes = body_bytes if body_bytes > defaults.COUNTED_BODY_BYTES else 0
+        self.body_in_window = body
         self.connection: HttpConnection | None = None
         self.idle_s: float | None = None
         self.alive_at = -math.inf
@@ -97,7 +102,6 @@
     async def __aenter__(self) -> "Exchange":
         """Add the request to the upstream's requests in flight."""
         self.upstream.local.in_flight += 1
-        self.upstream.body_bytes += self.body_bytes
         return self
 
     async def __aexit__(
@@ -108,7 +112,6 @@
     ) -> None:
         """Remove the request from those in flight and close a connection that was not released."""
         self.upstream.local.in_flight -= 1
-        self.upstream.body_bytes -= self.body_bytes
         self.held.release()
         if self.connection is not None:
             await self.connection.abort()
@@ -171,7 +174,9 @@
         if sum(map(len, body)) <= defaults.LARGE_BODY_BYTES:
             await send()
             return await self._matching_reply(request)
-        return await self._send_large(request, send)
+        reply = await self._send_large(request, send)
+        self.body_in_window.on_answered()
+        return reply
 
     async def _send_large(
         self, request: ClientRequest, send: Callable[[], Awaitable[None]]
@@ -180,7 +185,7 @@
         results: list[Reply] = []
         failures: list[SkylarkferryError] = []
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_send_ignoring_loss, send)
+            tasks.start_soon(self._send_ignoring_loss, send)
             try:
                 results.append(await self._matching_reply(request))
             except SkylarkferryError as error:
@@ -191,6 +196,14 @@
             raise failures[0]
         return results[0]
 
+    async def _send_ignoring_loss(self, send: Callable[[], Awaitable[None]]) -> None:
+        """Send a body and ignore a lost connection, which the reader of the response reports."""
+        try:
+            await send()
+        except ConnectionLostError:
+            return
+        self.body_in_window.on_sent()
+
     async def _matching_reply(self, request: ClientRequest) -> Reply:
         """Return the response to this request; skip those that may belong to earlier ones."""
         assert self.connection is not None
@@ -253,11 +266,3 @@
     if metadata.request_id:
         return metadata.request_id == request.metadata.request_id
     return is_first and (metadata.not_executed or status >= 400)
-
-
-async def _send_ignoring_loss(send: Callable[[], Awaitable[None]]) -> None:
-    """Send a body and ignore a lost connection, which the reader of the response reports."""
-    try:
-        await send()
-    except ConnectionLostError:
-        return
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
@@ -51,6 +51,8 @@
     except (OSError, TimeoutError, MalformedDataError) as error:
         raise UpstreamLostError(f"cannot connect to {address}: {error!r}") from error
     enable_keepalive(stream)
+    raw = stream.extra(SocketAttribute.raw_socket)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, defaults.CLIENT_SOCKET_BYTES)
     return HttpConnection(stream)
 
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/metrics.py
@@ -225,7 +225,13 @@
         )
         self.body_refusals = Counter(
             "skylarkferry_gateway_body_refusals",
-            "Attempts not made because all usable upstreams held many large request bodies.",
+            "Requests refused because their upstream had no room for large request bodies.",
+            registry=self.registry,
+        )
+        self.body_wait = Histogram(
+            "skylarkferry_gateway_body_wait_seconds",
+            "Time for which a request body waited until its upstream had room for it.",
+            buckets=_LATENCY_BUCKETS,
             registry=self.registry,
         )
         self.slow_streams = Counter(
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relay_context.py
@@ -1,6 +1,8 @@
 """Functions shared by the relays: placement, request metadata, health accounting and logging."""
 
 import math
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from http import HTTPStatus
 
 import anyio
@@ -17,8 +19,9 @@
 from skylarkferry_daemon.log import EventLog
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.attempts import Attempts
+from skylarkferry_gateway.body_window import BodyInWindow
 from skylarkferry_gateway.crash_watch import CrashWatch
-from skylarkferry_gateway.exchanges import Exchange, Reply
+from skylarkferry_gateway.exchanges import Exchange, Reply, UpstreamFullError
 from skylarkferry_gateway.held_memory import MemoryAccount, MemoryUse
 from skylarkferry_gateway.interfaces import HeaderCodec
 from skylarkferry_gateway.messages import UpstreamRequestMetadata
@@ -36,6 +39,10 @@
 """Engine priorities range from 0, the highest, to 9; routes are spaced to leave levels between."""
 
 
+_BODY_WAIT_SHARE = 1 / 3
+"""Part of the time left for which a large body waits for room at an upstream."""
+
+
 class RelayContext:
     """Components shared by all relays of one process."""
 
@@ -75,9 +82,7 @@
                     return None
             decision = await self._select(attempts)
         if decision is None:
-            if self._is_full_of_bodies(attempts):
-                attempts.refusal = self._refuse_body(attempts)
-            elif self.selector.is_limited(attempts):
+            if self.selector.is_limited(attempts):
                 attempts.refusal = self._refuse_beyond_limits(attempts)
             elif self.selector.needs_store(attempts):
                 attempts.refusal = PlatformUnavailableError(
@@ -95,38 +100,10 @@
     async def _select(self, attempts: Attempts) -> Selection | None:
         """Return the next upstream; choose again if it filled up while a coordinator was asked."""
         decision = await self.selector.select(attempts)
-        if decision is None or decision.upstream.has_room_for(attempts.body_bytes):
+        if decision is None or decision.upstream.bodies.has_room_for(attempts.body_bytes):
             return decision
         self.selector.on_attempt_ended(decision)
-        decision = await self.selector.select(attempts)
-        if decision is None or decision.upstream.has_room_for(attempts.body_bytes):
-            return decision
-        self.selector.on_attempt_ended(decision)
-        return None
-
-    def _is_full_of_bodies(self, attempts: Attempts) -> bool:
-        """Return whether upstreams would be usable if not for the large bodies that they hold."""
-        members = self.selector.upstreams.for_service(attempts.service)
-        return any(
-            item.accepts_requests and not item.has_room_for(attempts.body_bytes)
-            for item in members
-            if item not in attempts.tried_upstreams
-            and attempts.required_version in (None, item.entry.software_version)
-        )
-
-    def _refuse_body(self, attempts: Attempts) -> SkylarkferryError:
-        self.metrics.body_refusals.inc()
-        self.log.emit(
-            EventKind.GATEWAY_BODIES_FULL,
-            attempts.request.metadata.program_id,
-            request=attempts.request.metadata.request_id,
-            service=attempts.service,
-            bytes=attempts.body_bytes,
-        )
-        return OverloadedError(
-            "the upstreams hold as many large request bodies as they may",
-            retry_after_s=defaults.RETRY_AFTER_S,
-        )
+        return await self.selector.select(attempts)
 
     def _refuse_beyond_limits(self, attempts: Attempts) -> SkylarkferryError:
         self.metrics.limit_refusals.inc()
@@ -164,15 +141,63 @@
         slowdown = decision.upstream.local.slowdown
         return {"slowdown": round(slowdown.value(now), 2)} if slowdown.is_reported else {}
 
-    def exchange(self, upstream: Upstream, body_bytes: int) -> Exchange:
-        """Return a new exchange with an upstream, for a request with a body of this size."""
-        return Exchange(
-            upstream,
-            self.codec,
-            self.response_memory,
-            body_bytes=body_bytes,
-            log=self.log,
-            metrics=self.metrics,
+    @asynccontextmanager
+    async def exchange(self, attempts: Attempts, decision: Selection) -> AsyncIterator[Exchange]:
+        """Begin an exchange with an upstream once it has room for the request's body.
+
+        Raise ``UpstreamFullError``, with nothing sent, if it has none for too long.
+        """
+        body = BodyInWindow(decision.upstream.bodies, attempts.body_bytes)
+        await self._enter(body, attempts, decision)
+        try:
+            async with Exchange(
+                decision.upstream,
+                self.codec,
+                self.response_memory,
+                body=body,
+                log=self.log,
+                metrics=self.metrics,
+            ) as exchange:
+                yield exchange
+        finally:
+            body.leave()
+
+    async def _enter(self, body: BodyInWindow, attempts: Attempts, decision: Selection) -> None:
+        """Wait for room for a body, as long as a retry elsewhere still fits."""
+        if attempts.body_bytes <= defaults.COUNTED_BODY_BYTES:
+            return
+        began = anyio.current_time()
+        wait_s = max(attempts.remaining_s(began), 0) * _BODY_WAIT_SHARE
+        try:
+            with anyio.fail_after(wait_s):
+                await body.enter()
+        except TimeoutError as error:
+            self._refuse_body(attempts, decision, wait_s)
+            raise UpstreamFullError("the upstream does not read the bodies before") from error
+        self.metrics.body_wait.observe(anyio.current_time() - began)
+        if attempts.has_client_left():
+            body.leave()
+            attempts.has_given_up = True
+            raise UpstreamFullError("the client left while its body waited")
+
+    def _refuse_body(self, attempts: Attempts, decision: Selection, waited_s: float) -> None:
+        window = decision.upstream.bodies
+        attempts.has_given_up = True
+        attempts.refusal = OverloadedError(
+            "the upstreams do not read the large request bodies before this one",
+            retry_after_s=round(max(waited_s, defaults.RETRY_AFTER_S), 3),
+        )
+        self.metrics.body_refusals.inc()
+        self.log.emit(
+            EventKind.GATEWAY_BODIES_FULL,
+            attempts.request.metadata.program_id,
+            request=attempts.request.metadata.request_id,
+            upstream=decision.upstream.entry.upstream,
+            bytes=attempts.body_bytes,
+            unread_bytes=window.unread_bytes,
+            unanswered_bytes=window.unanswered_bytes,
+            waiting=len(window.queue.waiting),
+            waited_ms=round(waited_s * 1_000),
         )
 
     def reply_deadline(self, attempts: Attempts, decision: Selection, now: float) -> float:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/selection.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/selection.py
@@ -132,11 +132,13 @@
     def _usable(
         self, attempts: Attempts, members: Sequence[Upstream], now: float
     ) -> list[Upstream]:
+        """Return the upstreams to choose from: those with room for the body, or all if none has."""
         untried = _untried(attempts, members)
         usable = [item for item in untried if self.limits.allows_request(item)]
         if attempts.route.is_resumable and attempts.required_version is None:
-            return self.assignments.suitable(attempts, usable, now)
-        return usable
+            usable = self.assignments.suitable(attempts, usable, now)
+        with_room = [item for item in usable if item.bodies.has_room_for(attempts.body_bytes)]
+        return with_room or usable
 
     async def _ask_coordinator(
         self, query: PlacementQuery, usable: Sequence[Upstream]
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/stream_relay.py
@@ -14,7 +14,7 @@
 from skylarkferry_core.states import FinalWord
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.attempts import Attempts
-from skylarkferry_gateway.exchanges import Exchange, Reply
+from skylarkferry_gateway.exchanges import Exchange, Reply, UpstreamFullError
 from skylarkferry_gateway.held_memory import MemoryUse
 from skylarkferry_gateway.http_server import ClientConnection, ResponseState
 from skylarkferry_gateway.messages import StreamOrigin, UpstreamEntry, UpstreamRequestMetadata
@@ -135,7 +135,9 @@
         return status
 
     def _on_failure(self, decision: Selection, error: SkylarkferryError) -> None:
-        if not isinstance(error, _RefusedError):
+        if isinstance(error, UpstreamFullError):
+            self.context.count_abandoned(decision)
+        elif not isinstance(error, _RefusedError):
             self.context.count_failure(decision, error)
         self.context.report_failed_attempt(self.attempts, decision, error)
         self.attempts.count_failed(error)
@@ -145,7 +147,7 @@
 
     async def _exchange(self, decision: Selection) -> int | None:
         context, attempts = self.context, self.attempts
-        async with context.exchange(decision.upstream, attempts.body_bytes) as exchange:
+        async with context.exchange(attempts, decision) as exchange:
             await exchange.connect(attempts.idle_limit_s, attempts.request)
             decision.alive_at = exchange.alive_at
             await self._check_process(exchange, decision)
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -2,10 +2,13 @@
 
 from collections.abc import Sequence
 
+import anyio
+
 from skylarkferry_core.coordination import shard_count, shard_of
 from skylarkferry_core.ids import ServiceName, UpstreamId
 from skylarkferry_core.request_limits import UpstreamLimit
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.body_window import BodyWindow
 from skylarkferry_gateway.http_client import HttpConnection, connect
 from skylarkferry_gateway.messages import ClientRequest, UpstreamEntry
 from skylarkferry_gateway.upstream_views import UpstreamView
@@ -32,14 +35,10 @@
         self.is_misdirected = False
         self.is_slowdown_doubted = False
         self.removed_at: float | None = None
-        self.body_bytes = 0
-        """Bytes of large request bodies in flight from this gateway."""
-
-    def has_room_for(self, body_bytes: int) -> bool:
-        """Return whether a body of this size may be sent in addition to those in flight."""
-        if body_bytes <= defaults.COUNTED_BODY_BYTES or not self.body_bytes:
-            return True
-        return self.body_bytes + body_bytes <= defaults.UPSTREAM_BODY_BYTES
+        self.bodies = BodyWindow(self._has_free_slot)
+
+    def _has_free_slot(self) -> bool:
+        return self.local.requests(anyio.current_time()) < self.local.slots
 
     @property
     def accepts_requests(self) -> bool:
