--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import suppress
+from http import HTTPStatus
 
 import anyio
 import h11
@@ -18,12 +19,14 @@
 from skylarkferry_gateway import defaults
 from skylarkferry_gateway.decoding import check_address
 from skylarkferry_gateway.messages import ClientRequest, Headers
-from skylarkferry_gateway.sockets import is_readable
+from skylarkferry_gateway.sockets import is_readable, is_reset
 
 _MAX_HEAD_BYTES = 65_536
 _ZEROS = bytes(65_536)
 _MAX_RECENT_REQUESTS = 64
 """Requests of a connection whose customers are kept; a response comes late by a few requests."""
+_RESET_WAIT_S = 0.02
+"""Time in which a reset follows the end of a response, a packet later."""
 _MAX_INTERIM_RESPONSES = 8
 """Interim (1xx) responses accepted before a response; servers send one or two."""
 
@@ -88,6 +91,7 @@
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self.request: h11.Request | None = None
         self.is_request_sent = False
+        self.ends_with_connection = False
         self.opened_at = self.idle_since = anyio.current_time()
         self.idle_s = defaults.POOL_IDLE_S
         self.exchanges = 0
@@ -135,6 +139,7 @@
         for _ in range(max_interim + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self.ends_with_connection = _ends_with_connection(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise AnswerInvalidError(f"expected a response head, got {event!r}")
@@ -147,9 +152,22 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            if self.ends_with_connection:
+                await self._check_end()
             return None
         raise AnswerInvalidError(f"expected a response body, got {event!r}")
 
+    async def _check_end(self) -> None:
+        """Raise ``ConnectionLostError`` if the connection was not ended in order.
+
+        An upstream that ends a connection before it has read the request resets it, at times right
+        after the end of its own direction, which then looks like the end of the response.
+        """
+        if self._request_body_bytes() > defaults.LARGE_BODY_BYTES:
+            await anyio.sleep(_RESET_WAIT_S)
+        if not self.is_request_sent or is_reset(self.stream):
+            raise ConnectionLostError("connection reset at the end of a response without a length")
+
     async def body(
         self, limit_bytes: int, on_growth: Callable[[int], None] = lambda size: None
     ) -> bytes:
@@ -235,6 +253,13 @@
             await anyio.aclose_forcefully(self.stream)
 
 
+def _ends_with_connection(response: h11.Response) -> bool:
+    """Return whether the end of the connection is that of the response's body."""
+    has_body = response.status_code not in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+    names = {name for name, _ in response.headers}
+    return has_body and not names & {b"content-length", b"transfer-encoding"}
+
+
 def _batches(head: bytes, body: Sequence[bytes]) -> Iterator[bytes]:
     """Yield a request in batches of at most ``BODY_SEND_BYTES``, so that only one is copied."""
     batch = [head]
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/sockets.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/sockets.py
@@ -16,6 +16,11 @@
     return _has_event(stream, select.POLLOUT)
 
 
+def is_reset(stream: TypedAttributeProvider) -> bool:
+    """Return whether the connection was reset; the end of one direction is none."""
+    return _has_event(stream, 0)  # errors are reported without a request
+
+
 def _has_event(stream: TypedAttributeProvider, event: int) -> bool:
     descriptor = stream.extra(SocketAttribute.raw_socket).fileno()
     if descriptor < 0:
