--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
@@ -25,6 +25,7 @@
 _ZEROS = bytes(65_536)
 _MAX_RECENT_REQUESTS = 64
 """Requests of a connection whose customers are kept; a response comes late by a few requests."""
+_MAX_STATUS = 599
 _RESET_WAIT_S = 0.02
 """Time in which a reset follows the end of a response, a packet later."""
 _MAX_INTERIM_RESPONSES = 8
@@ -139,6 +140,8 @@
         for _ in range(max_interim + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > _MAX_STATUS:
+                    raise AnswerInvalidError(f"status {event.status_code} is none of HTTP")
                 self.ends_with_connection = _ends_with_connection(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
