--- a/packages/skylarkferry-core/src/skylarkferry_core/events.py
+++ b/packages/skylarkferry-core/src/skylarkferry_core/events.py
@@ -129,6 +129,7 @@
     GATEWAY_UPSTREAM_GONE = (853, Level.INFO, "An upstream is no longer listed.")
     GATEWAY_BREAKER = (854, Level.WARNING, "An upstream's circuit breaker changed state.")
     GATEWAY_ENTRY_REFUSED = (855, Level.WARNING, "An entry of the upstream list is malformed.")
+    GATEWAY_ENTRY_OUTDATED = (828, Level.INFO, "An entry is older than one read before; not used.")
     GATEWAY_CRASH_SUSPECTED = (856, Level.WARNING, "A request was running at an upstream crash.")
     GATEWAY_QUARANTINED = (857, Level.ERROR, "A request crashed several upstreams and is rejected.")
     GATEWAY_CRASH_CHECKED = (858, Level.INFO, "An attempt was lost; whether its upstream ended.")
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/messages.py
@@ -218,7 +218,8 @@
     """An upstream's entry in the platform's registry.
 
     ``born_ms`` is the start time in Unix milliseconds, 0 if unknown; it distinguishes two processes
-    started under one id.  ``software_version`` is empty if unknown.
+    started under one id.  ``sequence`` counts the entries of one start, 0 if unknown.
+    ``software_version`` is empty if unknown.
     """
 
     upstream: UpstreamId
@@ -229,3 +230,4 @@
     is_leaving: bool
     born_ms: int = 0
     software_version: str = ""
+    sequence: int = 0
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_log.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstream_log.py
@@ -4,6 +4,7 @@
 
 from skylarkferry_core.events import EventKind
 from skylarkferry_daemon.log import NO_PROGRAM, EventLog
+from skylarkferry_gateway.messages import UpstreamEntry
 from skylarkferry_gateway.metrics import GatewayMetrics
 from skylarkferry_gateway.upstreams import Upstream
 
@@ -35,6 +36,17 @@
         """Log an upstream that is no longer listed."""
         self._emit(EventKind.GATEWAY_UPSTREAM_GONE, upstream)
 
+    def on_outdated(self, entry: UpstreamEntry) -> None:
+        """Log an entry that is older than one that was read before."""
+        self.log.emit(
+            EventKind.GATEWAY_ENTRY_OUTDATED,
+            NO_PROGRAM,
+            upstream=entry.upstream,
+            born_ms=entry.born_ms,
+            sequence=entry.sequence,
+            leaving=entry.is_leaving,
+        )
+
     def _emit(self, kind: EventKind, upstream: Upstream, **fields: str) -> None:
         entry = upstream.entry
         self.log.emit(
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/upstreams.py
@@ -99,7 +99,8 @@
 class Upstreams:
     """All upstreams by id, from successive reads of the platform's registry.
 
-    ``removed`` holds those that are no longer listed, for what is known of their processes.
+    ``removed`` holds those that are no longer listed, for what is known of their processes;
+    ``outdated`` are the entries of the last read that are older than those read before.
     """
 
     def __init__(self) -> None:
@@ -109,6 +110,7 @@
         self.by_shard: dict[ServiceName, list[list[Upstream]]] = {}
         self.read_at: float | None = None
         self.recovered_at: float | None = None
+        self.outdated: list[UpstreamEntry] = []
 
     def for_service(self, service: ServiceName) -> list[Upstream]:
         """Return a service's upstreams, including draining ones."""
@@ -134,6 +136,9 @@
             self.recovered_at = now
         self.read_at = now
         listed = {entry.upstream: entry for entry in entries}
+        self.outdated = [entry for entry in entries if self._is_outdated(entry)]
+        for entry in self.outdated:
+            self._drop_outdated(listed, entry)
         removed = self._remove_missing(listed, now)
         for entry in listed.values():
             self._add_or_update(entry, now)
@@ -142,6 +147,24 @@
         self._rebuild_index()
         return removed
 
+    def _is_outdated(self, entry: UpstreamEntry) -> bool:
+        """Return whether a later entry of the same start was read before.
+
+        A write of an upstream may be performed seconds after it was sent.
+        """
+        known = self.upstreams.get(entry.upstream) or self.removed.get(entry.upstream)
+        if known is None or not entry.born_ms or _is_restarted(known.entry, entry):
+            return False
+        return entry.sequence < known.entry.sequence
+
+    def _drop_outdated(self, listed: dict[UpstreamId, UpstreamEntry], entry: UpstreamEntry) -> None:
+        """Replace an outdated entry by the later one, or drop it if that was removed."""
+        current = self.upstreams.get(entry.upstream)
+        if current is None:
+            del listed[entry.upstream]
+        else:
+            listed[entry.upstream] = current.entry
+
     def _forget_removed(self, now: float) -> None:
         for upstream_id, upstream in list(self.removed.items()):
             if upstream.removed_at is None or now - upstream.removed_at > _REMOVED_KEEP_S:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/watchers.py
@@ -65,7 +65,11 @@
         await self.assignments.establish(entries)
         before = {key: item.entry for key, item in self.upstreams.upstreams.items()}
         leaving = {key for key, item in self.upstreams.upstreams.items() if item.is_leaving}
+        outdated = self.upstreams.outdated
         gone = self.upstreams.update(entries, anyio.current_time())
+        for entry in self.upstreams.outdated:
+            if entry not in outdated:
+                self.log.on_outdated(entry)
         self.versions.update(asked_at, anyio.current_time())
         self.has_read = True
         for upstream in gone:
--- a/tests/gateway/test_leaving_upstreams.py
+++ b/tests/gateway/test_leaving_upstreams.py
@@ -192,3 +192,18 @@
     events = [event.fields for event in gateway.log.ring if event.number == number]
     found = [(fields["upstream"], fields["source"]) for fields in events]
     assert_that(found, Equals([("r1", "response"), ("r2", "list")]))
+
+
+async def test_late_heartbeat_does_not_revive_an_upstream_that_is_leaving(rig):
+    await add_replicas(rig)
+    gateway = await rig.add_gateway()
+    rig.register_replica("r1", state="draining", sequence=12)
+    await gateway.upstream_watcher.read()
+    rig.register_replica("r1", sequence=11)
+    for _ in range(2):
+        await gateway.upstream_watcher.read()
+    arrivals = len(rig.replicas["r1"].received_ids)
+    assert_that(await send_several(rig, gateway), Equals([200] * 8))
+    assert_that(rig.replicas["r1"].received_ids, HasLength(arrivals))
+    numbers = [event.number for event in gateway.log.ring]
+    assert_that(numbers.count(EventKind.GATEWAY_ENTRY_OUTDATED.number), Equals(1))
--- a/tests/gateway/test_upstreams.py
+++ b/tests/gateway/test_upstreams.py
@@ -65,3 +65,44 @@
     upstreams.update([entry("u1", is_leaving=True)], 0.0)
     assert_that(upstreams.for_service(ServiceName("s"))[0].accepts_requests, Equals(False))
     assert_that(len(upstreams.update([], 10.0)), Equals(1))
+
+
+def upstream_of(upstreams):
+    return upstreams.for_service(ServiceName("s"))[0]
+
+
+# Guards against an upstream that gets requests again although it is leaving.
+async def test_late_entry_of_the_same_start_does_not_replace_a_later_one():
+    upstreams = Upstreams()
+    upstreams.update([entry(born_ms=5, sequence=12, is_leaving=True)], 0.0)
+    late = entry(born_ms=5, sequence=11)
+    assert_that(upstreams.update([late], 0.5), Equals([]))
+    assert_that(upstream_of(upstreams).accepts_requests, Equals(False))
+    assert_that(upstreams.outdated, Equals([late]))
+    upstreams.update([entry(born_ms=5, sequence=13, is_leaving=True)], 1.0)
+    assert_that((upstreams.outdated, upstream_of(upstreams).entry.sequence), Equals(([], 13)))
+
+
+async def test_late_entry_of_an_upstream_that_is_gone_does_not_list_it_again():
+    upstreams = Upstreams()
+    upstreams.update([entry(born_ms=5, sequence=12)], 0.0)
+    upstreams.update([], 0.5)
+    upstreams.update([entry(born_ms=5, sequence=11)], 1.0)
+    assert_that(upstreams.for_service(ServiceName("s")), Equals([]))
+    upstreams.update([entry(born_ms=5, sequence=13)], 1.5)  # it had lapsed
+    assert_that(upstream_of(upstreams).accepts_requests, Equals(True))
+
+
+@pytest.mark.parametrize("fields", [{"born_ms": 6}, {"born_ms": 5, "software_version": "v2"}])
+async def test_entry_of_another_start_counts_anew(fields):
+    upstreams = Upstreams()
+    upstreams.update([entry(born_ms=5, sequence=12, is_leaving=True)], 0.0)
+    upstreams.update([entry(sequence=1, **fields)], 0.5)
+    assert_that(upstream_of(upstreams).accepts_requests, Equals(True))
+
+
+async def test_entries_without_a_start_time_are_not_compared():
+    upstreams = Upstreams()
+    upstreams.update([entry(sequence=12, is_leaving=True)], 0.0)
+    upstreams.update([entry(sequence=1)], 0.5)
+    assert_that(upstream_of(upstreams).accepts_requests, Equals(True))
