--- a/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
+++ b/packages/skylarkferry-soak/src/skylarkferry_soak/testbed.py
@@ -25,6 +25,8 @@
 
 GRACE_S = 5
 """Grace period of the processes: shorter than the platform's 8 s to fit more stops into a run."""
+_LAST_CONNECTIONS_S = 0.2
+"""Time in which connections of processes that were killed still arrive."""
 _ENGINES = 4
 _TOOLS = 3
 ENGINE_VERSIONS = ("v1", "v2")
@@ -302,6 +304,8 @@
         await testbed.start(gateways)
         yield testbed
         _kill_all(testbed)
+        # The event loop raises for a connection that arrives in the step in which a listener ends.
+        await anyio.sleep(_LAST_CONNECTIONS_S)
         tasks.cancel_scope.cancel()
 
 
