--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/chain_reads.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/chain_reads.py
@@ -81,7 +81,7 @@
         if chain is not None:
             return chain
         read = self.reads.get(turn_id)
-        if read is None:
+        if read is None or read.scope.cancel_called:
             read = self.reads[turn_id] = SharedRead()
             assert self.tasks is not None
             self.tasks.start_soon(self._read, turn_id, read, deadline_at)
@@ -120,7 +120,8 @@
         except SkylarkferryError as error:
             read.error = error
         finally:
-            del self.reads[turn_id]
+            if self.reads.get(turn_id) is read:
+                del self.reads[turn_id]
             read.end()
 
     async def _wait(self, turn_id: TurnId, read: SharedRead, deadline_at: float) -> HeldChain:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -217,7 +217,7 @@
         try:
             is_read = not call.writes
             async with self.transfers.hold(
-                size, deadline_at, is_read=is_read, is_first=not is_read
+                size, deadline_at, is_read=is_read, is_urgent=not is_read
             ):
                 return await perform_call(self.store, call)
         except OverloadedError as error:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/transfer_room.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/transfer_room.py
@@ -33,12 +33,12 @@
         deadline_at: float = math.inf,
         *,
         is_read: bool = False,
-        is_first: bool = False,
+        is_urgent: bool = False,
     ) -> AsyncIterator[None]:
         """Wait for the memory of a call that carries so much content, and hold it.
 
-        With ``is_first`` a call goes before those that wait: a write ends a request, and the rest
-        of a turn completes what has arrived.  Raise ``OverloadedError`` at the monotonic time
+        Urgent calls go before those that wait: a write ends a request, and the rest of a turn
+        completes what has arrived.  Raise ``OverloadedError`` at the monotonic time
         ``deadline_at``.
         """
         count = min(content_bytes * defaults.TRANSFER_COPIES, self.share.limit_bytes)
@@ -58,7 +58,7 @@
 
         try:
             with anyio.fail_after(max(deadline_at - anyio.current_time(), 0)):
-                await self.queue.wait(take, give_back, is_first=is_first)
+                await self.queue.wait(take, give_back, is_urgent=is_urgent)
         except TimeoutError as error:
             raise OverloadedError(
                 "other store calls hold all memory for transfers",
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/turn_rows.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/turn_rows.py
@@ -60,13 +60,13 @@
         for first in range(1, count, _WRITE_ROWS):
             numbers = range(first, min(first + _WRITE_ROWS, count))
             size = len(numbers) * CHUNK_BYTES
-            async with self.transfers.hold(size, deadline_at, is_first=True):
+            async with self.transfers.hold(size, deadline_at, is_urgent=True):
                 writes = [
                     Write(row_key(_TABLE, part, _name(n)), _chunk(content, n)) for n in numbers
                 ]
                 await write_once(self.store, [Condition(writes[0].key, 0)], writes, deadline_at)
         head = TurnHead(msgspec.structs.replace(turn, content=_chunk(content, 0)), count - 1)
-        async with self.transfers.hold(CHUNK_BYTES, deadline_at, is_first=True):
+        async with self.transfers.hold(CHUNK_BYTES, deadline_at, is_urgent=True):
             write = Write(row_key(_TABLE, part, _name(0)), msgspec.msgpack.encode(head))
             try:
                 await write_once(self.store, [Condition(write.key, 0)], [write], deadline_at)
@@ -92,7 +92,7 @@
             if len(rows) < end - first:
                 raise PlatformUnavailableError("rows of the turn are missing from the store")
             parts.extend(row.value for row in rows)
-        async with self.transfers.hold(head.most_bytes // defaults.TRANSFER_COPIES, is_first=True):
+        async with self.transfers.hold(head.most_bytes // defaults.TRANSFER_COPIES, is_urgent=True):
             return msgspec.structs.replace(head.turn, content=b"".join(parts))
 
     async def _read_rows(
@@ -100,7 +100,7 @@
     ) -> list[Row]:
         span = Span(row_key(_TABLE, key_part(turn_id), ""), _name(first), _name(end), end - first)
         size = span.rows * CHUNK_BYTES
-        async with self.transfers.hold(size, is_read=True, is_first=first > 0):
+        async with self.transfers.hold(size, is_read=True, is_urgent=first > 0):
             with progress.call():
                 return await self._scan(span, progress)
 
