--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/held_memory.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/held_memory.py
@@ -83,10 +83,14 @@
         """Reserve bytes, or return False if that exceeds a limit."""
         if not self.has_room(count):
             return False
+        self.add(count)
+        return True
+
+    def add(self, count: int) -> None:
+        """Count bytes without a check of the limits."""
         self.used += count
         self.account.used += count
         self.most_used = max(self.most_used, self.used)
-        return True
 
     def release(self, count: int) -> None:
         """Release reserved bytes."""
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/transfer_room.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/transfer_room.py
@@ -48,7 +48,9 @@
             if read_bytes and self.reading_bytes + read_bytes > max(self.window_bytes, read_bytes):
                 return False
             if not self.share.reserve(count):
-                return False
+                if self.share.used:
+                    return False
+                self.share.add(count)  # one call goes on, whatever else is held
             self.reading_bytes += read_bytes
             return True
 
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/turn_rows.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/turn_rows.py
@@ -59,14 +59,15 @@
         count = max(-(-len(content) // CHUNK_BYTES), 1)
         for first in range(1, count, _WRITE_ROWS):
             numbers = range(first, min(first + _WRITE_ROWS, count))
-            size = len(numbers) * CHUNK_BYTES
+            size = min(len(numbers) * CHUNK_BYTES, len(content) - first * CHUNK_BYTES)
             async with self.transfers.hold(size, deadline_at, is_urgent=True):
                 writes = [
                     Write(row_key(_TABLE, part, _name(n)), _chunk(content, n)) for n in numbers
                 ]
                 await write_once(self.store, [Condition(writes[0].key, 0)], writes, deadline_at)
         head = TurnHead(msgspec.structs.replace(turn, content=_chunk(content, 0)), count - 1)
-        async with self.transfers.hold(CHUNK_BYTES, deadline_at, is_urgent=True):
+        size = len(head.turn.content)
+        async with self.transfers.hold(size, deadline_at, is_urgent=True):
             write = Write(row_key(_TABLE, part, _name(0)), msgspec.msgpack.encode(head))
             try:
                 await write_once(self.store, [Condition(write.key, 0)], [write], deadline_at)
--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/test_turns.py
@@ -8,6 +8,7 @@
 from skylarkferry_core.histories import Turn
 from skylarkferry_core.ids import TurnId
 from skylarkferry_gateway import defaults
+from skylarkferry_gateway.held_memory import MemoryUse
 from skylarkferry_gateway.relayed_calls import RelayedCall
 from skylarkferry_standins.ports import free_address
 from skylarkferry_standins.replica import EVENT_COUNT, Replica
@@ -173,6 +174,28 @@
     assert_that((cache.in_use, cache.reserved_bytes), Equals(({}, 0)))
 
 
+# Guards against streams that are broken off because others hold the memory to store them.
+async def test_turn_is_stored_while_all_memory_is_held_by_others(rig):
+    engine = SlowEngine()
+    address = rig.addresses["e1"] = free_address()
+    await rig.listen(address, engine)
+    rig.register_replica("e1", "engine")
+    gateway = await rig.add_gateway()
+    answers = []
+
+    async def turn():
+        answers.append((await send_retained(rig, "t-1", b"x" * 150_000)).status_code)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(turn)
+        await wait_until(lambda: engine.has_begun)
+        for use in (MemoryUse.BODIES, MemoryUse.RESPONSES, MemoryUse.STREAMS):
+            share = gateway.memory.shares[use]
+            share.add(share.limit_bytes - share.used)
+        engine.may_end.set()
+    assert_that((answers, gateway.memory.used > gateway.memory.limit_bytes), Equals(([200], True)))
+
+
 async def test_chain_is_released_if_the_turn_is_refused(rig):
     await rig.add_replica("e1", "engine")
     gateway = await rig.add_gateway()
