--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/defaults.py
@@ -37,10 +37,11 @@
 """Size of one receive call: one full TCP window."""
 SEND_BYTES = 65_536
 """Most bytes of a response handed to the socket at once; each part has ``CLIENT_SEND_S``."""
-CLIENT_SOCKET_BYTES = 262_144
-"""Send buffer of connections to upstreams, peers and the store.
+UNSENT_BYTES = 131_072
+"""Bytes that a socket to an upstream, a peer or the store accepts and has not sent yet.
 
-A body that is sent has left this host but for so much: what an upstream does not read stays here.
+A body that was passed on has left this host but for so much: what an upstream does not read stays
+here.
 """
 BODY_SEND_BYTES = 131_072
 """Most bytes of a request body handed to the socket at once; the event loop copies what the socket
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/http_client.py
@@ -56,7 +56,7 @@
         raise UpstreamLostError(f"cannot connect to {address}: {error!r}") from error
     enable_keepalive(stream)
     raw = stream.extra(SocketAttribute.raw_socket)
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, defaults.CLIENT_SOCKET_BYTES)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, defaults.UNSENT_BYTES)
     return HttpConnection(stream)
 
 
