--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/peers.py
@@ -15,7 +15,6 @@
     ConnectionLostError,
     MalformedDataError,
     NotOwnerError,
-    OverloadedError,
     PlatformUnavailableError,
     SkylarkferryError,
     TokensSpentError,
@@ -37,10 +36,9 @@
 )
 from skylarkferry_gateway.relayed_calls import (
     CallKind,
-    CallOutcome,
     RelayedCall,
     RelayedReply,
-    perform_call,
+    perform_within_memory,
 )
 from skylarkferry_gateway.remembered_rows import RememberedRows
 from skylarkferry_gateway.stream_origins import StreamOrigins
@@ -204,25 +202,12 @@
                 tasks.start_soon(_send_progress, client)
                 if call.kind is CallKind.CHANGES:
                     await stack.enter_async_context(self.feeds)
-                reply = msgspec.json.encode(await self._perform_within_memory(call))
+                reply = msgspec.json.encode(
+                    await perform_within_memory(self.store, call, self.transfers)
+                )
                 tasks.cancel_scope.cancel()
             await client.respond(200, [], reply)
 
-    async def _perform_within_memory(self, call: RelayedCall) -> RelayedReply:
-        """Make a store call once there is memory for the rows that it carries."""
-        size = call.content_bytes
-        if self.transfers is None or not size:
-            return await perform_call(self.store, call)
-        deadline_at = anyio.current_time() + defaults.PEER_STORE_TIMEOUT_S
-        try:
-            is_read = not call.writes
-            async with self.transfers.hold(
-                size, deadline_at, is_read=is_read, is_urgent=not is_read
-            ):
-                return await perform_call(self.store, call)
-        except OverloadedError as error:
-            return RelayedReply(CallOutcome.REFUSED, detail=error.detail)
-
     async def _take_streams(self, body: bytes, client: ClientConnection) -> None:
         """Keep the streams of a gateway that ends, unless this one has told its own already."""
         if self.origins.has_told:
--- a/packages/skylarkferry-gateway/src/skylarkferry_gateway/relayed_calls.py
+++ b/packages/skylarkferry-gateway/src/skylarkferry_gateway/relayed_calls.py
@@ -2,16 +2,20 @@
 
 from enum import Enum
 
+import anyio
 import msgspec
 
 from skylarkferry_core.errors import (
     HistoryLostError,
+    OverloadedError,
     PlatformRefusedError,
     PlatformUnavailableError,
     WriteConflictError,
 )
 from skylarkferry_core.interfaces import Condition, Row, Write
+from skylarkferry_gateway import defaults
 from skylarkferry_gateway.interfaces import Span, Store
+from skylarkferry_gateway.transfer_room import TransferRoom
 
 MAX_ROW_BYTES = 49_152
 """Longest value of a row; in base64 it has the 64 KiB that the store accepts."""
@@ -78,6 +82,23 @@
     age_s: float = 0.0
 
 
+async def perform_within_memory(
+    store: Store, call: RelayedCall, transfers: TransferRoom | None
+) -> RelayedReply:
+    """Make a store call once there is memory for the rows that it carries."""
+    if transfers is None or not call.content_bytes:
+        return await perform_call(store, call)
+    deadline_at = anyio.current_time() + defaults.PEER_STORE_TIMEOUT_S
+    is_read = not call.writes
+    try:
+        async with transfers.hold(
+            call.content_bytes, deadline_at, is_read=is_read, is_urgent=not is_read
+        ):
+            return await perform_call(store, call)
+    except OverloadedError as error:
+        return RelayedReply(CallOutcome.REFUSED, detail=error.detail)
+
+
 async def perform_call(store: Store, call: RelayedCall) -> RelayedReply:
     """Make a store call and return its outcome; a change feed is read without waiting."""
     try:
