--- a/review/third/bed.py
+++ b/review/third/bed.py
@@ -596,7 +596,7 @@
         first, answer.headers = await read_head(self.reader)
         answer.status = int(first.split(" ")[1])
         if answer.headers.get("transfer-encoding", "").lower() == "chunked":
-            while size := int((await self.reader.readline()).split(b";")[0] or b"x", 16):
+            while size := int((await self._line()).split(b";")[0], 16):
                 answer.body += await self.reader.readexactly(size)
                 await self.reader.readexactly(2)
                 if on_body is not None:
@@ -608,6 +608,13 @@
         answer.is_whole = True
 
 
+    async def _line(self):
+        line = await self.reader.readline()
+        if not line.endswith(b"\n"):
+            raise asyncio.IncompleteReadError(line, None)
+        return line
+
+
 class Bed:
     """All stand-ins and processes of one script."""
 
