Review case: 404 for a turn whose route a cut-off machine does not know

The new case is review/11; the others move: 12 is as before, 13 was 11 (a large request and a drain), 14 was 13 (a machine without peers), 15 was 14 (a late entry). review/11: run once with the disruption, exit 1 (the turn was answered 404), once with TROUBLE=0, exit 0. review/14 with TROUBLE=0: exit 0.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""A machine that the store turns away alone keeps an old desired state, as it asks no other one."""
+"""A large order waits for room at a replica and is sent there long after the replica drains."""
 
 import asyncio
 import sys
@@ -10,66 +10,57 @@
 
 import bed as beds  # noqa: E402
 
-CONFIG_APPLY_S = 2.0
-MAX_SKEW_S = 5.0
-"""configApplyMs and maxSkewMs of the settings; together the bound while the core is unstable."""
-REFUSED_S = 9.0
-"""Longest time for which the site file turns machines away (platform_down, how = nodes)."""
-PARTITIONS = 128
+DRAIN_S = 2.0
+"""drainMs of the settings."""
+EXIT_AFTER_S = 4.0
+"""The replica exits so long after its report: drainMs and "a little longer (at times many s)"."""
+BODY = b"o" * 1_000_000
+LIMIT_MS = 12_000
+FIRST_WORK_S = 3.4
 
 
 async def case(bed):
     await bed.store.listen()
-    services = [{"name": "shop"}, {"name": "shop-new"}]
-    options = {"maxSkewMs": int(MAX_SKEW_S * 1_000)}
-    bed.configure([beds.route("/stock/", "idempotent", "shop")], services)
-    await bed.add_replica("i-old", "shop")
-    await bed.add_replica("i-new", "shop-new")
-    first = await bed.add_gateway(**options)
-    await first.wait_ready()
-    end = time.monotonic() + 40
-    while len(first.lines("budget_partition_claimed")) < PARTITIONS:
-        if time.monotonic() > end:
-            raise beds.CannotRunError("the first machine has not claimed all partitions")
-        await asyncio.sleep(0.5)
-    others = [await bed.add_gateway(**options) for _ in range(2)]
-    for gateway in others:
-        await gateway.wait_ready()
-    await asyncio.sleep(8)  # all machines have read the list of machines again
+    routes = [beds.route("/orders/", "non_idempotent", "shop", timeoutMs=15_000)]
+    bed.configure(routes, [{"name": "shop"}])
+    old = await bed.add_replica("i-old", "shop")
+    old.work = lambda request: FIRST_WORK_S
+    gateway = await bed.add_gateway()
+    await gateway.wait_ready()
+    await asyncio.sleep(3.5)  # contactMs and a little: the machine is in touch from now on
 
-    connection = bed.connection(first)
-    sent = []
+    def send(number):
+        connection = bed.connection(gateway)
+        exchange = connection.exchange(f"/orders/{number}", BODY, limit_ms=LIMIT_MS)
+        return asyncio.create_task(exchange)
 
-    async def send_until(moment):
-        while time.monotonic() < moment:
-            answer = await connection.exchange("/stock/7", method="GET", limit_ms=1_200)
-            sent.append(answer)
-            if not answer.is_whole:
-                raise beds.CannotRunError("the open connection was closed")
-            await asyncio.sleep(0.25)
-
-    await send_until(time.monotonic() + 1)
-    refused_at = time.monotonic()
+    first = [send(number) for number in range(1, 7)]
+    await asyncio.sleep(0.5)
+    if len(old.runs) != 6:
+        raise beds.CannotRunError("the six orders do not run yet")
+    last = send(7)
+    await asyncio.sleep(0.2)
+    new = await bed.add_replica("i-new", "shop")
+    new.work = lambda request: 0.1
+    drained_at = None
     if beds.TROUBLE:
-        bed.record.line(f"the store turns {first.name} away (503) for {REFUSED_S} s")
-        bed.store.fault = lambda caller, request: "refuse" if caller == first.name else None
-    await send_until(refused_at + 0.3)
-    routes = [beds.route("/stock/", "idempotent", "shop-new")]
-    confirmed_at = bed.configure(routes, services)
-    await send_until(refused_at + REFUSED_S)
-    bed.store.fault = lambda caller, request: None
-    bed.record.line("the store serves all machines")
-    await send_until(time.monotonic() + 3)
-    connection.close()
-
-    bound_s = CONFIG_APPLY_S + (MAX_SKEW_S if beds.TROUBLE else 0)
-    return [
-        f"{answer.request_id}, sent {answer.sent_at - confirmed_at:.2f} s after the confirmation that"
-        f" its route leads to shop-new, was run by {run.replica.name} of {run.replica.service}"
-        for answer in sent
-        for run in bed.runs_of(answer.request_id)
-        if answer.sent_at > confirmed_at + bound_s and run.replica.service == "shop"
+        drained_at = old.drain()
+        await asyncio.sleep(EXIT_AFTER_S)
+        old.leave()
+        old.unlist()
+    answers = [await task for task in [*first, last]]
+    if any(answer.status != 200 for answer in answers[:6]):
+        raise beds.CannotRunError("one of the six orders was not served")
+    if drained_at is None:
+        return [] if answers[6].status in (200, 503) else ["the last order was lost"]
+    broken = [
+        f"{run.request_id} reached i-old {run.at - drained_at:.2f} s after the store confirmed that"
+        f" it is draining; {'it was cut off there' if run.ended_at is None else 'it ran whole'};"
+        f" the client has status {answers[6].status or 'none'}"
+        for run in old.runs
+        if run.at > drained_at + DRAIN_S
     ]
+    return broken
 
 
 beds.main(case)
--- a/review/third/bed.py
+++ b/review/third/bed.py
@@ -156,6 +156,8 @@
         self.ver = 0
         self.changed = asyncio.Event()
         self.fault = lambda caller, request: None
+        self.cut = set()
+        """Callers that are partitioned from the store: nothing passes in either direction."""
         self.delay_s = 0.004
 
     async def port_for(self, caller):
@@ -187,6 +189,8 @@
         self.changed = asyncio.Event()
 
     async def serve_call(self, caller, request, writer):
+        while caller in self.cut:
+            await asyncio.sleep(0.05)
         fault = self.fault(caller, request)
         await asyncio.sleep(self.delay_s)
         if fault == "refuse":
@@ -204,6 +208,8 @@
             reset(writer)
         else:
             status, body = await self._perform(request)
+            while caller in self.cut:
+                await asyncio.sleep(0.05)
             writer.write(encode(status, {"Content-Type": "application/json"}, body))
             await writer.drain()
 
@@ -607,7 +613,6 @@
             answer.body = await self.reader.readexactly(length)
         answer.is_whole = True
 
-
     async def _line(self):
         line = await self.reader.readline()
         if not line.endswith(b"\n"):
